--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,37 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+
+/**
+ * Airbnb's rules, formatter included (the stylistic plug-in fixes layout).
+ * Each override below states why it departs from Airbnb.
+ */
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**', 'tmp/**', 'vitest.config.ts'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.node.recommended,
+  ...configs.base.typescript,
+  {
+    files: ['**/*.ts', '**/*.js'],
+    rules: {
+      // Node.js module resolution wants the ending in every relative import.
+      'import-x/extensions': ['error', 'ignorePackages', { ts: 'never', js: 'always' }],
+      // A schema and the type inferred from it share one name and one export.
+      '@typescript-eslint/no-redeclare': 'off',
+      // Workspace packages are linked by npm and are declared in each package.json.
+      'import-x/no-extraneous-dependencies': 'off',
+      // Loops with await are sequential on purpose; for...of is native on Node.js 20.
+      'no-await-in-loop': 'off',
+      'no-restricted-syntax': 'off',
+      'no-continue': 'off',
+      // void marks a promise whose outcome is handled inside the callee.
+      'no-void': 'off',
+      // A cycle between packages is refused by the TypeScript project references.
+      'import-x/no-cycle': 'off',
+      'max-len': 'off',
+      '@stylistic/max-len': ['error', { code: 110, ignoreStrings: true, ignoreTemplateLiterals: true }],
+    },
+  },
+];
--- /dev/null
+++ b/packages/core/src/lib/errors/ErrorKind.ts
@@ -0,0 +1,40 @@
+import { z } from 'zod';
+
+/** The closed list of error kinds. `ERROR_ANSWERS` gives the answer to each. */
+const ErrorKind = z.enum([
+  'malformed-request',
+  'body-too-large',
+  'unknown-team',
+  'unauthorized',
+  'unknown-service',
+  'unknown-path',
+  'idempotency-key-missing',
+  'idempotency-key-reused',
+  'idempotency-key-in-progress',
+  'overloaded',
+  'team-over-share',
+  'deadline-unreachable',
+  'no-whole-replica',
+  'no-accepted-state',
+  'store-unavailable',
+  'store-outcome-unknown',
+  'entry-leaving',
+  'home-unreachable',
+  'target-refused',
+  'target-lost',
+  'target-timeout',
+  'replica-not-whole',
+  'answer-too-large',
+  'caller-gone',
+  'release-invalid',
+  'release-conflict',
+  'settings-invalid',
+  'message-invalid',
+  'platform-answer-invalid',
+  'lease-lost',
+  'order-refused',
+  'internal',
+]);
+type ErrorKind = z.infer<typeof ErrorKind>;
+
+export default ErrorKind;
--- /dev/null
+++ b/packages/core/src/lib/errors/Problem.ts
@@ -0,0 +1,18 @@
+import { z } from 'zod';
+import ErrorKind from './ErrorKind.js';
+import Outcome from './Outcome.js';
+
+/** Problem document (RFC 9457) that carries a refusal. */
+const Problem = z.object({
+  type: z.string(),
+  title: z.string(),
+  status: z.number().int(),
+  detail: z.string(),
+  kind: ErrorKind,
+  outcome: Outcome,
+  retryAfterSeconds: z.number().nonnegative().optional(),
+  requestId: z.string().optional(),
+});
+type Problem = z.infer<typeof Problem>;
+
+export default Problem;
--- /dev/null
+++ b/packages/core/src/lib/errors/ServingErrorOptions.ts
@@ -0,0 +1,10 @@
+import type ErrorKind from './ErrorKind.js';
+
+/** Options of a `ServingError`. */
+export default interface ServingErrorOptions {
+  /** Defaults to `internal`. */
+  readonly kind?: ErrorKind;
+  readonly cause?: unknown;
+  /** Overrides the table's Retry-After, in seconds. */
+  readonly retryAfterSeconds?: number;
+}
--- /dev/null
+++ b/packages/core/src/lib/records/Grant.ts
@@ -0,0 +1,16 @@
+import { z } from 'zod';
+import EntryId from '../ids/EntryId.js';
+
+/**
+ * Share of a replica's concurrency that one entry may use. Invariant: over the
+ * grants of a replica, and those withdrawn that may still be in use, `cold` adds
+ * up to at most the service's cold limit, and `warm` to at most its warm limit.
+ */
+const Grant = z.object({
+  entry: EntryId,
+  cold: z.number().int().nonnegative(),
+  warm: z.number().int().nonnegative(),
+});
+type Grant = z.infer<typeof Grant>;
+
+export default Grant;
--- /dev/null
+++ b/packages/core/src/lib/records/ServiceDefinition.ts
@@ -0,0 +1,47 @@
+import { z } from 'zod';
+import ServiceId from '../ids/ServiceId.js';
+import TeamId from '../ids/TeamId.js';
+import CallPattern from './CallPattern.js';
+import Priority from './Priority.js';
+import ServiceLimits from './ServiceLimits.js';
+
+const MAXIMUM_REPLICAS = 1_000;
+const MAXIMUM_VMS_PER_REPLICA = 64;
+const MAXIMUM_ACCELERATORS_PER_VM = 64;
+const MAXIMUM_NAME_LENGTH = 128;
+
+const name = z.string().min(1).max(MAXIMUM_NAME_LENGTH);
+
+const common = {
+  service: ServiceId,
+  team: TeamId,
+  replicas: z.number().int().min(0).max(MAXIMUM_REPLICAS),
+  version: name,
+  priority: Priority.default('interactive'),
+  /** Whether the targets refuse an order with a stale fencing number. Unknown counts as not. */
+  targetsCheckFencing: z.boolean().default(false),
+  limits: ServiceLimits.prefault({}),
+};
+
+/** A service as a release note describes it. */
+const ServiceDefinition = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('model'),
+    ...common,
+    model: name,
+    adapter: name.optional(),
+    vmsPerReplica: z.number().int().min(1).max(MAXIMUM_VMS_PER_REPLICA),
+    acceleratorsPerVM: z.number().int().min(1).max(MAXIMUM_ACCELERATORS_PER_VM),
+  }),
+  z.strictObject({
+    kind: z.literal('plain'),
+    ...common,
+    /** Calls that run at most once. Each needs an Idempotency-Key. */
+    nonRepeatableCalls: z.array(CallPattern).max(64).default([]),
+    vmsPerReplica: z.literal(1).default(1),
+    acceleratorsPerVM: z.literal(0).default(0),
+  }),
+]);
+type ServiceDefinition = z.infer<typeof ServiceDefinition>;
+
+export default ServiceDefinition;
--- /dev/null
+++ b/packages/core/src/lib/records/VMList.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod';
+import VMRecord from './VMRecord.js';
+
+/** The platform's list of VMs. It lags behind the fleet. */
+const VMList = z.object({
+  vms: z.array(VMRecord),
+});
+type VMList = z.infer<typeof VMList>;
+
+export default VMList;
--- /dev/null
+++ b/packages/core/src/lib/table/TABLE_NAMES.ts
@@ -0,0 +1,17 @@
+/** Names of the tables that the system keeps in the platform's table service. */
+const TABLE_NAMES = {
+  /** Key `head`: the latest accepted sequence. Key `change/<sequence, 12 digits>`: a `ReleaseRecord`. */
+  releases: 'releases',
+  /** Key `<region>/<service>`: a `ServicePlacement`. */
+  placements: 'placements',
+  /** Key `<region>/<vm>`: an `Allocation`. */
+  allocations: 'allocations',
+  /** Key `<region>`: a `LeaseRecord`. */
+  leases: 'leases',
+  /** Key: hash of team, service and idempotency key. */
+  claims: 'claims',
+  /** Key `<region>/<entry>`: an `EntryRecord`. */
+  entries: 'entries',
+} as const;
+
+export default TABLE_NAMES;
--- /dev/null
+++ b/packages/core/src/lib/table/TransactionOutcome.ts
@@ -0,0 +1,15 @@
+import { z } from 'zod';
+import RowVersion from '../ids/RowVersion.js';
+import TableRow from './TableRow.js';
+
+/**
+ * Answer to a transaction. `committed`: `version` is the new version of every row
+ * written. `conflict`: nothing was written; `rows` are the rows whose condition failed.
+ */
+const TransactionOutcome = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('committed'), version: RowVersion }),
+  z.object({ kind: z.literal('conflict'), rows: z.array(TableRow) }),
+]);
+type TransactionOutcome = z.infer<typeof TransactionOutcome>;
+
+export default TransactionOutcome;
--- /dev/null
+++ b/packages/core/src/test/errors.test.ts
@@ -0,0 +1,20 @@
+import { expect, test } from 'vitest';
+import {
+  ERROR_ANSWERS, ErrorKind, Problem, ServingError, toProblem,
+} from '../index.js';
+
+test('every kind has an answer', () => {
+  expect(Object.keys(ERROR_ANSWERS).sort()).toEqual([...ErrorKind.options].sort());
+});
+
+test('problem carries kind and outcome', () => {
+  const problem = toProblem(new ServingError('queue is full', { kind: 'overloaded', retryAfterSeconds: 3 }));
+  expect(Problem.parse(problem)).toMatchObject({
+    status: 429, kind: 'overloaded', outcome: 'not-run', retryAfterSeconds: 3, detail: 'queue is full',
+  });
+});
+
+test('kinds after the first byte are unknown', () => {
+  const afterFirstByte = ['target-lost', 'target-timeout', 'replica-not-whole', 'answer-too-large'] as const;
+  expect(afterFirstByte.map((kind) => ERROR_ANSWERS[kind].outcome)).toEqual(afterFirstByte.map(() => 'unknown'));
+});
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,24 @@
+import { fileURLToPath } from 'node:url';
+import { defineConfig } from 'vitest/config';
+
+const packagesDirectory = fileURLToPath(new URL('./packages', import.meta.url));
+
+/** Workspace packages resolve to their sources, so that tests need no build. */
+export default defineConfig({
+  resolve: {
+    alias: [
+      {
+        find: /^@dandelionlane\/([a-z-]+)$/,
+        replacement: `${packagesDirectory}/$1/src/index.ts`,
+      },
+    ],
+  },
+  test: {
+    include: ['packages/*/src/test/**/*.test.ts'],
+    exclude: ['**/dist/**', '**/node_modules/**'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 4,
+    sequence: { seed: 1 },
+  },
+});
