--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,10 @@
 /** Public surface of the package. */
+export { default as ChangeAccepted } from './lib/administration/ChangeAccepted.js';
+export { default as ChangeRequest } from './lib/administration/ChangeRequest.js';
+export { default as EntriesDocument } from './lib/administration/EntriesDocument.js';
+export { default as HEADERS } from './lib/administration/HEADERS.js';
+export { default as ReleaseDocument } from './lib/administration/ReleaseDocument.js';
+export { default as StatusDocument } from './lib/administration/StatusDocument.js';
 export { default as describeIssues } from './lib/errors/describeIssues.js';
 export { default as ERROR_ANSWERS } from './lib/errors/ERROR_ANSWERS.js';
 export { type default as ErrorAnswer } from './lib/errors/ErrorAnswer.js';
--- a/packages/core/src/lib/table/MemoryTableStore.ts
+++ b/packages/core/src/lib/table/MemoryTableStore.ts
@@ -88,6 +88,7 @@
         rows.delete(key);
       } else {
         // A copy, so that a caller that changes its object later changes no row.
+
         rows.set(key, {
           table, key, version, value: structuredClone(value),
         });
