Add the platform clients, the lease and the claims

Leases are timed on each process's own monotonic clock; a holder stops acting a margin before a contender may begin. Claims are committed in groups and settled by nonce after a lost answer; what is given up is released in the background.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,25 @@
 /** Public surface of the package. */
-export {};
+export { type default as ClaimAttempt } from './lib/claims/ClaimAttempt.js';
+export { type default as ClaimHandle } from './lib/claims/ClaimHandle.js';
+export { type default as ClaimOutcome } from './lib/claims/ClaimOutcome.js';
+export { default as ClaimRecord } from './lib/claims/ClaimRecord.js';
+export { default as ClaimReleaser } from './lib/claims/ClaimReleaser.js';
+export { default as ClaimStore } from './lib/claims/ClaimStore.js';
+export { default as createClaimKey } from './lib/claims/createClaimKey.js';
+export { default as createFingerprint } from './lib/claims/createFingerprint.js';
+export { default as StoredAnswer } from './lib/claims/StoredAnswer.js';
+export { default as ORDER_TIMEOUT_MILLISECONDS } from './lib/fleet/ORDER_TIMEOUT_MILLISECONDS.js';
+export { default as readVMList } from './lib/fleet/readVMList.js';
+export { default as readVMReport } from './lib/fleet/readVMReport.js';
+export { default as sendEngineOrder } from './lib/fleet/sendEngineOrder.js';
+export { default as isNeverSent } from './lib/http/isNeverSent.js';
+export { type default as JSONAnswer } from './lib/http/JSONAnswer.js';
+export { type default as JSONRequest } from './lib/http/JSONRequest.js';
+export { default as sendJSON } from './lib/http/sendJSON.js';
+export { type default as HeldLease } from './lib/lease/HeldLease.js';
+export { default as isLeaseFree } from './lib/lease/isLeaseFree.js';
+export { default as LeaseKeeper } from './lib/lease/LeaseKeeper.js';
+export { type default as LeaseObservation } from './lib/lease/LeaseObservation.js';
+export { type default as LeaseSettings } from './lib/lease/LeaseSettings.js';
+export { default as observeLease } from './lib/lease/observeLease.js';
+export { default as HTTPTableStore } from './lib/table/HTTPTableStore.js';
--- /dev/null
+++ b/packages/platform/src/lib/claims/ClaimAttempt.ts
@@ -0,0 +1,15 @@
+import type { ServingError, RowVersion } from '@dandelionlane/core';
+import type { Result } from 'neverthrow';
+import type ClaimOutcome from './ClaimOutcome.js';
+import type ClaimRecord from './ClaimRecord.js';
+
+/** A claim that waits for its group commit. */
+export default interface ClaimAttempt {
+  readonly key: string;
+  readonly record: ClaimRecord;
+  /** Version of the row that the claim replaces; 0 for an absent row. */
+  readonly replaces: RowVersion;
+  /** Monotonic time after which the attempt is given up. */
+  readonly deadlineMilliseconds: number;
+  readonly settle: (result: Result<ClaimOutcome, ServingError>) => void;
+}
--- /dev/null
+++ b/packages/platform/src/lib/claims/ClaimReleaser.ts
@@ -0,0 +1,66 @@
+import {
+  RowVersion, TABLE_NAMES, type TableRow, type TableStore,
+} from '@dandelionlane/core';
+import ClaimRecord from './ClaimRecord.js';
+
+const FIRST_RETRY_MILLISECONDS = 200;
+const LAST_RETRY_MILLISECONDS = 10_000;
+const MAXIMUM_ATTEMPTS = 400;
+
+function mayOverwrite(row: TableRow, record: ClaimRecord): boolean {
+  if (row.version === 0) {
+    return true;
+  }
+  const existing = ClaimRecord.safeParse(row.value);
+  return existing.success && existing.data.nonce === record.nonce && existing.data.state === 'claimed';
+}
+
+/**
+ * Marks given-up claims as released, in the background, until the store has answered.
+ *
+ * Invariant: only a row that carries the given-up nonce, or no row at all, is
+ * overwritten. Writing over an absent row keeps a claim that is still on its way
+ * from taking effect later, since that claim is conditioned on the absence.
+ */
+export default class ClaimReleaser {
+  readonly #store: TableStore;
+
+  constructor(store: TableStore) {
+    this.#store = store;
+  }
+
+  release(key: string, record: ClaimRecord): void {
+    void this.#run(key, record);
+  }
+
+  async #run(key: string, record: ClaimRecord): Promise<void> {
+    let pause = FIRST_RETRY_MILLISECONDS;
+    for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
+      if (await this.#tryOnce(key, record)) {
+        return;
+      }
+      const wait = pause;
+      await new Promise((resolve) => {
+        setTimeout(resolve, wait).unref();
+      });
+      pause = Math.min(pause * 2, LAST_RETRY_MILLISECONDS);
+    }
+  }
+
+  /** Returns whether nothing is left to do. */
+  async #tryOnce(key: string, record: ClaimRecord): Promise<boolean> {
+    const rows = await this.#store.read([{ table: TABLE_NAMES.claims, key }]);
+    const row = rows.isOk() ? rows.value[0] : undefined;
+    if (row === undefined) {
+      return false;
+    }
+    if (!mayOverwrite(row, record)) {
+      return true;
+    }
+    const outcome = await this.#store.commit({
+      conditions: [{ table: TABLE_NAMES.claims, key, version: RowVersion.parse(row.version) }],
+      writes: [{ table: TABLE_NAMES.claims, key, value: record }],
+    });
+    return outcome.isOk() && outcome.value.kind === 'committed';
+  }
+}
--- /dev/null
+++ b/packages/platform/src/lib/claims/StoredAnswer.ts
@@ -0,0 +1,11 @@
+import { z } from 'zod';
+
+/** Answer kept with a claim. A body over the limit is not kept: `bodyBase64` is null. */
+const StoredAnswer = z.object({
+  status: z.number().int(),
+  contentType: z.string(),
+  bodyBase64: z.string().nullable(),
+});
+type StoredAnswer = z.infer<typeof StoredAnswer>;
+
+export default StoredAnswer;
--- /dev/null
+++ b/packages/platform/src/lib/http/JSONRequest.ts
@@ -0,0 +1,9 @@
+/** A JSON request to a platform service. */
+export default interface JSONRequest {
+  readonly method: 'GET' | 'POST' | 'PUT';
+  /** `http://host:port`. */
+  readonly origin: string;
+  readonly path: string;
+  readonly body?: unknown;
+  readonly timeoutMilliseconds: number;
+}
--- /dev/null
+++ b/packages/platform/src/lib/http/sendJSON.ts
@@ -0,0 +1,45 @@
+import { ResultAsync } from 'neverthrow';
+import type { Dispatcher } from 'undici';
+import { ServingError } from '@dandelionlane/core';
+import type JSONAnswer from './JSONAnswer.js';
+import type JSONRequest from './JSONRequest.js';
+import isNeverSent from './isNeverSent.js';
+
+const MAXIMUM_ANSWER_BYTES = 64 * 1_024 * 1_024;
+
+async function exchange(dispatcher: Dispatcher, request: JSONRequest): Promise<JSONAnswer> {
+  const answer = await dispatcher.request({
+    origin: request.origin,
+    path: request.path,
+    method: request.method,
+    headersTimeout: request.timeoutMilliseconds,
+    bodyTimeout: request.timeoutMilliseconds,
+    signal: AbortSignal.timeout(request.timeoutMilliseconds),
+    ...(request.body === undefined ? {} : {
+      body: JSON.stringify(request.body),
+      headers: { 'content-type': 'application/json' },
+    }),
+  });
+  const length = Number(answer.headers['content-length'] ?? 0);
+  if (length > MAXIMUM_ANSWER_BYTES) {
+    await answer.body.dump();
+    throw new Error(`answer of ${length} bytes is too large`);
+  }
+  const text = await answer.body.text();
+  const data: unknown = text === '' ? null : JSON.parse(text);
+  return { status: answer.statusCode, data };
+}
+
+/**
+ * Sends one JSON request. Errors: `store-unavailable` when no connection was made,
+ * `store-outcome-unknown` when the request may have been received.
+ */
+export default function sendJSON(
+  dispatcher: Dispatcher,
+  request: JSONRequest,
+): ResultAsync<JSONAnswer, ServingError> {
+  return ResultAsync.fromPromise(exchange(dispatcher, request), (cause) => new ServingError(
+    `${request.method} ${request.origin}${request.path} failed`,
+    { kind: isNeverSent(cause) ? 'store-unavailable' : 'store-outcome-unknown', cause },
+  ));
+}
--- /dev/null
+++ b/packages/platform/src/lib/lease/HeldLease.ts
@@ -0,0 +1,9 @@
+import type { FencingNumber, RowVersion } from '@dandelionlane/core';
+
+/** A lease that this process holds. */
+export default interface HeldLease {
+  readonly fencing: FencingNumber;
+  readonly version: RowVersion;
+  /** Monotonic time after which the holder no longer acts. */
+  readonly actUntilMilliseconds: number;
+}
--- /dev/null
+++ b/packages/platform/src/lib/lease/LeaseKeeper.ts
@@ -0,0 +1,138 @@
+import {
+  FencingNumber, LeaseRecord, RowVersion, TABLE_NAMES, createNonce,
+  type Clock, type ControllerId, type RegionId, type TableCondition, type TableRow, type TableStore,
+} from '@dandelionlane/core';
+import type HeldLease from './HeldLease.js';
+import type LeaseObservation from './LeaseObservation.js';
+import type LeaseSettings from './LeaseSettings.js';
+import isLeaseFree from './isLeaseFree.js';
+import observeLease from './observeLease.js';
+
+function parseRecord(row: TableRow): LeaseRecord | null {
+  const parsed = LeaseRecord.safeParse(row.value);
+  return parsed.success ? parsed.data : null;
+}
+
+/** What a `LeaseKeeper` needs from outside. */
+interface LeaseKeeperOptions {
+  readonly store: TableStore;
+  readonly clock: Clock;
+  readonly controller: ControllerId;
+  readonly region: RegionId;
+  readonly settings: LeaseSettings;
+}
+
+/**
+ * Contends for the lease of one shard and renews it while held.
+ *
+ * Invariant: `held()` returns a lease only while no contender that follows the same
+ * rules can have acquired it. The holder's term starts before its write is sent,
+ * and a contender's starts after it has read that write.
+ */
+export default class LeaseKeeper {
+  readonly #options: LeaseKeeperOptions;
+
+  #observation: LeaseObservation | null = null;
+
+  #held: HeldLease | null = null;
+
+  constructor(options: LeaseKeeperOptions) {
+    this.#options = options;
+  }
+
+  /** The lease, if this process may act on it now. */
+  held(): HeldLease | null {
+    if (this.#held === null) {
+      return null;
+    }
+    const now = this.#options.clock.monotonicMilliseconds();
+    return now < this.#held.actUntilMilliseconds ? this.#held : null;
+  }
+
+  /** Condition by which a transaction commits only while the lease row is as this holder wrote it. */
+  condition(lease: HeldLease): TableCondition {
+    return { table: TABLE_NAMES.leases, key: this.#options.region, version: lease.version };
+  }
+
+  /** One round: reads the row, then renews or acquires where that is allowed. */
+  async step(): Promise<void> {
+    const { store, clock, region } = this.#options;
+    const rows = await store.read([{ table: TABLE_NAMES.leases, key: region }]);
+    if (rows.isErr()) {
+      return;
+    }
+    const row = rows.value[0];
+    if (row === undefined) {
+      return;
+    }
+    const now = clock.monotonicMilliseconds();
+    const observation = observeLease(this.#observation, parseRecord(row), row.version, now);
+    this.#observation = observation;
+    const mine = this.#held !== null && this.#held.version === observation.version;
+    if (mine && this.held() !== null) {
+      await this.#write(observation, this.#held?.fencing ?? FencingNumber.parse(0), false);
+      return;
+    }
+    this.#held = null;
+    if (isLeaseFree(observation, now)) {
+      const previous = observation.record?.fencing ?? 0;
+      await this.#write(observation, FencingNumber.parse(previous + 1), false);
+    }
+  }
+
+  /** Gives the lease up, so that a contender need not wait for the term to end. */
+  async release(): Promise<void> {
+    const lease = this.held();
+    const observation = this.#observation;
+    this.#held = null;
+    if (lease !== null && observation !== null) {
+      await this.#write({ ...observation, version: lease.version }, lease.fencing, true);
+      this.#held = null;
+    }
+  }
+
+  async #write(observation: LeaseObservation, fencing: FencingNumber, released: boolean): Promise<void> {
+    const {
+      store, clock, controller, region, settings,
+    } = this.#options;
+    const startedAt = clock.monotonicMilliseconds();
+    const record: LeaseRecord = {
+      holder: controller,
+      fencing,
+      renewal: createNonce(),
+      termMilliseconds: settings.termMilliseconds,
+      released,
+    };
+    const outcome = await store.commit({
+      conditions: [{ table: TABLE_NAMES.leases, key: region, version: observation.version }],
+      writes: [{ table: TABLE_NAMES.leases, key: region, value: record }],
+    });
+    if (outcome.isOk() && outcome.value.kind === 'committed') {
+      this.#hold(record, outcome.value.version, startedAt);
+      return;
+    }
+    if (outcome.isErr() && outcome.error.kind === 'store-outcome-unknown') {
+      await this.#settle(record, startedAt);
+    }
+  }
+
+  /** After a lost answer: the row tells by its nonce whether the write took effect. */
+  async #settle(record: LeaseRecord, startedAt: number): Promise<void> {
+    const { store, region } = this.#options;
+    const rows = await store.read([{ table: TABLE_NAMES.leases, key: region }]);
+    const row = rows.isOk() ? rows.value[0] : undefined;
+    if (row !== undefined && parseRecord(row)?.renewal === record.renewal) {
+      this.#hold(record, row.version, startedAt);
+    }
+  }
+
+  #hold(record: LeaseRecord, version: RowVersion, startedAt: number): void {
+    const { settings, clock } = this.#options;
+    this.#observation = { record, version, firstSeenMilliseconds: clock.monotonicMilliseconds() };
+    this.#held = {
+      fencing: record.fencing,
+      version,
+      actUntilMilliseconds: startedAt + settings.termMilliseconds - settings.safetyMarginMilliseconds,
+    };
+  }
+}
--- /dev/null
+++ b/packages/platform/src/test/ClaimStore.test.ts
@@ -0,0 +1,147 @@
+import {
+  EntryId, ManualClock, MemoryTableStore, TABLE_NAMES,
+} from '@dandelionlane/core';
+import fc from 'fast-check';
+import { expect, test, vi } from 'vitest';
+import { ClaimRecord, ClaimStore, type ClaimOutcome } from '../index.js';
+
+const SEED = 20_261_203;
+const answer = { status: 201, contentType: 'application/json', bodyBase64: 'e30=' };
+
+function createClaims(store: MemoryTableStore, name = 'a', clock = new ManualClock()): ClaimStore {
+  return new ClaimStore({ store, clock, entry: EntryId.parse(name) });
+}
+
+async function readClaim(store: MemoryTableStore, key: string): Promise<ClaimRecord> {
+  const rows = await store.read([{ table: TABLE_NAMES.claims, key }]);
+  return ClaimRecord.parse(rows._unsafeUnwrap()[0]?.value);
+}
+
+function handleOf(outcome: ClaimOutcome) {
+  if (outcome.kind !== 'granted') {
+    throw new Error(`not granted: ${outcome.kind}`);
+  }
+  return outcome.handle;
+}
+
+test('one of two entries is granted', async () => {
+  const store = new MemoryTableStore();
+  const [first, second] = await Promise.all([
+    createClaims(store, 'a').claim('key', 'print', 1_000),
+    createClaims(store, 'b').claim('key', 'print', 1_000),
+  ]);
+  expect([first.isOk(), second.isOk()].filter(Boolean)).toHaveLength(1);
+  const refused = first.isErr() ? first : second;
+  expect(refused._unsafeUnwrapErr().kind).toBe('idempotency-key-in-progress');
+});
+
+test('same key twice in one batch', async () => {
+  const claims = createClaims(new MemoryTableStore());
+  const results = await Promise.all([claims.claim('key', 'print', 1_000), claims.claim('key', 'print', 1_000)]);
+  expect(results.filter((result) => result.isOk())).toHaveLength(1);
+});
+
+test('completed claim returns the kept answer', async () => {
+  const store = new MemoryTableStore();
+  const claims = createClaims(store);
+  const handle = handleOf((await claims.claim('key', 'print', 1_000))._unsafeUnwrap());
+  await claims.complete(handle, answer);
+  expect((await createClaims(store, 'b').claim('key', 'print', 1_000))._unsafeUnwrap())
+    .toEqual({ kind: 'completed', answer });
+});
+
+test('other request under the key is refused', async () => {
+  const claims = createClaims(new MemoryTableStore());
+  await claims.claim('key', 'print', 1_000);
+  expect((await claims.claim('key', 'other', 1_000))._unsafeUnwrapErr().kind).toBe('idempotency-key-reused');
+});
+
+test('store down refuses as not run', async () => {
+  const store = new MemoryTableStore();
+  store.setFault('unavailable');
+  expect((await createClaims(store).claim('key', 'print', 1_000))._unsafeUnwrapErr().kind)
+    .toBe('store-unavailable');
+});
+
+test('lost answer is settled by the nonce', async () => {
+  const store = new MemoryTableStore();
+  store.setFault('lost-answer');
+  const claims = createClaims(store);
+  const handle = handleOf((await claims.claim('key', 'print', 1_000))._unsafeUnwrap());
+  expect((await readClaim(store, 'key')).nonce).toBe(handle.nonce);
+});
+
+test('claim given up while the store is lost is released later', async () => {
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout'] });
+  const store = new MemoryTableStore();
+  const claims = createClaims(store);
+  store.setFault('lost-answer');
+  const read = vi.spyOn(store, 'read');
+  const commit = store.commit.bind(store);
+  vi.spyOn(store, 'commit').mockImplementationOnce((transaction) => {
+    const outcome = commit(transaction);
+    store.setFault('unavailable');
+    return outcome;
+  });
+  const refused = await claims.claim('key', 'print', 1_000);
+  expect(refused._unsafeUnwrapErr().kind).toBe('store-unavailable');
+  store.setFault('none');
+  expect((await readClaim(store, 'key')).state).toBe('claimed');
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect((await readClaim(store, 'key')).state).toBe('released');
+  expect(read).toHaveBeenCalled();
+  vi.useRealTimers();
+  expect((await createClaims(store, 'b').claim('key', 'print', 1_000)).isOk()).toBe(true);
+});
+
+test('release overwrites no other holder', async () => {
+  const store = new MemoryTableStore();
+  const claims = createClaims(store);
+  const handle = handleOf((await claims.claim('key', 'print', 1_000))._unsafeUnwrap());
+  claims.release(handle);
+  await vi.waitFor(async () => expect((await readClaim(store, 'key')).state).toBe('released'));
+  const next = handleOf((await createClaims(store, 'b').claim('key', 'print', 1_000))._unsafeUnwrap());
+  claims.release(handle);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 20);
+  });
+  expect(await readClaim(store, 'key')).toMatchObject({ nonce: next.nonce, state: 'claimed' });
+});
+
+test('conflict in a batch spares the others', async () => {
+  const store = new MemoryTableStore();
+  await createClaims(store, 'b').claim('taken', 'print', 1_000);
+  const claims = createClaims(store);
+  const results = await Promise.all(['one', 'taken', 'two'].map((key) => claims.claim(key, 'print', 1_000)));
+  expect(results.map((result) => result.isOk())).toEqual([true, false, true]);
+});
+
+test('batch is one write', async () => {
+  const store = new MemoryTableStore();
+  const commit = vi.spyOn(store, 'commit');
+  const claims = createClaims(store);
+  await Promise.all(Array.from({ length: 100 }, (_, index) => claims.claim(`key-${index}`, 'print', 1_000)));
+  expect(commit).toHaveBeenCalledTimes(1);
+});
+
+test('at most one grant under any faults', async () => {
+  await fc.assert(fc.asyncProperty(
+    fc.array(fc.record({
+      entry: fc.constantFrom('a', 'b', 'c'),
+      key: fc.constantFrom('one', 'two'),
+      fault: fc.constantFrom('none', 'unavailable', 'lost-answer', 'stale-reads'),
+    }), { minLength: 1, maxLength: 12 }),
+    async (steps) => {
+      const store = new MemoryTableStore();
+      const grants = new Map<string, number>();
+      await Promise.all(steps.map(async ({ entry, key, fault }) => {
+        store.setFault(fault);
+        const result = await createClaims(store, entry).claim(key, 'print', 1_000);
+        if (result.isOk() && result.value.kind === 'granted') {
+          grants.set(key, (grants.get(key) ?? 0) + 1);
+        }
+      }));
+      expect([...grants.values()].every((count) => count <= 1)).toBe(true);
+    },
+  ), { seed: SEED, numRuns: 300 });
+});
--- /dev/null
+++ b/packages/platform/src/test/LeaseKeeper.test.ts
@@ -0,0 +1,137 @@
+import {
+  ControllerId, LeaseRecord, ManualClock, MemoryTableStore, RegionId, TABLE_NAMES,
+} from '@dandelionlane/core';
+import { expect, test } from 'vitest';
+import { LeaseKeeper } from '../index.js';
+
+const region = RegionId.parse('port-of-spain');
+const settings = { termMilliseconds: 6_000, safetyMarginMilliseconds: 2_000 };
+
+function createKeeper(store: MemoryTableStore, clock: ManualClock, name: string): LeaseKeeper {
+  return new LeaseKeeper({
+    store, clock, region, settings, controller: ControllerId.parse(name),
+  });
+}
+
+async function readLease(store: MemoryTableStore): Promise<LeaseRecord> {
+  const rows = await store.read([{ table: TABLE_NAMES.leases, key: region }]);
+  return LeaseRecord.parse(rows._unsafeUnwrap()[0]?.value);
+}
+
+test('first contender acquires', async () => {
+  const keeper = createKeeper(new MemoryTableStore(), new ManualClock(), 'a');
+  await keeper.step();
+  expect(keeper.held()?.fencing).toBe(1);
+});
+
+test('second contender waits a full term', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const first = createKeeper(store, clock, 'a');
+  const second = createKeeper(store, clock, 'b');
+  await first.step();
+  await second.step();
+  clock.advance(5_999);
+  await second.step();
+  expect(second.held()).toBeNull();
+  clock.advance(1);
+  await second.step();
+  expect(second.held()?.fencing).toBe(2);
+});
+
+test('renewal keeps the contender out', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const first = createKeeper(store, clock, 'a');
+  const second = createKeeper(store, clock, 'b');
+  for (let round = 0; round < 20; round += 1) {
+    await first.step();
+    await second.step();
+    clock.advance(1_500);
+  }
+  expect(first.held()?.fencing).toBe(1);
+  expect(second.held()).toBeNull();
+});
+
+test('paused holder stops before takeover', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const first = createKeeper(store, clock, 'a');
+  const second = createKeeper(store, clock, 'b');
+  await first.step();
+  await second.step();
+  clock.advance(4_000);
+  expect(first.held()).toBeNull();
+  await second.step();
+  expect(second.held()).toBeNull();
+});
+
+test('paused holder cannot commit after takeover', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const first = createKeeper(store, clock, 'a');
+  const second = createKeeper(store, clock, 'b');
+  await first.step();
+  const lease = first.held();
+  await second.step();
+  clock.advance(6_000);
+  await second.step();
+  // The first checked its lease before the pause and sends its transaction after it.
+  const outcome = await store.commit({
+    conditions: lease === null ? [] : [first.condition(lease)],
+    writes: [{ table: TABLE_NAMES.allocations, key: 'vm-1', value: {} }],
+  });
+  expect(outcome._unsafeUnwrap().kind).toBe('conflict');
+});
+
+test('lost answer to an acquisition is settled', async () => {
+  const store = new MemoryTableStore();
+  const keeper = createKeeper(store, new ManualClock(), 'a');
+  store.setFault('lost-answer');
+  await keeper.step();
+  expect(keeper.held()?.fencing).toBe(1);
+  expect((await readLease(store)).holder).toBe('a');
+});
+
+test('store down ends the lease by itself', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const keeper = createKeeper(store, clock, 'a');
+  await keeper.step();
+  store.setFault('unavailable');
+  clock.advance(3_999);
+  await keeper.step();
+  expect(keeper.held()).not.toBeNull();
+  clock.advance(1);
+  await keeper.step();
+  expect(keeper.held()).toBeNull();
+});
+
+test('released lease is taken at once', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const first = createKeeper(store, clock, 'a');
+  const second = createKeeper(store, clock, 'b');
+  await first.step();
+  await first.release();
+  expect(first.held()).toBeNull();
+  await second.step();
+  expect(second.held()?.fencing).toBe(2);
+});
+
+test('stale read does not free a lease', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const first = createKeeper(store, clock, 'a');
+  const second = createKeeper(store, clock, 'b');
+  await first.step();
+  await second.step();
+  store.setFault('stale-reads');
+  for (let round = 0; round < 10; round += 1) {
+    clock.advance(1_500);
+    await first.step();
+  }
+  await second.step();
+  // The contender saw a row unchanged for a term, but its write is conditioned on that row.
+  expect(second.held()).toBeNull();
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -16,8 +16,8 @@
   test: {
     include: ['packages/*/src/test/**/*.test.ts'],
     exclude: ['**/dist/**', '**/node_modules/**'],
-    testTimeout: 60_000,
-    hookTimeout: 60_000,
+    testTimeout: 20_000,
+    hookTimeout: 20_000,
     maxWorkers: 4,
     sequence: { seed: 1 },
   },
