Add the platform stand-in

The other packages need a table service, an object store, a VM list and a weight store to run against, with the faults that the platform shows.

The table semantics come from core's MemoryTableStore, so that the stand-in and the in-memory store of unit tests cannot differ.

A lost answer is a transaction that takes effect before its connection is destroyed. Weight transfers share one total rate evenly.

--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,2 +1,5 @@
 /** Public surface of the package. */
-export {};
+export { type default as PlatformHandle } from './lib/platform/PlatformHandle.js';
+export { default as PlatformFault } from './lib/platform/PlatformFault.js';
+export { default as PlatformSettings } from './lib/platform/PlatformSettings.js';
+export { default as startPlatform } from './lib/platform/startPlatform.js';
