--- a/packages/standin/src/lib/platform/addObjectRoutes.ts
+++ b/packages/standin/src/lib/platform/addObjectRoutes.ts
@@ -1,13 +1,12 @@
-import type { HttpBindings } from '@hono/node-server';
 import { ServingError } from '@dandelionlane/core';
-import type { Hono } from 'hono';
+import type ServerApp from '../server/ServerApp.js';
 import type FaultSwitch from './FaultSwitch.js';
 import answerProblem from '../server/answerProblem.js';
 
 const PREFIX = '/v1/objects/';
 
 /** Adds the object store: bytes under `/v1/objects/<key>`. */
-export default function addObjectRoutes(app: Hono<{ Bindings: HttpBindings }>, faults: FaultSwitch): void {
+export default function addObjectRoutes(app: ServerApp, faults: FaultSwitch): void {
   const objects = new Map<string, ArrayBuffer>();
 
   app.put(`${PREFIX}*`, async (context) => {
--- a/packages/standin/src/lib/platform/addTableRoutes.ts
+++ b/packages/standin/src/lib/platform/addTableRoutes.ts
@@ -1,10 +1,9 @@
-import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import {
   parseWith, TableRowKey, TableScan, TableTransaction,
 } from '@dandelionlane/core';
-import type { Hono } from 'hono';
 import { z } from 'zod';
+import type ServerApp from '../server/ServerApp.js';
 import RateGate from './RateGate.js';
 import type TableRouteParts from './TableRouteParts.js';
 import answerProblem from '../server/answerProblem.js';
@@ -15,7 +14,7 @@
 const ReadRequest = z.object({ rows: z.array(TableRowKey).max(MAXIMUM_KEYS) });
 
 /** Adds the table service: `/v1/transactions`, `/v1/reads` and `/v1/rows`. */
-export default function addTableRoutes(app: Hono<{ Bindings: HttpBindings }>, parts: TableRouteParts): void {
+export default function addTableRoutes(app: ServerApp, parts: TableRouteParts): void {
   const {
     store, faults, counters, settings, clock,
   } = parts;
--- a/packages/standin/src/lib/platform/addVMRoutes.ts
+++ b/packages/standin/src/lib/platform/addVMRoutes.ts
@@ -1,9 +1,8 @@
-import type { HttpBindings } from '@hono/node-server';
 import {
   type Clock, parseWith, ServingError, VMId, VMRecord,
 } from '@dandelionlane/core';
-import type { Hono } from 'hono';
 import { z } from 'zod';
+import type ServerApp from '../server/ServerApp.js';
 import type PlatformSettings from './PlatformSettings.js';
 import VMDirectory from './VMDirectory.js';
 import answerProblem from '../server/answerProblem.js';
@@ -14,7 +13,7 @@
 
 /** Adds the list of VMs under `/v1/vms`. */
 export default function addVMRoutes(
-  app: Hono<{ Bindings: HttpBindings }>,
+  app: ServerApp,
   settings: PlatformSettings,
   clock: Clock,
 ): void {
--- a/packages/standin/src/lib/platform/addWeightRoutes.ts
+++ b/packages/standin/src/lib/platform/addWeightRoutes.ts
@@ -1,7 +1,6 @@
-import type { HttpBindings } from '@hono/node-server';
 import type { Clock } from '@dandelionlane/core';
-import type { Hono } from 'hono';
 import { z } from 'zod';
+import type ServerApp from '../server/ServerApp.js';
 import type PlatformSettings from './PlatformSettings.js';
 import WeightTransfers from './WeightTransfers.js';
 import answerProblem from '../server/answerProblem.js';
@@ -15,7 +14,7 @@
 
 /** Adds the rate-limited weight store under `/v1/weights`. */
 export default function addWeightRoutes(
-  app: Hono<{ Bindings: HttpBindings }>,
+  app: ServerApp,
   settings: PlatformSettings,
   clock: Clock,
 ): void {
--- a/packages/standin/src/lib/platform/createPlatformApp.ts
+++ b/packages/standin/src/lib/platform/createPlatformApp.ts
@@ -1,6 +1,4 @@
-import type { HttpBindings } from '@hono/node-server';
 import { type Clock, MemoryTableStore } from '@dandelionlane/core';
-import { Hono } from 'hono';
 import addObjectRoutes from './addObjectRoutes.js';
 import addTableRoutes from './addTableRoutes.js';
 import addVMRoutes from './addVMRoutes.js';
@@ -10,14 +8,16 @@
 import PlatformFault from './PlatformFault.js';
 import type PlatformSettings from './PlatformSettings.js';
 import answerProblem from '../server/answerProblem.js';
+import createServerApp from '../server/createServerApp.js';
 import readBody from '../server/readBody.js';
+import type ServerApp from '../server/ServerApp.js';
 
 /** The routes of the platform stand-in. */
 export default function createPlatformApp(
   settings: PlatformSettings,
   clock: Clock,
-): Hono<{ Bindings: HttpBindings }> {
-  const app = new Hono<{ Bindings: HttpBindings }>();
+): ServerApp {
+  const app = createServerApp();
   const store = new MemoryTableStore();
   const faults = new FaultSwitch(store);
   const counters: PlatformCounters = { reads: 0, writes: 0, scans: 0 };
--- a/packages/standin/src/lib/server/startServer.ts
+++ b/packages/standin/src/lib/server/startServer.ts
@@ -1,12 +1,12 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { createAdaptorServer, type HttpBindings } from '@hono/node-server';
+import { createAdaptorServer } from '@hono/node-server';
 import { ServingError } from '@dandelionlane/core';
-import type { Hono } from 'hono';
 import { ResultAsync } from 'neverthrow';
 import type RunningServer from './RunningServer.js';
+import type ServerApp from './ServerApp.js';
 
-function listen(app: Hono<{ Bindings: HttpBindings }>, host: string, port: number): Promise<Server> {
+function listen(app: ServerApp, host: string, port: number): Promise<Server> {
   return new Promise((resolve, reject) => {
     const server = createAdaptorServer({ fetch: app.fetch }) as Server;
     server.once('error', reject);
@@ -34,7 +34,7 @@
 
 /** Starts an application on a port; port 0 takes any free one. Error: `internal` when it cannot be bound. */
 export default function startServer(
-  app: Hono<{ Bindings: HttpBindings }>,
+  app: ServerApp,
   host: string,
   port: number,
 ): ResultAsync<RunningServer, ServingError> {
