Add the open-loop load generator

The promises of the system are made to callers, so they have to be measured at callers: what each was told, when, and whether it agrees with what the targets ran.

A closed loop was ruled out, since it sends less just when the system is slow.

--- /dev/null
+++ b/packages/load/src/lib/callers/Caller.ts
@@ -0,0 +1,33 @@
+import type PlannedCall from '../arrivals/PlannedCall.js';
+import type CallerParts from './CallerParts.js';
+import type CallResult from './CallResult.js';
+import EntryLookup from './EntryLookup.js';
+import sendCall from './sendCall.js';
+
+/** The callers of one team: they look entries up, keep the answer and connect themselves. */
+export default class Caller {
+  readonly #lookup: EntryLookup;
+
+  readonly #parts: CallerParts;
+
+  constructor(entries: readonly string[], parts: CallerParts) {
+    this.#lookup = new EntryLookup(entries, parts);
+    this.#parts = parts;
+  }
+
+  /**
+   * Sends a call once. Only an address that takes no connection makes it try the
+   * next: there nothing was sent, so the call cannot run twice.
+   */
+  async send(call: PlannedCall): Promise<CallResult> {
+    let result: CallResult = { outcome: { kind: 'unreachable', detail: 'no entry answered' }, tokenTimes: [] };
+    for (const address of await this.#lookup.find(call.service)) {
+      result = await sendCall(call, address, this.#parts);
+      if (result.outcome.kind !== 'unreachable') {
+        return result;
+      }
+      this.#lookup.forget(call.service);
+    }
+    return result;
+  }
+}
