Add parseSettings and readSettings

Needed: settings and release notes in JSON with comments, where an operator sees every fault at once with its line and path.

Ruled out: stripping comments and using JSON.parse (no positions, duplicate keys lost).

Change: the text is parsed to a tree by jsonc-parser, checked by the schema, and each issue is located in the tree.

--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,3 @@
 /** Public surface of the package. */
-export {};
+export { default as parseSettings } from './lib/parseSettings.js';
+export { default as readSettings } from './lib/readSettings.js';
--- /dev/null
+++ b/packages/settings/src/lib/findSchemaFaults.ts
@@ -0,0 +1,47 @@
+import { findNodeAtLocation, type Node } from 'jsonc-parser';
+import type { ZodError } from 'zod';
+import type SettingsFault from './SettingsFault.js';
+
+type Issue = ZodError['issues'][number];
+type Path = readonly (string | number)[];
+
+/** Node at the path, or its nearest ancestor in the tree where the value is missing. */
+function findNearestNode(root: Node, path: Path): Node {
+  for (let { length } = path; length > 0; length -= 1) {
+    const node = findNodeAtLocation(root, path.slice(0, length));
+    if (node !== undefined) {
+      return node;
+    }
+  }
+  return root;
+}
+
+/** Offset of the key if the value belongs to one, else of the value. */
+function findKeyOffset(root: Node, path: Path): number {
+  const node = findNearestNode(root, path);
+  return node.parent?.type === 'property' ? node.parent.offset : node.offset;
+}
+
+function toPath(path: readonly PropertyKey[]): Path {
+  return path.map((part) => (typeof part === 'number' ? part : String(part)));
+}
+
+/** A key too many is one fault each, so that each gets a line of its own. */
+function toFaults(root: Node, issue: Issue): readonly SettingsFault[] {
+  const path = toPath(issue.path);
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => ({
+      offset: findKeyOffset(root, [...path, key]), path: [...path, key], expected: 'expected no such key',
+    }));
+  }
+  return [{
+    offset: findNearestNode(root, path).offset,
+    path,
+    expected: issue.message.replace(/^Invalid input: /, ''),
+  }];
+}
+
+/** Locates the faults of a schema check in the text's tree. */
+export default function findSchemaFaults(root: Node, error: ZodError): readonly SettingsFault[] {
+  return error.issues.flatMap((issue) => toFaults(root, issue));
+}
