Add the pure release policy

Needed: what is accepted is whole, equals a serial order and never reverts; a refused change leaves no trace and says what it conflicts with.

Decided: conflicts go before existence, since who adds a service that another note added meanwhile has lost a race.

--- /dev/null
+++ b/packages/release/src/lib/ReleaseNoteDraft.ts
@@ -0,0 +1,11 @@
+import { ReleaseNote, ReleaseSequence } from '@dandelionlane/core';
+import type { z } from 'zod';
+
+/**
+ * A release note as written in a file. Without `writtenAgainst` the publisher fills in
+ * the sequence that it reads when it publishes.
+ */
+const ReleaseNoteDraft = ReleaseNote.extend({ writtenAgainst: ReleaseSequence.optional() });
+type ReleaseNoteDraft = z.infer<typeof ReleaseNoteDraft>;
+
+export default ReleaseNoteDraft;
--- /dev/null
+++ b/packages/release/src/lib/applyNote.ts
@@ -0,0 +1,20 @@
+import type { ReleaseNote, ReleaseSequence, ReleaseState } from '@dandelionlane/core';
+import listServices from './listServices.js';
+import replaceRows from './replaceRows.js';
+
+type Lists = Pick<ReleaseState, 'services' | 'withdrawn' | 'teamWeights'>;
+
+/** The lists of the state after the note, which has become change `sequence`. */
+export default function applyNote(state: ReleaseState, note: ReleaseNote, sequence: ReleaseSequence): Lists {
+  const touched = new Set<string>(listServices(note));
+  const weighed = new Set<string>(note.teamWeights.map(({ team }) => team));
+  const services = [...note.add, ...note.change]
+    .map((definition) => ({ definition, changedAt: sequence }));
+  const withdrawn = note.withdraw.map((service) => ({ service, changedAt: sequence }));
+  const teamWeights = note.teamWeights.map((row) => ({ ...row, changedAt: sequence }));
+  return {
+    services: replaceRows(state.services, touched, services, ({ definition }) => definition.service),
+    withdrawn: replaceRows(state.withdrawn, touched, withdrawn, ({ service }) => service),
+    teamWeights: replaceRows(state.teamWeights, weighed, teamWeights, ({ team }) => team),
+  };
+}
--- /dev/null
+++ b/packages/release/src/lib/findConflicts.ts
@@ -0,0 +1,37 @@
+import type { ReleaseNote, ReleaseSequence, ReleaseState } from '@dandelionlane/core';
+import listServices from './listServices.js';
+
+/** Sequence of the latest change of each of the named services, also of withdrawn ones. */
+function mapLatestChanges(state: ReleaseState): ReadonlyMap<string, ReleaseSequence> {
+  return new Map<string, ReleaseSequence>([
+    ...state.withdrawn.map(({ service, changedAt }) => [service, changedAt] as const),
+    ...state.services.map(({ definition, changedAt }) => [definition.service, changedAt] as const),
+  ]);
+}
+
+/** Names whose latest change came after the note was written. */
+function listChangedAfter(
+  label: string,
+  names: readonly string[],
+  changes: ReadonlyMap<string, ReleaseSequence>,
+  writtenAgainst: ReleaseSequence,
+): readonly string[] {
+  return names.flatMap((name) => {
+    const changedAt = changes.get(name);
+    return changedAt !== undefined && changedAt > writtenAgainst
+      ? [`${label} ${name} was touched by change ${changedAt}`]
+      : [];
+  });
+}
+
+/** What other changes touched after the note was written: one phrase for each service or team. */
+export default function findConflicts(state: ReleaseState, note: ReleaseNote): readonly string[] {
+  const teamChanges = new Map<string, ReleaseSequence>(
+    state.teamWeights.map(({ team, changedAt }) => [team, changedAt]),
+  );
+  const teams = note.teamWeights.map(({ team }) => team);
+  return [
+    ...listChangedAfter('service', listServices(note), mapLatestChanges(state), note.writtenAgainst),
+    ...listChangedAfter('team', teams, teamChanges, note.writtenAgainst),
+  ];
+}
--- /dev/null
+++ b/packages/release/src/lib/listServices.ts
@@ -0,0 +1,10 @@
+import type { ReleaseNote, ServiceId } from '@dandelionlane/core';
+
+/** Services that a note names, in the order of the note, with repetitions. */
+export default function listServices(note: Omit<ReleaseNote, 'writtenAgainst'>): readonly ServiceId[] {
+  return [
+    ...note.add.map(({ service }) => service),
+    ...note.change.map(({ service }) => service),
+    ...note.withdraw,
+  ];
+}
--- /dev/null
+++ b/packages/release/src/test/flattenState.ts
@@ -0,0 +1,11 @@
+import type { ReleaseState } from '@dandelionlane/core';
+
+/** The state in the form of the naive version: everything in force, by name. */
+export default function flattenState(state: ReleaseState): ReadonlyMap<string, unknown> {
+  return new Map<string, unknown>([
+    ...state.services.map(({ definition }) => [`service ${definition.service}`, definition] as const),
+    ...state.teamWeights.map(({ team, weight }) => [`team ${team}`, weight] as const),
+    ...state.availabilityZonesOut.map((zone) => [`out zone ${zone}`, true] as const),
+    ...state.vmsOut.map((vm) => [`out vm ${vm}`, true] as const),
+  ]);
+}
