Publish changes through the table store and compact the log

Ruled out: concluding from an absent row that a lost write took no effect (it may still arrive). Every attempt with an unknown outcome carries the same condition on the head, so at most one commits, and only a head that has moved on to another's record proves it dead. Refusing on a read alone: a stale read makes a valid note look written in the future, so a refusal is confirmed by a transaction that writes nothing.

Conclusion: the entry can publish and follow the log through these four functions.

--- a/packages/release/src/index.ts
+++ b/packages/release/src/index.ts
@@ -1,13 +1,20 @@
 /** Public surface of the package. */
 export { default as applyRecord } from './lib/applyRecord.js';
 export { default as chooseNewerState } from './lib/chooseNewerState.js';
+export { default as compactReleaseLog } from './lib/compactReleaseLog.js';
 export { default as diffReleaseNote } from './lib/diffReleaseNote.js';
 export { type default as FieldDifference } from './lib/FieldDifference.js';
 export { default as findRepeatedNames } from './lib/findRepeatedNames.js';
 export { default as formatDifferences } from './lib/formatDifferences.js';
+export { default as loadReleaseState } from './lib/loadReleaseState.js';
 export { default as parseReleaseNote } from './lib/parseReleaseNote.js';
 export { default as parseReleaseNoteDraft } from './lib/parseReleaseNoteDraft.js';
+export { default as publishChange } from './lib/publishChange.js';
+export { type default as PublishDependencies } from './lib/PublishDependencies.js';
+export { default as readChangesAfter } from './lib/readChangesAfter.js';
 export { type default as ReleaseDifference } from './lib/ReleaseDifference.js';
 export { default as ReleaseNoteDraft } from './lib/ReleaseNoteDraft.js';
+export { default as ReleaseSnapshot } from './lib/ReleaseSnapshot.js';
 export { default as RETAINED_SEQUENCES } from './lib/RETAINED_SEQUENCES.js';
+export { default as SNAPSHOT_INTERVAL } from './lib/SNAPSHOT_INTERVAL.js';
 export { default as validateChange } from './lib/validateChange.js';
--- /dev/null
+++ b/packages/release/src/lib/readHead.ts
@@ -0,0 +1,24 @@
+import {
+  parseWith, ReleaseSequence, type ServingError, type TableStore,
+} from '@dandelionlane/core';
+import type { ResultAsync } from 'neverthrow';
+import { z } from 'zod';
+import ABSENT from './ABSENT.js';
+import HEAD_ROW from './HEAD_ROW.js';
+import ReleaseHead from './ReleaseHead.js';
+
+/** Value of the head row; null where the row is absent, which is the empty log. */
+const HeadValue = z.object({ sequence: ReleaseSequence }).nullable();
+
+/** Reads the head row. */
+export default function readHead(store: TableStore): ResultAsync<ReleaseHead, ServingError> {
+  return store.read([HEAD_ROW]).andThen(([row]) => (
+    parseWith(HeadValue, row?.value ?? null, 'platform-answer-invalid').andThen((value) => (
+      parseWith(
+        ReleaseHead,
+        { sequence: value?.sequence ?? 0, version: row?.version ?? ABSENT },
+        'platform-answer-invalid',
+      )
+    ))
+  ));
+}
--- /dev/null
+++ b/packages/release/src/lib/readSnapshot.ts
@@ -0,0 +1,21 @@
+import {
+  EMPTY_RELEASE_STATE, parseWith, ReleaseSequence, type ServingError, type TableStore,
+} from '@dandelionlane/core';
+import type { ResultAsync } from 'neverthrow';
+import ABSENT from './ABSENT.js';
+import ReleaseSnapshot from './ReleaseSnapshot.js';
+import SNAPSHOT_ROW from './SNAPSHOT_ROW.js';
+import type StoredSnapshot from './StoredSnapshot.js';
+
+/** What an absent row stands for: the empty log, with every change kept. */
+const EMPTY_SNAPSHOT: ReleaseSnapshot = {
+  state: EMPTY_RELEASE_STATE, firstChange: ReleaseSequence.parse(1),
+};
+
+/** Reads the snapshot row. */
+export default function readSnapshot(store: TableStore): ResultAsync<StoredSnapshot, ServingError> {
+  return store.read([SNAPSHOT_ROW]).andThen(([row]) => (
+    parseWith(ReleaseSnapshot, row?.value ?? EMPTY_SNAPSHOT, 'platform-answer-invalid')
+      .map((snapshot) => ({ ...snapshot, version: row?.version ?? ABSENT }))
+  ));
+}
--- /dev/null
+++ b/packages/release/src/test/FaultyStore.ts
@@ -0,0 +1,89 @@
+import {
+  MemoryTableStore, ServingError, type TableRow, type TableRowKey, type TableStore, type TableTransaction,
+  type TransactionOutcome,
+} from '@dandelionlane/core';
+import {
+  err, ok, type Result, ResultAsync,
+} from 'neverthrow';
+import type Fault from './Fault.js';
+import unwrap from './unwrap.js';
+
+const unavailable = new ServingError('table service is down', { kind: 'store-unavailable' });
+const lost = new ServingError('answer was lost', { kind: 'store-outcome-unknown' });
+
+/**
+ * A table store that takes one fault from a script for each call. Stale reads come from a
+ * copy that receives each transaction when the next one commits.
+ */
+export default class FaultyStore implements TableStore {
+  readonly #current = new MemoryTableStore();
+
+  readonly #lagging = new MemoryTableStore();
+
+  #lagged: TableTransaction[] = [];
+
+  #late: TableTransaction[] = [];
+
+  readonly #pause: () => Promise<unknown>;
+
+  faults: Fault[] = [];
+
+  /** `pause` runs before each call, so that a test can interleave the calls of several publishers. */
+  constructor(pause: () => Promise<unknown> = () => Promise.resolve()) {
+    this.#pause = pause;
+  }
+
+  read(keys: readonly TableRowKey[]): ResultAsync<readonly TableRow[], ServingError> {
+    return new ResultAsync(this.#pause().then(() => {
+      const fault = this.faults.shift();
+      if (fault === 'unavailable') {
+        return err(unavailable);
+      }
+      return fault === 'stale' ? this.#lagging.read(keys) : this.#current.read(keys);
+    }));
+  }
+
+  scan(table: string, prefix: string): ResultAsync<readonly TableRow[], ServingError> {
+    return this.#current.scan(table, prefix);
+  }
+
+  commit(transaction: TableTransaction): ResultAsync<TransactionOutcome, ServingError> {
+    return new ResultAsync(this.#pause().then(() => this.#commit(transaction, this.faults.shift())));
+  }
+
+  async #commit(
+    transaction: TableTransaction,
+    fault: Fault | undefined,
+  ): Promise<Result<TransactionOutcome, ServingError>> {
+    const late = this.#late.splice(0);
+    switch (fault) {
+      case 'unavailable':
+        this.#late = late;
+        return err(unavailable);
+      case 'lost-before':
+        return err(lost);
+      case 'late':
+        this.#late = [...late, transaction];
+        return err(lost);
+      case 'lost-after':
+        await this.#apply(transaction);
+        return err(lost);
+      default: {
+        // What was on its way for long arrives just before the next transaction.
+        for (const earlier of late) {
+          await this.#apply(earlier);
+        }
+        return ok(await this.#apply(transaction));
+      }
+    }
+  }
+
+  async #apply(transaction: TableTransaction): Promise<TransactionOutcome> {
+    const outcome = unwrap(await this.#current.commit(transaction));
+    if (outcome.kind === 'committed') {
+      await Promise.all(this.#lagged.splice(0).map((earlier) => this.#lagging.commit(earlier)));
+      this.#lagged = [transaction];
+    }
+    return outcome;
+  }
+}
--- /dev/null
+++ b/packages/release/src/test/buildDependencies.ts
@@ -0,0 +1,15 @@
+import { ManualClock, Nonce, type TableStore } from '@dandelionlane/core';
+import type { PublishDependencies } from '../index.js';
+
+/** Dependencies of a publisher whose nonces begin with its name. */
+export default function buildDependencies(store: TableStore, name = 'publisher'): PublishDependencies {
+  let count = 0;
+  return {
+    store,
+    clock: new ManualClock(),
+    createNonce: () => {
+      count += 1;
+      return Nonce.parse(`${name}-${String(count).padStart(6, '0')}`);
+    },
+  };
+}
--- /dev/null
+++ b/packages/release/src/test/publish.test.ts
@@ -0,0 +1,166 @@
+import {
+  EMPTY_RELEASE_STATE, MemoryTableStore, type ReleaseChange, ReleaseSequence, ReleaseState, SeededRandom,
+} from '@dandelionlane/core';
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import {
+  compactReleaseLog, loadReleaseState, publishChange, readChangesAfter, SNAPSHOT_INTERVAL,
+} from '../index.js';
+import anyChange from './anyChange.js';
+import buildDependencies from './buildDependencies.js';
+import buildNote from './buildNote.js';
+import buildService from './buildService.js';
+import Fault from './Fault.js';
+import FaultyStore from './FaultyStore.js';
+import flattenState from './flattenState.js';
+import NaiveRelease from './NaiveRelease.js';
+import readLog from './readLog.js';
+import refusalOf from './refusalOf.js';
+import unwrap from './unwrap.js';
+
+const addProofs = buildNote({ add: [buildService('proofs')] });
+
+/** Lets other publishers go first, for a random number of turns. */
+function buildPause(seed: number) {
+  const random = new SeededRandom(seed);
+  return async () => {
+    for (let turns = Math.floor(random.next() * 30); turns > 0; turns -= 1) {
+      await Promise.resolve();
+    }
+  };
+}
+
+async function publishMany(store: MemoryTableStore, count: number, start = EMPTY_RELEASE_STATE) {
+  const dependencies = buildDependencies(store);
+  let state = start;
+  for (let index = 0; index < count; index += 1) {
+    const note = buildNote({ writtenAgainst: state.sequence, teamWeights: [{ team: `team-${index % 7}`, weight: 1 + index }] });
+    unwrap(await publishChange(dependencies, state, note));
+    state = unwrap(await loadReleaseState(store, state));
+  }
+  return state;
+}
+
+test('a note is published and read', async () => {
+  const store = new MemoryTableStore();
+  expect(unwrap(await publishChange(buildDependencies(store), EMPTY_RELEASE_STATE, addProofs))).toBe(1);
+  const state = unwrap(await loadReleaseState(store, EMPTY_RELEASE_STATE));
+  expect(state.services.map(({ definition }) => definition.service)).toEqual(['proofs']);
+  const records = unwrap(await readChangesAfter(store, EMPTY_RELEASE_STATE.sequence));
+  expect(records).toEqual(await readLog(store));
+});
+
+test('a refused note leaves no trace', async () => {
+  const store = new MemoryTableStore();
+  await publishChange(buildDependencies(store), EMPTY_RELEASE_STATE, addProofs);
+  const before = await readLog(store);
+  const refused = await publishChange(buildDependencies(store, 'other'), EMPTY_RELEASE_STATE, addProofs);
+  expect(refusalOf(refused)).toBe('release-conflict: service proofs was touched by change 1');
+  expect(await readLog(store)).toEqual(before);
+});
+
+test('store down', async () => {
+  const store = new MemoryTableStore();
+  store.setFault('unavailable');
+  const refused = await publishChange(buildDependencies(store), EMPTY_RELEASE_STATE, addProofs);
+  expect(refusalOf(refused)).toBe('store-unavailable: table service is down');
+});
+
+test('lost answers without end', async () => {
+  const store = new FaultyStore();
+  store.faults = Array.from({ length: 40 }, (_, index) => (index % 2 === 0 ? 'none' : 'lost-before'));
+  const refused = await publishChange(buildDependencies(store), EMPTY_RELEASE_STATE, addProofs);
+  expect(refusalOf(refused)).toMatch(/^store-outcome-unknown/);
+  expect(await readLog(store)).toEqual([]);
+});
+
+test('stale reads decide nothing', async () => {
+  const store = new MemoryTableStore();
+  const old = await publishMany(store, 3);
+  store.setFault('stale-reads');
+  const dependencies = buildDependencies(store, 'other');
+  expect(unwrap(await publishChange(dependencies, old, addProofs))).toBe(4);
+  expect(unwrap(await loadReleaseState(store, old))).toBe(old);
+  const ahead = buildNote({ writtenAgainst: 4, change: [buildService('proofs', 3)] });
+  expect(refusalOf(await publishChange(dependencies, old, ahead))).toMatch(/^overloaded/);
+  store.setFault('none');
+  expect(unwrap(await publishChange(dependencies, old, ahead))).toBe(5);
+});
+
+test('snapshot: old records go, readers anywhere reach the head', async () => {
+  const store = new MemoryTableStore();
+  const middle = await publishMany(store, SNAPSHOT_INTERVAL - 1);
+  const head = await publishMany(store, 2 * SNAPSHOT_INTERVAL + 5, middle);
+  const log = await readLog(store);
+  expect([log[0]?.sequence, log.at(-1)?.sequence]).toEqual([2 * SNAPSHOT_INTERVAL + 1, head.sequence]);
+  expect(unwrap(await loadReleaseState(store, EMPTY_RELEASE_STATE))).toEqual(head);
+  expect(unwrap(await loadReleaseState(store, middle))).toEqual(head);
+  expect(unwrap(await readChangesAfter(store, middle.sequence))).toEqual([]);
+  const near = ReleaseSequence.parse(head.sequence - 3);
+  expect(unwrap(await readChangesAfter(store, near))).toEqual(log.slice(-3));
+  expect(unwrap(await compactReleaseLog(store, middle))).toBe(false);
+});
+
+test('a snapshot that failed is made up for', async () => {
+  const store = new FaultyStore();
+  const dependencies = buildDependencies(store);
+  const change: ReleaseChange = { kind: 'take-out', subject: { kind: 'vm', vm: 'vm-1' as never } };
+  for (let sequence = 1; sequence <= 2 * SNAPSHOT_INTERVAL; sequence += 1) {
+    store.faults = sequence === SNAPSHOT_INTERVAL ? ['none', 'none', 'none', 'none', 'lost-before'] : [];
+    const state = ReleaseState.parse({ ...EMPTY_RELEASE_STATE, sequence: sequence - 1 });
+    expect(unwrap(await publishChange(dependencies, state, change))).toBe(sequence);
+  }
+  expect((await readLog(store))[0]?.sequence).toBe(SNAPSHOT_INTERVAL + 1);
+  expect(unwrap(await loadReleaseState(store, EMPTY_RELEASE_STATE)).vmsOut).toEqual(['vm-1']);
+});
+
+test('racing publishers with faults: accepted changes form a serial order', async () => {
+  const script = fc.array(fc.constantFrom('none', ...Fault.options), { maxLength: 40, size: 'max' });
+  const counts: Record<string, number> = {};
+  const property = fc.asyncProperty(
+    fc.integer(),
+    fc.array(fc.array(anyChange, { minLength: 1, maxLength: 4 }), { minLength: 2, maxLength: 4 }),
+    script,
+    async (seed, publishers, faults) => {
+      const store = new FaultyStore(buildPause(seed));
+      store.faults = [...faults];
+      const runs = publishers.map(async (changes, index) => {
+        const dependencies = buildDependencies(store, `publisher${index}`);
+        const outcomes: { nonce: string; outcome: string }[] = [];
+        let state = EMPTY_RELEASE_STATE;
+        for (const [count, make] of changes.entries()) {
+          const result = await publishChange(dependencies, state, make(state));
+          const outcome = result.match((sequence) => `accepted ${sequence}`, ({ kind }) => kind);
+          outcomes.push({ nonce: `publisher${index}-${String(count + 1).padStart(6, '0')}`, outcome });
+          const next = (await loadReleaseState(store, state)).unwrapOr(state);
+          expect(next.sequence).toBeGreaterThanOrEqual(state.sequence);
+          state = next;
+        }
+        return outcomes;
+      });
+      const outcomes = (await Promise.all(runs)).flat();
+      const log = await readLog(store);
+      const naive = new NaiveRelease();
+      log.forEach(({ sequence, change }, index) => {
+        expect(sequence).toBe(index + 1);
+        expect(naive.publish(change)).toBe('accepted');
+      });
+      const logged = new Map<string, string>(log.map(({ nonce, sequence }) => [nonce, `accepted ${sequence}`]));
+      expect(logged.size).toBe(log.length);
+      outcomes.forEach(({ nonce, outcome }) => {
+        const label = outcome.replace(/ \d+/, '');
+        counts[label] = (counts[label] ?? 0) + 1;
+        if (outcome !== 'store-outcome-unknown') {
+          expect(logged.get(nonce)).toBe(outcome.startsWith('accepted') ? outcome : undefined);
+        }
+      });
+      store.faults = [];
+      const state = unwrap(await loadReleaseState(store, EMPTY_RELEASE_STATE));
+      expect(flattenState(state)).toEqual(naive.replay());
+    },
+  );
+  await fc.assert(property, { seed: 7, numRuns: 600 });
+  expect(Object.keys(counts).sort()).toEqual(
+    ['accepted', 'release-conflict', 'release-invalid', 'store-outcome-unknown', 'store-unavailable'],
+  );
+});
