Add the operators' command

Needed: publish, show, diff, take-out, bring-back, status and check, for people and for scripts, that never claim more than is known about a change.

Ruled out: trying the next entry after any failure. A change goes on only where the connection was never made or the entry says "not run"; every other loss ends with exit code 4 and how to find out. Flags take no value in the parser's grammar but would swallow the next argument and turn `1e3` into 1000, so they are given one beforehand.

Decided: `writtenAgainst` may be left out of the file; publish fills in the sequence that it reads and says so.

Change: binary `dandelionlane` with sade and undici, exit codes 0 to 5; 20 tests against a small HTTP server on port 0, the clock moved by the test.

Conclusion: works against the administration records of core; not yet run against an entry.

--- /dev/null
+++ b/packages/command-line/src/lib/Command.ts
@@ -0,0 +1,16 @@
+import type { OutOfService } from '@dandelionlane/core';
+import type CommandOptions from './CommandOptions.js';
+
+/** A command as the arguments give it. */
+type Command = | { readonly kind: 'publish'; readonly fileName: string; readonly options: CommandOptions }
+  | { readonly kind: 'show'; readonly options: CommandOptions }
+  | { readonly kind: 'diff'; readonly fileName: string; readonly options: CommandOptions }
+  | {
+    readonly kind: 'take-out' | 'bring-back';
+    readonly subject: OutOfService;
+    readonly options: CommandOptions;
+  }
+  | { readonly kind: 'status'; readonly options: CommandOptions }
+  | { readonly kind: 'check'; readonly fileName: string };
+
+export default Command;
--- /dev/null
+++ b/packages/command-line/src/lib/Connection.ts
@@ -0,0 +1,7 @@
+/** How the entries are reached. */
+export default interface Connection {
+  /** `host:port`, in the order in which they are tried. */
+  readonly entries: readonly string[];
+  /** Undefined: requests carry no token. */
+  readonly token: string | undefined;
+}
--- /dev/null
+++ b/packages/command-line/src/lib/buildProgram.ts
@@ -0,0 +1,90 @@
+import { parseWith, ServingError } from '@dandelionlane/core';
+import {
+  err, type Result,
+} from 'neverthrow';
+import sade, { type Sade } from 'sade';
+import type Command from './Command.js';
+import CommandOptions from './CommandOptions.js';
+import parseSubject from './parseSubject.js';
+import VERSION from './VERSION.js';
+
+type Parsed = Result<Command, ServingError>;
+
+/** Options as sade gives them; `_` holds arguments beyond those of the command. */
+type RawOptions = Readonly<Record<string, unknown>> & { readonly _: readonly string[] };
+
+function parseOptions(raw: RawOptions): Result<CommandOptions, ServingError> {
+  return raw._.length > 0
+    ? err(new ServingError(`unexpected argument ${raw._.join(' ')}`, { kind: 'malformed-request' }))
+    : parseWith(CommandOptions, raw, 'malformed-request');
+}
+
+function parseOutOfService(
+  command: 'take-out' | 'bring-back',
+  kind: string,
+  name: string,
+  raw: RawOptions,
+): Parsed {
+  return parseOptions(raw).andThen((options) => (
+    parseSubject(kind, name).map((subject) => ({ kind: command, subject, options }))
+  ));
+}
+
+function addWaitOptions(program: Sade): Sade {
+  return program
+    .option('--wait', 'Wait until the change is in force at every entry')
+    .option('--timeout', 'Longest wait in seconds; 60 if not given');
+}
+
+function addReleaseNotes(program: Sade): void {
+  addWaitOptions(program.command('publish <file>')
+    .describe('Publish a release note.'))
+    .example('publish note.jsonc --wait --entry 10.0.0.1:7071 --token-file token')
+    .action((fileName: string, raw: RawOptions): Parsed => (
+      parseOptions(raw).map((options) => ({ kind: 'publish', fileName, options }))
+    ));
+  program.command('diff <file>')
+    .describe('Print what a release note would make different, and whether it would be refused now.')
+    .action((fileName: string, raw: RawOptions): Parsed => (
+      parseOptions(raw).map((options) => ({ kind: 'diff', fileName, options }))
+    ));
+  program.command('check <file>')
+    .describe('Check a release note file without talking to any entry.')
+    .action((fileName: string, raw: RawOptions): Parsed => (
+      parseOptions(raw).map(() => ({ kind: 'check', fileName }))
+    ));
+}
+
+function addReading(program: Sade): void {
+  program.command('show')
+    .describe('Print the release state: services, team weights and what is out of service.')
+    .action((raw: RawOptions): Parsed => parseOptions(raw).map((options) => ({ kind: 'show', options })));
+  program.command('status')
+    .describe('Print the entries and replicas as the answering entry sees them.')
+    .action((raw: RawOptions): Parsed => parseOptions(raw).map((options) => ({ kind: 'status', options })));
+}
+
+function addOutOfService(program: Sade): void {
+  addWaitOptions(program.command('take-out <zone|vm> <name>')
+    .describe('Take an availability zone or a VM out of service.'))
+    .example('take-out zone zone-a --wait')
+    .action((kind: string, name: string, raw: RawOptions) => parseOutOfService('take-out', kind, name, raw));
+  addWaitOptions(program.command('bring-back <zone|vm> <name>')
+    .describe('Bring an availability zone or a VM back into service.'))
+    .example('bring-back zone zone-a --wait')
+    .action((kind: string, name: string, raw: RawOptions) => parseOutOfService('bring-back', kind, name, raw));
+}
+
+/** The command's arguments. Each action gives the command that was asked for, and runs nothing. */
+export default function buildProgram(): Sade {
+  const program = sade('dandelionlane')
+    .version(VERSION)
+    .option('--entry', 'Administration address of an entry, HOST:PORT; repeat it for more entries')
+    .option('--token-file', 'File that holds the operators\' token')
+    .option('--settings', 'Settings file with entries and tokenFile')
+    .option('--json', 'Print JSON');
+  addReleaseNotes(program);
+  addReading(program);
+  addOutOfService(program);
+  return program;
+}
--- /dev/null
+++ b/packages/command-line/src/lib/createTerminal.ts
@@ -0,0 +1,17 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { SystemClock } from '@dandelionlane/core';
+import type Terminal from './Terminal.js';
+
+/** The terminal of this process. */
+export default function createTerminal(): Terminal {
+  return {
+    writeLine: (text) => {
+      process.stdout.write(`${text}\n`);
+    },
+    writeError: (text) => {
+      process.stderr.write(`${text}\n`);
+    },
+    clock: new SystemClock(),
+    sleep: (milliseconds) => sleep(milliseconds),
+  };
+}
--- /dev/null
+++ b/packages/command-line/src/lib/formatOutOfService.ts
@@ -0,0 +1,12 @@
+import type { ReleaseState } from '@dandelionlane/core';
+
+/** One line that lists what operators have taken out of service. */
+export default function formatOutOfService(
+  { availabilityZonesOut, vmsOut }: Pick<ReleaseState, 'availabilityZonesOut' | 'vmsOut'>,
+): string {
+  const subjects = [
+    ...availabilityZonesOut.map((zone) => `zone ${zone}`),
+    ...vmsOut.map((vm) => `vm ${vm}`),
+  ];
+  return `out of service: ${subjects.length === 0 ? 'nothing' : subjects.join(', ')}`;
+}
--- /dev/null
+++ b/packages/command-line/src/lib/listEntriesBehind.ts
@@ -0,0 +1,12 @@
+import type { ReleaseSequence, StatusDocument } from '@dandelionlane/core';
+
+/** Entries that have to follow a change and do not have it in force yet. */
+export default function listEntriesBehind(
+  { entries }: StatusDocument,
+  sequence: ReleaseSequence,
+): readonly string[] {
+  return entries
+    .filter(({ state }) => state !== 'dead' && state !== 'leaving')
+    .filter(({ sequenceInForce }) => sequenceInForce < sequence)
+    .map(({ entry, sequenceInForce }) => `${entry} (at ${sequenceInForce})`);
+}
--- /dev/null
+++ b/packages/command-line/src/lib/readDraft.ts
@@ -0,0 +1,28 @@
+import { ServingError } from '@dandelionlane/core';
+import { findRepeatedNames, parseReleaseNoteDraft, type ReleaseNoteDraft } from '@dandelionlane/release';
+import {
+  err, ok, type Result, type ResultAsync,
+} from 'neverthrow';
+import EXIT_CODES from './EXIT_CODES.js';
+import type Failure from './Failure.js';
+import readFileText from './readFileText.js';
+
+function checkNames(draft: ReleaseNoteDraft, fileName: string): Result<ReleaseNoteDraft, ServingError> {
+  const faults = findRepeatedNames(draft).map((fault) => `${fileName}: ${fault}`);
+  return faults.length === 0
+    ? ok(draft)
+    : err(new ServingError(faults.join('\n'), { kind: 'release-invalid' }));
+}
+
+/**
+ * Reads a release note file and checks what can be checked without the release state.
+ *
+ * Failures: `usage` for a file that cannot be read, `refused` for one with faults.
+ */
+export default function readDraft(fileName: string): ResultAsync<ReleaseNoteDraft, Failure> {
+  return readFileText(fileName).andThen((text) => (
+    parseReleaseNoteDraft(text, fileName)
+      .andThen((draft) => checkNames(draft, fileName))
+      .mapErr(({ message }) => ({ exitCode: EXIT_CODES.refused, message }))
+  ));
+}
--- /dev/null
+++ b/packages/command-line/src/lib/resolveConnection.ts
@@ -0,0 +1,46 @@
+import { readSettings } from '@dandelionlane/settings';
+import {
+  errAsync, ok, okAsync, type Result, type ResultAsync,
+} from 'neverthrow';
+import type CommandOptions from './CommandOptions.js';
+import CommandSettings from './CommandSettings.js';
+import type Connection from './Connection.js';
+import EXIT_CODES from './EXIT_CODES.js';
+import type Failure from './Failure.js';
+import readFileText from './readFileText.js';
+
+/** Characters that an HTTP header may carry. */
+const TOKEN_PATTERN = /^[\x21-\x7e]+$/;
+
+function failUsage(message: string): Failure {
+  return { exitCode: EXIT_CODES.usage, message };
+}
+
+function readCommandSettings(fileName: string | undefined): Result<Partial<CommandSettings>, Failure> {
+  return fileName === undefined
+    ? ok({})
+    : readSettings(fileName, CommandSettings).mapErr(({ message }) => failUsage(message));
+}
+
+function readToken(fileName: string | undefined): ResultAsync<string | undefined, Failure> {
+  if (fileName === undefined) {
+    return okAsync(undefined);
+  }
+  return readFileText(fileName)
+    .map((text) => text.trim())
+    .andThen((token) => (
+      TOKEN_PATTERN.test(token)
+        ? okAsync(token)
+        : errAsync(failUsage(`${fileName}: expected one token of printable characters`))
+    ));
+}
+
+/** Finds the entries and the token. Options go before the settings file. */
+export default function resolveConnection(options: CommandOptions): ResultAsync<Connection, Failure> {
+  return readCommandSettings(options.settings).asyncAndThen((settings) => {
+    const entries = options.entry ?? settings.entries;
+    return entries === undefined
+      ? errAsync(failUsage('no entry is known: give --entry HOST:PORT or --settings FILE'))
+      : readToken(options['token-file'] ?? settings.tokenFile).map((token) => ({ entries, token }));
+  });
+}
--- /dev/null
+++ b/packages/command-line/src/lib/runOutOfService.ts
@@ -0,0 +1,16 @@
+import type { OutOfService } from '@dandelionlane/core';
+import type { ResultAsync } from 'neverthrow';
+import type CommandContext from './CommandContext.js';
+import type Failure from './Failure.js';
+import submitChange from './submitChange.js';
+
+const AFTER_LOST_ANSWER = 'To find out, run `dandelionlane show`. The command is idempotent: repeat it if in doubt.';
+
+/** `take-out` and `bring-back`. Both are idempotent. */
+export default function runOutOfService(
+  context: CommandContext,
+  kind: 'take-out' | 'bring-back',
+  subject: OutOfService,
+): ResultAsync<void, Failure> {
+  return submitChange(context, { kind, subject }, AFTER_LOST_ANSWER);
+}
--- /dev/null
+++ b/packages/command-line/src/lib/sendRequest.ts
@@ -0,0 +1,40 @@
+import { type Dispatcher, request } from 'undici';
+import type Attempt from './Attempt.js';
+import type Exchange from './Exchange.js';
+import isBeforeSending from './isBeforeSending.js';
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function buildHeaders(exchange: Exchange, token: string | undefined): Record<string, string> {
+  return {
+    accept: 'application/json',
+    ...(exchange.method === 'POST' ? { 'content-type': 'application/json' } : {}),
+    ...(token === undefined ? {} : { authorization: `Bearer ${token}` }),
+  };
+}
+
+/** Sends one request to one entry. Never rejects. */
+export default async function sendRequest(
+  dispatcher: Dispatcher,
+  entry: string,
+  token: string | undefined,
+  exchange: Exchange,
+): Promise<Attempt> {
+  try {
+    const { statusCode, body } = await request(`http://${entry}${exchange.path}`, {
+      dispatcher,
+      method: exchange.method,
+      headers: buildHeaders(exchange, token),
+      ...(exchange.method === 'POST' ? { body: JSON.stringify(exchange.body) } : {}),
+    });
+    return { kind: 'answered', answer: { status: statusCode, body: parseJson(await body.text()) } };
+  } catch (error) {
+    return { kind: 'failed', isSent: !isBeforeSending(error), message: `${entry}: ${String(error)}` };
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/lib/waitUntilInForce.ts
@@ -0,0 +1,54 @@
+import type { ReleaseSequence } from '@dandelionlane/core';
+import { err, ok, type Result } from 'neverthrow';
+import type AdministrationClient from './AdministrationClient.js';
+import EXIT_CODES from './EXIT_CODES.js';
+import type Failure from './Failure.js';
+import listEntriesBehind from './listEntriesBehind.js';
+import type Terminal from './Terminal.js';
+
+const POLL_INTERVAL_MILLISECONDS = 500;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What still keeps the change from being in force everywhere; undefined when nothing does. */
+async function findObstacle(
+  client: AdministrationClient,
+  sequence: ReleaseSequence,
+): Promise<string | undefined> {
+  const read = await client.readStatus();
+  return read.match((status) => {
+    if (status.sequence < sequence) {
+      return `the answering entry is at ${status.sequence}`;
+    }
+    const behind = listEntriesBehind(status, sequence);
+    return behind.length === 0 ? undefined : `entries behind: ${behind.join(', ')}`;
+  }, ({ message }) => `the status cannot be read: ${message}`);
+}
+
+/**
+ * Polls the status until the change is in force at every entry that is neither dead nor
+ * leaving. A suspect entry counts, since it may serve.
+ *
+ * Failures: `waitTimeout`. The change is accepted all the same and will come into force.
+ */
+export default async function waitUntilInForce(
+  terminal: Terminal,
+  client: AdministrationClient,
+  sequence: ReleaseSequence,
+  timeoutSeconds: number,
+): Promise<Result<ReleaseSequence, Failure>> {
+  const { clock } = terminal;
+  const deadline = clock.monotonicMilliseconds() + timeoutSeconds * MILLISECONDS_PER_SECOND;
+  for (;;) {
+    const obstacle = await findObstacle(client, sequence);
+    if (obstacle === undefined) {
+      return ok(sequence);
+    }
+    if (clock.monotonicMilliseconds() + POLL_INTERVAL_MILLISECONDS > deadline) {
+      return err({
+        exitCode: EXIT_CODES.waitTimeout,
+        message: `change ${sequence} is accepted, but not in force everywhere after ${timeoutSeconds} s; ${obstacle}`,
+      });
+    }
+    await terminal.sleep(POLL_INTERVAL_MILLISECONDS);
+  }
+}
