--- /dev/null
+++ b/packages/placement/src/lib/DEFAULT_PLACEMENT_LIMITS.ts
@@ -0,0 +1,19 @@
+import type PlacementLimits from './PlacementLimits.js';
+
+/** Thresholds used unless the caller passes others. */
+const DEFAULT_PLACEMENT_LIMITS: PlacementLimits = {
+  freshMilliseconds: 3_000,
+  lostMilliseconds: 10_000,
+  unlistedMilliseconds: 30_000,
+  drainNoticeMilliseconds: 5_000,
+  lostDrainMilliseconds: 60_000,
+  orderExpiryMilliseconds: 15_000,
+  loadStartMilliseconds: 15_000,
+  loadLimitMilliseconds: 1_200_000,
+  settledMilliseconds: 300_000,
+  concurrentLoads: 32,
+  surgeShare: 0.25,
+  suspectObserverShare: 0.5,
+};
+
+export default DEFAULT_PLACEMENT_LIMITS;
--- /dev/null
+++ b/packages/placement/src/lib/DrainReason.ts
@@ -0,0 +1,12 @@
+/** Why a serving replica stops taking requests. */
+type DrainReason = | 'availability-zone-out'
+  | 'vm-out'
+  | 'vm-leaving'
+  | 'withdrawn'
+  | 'version-change'
+  | 'scale-down'
+  | 'spread'
+  | 'replica-lost'
+  | 'make-room';
+
+export default DrainReason;
--- /dev/null
+++ b/packages/placement/src/lib/PlaceReason.ts
@@ -0,0 +1,4 @@
+/** Why a replica is placed. */
+type PlaceReason = 'below-wanted' | 'version-change' | 'out-of-service' | 'replica-lost' | 'spread';
+
+export default PlaceReason;
--- /dev/null
+++ b/packages/placement/src/lib/PlacementInput.ts
@@ -0,0 +1,12 @@
+import type { Allocation, ReleaseState } from '@dandelionlane/core';
+import type ReplicaObservation from './ReplicaObservation.js';
+import type VMObservation from './VMObservation.js';
+
+/** All that one plan is made from. The order of the arrays has no influence on the plan. */
+export default interface PlacementInput {
+  readonly monotonicMilliseconds: number;
+  readonly release: ReleaseState;
+  readonly vms: readonly VMObservation[];
+  readonly replicas: readonly ReplicaObservation[];
+  readonly allocations: readonly Allocation[];
+}
--- /dev/null
+++ b/packages/placement/src/lib/RebuildReason.ts
@@ -0,0 +1,4 @@
+/** Why a replica is rebuilt. */
+type RebuildReason = 'member-lost' | 'member-restarted' | 'member-astray' | 'wanted-again';
+
+export default RebuildReason;
