Add the per-request decisions behind their signatures

Presence, concurrency limits and grants, choice of target, admission, retries, hedging and latency, as pure modules.

--- /dev/null
+++ b/packages/routing/src/lib/admission/ServiceRate.ts
@@ -0,0 +1,40 @@
+import MovingAverage from '../latency/MovingAverage.js';
+
+/** Weight of the newest service time in the average. */
+const SAMPLE_WEIGHT = 0.05;
+
+/** Samples for which the initial estimate counts. */
+const INITIAL_SAMPLES = 1;
+
+/** Estimates how often a place becomes free while all are taken. */
+export default class ServiceRate {
+  #serviceTime = new MovingAverage(SAMPLE_WEIGHT);
+
+  #lastReleaseMilliseconds = -Infinity;
+
+  constructor(initialServiceMilliseconds: number) {
+    for (let sample = 0; sample < INITIAL_SAMPLES; sample += 1) {
+      this.#serviceTime.add(initialServiceMilliseconds);
+    }
+  }
+
+  /** Notes that a request ended after so long. */
+  released(serviceMilliseconds: number, monotonicMilliseconds: number): void {
+    this.#serviceTime.add(serviceMilliseconds);
+    this.#lastReleaseMilliseconds = monotonicMilliseconds;
+  }
+
+  /** Notes that all places were free, so that the time since the last release tells nothing. */
+  idleAt(monotonicMilliseconds: number): void {
+    this.#lastReleaseMilliseconds = monotonicMilliseconds;
+  }
+
+  /**
+   * Expected time between releases while all places are taken. A silence longer
+   * than the average says that the targets have slowed down or stopped.
+   */
+  intervalMilliseconds(capacity: number, monotonicMilliseconds: number): number {
+    const usual = this.#serviceTime.value / Math.max(1, capacity);
+    return Math.max(usual, monotonicMilliseconds - this.#lastReleaseMilliseconds - this.#serviceTime.value);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/choice/ScoredTarget.ts
@@ -0,0 +1,7 @@
+import type TargetView from './TargetView.js';
+
+/** A candidate with its estimated outstanding tokens, weighted by its slowness. */
+export default interface ScoredTarget {
+  readonly target: TargetView;
+  readonly tokens: number;
+}
--- /dev/null
+++ b/packages/routing/src/lib/choice/chooseTarget.ts
@@ -0,0 +1,86 @@
+import type { RandomSource } from '@dandelionlane/core';
+import type ChoiceReason from './ChoiceReason.js';
+import pickForPrefix from './pickForPrefix.js';
+import pickLeast from './pickLeast.js';
+import type RequestView from './RequestView.js';
+import type ScoredTarget from './ScoredTarget.js';
+import scoreTarget from './scoreTarget.js';
+import type TargetChoice from './TargetChoice.js';
+import type TargetView from './TargetView.js';
+
+/** Load of the nearest zone over that of the others at which requests go to another zone. */
+const SPILL_RATIO = 1.5;
+
+/** Requests like the present one by which the nearest zone must be behind as well. */
+const SPILL_REQUESTS = 2;
+
+function chosen({ target }: ScoredTarget, reason: ChoiceReason): TargetChoice {
+  return { kind: 'chosen', replica: target.replica, reason };
+}
+
+/** Leaves ejected targets out, unless nothing else is left: a slow answer beats none. */
+function withoutEjected(open: readonly TargetView[]): readonly TargetView[] {
+  const admitted = open.filter(({ health }) => health === 'admitted');
+  return admitted.length > 0 ? admitted : open;
+}
+
+/** Chooses among candidates of any zone. */
+function chooseAmong(
+  request: RequestView,
+  scored: readonly ScoredTarget[],
+  leastReason: ChoiceReason,
+  random: RandomSource,
+): TargetChoice {
+  const forPrefix = pickForPrefix(request, scored);
+  if (forPrefix !== undefined) {
+    return chosen(forPrefix.candidate, forPrefix.reason);
+  }
+  const least = pickLeast(scored, random);
+  return least === undefined ? { kind: 'none', reason: 'all-full' } : chosen(least, leastReason);
+}
+
+/** Chooses in the entry's own zone, or in another one if the own is well behind. */
+function chooseByZone(
+  request: RequestView,
+  scored: readonly ScoredTarget[],
+  random: RandomSource,
+): TargetChoice {
+  const near = scored.filter(({ target }) => target.availabilityZone === request.availabilityZone);
+  const leastNear = pickLeast(near, random);
+  const least = pickLeast(scored, random);
+  if (leastNear === undefined || least === undefined) {
+    return chooseAmong(request, scored, 'least-tokens-other-zone', random);
+  }
+  const spillAt = least.tokens * SPILL_RATIO + SPILL_REQUESTS * request.estimatedTokens;
+  return leastNear.tokens > spillAt
+    ? chooseAmong(request, scored, 'least-tokens-other-zone', random)
+    : chooseAmong(request, near, 'least-tokens', random);
+}
+
+/**
+ * Chooses the replica that a request is sent to: only whole ones with room that
+ * have not been tried; fewest estimated outstanding tokens; the entry's own zone
+ * first, prefix affinity within bounds. `all-full` means that a whole replica exists.
+ */
+export default function chooseTarget(
+  request: RequestView,
+  candidates: readonly TargetView[],
+  random: RandomSource,
+): TargetChoice {
+  const whole = candidates.filter(({ assessment, replica }) => assessment.kind === 'whole'
+    && !request.tried.includes(replica));
+  if (whole.length === 0) {
+    return { kind: 'none', reason: 'no-whole-replica' };
+  }
+  const open = whole.filter(({ available }) => available > 0);
+  const probe = request.mayProbe && open.find(({ health }) => health === 'probe');
+  if (probe) {
+    return chosen(scoreTarget(request, probe), 'probe');
+  }
+  const scored = withoutEjected(open).map((target) => scoreTarget(request, target));
+  const [only] = scored;
+  if (only !== undefined && scored.length === 1) {
+    return chosen(only, 'only-candidate');
+  }
+  return chooseByZone(request, scored, random);
+}
--- /dev/null
+++ b/packages/routing/src/lib/choice/pickLeast.ts
@@ -0,0 +1,23 @@
+import type { RandomSource } from '@dandelionlane/core';
+import type ScoredTarget from './ScoredTarget.js';
+
+/** The candidate with the fewest tokens; among equals a random one. */
+export default function pickLeast(
+  scored: readonly ScoredTarget[],
+  random: RandomSource,
+): ScoredTarget | undefined {
+  let least: ScoredTarget | undefined;
+  let equals = 0;
+  for (const candidate of scored) {
+    if (least === undefined || candidate.tokens < least.tokens) {
+      least = candidate;
+      equals = 1;
+    } else if (candidate.tokens === least.tokens) {
+      equals += 1;
+      if (random.next() * equals < 1) {
+        least = candidate;
+      }
+    }
+  }
+  return least;
+}
--- /dev/null
+++ b/packages/routing/src/lib/choice/scoreTarget.ts
@@ -0,0 +1,10 @@
+import estimateOutstandingTokens from './estimateOutstandingTokens.js';
+import type RequestView from './RequestView.js';
+import type ScoredTarget from './ScoredTarget.js';
+import type TargetView from './TargetView.js';
+
+/** Work that the request would wait for at the target, itself included. */
+export default function scoreTarget(request: RequestView, target: TargetView): ScoredTarget {
+  const tokens = estimateOutstandingTokens(target.load) + request.estimatedTokens;
+  return { target, tokens: tokens * target.slowness };
+}
--- /dev/null
+++ b/packages/routing/src/lib/concurrency/ConcurrencyLimiter.ts
@@ -0,0 +1,154 @@
+import isSameIncarnations from '../presence/isSameIncarnations.js';
+import type ReplicaAssessment from '../presence/ReplicaAssessment.js';
+import type WholeReplica from '../presence/WholeReplica.js';
+import type DispatchTicket from './DispatchTicket.js';
+import GRANT_TERM_MILLISECONDS from './GRANT_TERM_MILLISECONDS.js';
+import type GrantReading from './GrantReading.js';
+
+/** Failures in a row that count as a fall back into cold start. */
+const FAILURE_RUN = 3;
+
+/** After a run of failures, warm reports that arrive within this time may predate the fall. */
+const SUSPICION_MILLISECONDS = 3_000;
+
+/** What each success adds to the limit while the target is warm. */
+const GROWTH_PER_SUCCESS = 1;
+
+/**
+ * Limit on the requests that one entry has in flight on one replica.
+ *
+ * Invariants: the limit is 0 when the grant has run out or the last assessment is
+ * not whole or out of date. It is above the cold grant only while every member
+ * is reported warm by a fresh report of the incarnations that the growth was
+ * measured on. Requests of before a reset count as in flight but do not let the
+ * limit grow.
+ */
+export default class ConcurrencyLimiter {
+  #reading: GrantReading;
+
+  #whole: WholeReplica | undefined;
+
+  #warmLimit = 0;
+
+  #failuresInRow = 0;
+
+  #suspectedUntilMilliseconds = -Infinity;
+
+  #epoch = 0;
+
+  #inFlight = 0;
+
+  constructor(reading: GrantReading) {
+    this.#reading = reading;
+    this.#resetGrowth();
+  }
+
+  /** Requests in flight, those of before a reset included. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Takes in a reading of the placement row, a changed grant or the same one read again. */
+  updateGrant(reading: GrantReading): void {
+    const known = this.#reading;
+    if (reading.version < known.version) {
+      return;
+    }
+    const readAtMilliseconds = Math.max(reading.readAtMilliseconds, known.readAtMilliseconds);
+    this.#reading = { ...reading, readAtMilliseconds };
+  }
+
+  /** Takes in an assessment of the replica. A fall to cold resets the growth. */
+  assess(assessment: ReplicaAssessment): void {
+    if (assessment.kind === 'not-whole') {
+      this.#whole = undefined;
+      this.#resetGrowth();
+      return;
+    }
+    const previous = this.#whole;
+    this.#whole = assessment;
+    const continues = previous !== undefined
+      && isSameIncarnations(previous.members, assessment.members);
+    if (!continues || assessment.phase === 'cold') {
+      this.#resetGrowth();
+    }
+  }
+
+  /** Notes that a request is sent. Call it only while `available` is above 0. */
+  dispatched(): DispatchTicket {
+    this.#inFlight += 1;
+    return { epoch: this.#epoch };
+  }
+
+  /** Notes that a request ended. A failure is an error, a timeout or a refusal of the target. */
+  finished(ticket: DispatchTicket, outcome: 'success' | 'failure', monotonicMilliseconds: number): void {
+    this.#inFlight -= 1;
+    if (ticket.epoch !== this.#epoch) {
+      return;
+    }
+    switch (outcome) {
+      case 'success':
+        this.#noteSuccess();
+        return;
+      case 'failure':
+        this.#noteFailure(monotonicMilliseconds);
+        return;
+      default:
+        outcome satisfies never;
+    }
+  }
+
+  /** Requests that may be in flight at this time. */
+  allowed(monotonicMilliseconds: number): number {
+    const { grant, readAtMilliseconds } = this.#reading;
+    if (monotonicMilliseconds - readAtMilliseconds >= GRANT_TERM_MILLISECONDS) {
+      return 0;
+    }
+    if (this.#whole === undefined || monotonicMilliseconds >= this.#whole.freshUntilMilliseconds) {
+      return 0;
+    }
+    if (this.#whole.phase === 'cold' || this.#isSuspected()) {
+      return Math.min(grant.cold, grant.warm);
+    }
+    return Math.min(Math.max(this.#warmLimit, this.#floor()), grant.warm);
+  }
+
+  /** Requests that may be sent now. */
+  available(monotonicMilliseconds: number): number {
+    return Math.max(0, this.allowed(monotonicMilliseconds) - this.#inFlight);
+  }
+
+  /** A warm target gets at least one request, else its growth could never begin. */
+  #floor(): number {
+    return Math.max(1, this.#reading.grant.cold);
+  }
+
+  /** Whether the warm reports at hand may predate a fall that failures point to. */
+  #isSuspected(): boolean {
+    return this.#whole !== undefined
+      && this.#whole.seenAtMilliseconds < this.#suspectedUntilMilliseconds;
+  }
+
+  #noteSuccess(): void {
+    this.#failuresInRow = 0;
+    const isInUse = this.#inFlight + 1 >= this.#warmLimit / 2;
+    if (this.#whole?.phase === 'warm' && !this.#isSuspected() && isInUse) {
+      const grown = Math.max(this.#warmLimit, this.#floor()) + GROWTH_PER_SUCCESS;
+      this.#warmLimit = Math.min(grown, this.#reading.grant.warm);
+    }
+  }
+
+  #noteFailure(monotonicMilliseconds: number): void {
+    this.#failuresInRow += 1;
+    if (this.#failuresInRow >= FAILURE_RUN) {
+      this.#suspectedUntilMilliseconds = monotonicMilliseconds + SUSPICION_MILLISECONDS;
+      this.#resetGrowth();
+    }
+  }
+
+  #resetGrowth(): void {
+    this.#warmLimit = 0;
+    this.#failuresInRow = 0;
+    this.#epoch += 1;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/concurrency/splitEvenly.ts
@@ -0,0 +1,6 @@
+/** Splits a limit into whole shares that differ by at most one; the first get the remainder. */
+export default function splitEvenly(limit: number, parts: number): readonly number[] {
+  const base = Math.floor(limit / Math.max(1, parts));
+  const remainder = limit - base * parts;
+  return Array.from({ length: parts }, (_, index) => base + (index < remainder ? 1 : 0));
+}
--- /dev/null
+++ b/packages/routing/src/lib/latency/LatencyTracker.ts
@@ -0,0 +1,142 @@
+import type { ReplicaId } from '@dandelionlane/core';
+import findMedian from './findMedian.js';
+import findOutliers from './findOutliers.js';
+import maximumEjected from './maximumEjected.js';
+import MovingAverage from './MovingAverage.js';
+import OUTLIER_RATIO from './OUTLIER_RATIO.js';
+import QuantileEstimate from './QuantileEstimate.js';
+import type ReplicaHealth from './ReplicaHealth.js';
+import type ReplicaLatency from './ReplicaLatency.js';
+
+/** Weight of the newest sample in a replica's average. */
+const SAMPLE_WEIGHT = 0.1;
+
+/** Quantile of latency that counts as usual, for hedging. */
+const USUAL_QUANTILE = 0.95;
+
+/** First time for which an outlier takes no requests; it doubles with each failed probe. */
+const EJECTION_MILLISECONDS = 5_000;
+
+/** Longest time for which an outlier takes no requests. */
+const MAXIMUM_EJECTION_MILLISECONDS = 60_000;
+
+/** Time after which a probe that has not ended may be followed by another one. */
+const PROBE_TIMEOUT_MILLISECONDS = 30_000;
+
+/** Largest ratio by which a replica's load is weighted. */
+const MAXIMUM_SLOWNESS = 4;
+
+/** An ejected replica. */
+interface Ejection {
+  readonly probeAtMilliseconds: number;
+  readonly durationMilliseconds: number;
+}
+
+/**
+ * Latencies of one service's replicas as one entry measures them, and which
+ * replicas are ejected as outliers. Samples are to be comparable between requests:
+ * time between tokens for models, time to the first byte for plain services.
+ */
+export default class LatencyTracker {
+  #averages = new Map<ReplicaId, MovingAverage>();
+
+  #ejections = new Map<ReplicaId, Ejection>();
+
+  #usual = new QuantileEstimate(USUAL_QUANTILE);
+
+  #medianMilliseconds: number | null = null;
+
+  /** High quantile of all samples; null before the first. */
+  get usualMilliseconds(): number | null {
+    return this.#usual.value;
+  }
+
+  /** Notes the latency of an answer that was no probe. */
+  record(replica: ReplicaId, milliseconds: number): void {
+    this.#usual.add(milliseconds);
+    const average = this.#averages.get(replica) ?? new MovingAverage(SAMPLE_WEIGHT);
+    this.#averages.set(replica, average);
+    average.add(milliseconds);
+  }
+
+  /** Finds outliers anew among the replicas that are now whole. Call it every second or so. */
+  refresh(replicas: readonly ReplicaId[], monotonicMilliseconds: number): void {
+    this.#forgetOthers(replicas);
+    const latencies = replicas.map((replica) => this.#latencyOf(replica));
+    const known = latencies.filter(({ samples }) => samples > 0);
+    this.#medianMilliseconds = findMedian(known.map(({ milliseconds }) => milliseconds));
+    const room = maximumEjected(replicas.length) - this.#ejections.size;
+    findOutliers(latencies)
+      .filter((replica) => !this.#ejections.has(replica))
+      .slice(0, Math.max(0, room))
+      .forEach((replica) => this.#eject(replica, EJECTION_MILLISECONDS, monotonicMilliseconds));
+  }
+
+  /** Whether a replica takes requests at this time. */
+  healthOf(replica: ReplicaId, monotonicMilliseconds: number): ReplicaHealth {
+    const ejection = this.#ejections.get(replica);
+    if (ejection === undefined) {
+      return 'admitted';
+    }
+    return monotonicMilliseconds >= ejection.probeAtMilliseconds ? 'probe' : 'ejected';
+  }
+
+  /** Notes that a probe is sent, so that no other one goes there before it ends. */
+  probeSent(replica: ReplicaId, monotonicMilliseconds: number): void {
+    const ejection = this.#ejections.get(replica);
+    if (ejection !== undefined) {
+      const probeAtMilliseconds = monotonicMilliseconds + PROBE_TIMEOUT_MILLISECONDS;
+      this.#ejections.set(replica, { ...ejection, probeAtMilliseconds });
+    }
+  }
+
+  /**
+   * Notes how a probe ended, with its latency or null for a failure. A latency near
+   * the peers' median admits the replica again, with its average forgotten.
+   */
+  probeEnded(replica: ReplicaId, milliseconds: number | null, monotonicMilliseconds: number): void {
+    const ejection = this.#ejections.get(replica);
+    if (ejection === undefined) {
+      return;
+    }
+    const median = this.#medianMilliseconds ?? Infinity;
+    if (milliseconds !== null && milliseconds <= OUTLIER_RATIO * median) {
+      this.#ejections.delete(replica);
+      this.#averages.delete(replica);
+      return;
+    }
+    const duration = Math.min(2 * ejection.durationMilliseconds, MAXIMUM_EJECTION_MILLISECONDS);
+    this.#eject(replica, duration, monotonicMilliseconds);
+  }
+
+  /** A replica's average over the median of its peers, from 1 up. */
+  slownessOf(replica: ReplicaId): number {
+    const average = this.#averages.get(replica);
+    if (average === undefined || this.#medianMilliseconds === null || this.#medianMilliseconds === 0) {
+      return 1;
+    }
+    return Math.min(MAXIMUM_SLOWNESS, Math.max(1, average.value / this.#medianMilliseconds));
+  }
+
+  #latencyOf(replica: ReplicaId): ReplicaLatency {
+    const average = this.#averages.get(replica);
+    return { replica, milliseconds: average?.value ?? 0, samples: average?.samples ?? 0 };
+  }
+
+  #eject(replica: ReplicaId, durationMilliseconds: number, monotonicMilliseconds: number): void {
+    this.#ejections.set(replica, {
+      probeAtMilliseconds: monotonicMilliseconds + durationMilliseconds,
+      durationMilliseconds,
+    });
+  }
+
+  #forgetOthers(replicas: readonly ReplicaId[]): void {
+    const kept = new Set(replicas);
+    for (const replica of [...this.#averages.keys(), ...this.#ejections.keys()]) {
+      if (!kept.has(replica)) {
+        this.#averages.delete(replica);
+        this.#ejections.delete(replica);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/latency/findMedian.ts
@@ -0,0 +1,5 @@
+/** The median of numbers, the lower of the middle two; null of none. */
+export default function findMedian(numbers: readonly number[]): number | null {
+  const sorted = [...numbers].sort((left, right) => left - right);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? null;
+}
--- /dev/null
+++ b/packages/routing/src/lib/presence/assessReplica.ts
@@ -0,0 +1,54 @@
+import type { Replica } from '@dandelionlane/core';
+import findPresenceFault from './findPresenceFault.js';
+import findReadinessFault from './findReadinessFault.js';
+import findSighting from './findSighting.js';
+import type MemberIncarnation from './MemberIncarnation.js';
+import type ReplicaAssessment from './ReplicaAssessment.js';
+import type VMSighting from './VMSighting.js';
+
+/**
+ * Decides whether a replica may take a new request: it serves, and every member
+ * was seen within the freshness bound, on this replica, ready and not leaving.
+ * With `expected`, the members must also be the same process starts.
+ */
+export default function assessReplica(
+  replica: Replica,
+  sightings: readonly VMSighting[],
+  monotonicMilliseconds: number,
+  freshnessMilliseconds: number,
+  expected?: readonly MemberIncarnation[],
+): ReplicaAssessment {
+  if (replica.state !== 'serving') {
+    return { kind: 'not-whole', reason: 'replica-not-serving', vm: null };
+  }
+  const members: MemberIncarnation[] = [];
+  let phase: 'cold' | 'warm' = 'warm';
+  let seenAtMilliseconds = Infinity;
+  for (const [index, { vm }] of replica.members.entries()) {
+    const sighting = findSighting(sightings, vm);
+    const absence = findPresenceFault(replica, sighting, monotonicMilliseconds, freshnessMilliseconds);
+    if (sighting === undefined || absence !== null) {
+      return { kind: 'not-whole', reason: absence ?? 'member-unseen', vm };
+    }
+    const { report } = sighting;
+    const fault = findReadinessFault(replica, report);
+    if (fault !== null) {
+      return { kind: 'not-whole', reason: fault, vm };
+    }
+    if (expected !== undefined && expected[index]?.incarnation !== report.incarnation) {
+      return { kind: 'not-whole', reason: 'incarnation-changed', vm };
+    }
+    if (report.phase !== 'warm') {
+      phase = 'cold';
+    }
+    members.push({ vm, incarnation: report.incarnation });
+    seenAtMilliseconds = Math.min(seenAtMilliseconds, sighting.seenAtMilliseconds);
+  }
+  return {
+    kind: 'whole',
+    phase,
+    members,
+    seenAtMilliseconds,
+    freshUntilMilliseconds: seenAtMilliseconds + freshnessMilliseconds,
+  };
+}
--- /dev/null
+++ b/packages/routing/src/lib/presence/findReadinessFault.ts
@@ -0,0 +1,28 @@
+import type { Replica, VMPhase, VMReport } from '@dandelionlane/core';
+import type NotWholeReason from './NotWholeReason.js';
+
+/** Whether a VM in this phase takes new work. */
+function takesNewWork(phase: VMPhase): boolean {
+  switch (phase) {
+    case 'cold':
+    case 'warm':
+      return true;
+    case 'empty':
+    case 'loading':
+    case 'stopping':
+      return false;
+    default:
+      return phase satisfies never;
+  }
+}
+
+/** Why a member that is present takes no new work, or null if it does. */
+export default function findReadinessFault(replica: Replica, report: VMReport): NotWholeReason | null {
+  if (report.leaving) {
+    return 'member-leaving';
+  }
+  if (!takesNewWork(report.phase) || (report.version !== null && report.version !== replica.version)) {
+    return 'member-not-ready';
+  }
+  return null;
+}
--- /dev/null
+++ b/packages/routing/src/lib/presence/isSameIncarnations.ts
@@ -0,0 +1,12 @@
+import type MemberIncarnation from './MemberIncarnation.js';
+
+/** Whether two assessments of a replica rest on the same members and process starts. */
+export default function isSameIncarnations(
+  before: readonly MemberIncarnation[],
+  after: readonly MemberIncarnation[],
+): boolean {
+  return before.length === after.length && before.every((member, index) => {
+    const other = after[index];
+    return other !== undefined && other.vm === member.vm && other.incarnation === member.incarnation;
+  });
+}
--- /dev/null
+++ b/packages/routing/src/lib/retry/decideHedge.ts
@@ -0,0 +1,33 @@
+import type HedgeDecision from './HedgeDecision.js';
+import type HedgeInput from './HedgeInput.js';
+
+/** Attempts that the budget must hold beyond the hedge: retries go before hedges. */
+const ATTEMPTS_LEFT_FOR_RETRIES = 3;
+
+/**
+ * Decides whether a request that is late gets a second attempt at another replica;
+ * the first answer to begin wins and the other attempt is cancelled. Only for calls
+ * that may be repeated, once per request, within the budget of retries.
+ */
+export default function decideHedge(input: HedgeInput): HedgeDecision {
+  if (!input.repeatable) {
+    return { kind: 'never', reason: 'not-repeatable' };
+  }
+  if (input.answerBegun) {
+    return { kind: 'never', reason: 'answer-begun' };
+  }
+  if (input.attemptsInFlight > 1) {
+    return { kind: 'never', reason: 'already-hedged' };
+  }
+  const usual = input.usualFirstByteMilliseconds;
+  if (usual === null || input.elapsedMilliseconds < usual) {
+    return { kind: 'wait', reason: 'not-late' };
+  }
+  if (!input.hasAlternative) {
+    return { kind: 'wait', reason: 'no-alternative' };
+  }
+  if (input.budget.available <= ATTEMPTS_LEFT_FOR_RETRIES || !input.budget.tryTake()) {
+    return { kind: 'wait', reason: 'budget-exhausted' };
+  }
+  return { kind: 'hedge' };
+}
--- /dev/null
+++ b/packages/routing/src/lib/retry/decideRetry.ts
@@ -0,0 +1,53 @@
+import type GiveUpReason from './GiveUpReason.js';
+import giveUpError from './giveUpError.js';
+import mayHaveRun from './mayHaveRun.js';
+import type RetryDecision from './RetryDecision.js';
+import type RetryInput from './RetryInput.js';
+
+/** Attempts of one request, the first included. */
+const MAXIMUM_ATTEMPTS = 4;
+
+/** Time below which another attempt could not end in time, in milliseconds. */
+const MINIMUM_REMAINING_MILLISECONDS = 20;
+
+/** Tokens that went to the caller before the answer broke off. */
+function deliveredTokens({ progress }: RetryInput): number {
+  return progress.kind === 'answering' ? progress.deliveredTokens : 0;
+}
+
+/** What speaks against another attempt, the budget aside. */
+function findObjection(input: RetryInput): GiveUpReason | null {
+  if (!input.repeatable && (input.mayHaveRunBefore || mayHaveRun(input.progress))) {
+    return 'not-repeatable';
+  }
+  if (deliveredTokens(input) > 0 && !input.resumable) {
+    return 'answer-begun';
+  }
+  if (input.attempts >= MAXIMUM_ATTEMPTS) {
+    return 'attempts-exhausted';
+  }
+  if (input.remainingMilliseconds < MINIMUM_REMAINING_MILLISECONDS) {
+    return 'deadline-reached';
+  }
+  return input.hasAlternative ? null : 'no-alternative';
+}
+
+/**
+ * Decides what follows a failed attempt. Takes from the budget only if it decides
+ * on another attempt. A call that may not be repeated goes to another target only
+ * if no attempt so far can have run. A stream that has begun goes on from the tokens
+ * delivered, or is given up.
+ */
+export default function decideRetry(input: RetryInput): RetryDecision {
+  const objection = findObjection(input);
+  if (objection !== null) {
+    return { kind: 'give-up', error: giveUpError(input), reason: objection };
+  }
+  if (!input.budget.tryTake()) {
+    return { kind: 'give-up', error: giveUpError(input), reason: 'budget-exhausted' };
+  }
+  const delivered = deliveredTokens(input);
+  return delivered > 0
+    ? { kind: 'resume', deliveredTokens: delivered }
+    : { kind: 'retry-elsewhere' };
+}
--- /dev/null
+++ b/packages/routing/src/lib/retry/mayHaveRun.ts
@@ -0,0 +1,15 @@
+import type AttemptProgress from './AttemptProgress.js';
+
+/** Whether a target may have executed an attempt that came this far. */
+export default function mayHaveRun(progress: AttemptProgress): boolean {
+  switch (progress.kind) {
+    case 'not-sent':
+    case 'refused':
+      return false;
+    case 'sent':
+    case 'answering':
+      return true;
+    default:
+      return progress satisfies never;
+  }
+}
