Prove the cold limit over all entries under any order of events

Cause: shares of a replica's limits move between entries whose views differ, so a sum over entries can pass the limit although each entry keeps to its grant. Change: a planner keeps what it took back until the holder has acknowledged, is gone, or its grant has run out, and reduces it by what a settled report shows. The model holds one replica of two VMs, two to four entries with views of their own, late, repeated and lost reports, reads that end late, cut and crashed entries, planners that take over without the list, and falls without warning. It checks after each event: in flight that was sent under a cold assessment, over all entries, is at most the cold limit; all in flight is at most the warm limit; each request is sent as the reports heard say, computed from scratch; none is sent as to a warm replica later than report lag and freshness after a member's fall. Ruled out: a bound per replica on "not warm since" is wrong, since members are seen at different times; the bound is per member.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -22,6 +22,7 @@
 export { default as listWithdrawn } from './lib/concurrency/listWithdrawn.js';
 export { default as planGrants } from './lib/concurrency/planGrants.js';
 export { default as REPORT_SETTLE_MILLISECONDS } from './lib/concurrency/REPORT_SETTLE_MILLISECONDS.js';
+export { default as settleWithdrawn } from './lib/concurrency/settleWithdrawn.js';
 export { default as withdrawnAtTakeover } from './lib/concurrency/withdrawnAtTakeover.js';
 export { type default as WithdrawnGrant } from './lib/concurrency/WithdrawnGrant.js';
 export { default as findOutliers } from './lib/latency/findOutliers.js';
--- /dev/null
+++ b/packages/routing/src/lib/concurrency/lastDispatchMilliseconds.ts
@@ -0,0 +1,17 @@
+import GRANT_MARGIN_MILLISECONDS from './GRANT_MARGIN_MILLISECONDS.js';
+import GRANT_TERM_MILLISECONDS from './GRANT_TERM_MILLISECONDS.js';
+import type WithdrawnGrant from './WithdrawnGrant.js';
+
+/** From when on a former holder sends nothing more under a share taken back. */
+export default function lastDispatchMilliseconds(withdrawn: WithdrawnGrant): number {
+  const { holder, withdrawnAtMilliseconds } = withdrawn;
+  switch (holder.kind) {
+    case 'unknown':
+      return withdrawnAtMilliseconds + GRANT_TERM_MILLISECONDS + GRANT_MARGIN_MILLISECONDS;
+    case 'acknowledged':
+    case 'gone':
+      return holder.sinceMilliseconds;
+    default:
+      return holder satisfies never;
+  }
+}
--- a/packages/routing/src/lib/concurrency/planGrants.ts
+++ b/packages/routing/src/lib/concurrency/planGrants.ts
@@ -1,7 +1,7 @@
 import { hashText, type EntryId, type Grant } from '@dandelionlane/core';
 import type GrantPlanInput from './GrantPlanInput.js';
 import planShares from './planShares.js';
-import possiblyInUse from './possiblyInUse.js';
+import settleWithdrawn from './settleWithdrawn.js';
 import splitEvenly from './splitEvenly.js';
 
 /** The homes in an order of their own for each replica, so that remainders spread over entries. */
@@ -15,14 +15,7 @@
   return [...new Set([...homes, ...input.previous.map(({ entry }) => entry)])];
 }
 
-/** Sum of what former holders may be using of one kind of limit. */
-function sumInUse(input: GrantPlanInput, kind: 'cold' | 'warm'): number {
-  return input.withdrawn.reduce(
-    (sum, withdrawn) => sum + Math.min(withdrawn[kind], possiblyInUse(withdrawn, input)),
-    0,
-  );
-}
-
+/** The planned shares of one kind of limit, in the order of the holders. */
 function planKind(
   input: GrantPlanInput,
   holders: readonly EntryId[],
@@ -35,7 +28,8 @@
     previous: input.previous.find((grant) => grant.entry === entry)?.[kind] ?? 0,
     wanted: wanted[index] ?? 0,
   }));
-  return planShares(shares, limit, sumInUse(input, kind));
+  const inUse = settleWithdrawn(input).reduce((sum, withdrawn) => sum + withdrawn[kind], 0);
+  return planShares(shares, limit, inUse);
 }
 
 /**
--- a/packages/routing/src/lib/concurrency/possiblyInUse.ts
+++ b/packages/routing/src/lib/concurrency/possiblyInUse.ts
@@ -1,40 +1,31 @@
-import GRANT_MARGIN_MILLISECONDS from './GRANT_MARGIN_MILLISECONDS.js';
-import GRANT_TERM_MILLISECONDS from './GRANT_TERM_MILLISECONDS.js';
 import type GrantPlanInput from './GrantPlanInput.js';
+import lastDispatchMilliseconds from './lastDispatchMilliseconds.js';
 import REPORT_SETTLE_MILLISECONDS from './REPORT_SETTLE_MILLISECONDS.js';
 import type WithdrawnGrant from './WithdrawnGrant.js';
 
-/** From when on the former holder sends nothing more under the grant. */
-function lastDispatchMilliseconds(withdrawn: WithdrawnGrant): number {
-  const runsOutAtMilliseconds = withdrawn.withdrawnAtMilliseconds
-    + GRANT_TERM_MILLISECONDS + GRANT_MARGIN_MILLISECONDS;
-  switch (withdrawn.holder.kind) {
-    case 'unknown':
-      return runsOutAtMilliseconds;
-    case 'gone':
-      return Math.min(withdrawn.holder.sinceMilliseconds, runsOutAtMilliseconds);
-    case 'acknowledged':
-      return withdrawn.withdrawnAtMilliseconds;
-    default:
-      return withdrawn.holder satisfies never;
+/** Requests that the target had by a report made after `lastDispatch`; Infinity without one. */
+function reportedInFlight({ target }: GrantPlanInput, lastDispatch: number): number {
+  if (target === undefined || target.seenAtMilliseconds < lastDispatch + REPORT_SETTLE_MILLISECONDS) {
+    return Infinity;
   }
+  return target.report.runningRequests + target.report.waitingRequests;
 }
 
 /**
  * Upper bound on the requests that a former holder may have in flight, or may
- * still send, under a share taken back.
+ * still send, under a share taken back. It never grows again once it has fallen.
  */
-export default function possiblyInUse(withdrawn: WithdrawnGrant, input: GrantPlanInput): number {
-  if (withdrawn.holder.kind === 'acknowledged') {
-    return withdrawn.holder.excessInFlight;
-  }
+export default function possiblyInUse(
+  withdrawn: WithdrawnGrant,
+  input: GrantPlanInput,
+  kind: 'cold' | 'warm',
+): number {
   const lastDispatch = lastDispatchMilliseconds(withdrawn);
-  if (input.monotonicMilliseconds >= lastDispatch + input.limits.requestTimeoutMilliseconds) {
+  const { monotonicMilliseconds, limits } = input;
+  if (monotonicMilliseconds >= lastDispatch + limits.requestTimeoutMilliseconds) {
     return 0;
   }
-  const { target } = input;
-  if (target !== undefined && target.seenAtMilliseconds >= lastDispatch + REPORT_SETTLE_MILLISECONDS) {
-    return target.report.runningRequests + target.report.waitingRequests;
-  }
-  return Infinity;
+  const { holder } = withdrawn;
+  const excess = holder.kind === 'acknowledged' ? holder.excess[kind] : Infinity;
+  return Math.min(withdrawn[kind], excess, reportedInFlight(input, lastDispatch));
 }
--- /dev/null
+++ b/packages/routing/src/test/ColdStartModel.ts
@@ -0,0 +1,370 @@
+import {
+  EntryId, RowVersion, type Grant, type Replica, type VMPhase, type VMReport,
+} from '@dandelionlane/core';
+import {
+  assessReplica, ConcurrencyLimiter, GRANT_MARGIN_MILLISECONDS, listWithdrawn, mergeSighting,
+  planGrants, REPORT_SETTLE_MILLISECONDS, settleWithdrawn, withdrawnAtTakeover,
+  type DispatchTicket, type GrantPlanInput, type VMSighting, type WithdrawnGrant,
+} from '../index.js';
+import makeReplica from './makeReplica.js';
+import makeReport from './makeReport.js';
+import type ModelEvent from './ModelEvent.js';
+
+const VMS = ['vm-1', 'vm-2'];
+const FRESHNESS_MILLISECONDS = 3_000;
+const TRAVEL_MILLISECONDS = 1_000;
+const REPORT_LAG_MILLISECONDS = REPORT_SETTLE_MILLISECONDS - TRAVEL_MILLISECONDS;
+
+/** How often each thing happened in a run. */
+export interface ModelTotals {
+  dispatches: number;
+  coldDispatches: number;
+  moves: number;
+}
+
+interface Sent {
+  readonly entry: ModelEntry;
+  readonly ticket: DispatchTicket;
+  readonly sentAt: number;
+  /** Whether the entry's own assessment was cold when it was sent. */
+  readonly sentCold: boolean;
+}
+
+interface ModelEntry {
+  readonly id: EntryId;
+  limiter: ConcurrencyLimiter | undefined;
+  grant: Grant;
+  version: RowVersion;
+  sightings: Map<string, VMSighting>;
+  /** Every report that ever arrived, for the naive assessment. */
+  readonly heard: VMSighting[];
+  isCut: boolean;
+}
+
+interface ModelVM {
+  readonly vm: string;
+  readonly incarnation: number;
+  readonly sequence: number;
+  readonly phase: VMPhase;
+  /** When it was last warm; of no meaning while it is. */
+  readonly notWarmSince: number;
+}
+
+interface Row { readonly version: RowVersion; readonly grants: readonly Grant[] }
+
+/** One replica, several entries with views of their own, and a planner; checks the promise at each step. */
+export default class ColdStartModel {
+  readonly violations: string[] = [];
+
+  /** How often each thing happened, to show that a run covers it. */
+  readonly seen: ModelTotals = { dispatches: 0, coldDispatches: 0, moves: 0 };
+
+  #now = 0;
+
+  #replica: Replica = makeReplica(VMS);
+
+  #vms: readonly ModelVM[] = VMS.map((vm) => ({
+    vm, incarnation: 1, sequence: 0, phase: 'cold', notWarmSince: 0,
+  }));
+
+  #entries: ModelEntry[];
+
+  #reports: { readonly report: VMReport; readonly madeAt: number }[] = [];
+
+  #reads: { readonly entry: ModelEntry; readonly row: Row; readonly beganAt: number }[] = [];
+
+  #row: Row = { version: RowVersion.parse(0), grants: [] };
+
+  #withdrawn: readonly WithdrawnGrant[] = [];
+
+  #homes: readonly EntryId[];
+
+  #target: VMSighting | undefined;
+
+  #inFlight: Sent[] = [];
+
+  #gone = new Set<EntryId>();
+
+  constructor(
+    readonly limits: GrantPlanInput['limits'],
+    entries: number,
+  ) {
+    this.#entries = Array.from({ length: entries }, (_, index) => ({
+      id: EntryId.parse(`entry-${index}`),
+      limiter: undefined,
+      grant: { entry: EntryId.parse(`entry-${index}`), cold: 0, warm: 0 },
+      version: RowVersion.parse(0),
+      sightings: new Map(),
+      heard: [],
+      isCut: false,
+    }));
+    this.#homes = this.#entries.map(({ id }) => id);
+  }
+
+  apply(event: ModelEvent): void {
+    switch (event.kind) {
+      case 'advance':
+        this.#advance(event.milliseconds);
+        break;
+      case 'phase':
+        this.#changePhase(event.vm, event.phase, event.restarts);
+        break;
+      case 'warmUp':
+        VMS.forEach((_, vm) => this.#changePhase(vm, 'warm', false));
+        break;
+      case 'report':
+        this.#makeReports();
+        break;
+      case 'deliver':
+        this.#deliver(event.pick, event.to, event.repeats);
+        break;
+      case 'catchUp':
+        this.#catchUp(event.entry);
+        break;
+      case 'startRead':
+        this.#startRead(this.#entry(event.entry));
+        break;
+      case 'endRead':
+        this.#endRead(event.pick);
+        break;
+      case 'cut':
+        this.#entry(event.entry).isCut = event.isCut;
+        break;
+      case 'acknowledge':
+        this.#acknowledge(this.#entry(event.entry));
+        break;
+      case 'crash':
+        this.#crash(this.#entry(event.entry));
+        break;
+      case 'homes':
+        this.#homes = [...new Set(event.homes)].map((index) => this.#entry(index).id);
+        break;
+      case 'plan':
+        this.#plan();
+        break;
+      case 'takeover':
+        this.#withdrawn = [withdrawnAtTakeover(this.limits, this.#row.grants, this.#now)];
+        break;
+      case 'dispatch':
+        this.#dispatch(this.#entry(event.entry), event.burst);
+        break;
+      case 'finish':
+        this.#finish(this.#inFlight[event.pick % this.#inFlight.length], event.succeeds);
+        break;
+      default:
+        event satisfies never;
+    }
+    this.#check();
+  }
+
+  #entry(index: number): ModelEntry {
+    const entry = this.#entries[index % this.#entries.length];
+    if (entry === undefined) {
+      throw new RangeError('no entries');
+    }
+    return entry;
+  }
+
+  /** Moves the time. Entries end requests at their timeout; reports do not lag beyond their bound. */
+  #advance(milliseconds: number): void {
+    this.#now += milliseconds;
+    this.#inFlight
+      .filter(({ sentAt }) => this.#now - sentAt >= this.limits.requestTimeoutMilliseconds)
+      .forEach((sent) => this.#finish(sent, false));
+    this.#reports = this.#reports.filter(({ madeAt }) => this.#now - madeAt <= REPORT_LAG_MILLISECONDS);
+    this.#reads = this.#reads.filter(({ beganAt }) => this.#now - beganAt <= GRANT_MARGIN_MILLISECONDS);
+  }
+
+  #changePhase(index: number, phase: VMPhase, restarts: boolean): void {
+    const position = index % this.#vms.length;
+    this.#vms = this.#vms.map((vm, other) => (other === position ? {
+      ...vm,
+      phase: restarts ? 'cold' : phase,
+      incarnation: vm.incarnation + (restarts ? 1 : 0),
+      sequence: restarts ? 0 : vm.sequence,
+      notWarmSince: vm.phase === 'warm' ? this.#now : vm.notWarmSince,
+    } : vm));
+  }
+
+  #makeReports(): void {
+    const arrived = this.#inFlight.filter(({ sentAt }) => sentAt + TRAVEL_MILLISECONDS <= this.#now);
+    this.#vms = this.#vms.map((vm) => ({ ...vm, sequence: vm.sequence + 1 }));
+    this.#vms.forEach(({ notWarmSince, ...fields }) => {
+      const report = makeReport({ ...fields, runningRequests: arrived.length });
+      this.#reports.push({ report, madeAt: this.#now });
+    });
+  }
+
+  /** Delivers any report that is under way, late or again, to an entry or to the planner. */
+  #deliver(pick: number, to: number, repeats: boolean): void {
+    const index = pick % Math.max(1, this.#reports.length);
+    const report = this.#reports[index]?.report;
+    if (report === undefined) {
+      return;
+    }
+    if (!repeats) {
+      this.#reports.splice(index, 1);
+    }
+    if (to % (this.#entries.length + 1) === this.#entries.length) {
+      if (report.vm === VMS[0]) {
+        this.#target = mergeSighting(this.#target, report, this.#now);
+      }
+      return;
+    }
+    const entry = this.#entry(to);
+    entry.heard.push({ report, seenAtMilliseconds: this.#now });
+    entry.sightings.set(report.vm, mergeSighting(entry.sightings.get(report.vm), report, this.#now));
+    entry.limiter?.assess(this.#assess(entry));
+  }
+
+  /** The usual course: fresh reports of all VMs arrive and the row is read. The last index is the planner. */
+  #catchUp(index: number): void {
+    this.#makeReports();
+    this.#vms.forEach(() => this.#deliver(this.#reports.length - 1, index, false));
+    this.#startRead(this.#entry(index));
+    this.#endRead(Math.max(0, this.#reads.length - 1));
+  }
+
+  #assess(entry: ModelEntry): ReturnType<typeof assessReplica> {
+    return assessReplica(this.#replica, [...entry.sightings.values()], this.#now, FRESHNESS_MILLISECONDS);
+  }
+
+  #startRead(entry: ModelEntry): void {
+    if (!entry.isCut) {
+      this.#reads.push({ entry, row: this.#row, beganAt: this.#now });
+    }
+  }
+
+  #endRead(pick: number): void {
+    const [read] = this.#reads.splice(pick % Math.max(1, this.#reads.length), 1);
+    if (read === undefined || this.#gone.has(read.entry.id)) {
+      return;
+    }
+    const { entry, row } = read;
+    const grant = row.grants.find((candidate) => candidate.entry === entry.id)
+      ?? { entry: entry.id, cold: 0, warm: 0 };
+    const reading = { grant, version: row.version, readAtMilliseconds: read.beganAt };
+    if (entry.limiter === undefined) {
+      entry.limiter = new ConcurrencyLimiter(reading);
+    } else {
+      entry.limiter.updateGrant(reading);
+    }
+    if (row.version >= entry.version) {
+      entry.grant = grant;
+      entry.version = row.version;
+    }
+  }
+
+  /** The entry tells the planner of the newest row it has read, if that is the newest there is. */
+  #acknowledge(entry: ModelEntry): void {
+    if (entry.isCut || this.#gone.has(entry.id) || entry.version !== this.#row.version) {
+      return;
+    }
+    const inFlight = entry.limiter?.inFlight ?? 0;
+    const excess = {
+      cold: Math.max(0, inFlight - entry.grant.cold),
+      warm: Math.max(0, inFlight - entry.grant.warm),
+    };
+    this.#setHolder(entry.id, { kind: 'acknowledged', sinceMilliseconds: this.#now, excess });
+  }
+
+  /** A crashed entry never comes back under its id; what it has in flight runs on for a while. */
+  #crash(entry: ModelEntry): void {
+    if (this.#gone.has(entry.id) || this.#gone.size + 1 >= this.#entries.length) {
+      return;
+    }
+    this.#gone.add(entry.id);
+    this.#setHolder(entry.id, { kind: 'gone', sinceMilliseconds: this.#now });
+  }
+
+  #setHolder(entry: EntryId, holder: WithdrawnGrant['holder']): void {
+    this.#withdrawn = this.#withdrawn.map((withdrawn) => (
+      withdrawn.entry === entry && withdrawn.holder.kind === 'unknown' ? { ...withdrawn, holder } : withdrawn
+    ));
+  }
+
+  #plan(): void {
+    const input: GrantPlanInput = {
+      replica: this.#replica.replica,
+      limits: this.limits,
+      homes: this.#homes.filter((home) => !this.#gone.has(home)),
+      previous: this.#row.grants,
+      withdrawn: this.#withdrawn,
+      target: this.#target,
+      monotonicMilliseconds: this.#now,
+    };
+    const grants = planGrants(input);
+    this.#withdrawn = [...settleWithdrawn(input), ...listWithdrawn(this.#row.grants, grants, this.#now)];
+    this.#row = { version: RowVersion.parse(this.#row.version + 1), grants };
+    this.#gone.forEach((entry) => {
+      this.#setHolder(entry, { kind: 'gone', sinceMilliseconds: this.#now });
+    });
+    this.seen.moves += 1;
+  }
+
+  #dispatch(entry: ModelEntry, burst: number): void {
+    const { limiter } = entry;
+    const assessment = this.#assess(entry);
+    if (limiter === undefined || this.#gone.has(entry.id) || assessment.kind !== 'whole') {
+      return;
+    }
+    limiter.assess(assessment);
+    const count = Math.min(burst, limiter.available(this.#now));
+    for (let sent = 0; sent < count; sent += 1) {
+      const sentCold = assessment.phase === 'cold';
+      this.#inFlight.push({
+        entry, ticket: limiter.dispatched(), sentAt: this.#now, sentCold,
+      });
+      this.seen.dispatches += 1;
+      this.seen.coldDispatches += sentCold ? 1 : 0;
+      this.#checkDispatch(entry, assessment.phase);
+    }
+  }
+
+  #finish(sent: Sent | undefined, succeeds: boolean): void {
+    if (sent === undefined) {
+      return;
+    }
+    this.#inFlight.splice(this.#inFlight.indexOf(sent), 1);
+    sent.entry.limiter?.finished(sent.ticket, succeeds ? 'success' : 'failure', this.#now);
+  }
+
+  /** What the reports heard say, computed from scratch from the newest of each VM. */
+  #assessNaively({ heard }: ModelEntry): 'cold' | 'warm' | 'not-whole' {
+    const newest = VMS.map((vm) => {
+      const ofVM = heard.filter(({ report }) => report.vm === vm);
+      return [...ofVM].sort((left, right) => right.report.incarnation - left.report.incarnation
+        || right.report.sequence - left.report.sequence
+        || left.seenAtMilliseconds - right.seenAtMilliseconds)[0];
+    });
+    if (newest.some((sighting) => sighting === undefined
+      || this.#now - sighting.seenAtMilliseconds >= FRESHNESS_MILLISECONDS)) {
+      return 'not-whole';
+    }
+    return newest.every((sighting) => sighting?.report.phase === 'warm') ? 'warm' : 'cold';
+  }
+
+  /** A request goes out only as the reports heard allow, and not as to a warm replica long after a fall. */
+  #checkDispatch(entry: ModelEntry, sentAs: 'cold' | 'warm'): void {
+    const naive = this.#assessNaively(entry);
+    if (naive !== sentAs) {
+      this.violations.push(`${this.#now}: sent as ${sentAs}, reports say ${naive}`);
+    }
+    const fall = this.#vms.find(({ phase, notWarmSince }) => phase !== 'warm'
+      && this.#now > notWarmSince + REPORT_LAG_MILLISECONDS + FRESHNESS_MILLISECONDS);
+    if (sentAs === 'warm' && fall !== undefined) {
+      this.violations.push(`${this.#now}: sent as warm, ${fall.vm} is cold since ${fall.notWarmSince}`);
+    }
+  }
+
+  #check(): void {
+    const cold = this.#inFlight.filter(({ sentCold }) => sentCold).length;
+    if (cold > this.limits.coldConcurrency) {
+      this.violations.push(`${this.#now}: ${cold} in flight sent cold, limit ${this.limits.coldConcurrency}`);
+    }
+    if (this.#inFlight.length > this.limits.warmConcurrency) {
+      const { warmConcurrency } = this.limits;
+      this.violations.push(`${this.#now}: ${this.#inFlight.length} in flight, limit ${warmConcurrency}`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/routing/src/test/coldStart.test.ts
@@ -0,0 +1,88 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { GRANT_MARGIN_MILLISECONDS, GRANT_TERM_MILLISECONDS } from '../index.js';
+import ColdStartModel, { type ModelTotals } from './ColdStartModel.js';
+import type ModelEvent from './ModelEvent.js';
+
+const SEED = 20_261_203;
+const small = fc.nat({ max: 11 });
+
+/** One event of a kind, its fields drawn at random. */
+function eventOf<Kind extends ModelEvent['kind']>(
+  weight: number,
+  kind: Kind,
+  fields: { [Field in Exclude<keyof Extract<ModelEvent, { kind: Kind }>, 'kind'>]:
+    fc.Arbitrary<Extract<ModelEvent, { kind: Kind }>[Field]> },
+): fc.WeightedArbitrary<ModelEvent> {
+  const arbitrary = fc.record({ kind: fc.constant(kind), ...fields });
+  return { weight, arbitrary: arbitrary as unknown as fc.Arbitrary<ModelEvent> };
+}
+
+const shortTimes = fc.constantFrom(1, 100, 300, 900);
+const longTimes = fc.constantFrom(2_500, 6_000, 61_000, GRANT_TERM_MILLISECONDS / 2);
+const phases = fc.constantFrom('cold' as const, 'warm' as const);
+
+/** Weighted so that runs reach moves of shares, falls and dispatches of both phases. */
+const modelEvent: fc.Arbitrary<ModelEvent> = fc.oneof(
+  eventOf(6, 'advance', { milliseconds: shortTimes }),
+  eventOf(2, 'advance', { milliseconds: longTimes }),
+  eventOf(1, 'phase', { vm: small, phase: phases, restarts: fc.boolean() }),
+  eventOf(2, 'warmUp', {}),
+  eventOf(2, 'report', {}),
+  eventOf(8, 'deliver', { pick: fc.nat({ max: 60 }), to: small, repeats: fc.boolean() }),
+  eventOf(14, 'catchUp', { entry: small }),
+  eventOf(3, 'startRead', { entry: small }),
+  eventOf(3, 'endRead', { pick: small }),
+  eventOf(2, 'cut', { entry: small, isCut: fc.boolean() }),
+  eventOf(3, 'acknowledge', { entry: small }),
+  eventOf(1, 'crash', { entry: small }),
+  eventOf(2, 'homes', { homes: fc.array(small, { minLength: 1, maxLength: 3 }) }),
+  eventOf(5, 'plan', {}),
+  eventOf(1, 'takeover', {}),
+  eventOf(16, 'dispatch', { entry: small, burst: fc.integer({ min: 1, max: 4 }) }),
+  eventOf(8, 'finish', { pick: small, succeeds: fc.boolean() }),
+);
+
+/** Few kinds of events and two homes, so that runs reach moves between a cut holder and a new one. */
+const moveEvent: fc.Arbitrary<ModelEvent> = fc.oneof(
+  eventOf(2, 'advance', { milliseconds: shortTimes }),
+  eventOf(1, 'advance', { milliseconds: fc.constantFrom(6_000, 61_000) }),
+  eventOf(2, 'advance', { milliseconds: fc.constant(GRANT_TERM_MILLISECONDS + GRANT_MARGIN_MILLISECONDS) }),
+  eventOf(10, 'catchUp', { entry: fc.nat({ max: 2 }) }),
+  eventOf(2, 'startRead', { entry: fc.nat({ max: 1 }) }),
+  eventOf(2, 'endRead', { pick: fc.constant(0) }),
+  eventOf(2, 'cut', { entry: fc.constant(0), isCut: fc.boolean() }),
+  eventOf(2, 'acknowledge', { entry: fc.nat({ max: 1 }) }),
+  eventOf(2, 'homes', { homes: fc.constantFrom([0], [1]) }),
+  eventOf(6, 'plan', {}),
+  eventOf(8, 'dispatch', { entry: fc.nat({ max: 1 }), burst: fc.constant(1) }),
+);
+
+/** Runs a model on each list of events and returns how often each thing happened. */
+function runModels(events: fc.Arbitrary<ModelEvent>, entries: fc.Arbitrary<number>): ModelTotals {
+  const totals = { dispatches: 0, coldDispatches: 0, moves: 0 };
+  const lists = fc.array(events, { minLength: 100, maxLength: 400, size: 'max' });
+  const cold = fc.integer({ min: 1, max: 5 });
+  fc.assert(fc.property(cold, entries, lists, (coldConcurrency, count, list) => {
+    const limits = { coldConcurrency, warmConcurrency: 12, requestTimeoutMilliseconds: 60_000 };
+    const model = new ColdStartModel(limits, count);
+    list.forEach((item) => model.apply(item));
+    totals.dispatches += model.seen.dispatches;
+    totals.coldDispatches += model.seen.coldDispatches;
+    totals.moves += model.seen.moves;
+    expect(model.violations).toEqual([]);
+  }), { seed: SEED, numRuns: 5_000 });
+  return totals;
+}
+
+test('cold limit holds in any order of events', () => {
+  const totals = runModels(modelEvent, fc.integer({ min: 2, max: 4 }));
+  // The runs must reach what they are to prove.
+  expect(totals.coldDispatches).toBeGreaterThan(8_000);
+  expect(totals.dispatches - totals.coldDispatches).toBeGreaterThan(8_000);
+});
+
+test('cold limit holds while shares move', () => {
+  const totals = runModels(moveEvent, fc.constant(2));
+  expect(totals.coldDispatches).toBeGreaterThan(8_000);
+});
