Add membership, homes and release dissemination as pure modules

First version behind the signatures that the entry and the controller build on: SWIM probing with indirect probes, suspicion, refutation and anti-entropy; rendezvous homes over availability zones; dissemination of release heads by a few pollers, announcements and pulls. Refutations are counted apart from the process's incarnation, which other records use to tell a restart. Reads of the store are told by a counter, since an age that is passed on loses the time on the way.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,27 @@
 /** Public surface of the package. */
-export {};
+export { type default as CallerQuestion } from './lib/homes/CallerQuestion.js';
+export { default as chooseEntries } from './lib/homes/chooseEntries.js';
+export { default as chooseHomes } from './lib/homes/chooseHomes.js';
+export { default as eligibleEntries } from './lib/homes/eligibleEntries.js';
+export { type default as EntryChoice } from './lib/homes/EntryChoice.js';
+export { default as orderEntriesForCaller } from './lib/homes/orderEntriesForCaller.js';
+export { type default as Member } from './lib/membership/Member.js';
+export { default as Membership } from './lib/membership/Membership.js';
+export { type default as MembershipCommand } from './lib/membership/MembershipCommand.js';
+export { type default as MembershipEvent } from './lib/membership/MembershipEvent.js';
+export { type default as MembershipOptions } from './lib/membership/MembershipOptions.js';
+export { default as MembershipSettings } from './lib/membership/MembershipSettings.js';
+export { type default as MemberState } from './lib/membership/MemberState.js';
+export { type default as PeerTarget } from './lib/membership/PeerTarget.js';
+export { default as Liveness } from './lib/messages/Liveness.js';
+export { default as MemberUpdate } from './lib/messages/MemberUpdate.js';
+export { default as PeerMessage } from './lib/messages/PeerMessage.js';
+export { default as ReleaseHead } from './lib/messages/ReleaseHead.js';
+export { default as ReleasePullAnswer } from './lib/messages/ReleasePullAnswer.js';
+export { default as ReleasePullRequest } from './lib/messages/ReleasePullRequest.js';
+export { type default as PullSource } from './lib/release/PullSource.js';
+export { default as ReleaseDissemination } from './lib/release/ReleaseDissemination.js';
+export { type default as ReleaseDisseminationCommand } from './lib/release/ReleaseDisseminationCommand.js';
+export { type default as ReleaseDisseminationEvent } from './lib/release/ReleaseDisseminationEvent.js';
+export { type default as ReleaseDisseminationOptions } from './lib/release/ReleaseDisseminationOptions.js';
+export { default as ReleaseDisseminationSettings } from './lib/release/ReleaseDisseminationSettings.js';
--- /dev/null
+++ b/packages/membership/src/lib/homes/chooseEntries.ts
@@ -0,0 +1,39 @@
+import type { AvailabilityZoneId, EntryRecord } from '@dandelionlane/core';
+import compareScored from './compareScored.js';
+import type ScoredEntry from './ScoredEntry.js';
+import scoreEntry from './scoreEntry.js';
+
+/** The best entry of each availability zone, best first. */
+function bestOfZones(scored: readonly ScoredEntry[]): ScoredEntry[] {
+  const best = new Map<AvailabilityZoneId, ScoredEntry>();
+  scored.forEach((candidate) => {
+    const { availabilityZone } = candidate.entry;
+    const leader = best.get(availabilityZone);
+    if (leader === undefined || compareScored(candidate, leader) < 0) {
+      best.set(availabilityZone, candidate);
+    }
+  });
+  return [...best.values()].sort(compareScored);
+}
+
+/**
+ * Rendezvous hashing: the `count` entries of largest weight for a key, in different
+ * availability zones as far as there are enough. When an entry comes or goes, only
+ * keys that it wins or held move.
+ */
+export default function chooseEntries(
+  key: string,
+  entries: readonly EntryRecord[],
+  count: number,
+): readonly EntryRecord[] {
+  const scored = entries.map((entry) => ({ entry, score: scoreEntry(key, entry) }));
+  const leaders = bestOfZones(scored).slice(0, count);
+  if (leaders.length >= count) {
+    return leaders.map(({ entry }) => entry);
+  }
+  const others = scored
+    .filter((candidate) => !leaders.includes(candidate))
+    .sort(compareScored)
+    .slice(0, count - leaders.length);
+  return [...leaders, ...others].map(({ entry }) => entry);
+}
--- /dev/null
+++ b/packages/membership/src/lib/homes/orderEntriesForCaller.ts
@@ -0,0 +1,21 @@
+import type { EntryRecord, RandomSource } from '@dandelionlane/core';
+import type CallerQuestion from './CallerQuestion.js';
+import chooseHomes from './chooseHomes.js';
+import eligibleEntries from './eligibleEntries.js';
+import type EntryChoice from './EntryChoice.js';
+
+/** The entries beginning at a random one, so that callers spread over them. */
+function rotate(entries: readonly EntryRecord[], random: RandomSource): readonly EntryRecord[] {
+  const start = Math.floor(random.next() * entries.length);
+  return [...entries.slice(start), ...entries.slice(0, start)];
+}
+
+/** Answers which entries a caller should use for a service: its homes, near zone first. */
+export default function orderEntriesForCaller(question: CallerQuestion): readonly EntryChoice[] {
+  const eligible = eligibleEntries(question.members, question.availabilityZonesOut);
+  const homes = chooseHomes(question.service, eligible, question.homeCount);
+  const near = homes.filter(({ availabilityZone }) => availabilityZone === question.nearZone);
+  const far = homes.filter(({ availabilityZone }) => availabilityZone !== question.nearZone);
+  return [...rotate(near, question.random), ...rotate(far, question.random)]
+    .map((entry) => ({ entry, keepSeconds: question.keepSeconds }));
+}
--- /dev/null
+++ b/packages/membership/src/lib/membership/MemberTable.ts
@@ -0,0 +1,69 @@
+import { type EntryId, ReleaseSequence } from '@dandelionlane/core';
+import type MemberUpdate from '../messages/MemberUpdate.js';
+import type MemberEntry from './MemberEntry.js';
+import mergeUpdate from './mergeUpdate.js';
+
+const NO_SEQUENCE = ReleaseSequence.parse(0);
+
+/** The other members of a region's group, by entry. */
+export default class MemberTable {
+  readonly #members = new Map<EntryId, MemberEntry>();
+
+  get(entry: EntryId): MemberEntry | undefined {
+    return this.#members.get(entry);
+  }
+
+  get size(): number {
+    return this.#members.size;
+  }
+
+  all(): readonly MemberEntry[] {
+    return [...this.#members.values()];
+  }
+
+  /** Members that are probed: all but the dead. */
+  present(): readonly MemberEntry[] {
+    return this.all().filter(({ update }) => update.liveness !== 'dead');
+  }
+
+  /** Takes a claim in. Returns the member if the claim changed it. */
+  apply(update: MemberUpdate, now: number): MemberEntry | undefined {
+    const current = this.#members.get(update.entry.entry);
+    if (current === undefined) {
+      return this.#put({ update, sequenceInForce: NO_SEQUENCE, changedAtMilliseconds: now });
+    }
+    const merged = mergeUpdate(current.update, update);
+    if (merged === current.update) {
+      return undefined;
+    }
+    return this.#put({ ...current, update: merged, changedAtMilliseconds: now });
+  }
+
+  /** Notes the sequence in force at a member. Returns the member if it grew. */
+  advance(entry: EntryId, sequenceInForce: ReleaseSequence): MemberEntry | undefined {
+    const current = this.#members.get(entry);
+    if (current === undefined || sequenceInForce <= current.sequenceInForce) {
+      return undefined;
+    }
+    return this.#put({ ...current, sequenceInForce });
+  }
+
+  /** Moves the start of every suspicion later, for time in which this process did not run. */
+  postponeSuspicions(milliseconds: number): void {
+    this.all()
+      .filter(({ update }) => update.liveness === 'suspect')
+      .forEach((member) => this.#put({
+        ...member,
+        changedAtMilliseconds: member.changedAtMilliseconds + milliseconds,
+      }));
+  }
+
+  forget(entry: EntryId): void {
+    this.#members.delete(entry);
+  }
+
+  #put(member: MemberEntry): MemberEntry {
+    this.#members.set(member.update.entry.entry, member);
+    return member;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/lib/membership/Membership.ts
@@ -0,0 +1,180 @@
+import type { EntryRecord } from '@dandelionlane/core';
+import type PeerMessage from '../messages/PeerMessage.js';
+import Exchanger from './Exchanger.js';
+import GroupView from './GroupView.js';
+import type Member from './Member.js';
+import type MembershipCommand from './MembershipCommand.js';
+import type MembershipEvent from './MembershipEvent.js';
+import type MembershipOptions from './MembershipOptions.js';
+import Prober from './Prober.js';
+
+const CONTACTS_FOR_OTHER_REGION = 3;
+
+/**
+ * SWIM-style failure detector among the entries of one region. Deterministic: it does
+ * no input or output and has no timers. Membership only steers; no promise rests on it.
+ */
+export default class Membership {
+  readonly #view: GroupView;
+
+  readonly #prober: Prober;
+
+  readonly #exchanger: Exchanger;
+
+  #lastTickAt: number | undefined;
+
+  constructor(options: MembershipOptions) {
+    this.#view = new GroupView(options);
+    this.#prober = new Prober(this.#view);
+    this.#exchanger = new Exchanger(this.#view);
+  }
+
+  /** Takes one event in at a reading of the monotonic clock and returns what to do. */
+  step(event: MembershipEvent, monotonicMilliseconds: number): readonly MembershipCommand[] {
+    this.#detectPause(monotonicMilliseconds);
+    this.#handle(event, monotonicMilliseconds);
+    return this.#view.takeCommands();
+  }
+
+  /** The other entries of the region that are known, the dead among them. */
+  members(): readonly Member[] {
+    return this.#view.members();
+  }
+
+  /** A few entries of each other region. */
+  remoteEntries(): readonly EntryRecord[] {
+    return this.#view.remote.all();
+  }
+
+  /** This entry as its peers should see it. */
+  self(): Member {
+    const { entry, leaving } = this.#view.self;
+    const { sequenceInForce } = this.#view.head;
+    return { entry, state: leaving ? 'leaving' : 'alive', sequenceInForce };
+  }
+
+  #handle(event: MembershipEvent, now: number): void {
+    switch (event.kind) {
+      case 'tick':
+        this.#tick(now);
+        break;
+      case 'message':
+        this.#take(event.message, now);
+        break;
+      case 'seeds':
+        this.#exchanger.setSeeds(event.peers);
+        break;
+      case 'leave':
+        this.#view.leave();
+        break;
+      case 'send-failed':
+        this.#sendFailed(event);
+        break;
+      case 'release-head':
+        this.#view.setHead(event.head);
+        break;
+      case 'announce':
+        this.#announce(event.to);
+        break;
+      default:
+        throw new Error(`unknown event ${String(event satisfies never)}`);
+    }
+  }
+
+  /** A late tick shows that this process was paused: then the silence was its own. */
+  #detectPause(now: number): void {
+    const { pauseThresholdMilliseconds, tickMilliseconds } = this.#view.settings;
+    const late = now - (this.#lastTickAt ?? now) - tickMilliseconds;
+    if (late < pauseThresholdMilliseconds) {
+      return;
+    }
+    this.#lastTickAt = now;
+    this.#view.table.postponeSuspicions(late);
+    this.#prober.recoverFromPause(now);
+  }
+
+  #tick(now: number): void {
+    this.#lastTickAt = now;
+    this.#expireSuspicions(now);
+    this.#forgetDead(now);
+    this.#prober.tick(now);
+    this.#exchanger.tick(now);
+  }
+
+  #take(message: PeerMessage, now: number): void {
+    if (message.sender.entry.entry === this.#view.self.entry.entry) {
+      return;
+    }
+    this.#view.hear(message.sender, message.head, now);
+    switch (message.kind) {
+      case 'ping':
+        this.#applyAll(message.updates, now);
+        this.#prober.answerPing(message);
+        break;
+      case 'ping-request':
+        this.#applyAll(message.updates, now);
+        this.#prober.relayPing(message, now);
+        break;
+      case 'ack':
+        this.#applyAll(message.updates, now);
+        this.#prober.takeAck(message);
+        break;
+      case 'exchange':
+        this.#exchanger.take(message, now);
+        break;
+      case 'release-head':
+        message.contacts.forEach((entry) => this.#view.remote.note(entry));
+        break;
+      default:
+        throw new Error(`unknown message ${String(message satisfies never)}`);
+    }
+  }
+
+  #applyAll(updates: Extract<PeerMessage, { kind: 'ping' }>['updates'], now: number): void {
+    updates.forEach((update) => this.#view.apply(update, now));
+  }
+
+  #sendFailed({ to }: Extract<MembershipEvent, { kind: 'send-failed' }>): void {
+    if (to.kind === 'entry') {
+      this.#view.remote.drop(to.entry);
+      this.#prober.sendFailed(to.entry.entry);
+    }
+  }
+
+  #announce(to: EntryRecord): void {
+    const sameRegion = to.region === this.#view.self.entry.region;
+    this.#view.sendTo(to, {
+      kind: 'release-head',
+      sender: this.#view.self,
+      head: this.#view.head,
+      contacts: sameRegion ? [] : [...this.#view.samplePresent(CONTACTS_FOR_OTHER_REGION)],
+    });
+  }
+
+  #expireSuspicions(now: number): void {
+    if (!this.#prober.mayAccuse(now)) {
+      return;
+    }
+    const timeout = this.#suspicionMilliseconds();
+    this.#view.table.all()
+      .filter(({ update, changedAtMilliseconds }) => (
+        update.liveness === 'suspect' && now - changedAtMilliseconds >= timeout
+      ))
+      .forEach(({ update }) => this.#view.apply({ ...update, liveness: 'dead' }, now));
+  }
+
+  #suspicionMilliseconds(): number {
+    const { probePeriodMilliseconds, suspicionPeriods } = this.#view.settings;
+    const size = this.#view.table.size + 1;
+    return suspicionPeriods * Math.max(1, Math.log10(size)) * probePeriodMilliseconds;
+  }
+
+  #forgetDead(now: number): void {
+    this.#view.table.all()
+      .filter(({ update, changedAtMilliseconds }) => (
+        update.liveness === 'dead'
+        && now - changedAtMilliseconds >= this.#view.settings.forgetAfterMilliseconds
+      ))
+      .forEach(({ update }) => this.#view.table.forget(update.entry.entry));
+  }
+}
--- /dev/null
+++ b/packages/membership/src/lib/membership/MembershipSettings.ts
@@ -0,0 +1,33 @@
+import { z } from 'zod';
+
+const milliseconds = z.number().int().positive();
+
+/** Settings of `Membership`. The defaults suit regions of 8 to 128 entries. */
+const MembershipSettings = z.strictObject({
+  /** Interval between `tick` events. */
+  tickMilliseconds: milliseconds.default(200),
+  /** One member is probed in each period. */
+  probePeriodMilliseconds: milliseconds.default(1_000),
+  /** Wait for a direct answer before indirect probes are sent. */
+  probeTimeoutMilliseconds: milliseconds.default(400),
+  /** Members that are asked to probe on behalf of this one. */
+  indirectProbes: z.number().int().nonnegative().default(3),
+  /** Suspicion lasts this many probe periods times the decimal logarithm of the group's size. */
+  suspicionPeriods: z.number().positive().default(4),
+  /** An update is sent this many times the binary logarithm of the group's size. */
+  retransmissionFactor: z.number().positive().default(3),
+  /** Updates carried by one probe message. */
+  maximumUpdates: z.number().int().min(1).max(64)
+    .default(6),
+  /** Mean time between anti-entropy exchanges. */
+  exchangePeriodMilliseconds: milliseconds.default(30_000),
+  /** A dead member is forgotten after this time. */
+  forgetAfterMilliseconds: milliseconds.default(600_000),
+  /** A tick that comes this late shows that the process was paused. */
+  pauseThresholdMilliseconds: milliseconds.default(1_000),
+  /** Probe periods without accusations after a pause. */
+  pauseRecoveryPeriods: z.number().int().nonnegative().default(3),
+});
+type MembershipSettings = z.infer<typeof MembershipSettings>;
+
+export default MembershipSettings;
--- /dev/null
+++ b/packages/membership/src/lib/membership/Prober.ts
@@ -0,0 +1,176 @@
+import { EntryId, type EntryRecord } from '@dandelionlane/core';
+import type PeerMessage from '../messages/PeerMessage.js';
+import type GroupView from './GroupView.js';
+import LocalHealth from './LocalHealth.js';
+import type Probe from './Probe.js';
+import ProbeOrder from './ProbeOrder.js';
+import type Relay from './Relay.js';
+
+type PingMessage = Extract<PeerMessage, { kind: 'ping' }>;
+type PingRequestMessage = Extract<PeerMessage, { kind: 'ping-request' }>;
+type AckMessage = Extract<PeerMessage, { kind: 'ack' }>;
+
+/** Probes one member a period: directly, then through others, then raises a suspicion. */
+export default class Prober {
+  readonly #view: GroupView;
+
+  readonly #order: ProbeOrder;
+
+  readonly #health = new LocalHealth();
+
+  readonly #relays = new Map<number, Relay>();
+
+  #probe: Probe | undefined;
+
+  #lastNumber = 0;
+
+  #nextProbeAt = Number.NEGATIVE_INFINITY;
+
+  #accusationsFrom = Number.NEGATIVE_INFINITY;
+
+  constructor(view: GroupView) {
+    this.#view = view;
+    this.#order = new ProbeOrder(view.random);
+  }
+
+  /** Whether this process may accuse others, which it may not soon after a pause. */
+  mayAccuse(now: number): boolean {
+    return now >= this.#accusationsFrom;
+  }
+
+  /** Drops what was under way before a pause and holds accusations back for a while. */
+  recoverFromPause(now: number): void {
+    const { pauseRecoveryPeriods, probePeriodMilliseconds } = this.#view.settings;
+    this.#probe = undefined;
+    this.#relays.clear();
+    this.#accusationsFrom = now + pauseRecoveryPeriods * probePeriodMilliseconds;
+  }
+
+  tick(now: number): void {
+    this.#dropOldRelays(now);
+    this.#checkProbe(now);
+    if (this.#probe === undefined && now >= this.#nextProbeAt) {
+      this.#startProbe(now);
+    }
+  }
+
+  /** The target was not reached: go on to indirect probes without waiting. */
+  sendFailed(entry: EntryId): void {
+    if (this.#probe?.target === entry && !this.#probe.indirect) {
+      this.#probeIndirectly(this.#probe);
+    }
+  }
+
+  answerPing({ sender, probe }: PingMessage): void {
+    this.#sendAck(sender.entry, probe, this.#view.self.entry.entry);
+  }
+
+  relayPing({ sender, probe, target }: PingRequestMessage, now: number): void {
+    const number = this.#nextNumber();
+    this.#relays.set(number, {
+      requester: sender.entry,
+      requesterProbe: probe,
+      target: target.entry,
+      startedAtMilliseconds: now,
+    });
+    this.#sendPing(target, number);
+  }
+
+  takeAck({ probe, subject }: AckMessage): void {
+    const relay = this.#relays.get(probe);
+    if (relay !== undefined && relay.target === subject) {
+      this.#relays.delete(probe);
+      this.#sendAck(relay.requester, relay.requesterProbe, subject);
+    }
+    if (this.#probe?.number === probe && this.#probe.target === subject) {
+      this.#probe = undefined;
+      this.#health.improve();
+    }
+  }
+
+  #startProbe(now: number): void {
+    const present = this.#view.table.present().map(({ update }) => update.entry.entry);
+    const target = this.#order.next(present);
+    this.#nextProbeAt = now + this.#view.settings.probePeriodMilliseconds;
+    if (target === undefined) {
+      return;
+    }
+    const number = this.#nextNumber();
+    this.#probe = {
+      target, number, startedAtMilliseconds: now, indirect: false,
+    };
+    this.#sendPing(this.#view.table.get(target)!.update.entry, number);
+  }
+
+  #checkProbe(now: number): void {
+    if (this.#probe === undefined) {
+      return;
+    }
+    const { probePeriodMilliseconds, probeTimeoutMilliseconds } = this.#view.settings;
+    const waited = now - this.#probe.startedAtMilliseconds;
+    if (waited >= probePeriodMilliseconds * this.#health.factor) {
+      this.#suspect(this.#probe.target, now);
+    } else if (waited >= probeTimeoutMilliseconds && !this.#probe.indirect) {
+      this.#probeIndirectly(this.#probe);
+    }
+  }
+
+  #probeIndirectly(probe: Probe): void {
+    this.#probe = { ...probe, indirect: true };
+    const target = this.#view.table.get(probe.target)?.update.entry;
+    if (target === undefined) {
+      return;
+    }
+    this.#view.samplePresent(this.#view.settings.indirectProbes, [probe.target])
+      .forEach((helper) => this.#view.sendTo(helper, {
+        kind: 'ping-request',
+        sender: this.#view.self,
+        head: this.#view.head,
+        probe: probe.number,
+        updates: this.#view.piggyback(helper.entry),
+        target,
+      }));
+  }
+
+  #suspect(target: EntryId, now: number): void {
+    this.#probe = undefined;
+    this.#health.worsen();
+    const member = this.#view.table.get(target);
+    if (member !== undefined && this.mayAccuse(now)) {
+      this.#view.apply({ ...member.update, liveness: 'suspect' }, now);
+    }
+  }
+
+  #sendPing(target: EntryRecord, number: number): void {
+    this.#view.sendTo(target, {
+      kind: 'ping',
+      sender: this.#view.self,
+      head: this.#view.head,
+      probe: number,
+      updates: this.#view.piggyback(target.entry),
+    });
+  }
+
+  #sendAck(receiver: EntryRecord, probe: number, subject: EntryId): void {
+    this.#view.sendTo(receiver, {
+      kind: 'ack',
+      sender: this.#view.self,
+      head: this.#view.head,
+      probe,
+      updates: this.#view.piggyback(receiver.entry),
+      subject,
+    });
+  }
+
+  #dropOldRelays(now: number): void {
+    const { probePeriodMilliseconds } = this.#view.settings;
+    [...this.#relays]
+      .filter(([, relay]) => now - relay.startedAtMilliseconds > probePeriodMilliseconds)
+      .forEach(([number]) => this.#relays.delete(number));
+  }
+
+  #nextNumber(): number {
+    this.#lastNumber += 1;
+    return this.#lastNumber;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/lib/membership/toMember.ts
@@ -0,0 +1,14 @@
+import type MemberUpdate from '../messages/MemberUpdate.js';
+import type Member from './Member.js';
+import type MemberEntry from './MemberEntry.js';
+import type MemberState from './MemberState.js';
+
+/** State that other parts see. A leaving member under suspicion stays `leaving`. */
+function toState({ liveness, leaving }: MemberUpdate): MemberState {
+  return leaving && liveness !== 'dead' ? 'leaving' : liveness;
+}
+
+/** Public form of a member. */
+export default function toMember({ update, sequenceInForce }: MemberEntry): Member {
+  return { entry: update.entry, state: toState(update), sequenceInForce };
+}
