--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,6 +28,8 @@
       'no-continue': 'off',
       // void marks a promise whose outcome is handled inside the callee.
       'no-void': 'off',
+      // Both work on every supported Node.js, although their documentation says experimental.
+      'n/no-unsupported-features/node-builtins': ['error', { ignores: ['Response', 'structuredClone'] }],
       // A cycle between packages is refused by the TypeScript project references.
       'import-x/no-cycle': 'off',
       'max-len': 'off',
--- /dev/null
+++ b/packages/controller/src/lib/region/ReplicaFactory.ts
@@ -0,0 +1,48 @@
+import {
+  FencingNumber, ReplicaId, type Replica, type ReplicaMember, type ServiceId,
+} from '@dandelionlane/core';
+
+/** Orders of one lease term are numbered below this. */
+const ORDERS_PER_LEASE = 2 ** 20;
+const MAXIMUM_SERVICE_PREFIX = 72;
+const ID_RADIX = 36;
+
+/**
+ * Numbers orders and names replicas for the holder of one lease.
+ *
+ * Invariant: fencing numbers grow strictly over all orders of a region, within a
+ * term by counting and over terms by the lease's own number.
+ */
+export default class ReplicaFactory {
+  readonly #leaseFencing: FencingNumber;
+
+  #orders = 0;
+
+  constructor(leaseFencing: FencingNumber) {
+    this.#leaseFencing = leaseFencing;
+  }
+
+  /** Whether the term's numbers are used up; the holder then gives its lease up. */
+  isExhausted(): boolean {
+    return this.#orders >= ORDERS_PER_LEASE - 1;
+  }
+
+  nextFencing(): FencingNumber {
+    this.#orders += 1;
+    return FencingNumber.parse(this.#leaseFencing * ORDERS_PER_LEASE + this.#orders);
+  }
+
+  create(service: ServiceId, version: string, members: readonly ReplicaMember[]): Replica {
+    const fencing = this.nextFencing();
+    const prefix = service.slice(0, MAXIMUM_SERVICE_PREFIX);
+    return {
+      replica: ReplicaId.parse(`${prefix}.${fencing.toString(ID_RADIX)}`),
+      service,
+      version,
+      state: 'loading',
+      fencing,
+      members: [...members],
+      grants: [],
+    };
+  }
+}
--- /dev/null
+++ b/packages/controller/src/lib/region/changeForCommand.ts
@@ -0,0 +1,151 @@
+import { err, ok, type Result } from 'neverthrow';
+import {
+  ServingError,
+  type Allocation, type Replica, type ReplicaId, type ReplicaMember, type ReplicaState,
+  type ServiceId, type ServicePlacement, type VMId, type VMRecord,
+} from '@dandelionlane/core';
+import type RegionRows from './RegionRows.js';
+import type ReplicaFactory from './ReplicaFactory.js';
+import type RowChange from './RowChange.js';
+import type RowCommand from './RowCommand.js';
+
+/** What `changeForCommand` reads. */
+interface ChangeContext {
+  readonly rows: RegionRows;
+  readonly vms: ReadonlyMap<VMId, VMRecord>;
+  readonly factory: ReplicaFactory;
+}
+
+type ChangeResult = Result<RowChange, ServingError>;
+
+function invalid(message: string): ServingError {
+  return new ServingError(message, { kind: 'internal' });
+}
+
+function findReplica(rows: RegionRows, replica: ReplicaId): Replica | undefined {
+  return [...rows.placements.values()]
+    .flatMap(({ placement }) => placement.replicas)
+    .find((candidate) => candidate.replica === replica);
+}
+
+function placementOf(rows: RegionRows, service: ServiceId): ServicePlacement {
+  return rows.placements.get(service)?.placement ?? { service, replicas: [] };
+}
+
+function membersFor(
+  context: ChangeContext,
+  vms: readonly VMId[],
+): Result<readonly ReplicaMember[], ServingError> {
+  const records = vms.map((vm) => context.vms.get(vm));
+  const members = records
+    .filter((record) => record !== undefined)
+    .map(({
+      vm, address, availabilityZone, fabricDomain,
+    }) => ({
+      vm, address, availabilityZone, fabricDomain,
+    }));
+  return members.length === vms.length ? ok(members) : err(invalid('a member is not in the list of VMs'));
+}
+
+function allocationsOf(replica: Replica): readonly Allocation[] {
+  return replica.members.map(({ vm }) => ({
+    vm, replica: replica.replica, service: replica.service, fencing: replica.fencing,
+  }));
+}
+
+function place(
+  context: ChangeContext,
+  service: ServiceId,
+  version: string,
+  vms: readonly VMId[],
+): ChangeResult {
+  return membersFor(context, vms).map((members) => {
+    const replica = context.factory.create(service, version, members);
+    const placement = placementOf(context.rows, service);
+    return {
+      placement: { service, replicas: [...placement.replicas, replica] },
+      allocate: allocationsOf(replica),
+      free: [],
+    };
+  });
+}
+
+/**
+ * Members that the new replica does not take over stay allocated to the old one,
+ * which goes on as stopping until they are known to have stopped.
+ */
+function rebuild(context: ChangeContext, old: Replica, version: string, vms: readonly VMId[]): ChangeResult {
+  return membersFor(context, vms).map((members) => {
+    const replica = context.factory.create(old.service, version, members);
+    const left = old.members.filter(({ vm }) => !vms.includes(vm));
+    const stopping: readonly Replica[] = left.length === 0
+      ? []
+      : [{
+        ...old, state: 'stopping', members: left, grants: [], fencing: context.factory.nextFencing(),
+      }];
+    const others = placementOf(context.rows, old.service).replicas
+      .filter((candidate) => candidate.replica !== old.replica);
+    return {
+      placement: { service: old.service, replicas: [...others, ...stopping, replica] },
+      allocate: allocationsOf(replica),
+      free: [],
+    };
+  });
+}
+
+function changeState(context: ChangeContext, old: Replica, state: ReplicaState): RowChange {
+  const changed: Replica = {
+    ...old,
+    state,
+    // Only an order needs a new number; the grants of a stopped replica are void.
+    ...(state === 'stopping' ? { fencing: context.factory.nextFencing(), grants: [] } : {}),
+  };
+  const placement = placementOf(context.rows, old.service);
+  return {
+    placement: {
+      service: old.service,
+      replicas: placement.replicas.map((each) => (each.replica === old.replica ? changed : each)),
+    },
+    allocate: [],
+    free: [],
+  };
+}
+
+function remove(context: ChangeContext, old: Replica): RowChange {
+  const placement = placementOf(context.rows, old.service);
+  return {
+    placement: {
+      service: old.service,
+      replicas: placement.replicas.filter((each) => each.replica !== old.replica),
+    },
+    allocate: [],
+    free: old.members
+      .map(({ vm }) => vm)
+      .filter((vm) => context.rows.allocations.get(vm)?.allocation.replica === old.replica),
+  };
+}
+
+/** Works out what the rows become under one command. Pure but for the numbering of orders. */
+export default function changeForCommand(command: RowCommand, context: ChangeContext): ChangeResult {
+  if (command.kind === 'place') {
+    return place(context, command.service, command.version, command.members);
+  }
+  const old = findReplica(context.rows, command.replica);
+  if (old === undefined) {
+    return err(invalid(`no replica ${command.replica}`));
+  }
+  switch (command.kind) {
+    case 'rebuild':
+      return rebuild(context, old, old.version, command.members);
+    case 'serve':
+      return ok(changeState(context, old, 'serving'));
+    case 'drain':
+      return ok(changeState(context, old, 'draining'));
+    case 'stop':
+      return ok(changeState(context, old, 'stopping'));
+    case 'remove':
+      return ok(remove(context, old));
+    default:
+      return command satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/controller/src/lib/settings/ControllerSettings.ts
@@ -0,0 +1,48 @@
+import { z } from 'zod';
+import { AvailabilityZoneId, ControllerId, RegionId } from '@dandelionlane/core';
+
+const MAXIMUM_PORT = 65_535;
+
+/** Settings of `dandelionlane-controller`. Durations are in milliseconds. */
+const ControllerSettings = z.strictObject({
+  controller: ControllerId,
+  region: RegionId,
+  availabilityZone: AvailabilityZoneId,
+  /** Listener of `/healthz` and `/readyz`. */
+  health: z.strictObject({
+    host: z.string().default('127.0.0.1'),
+    port: z.number().int().min(0).max(MAXIMUM_PORT),
+  }),
+  /** `host:port` of the platform's services. */
+  platformAddress: z.string().min(3),
+  /** Administration listener of the entry beside this controller, which tells the live entries. */
+  entry: z.strictObject({
+    administrationAddress: z.string().min(3),
+    tokenFile: z.string().min(1),
+  }),
+  log: z.strictObject({
+    level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+    format: z.enum(['text', 'json']).default('text'),
+  }).prefault({}),
+  metrics: z.strictObject({
+    host: z.string().optional(),
+    port: z.number().int().min(1).max(MAXIMUM_PORT)
+      .optional(),
+  }).prefault({}),
+  timing: z.strictObject({
+    /** Period of planning rounds while the lease is held. */
+    planPeriodMilliseconds: z.number().int().min(50).max(60_000)
+      .default(1_000),
+    leaseTermMilliseconds: z.number().int().min(1_000).max(600_000)
+      .default(6_000),
+    /** The holder stops this long before its term ends. At least the longest travel of an order. */
+    leaseSafetyMarginMilliseconds: z.number().int().min(100).max(60_000)
+      .default(2_000),
+  }).prefault({}).refine(
+    (timing) => timing.leaseSafetyMarginMilliseconds * 2 <= timing.leaseTermMilliseconds,
+    { error: 'leaseSafetyMarginMilliseconds must be at most half of leaseTermMilliseconds' },
+  ),
+});
+type ControllerSettings = z.infer<typeof ControllerSettings>;
+
+export default ControllerSettings;
--- /dev/null
+++ b/packages/controller/src/lib/startController.ts
@@ -0,0 +1,99 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { Agent } from 'undici';
+import { SystemClock } from '@dandelionlane/core';
+import { HTTPTableStore, LeaseKeeper } from '@dandelionlane/platform';
+import { createLog, createMetrics } from '@dandelionlane/telemetry';
+import LiveEntries from './grants/LiveEntries.js';
+import RegionController from './RegionController.js';
+import type RunningController from './RunningController.js';
+import type ControllerSettings from './settings/ControllerSettings.js';
+
+const CONNECTIONS_PER_ORIGIN = 4;
+const RENEWALS_PER_TERM = 4;
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+
+/** Repeats work with a pause in between, never two at a time, until stopped. */
+function repeat(work: () => Promise<void>, periodMilliseconds: number): () => Promise<void> {
+  let stopped = false;
+  let timer: NodeJS.Timeout | undefined;
+  let running: Promise<void> = Promise.resolve();
+  function run(): void {
+    running = work().finally(() => {
+      if (!stopped) {
+        timer = setTimeout(run, periodMilliseconds);
+      }
+    });
+  }
+  run();
+  return async () => {
+    stopped = true;
+    clearTimeout(timer);
+    await running;
+  };
+}
+
+/** Starts a controller. `stop` gives its lease up, so that another one takes over at once. */
+export default async function startController(settings: ControllerSettings): Promise<RunningController> {
+  const clock = new SystemClock();
+  const log = createLog('placement', settings.log, clock);
+  const metrics = createMetrics(settings.metrics, [`controller:${settings.controller}`]);
+  const dispatcher = new Agent({ connections: CONNECTIONS_PER_ORIGIN });
+  const store = new HTTPTableStore(settings.platformAddress, dispatcher);
+  const { timing } = settings;
+  const lease = new LeaseKeeper({
+    store,
+    clock,
+    controller: settings.controller,
+    region: settings.region,
+    settings: {
+      termMilliseconds: timing.leaseTermMilliseconds,
+      safetyMarginMilliseconds: timing.leaseSafetyMarginMilliseconds,
+    },
+  });
+  const controller = new RegionController({
+    region: settings.region,
+    platformAddress: settings.platformAddress,
+    store,
+    dispatcher,
+    clock,
+    lease,
+    liveEntries: new LiveEntries(dispatcher, settings.entry.administrationAddress, settings.entry.tokenFile),
+    log,
+    metrics,
+  });
+  const guard = (work: () => Promise<void>) => async () => {
+    try {
+      await work();
+    } catch (error) {
+      log.error('Round failed.', { detail: error instanceof Error ? error.message : String(error) });
+    }
+  };
+  const stopLease = repeat(guard(() => lease.step()), timing.leaseTermMilliseconds / RENEWALS_PER_TERM);
+  const stopRounds = repeat(guard(() => controller.step()), timing.planPeriodMilliseconds);
+  const health = createServer((request, response) => {
+    const known = request.url === '/healthz' || request.url === '/readyz';
+    response.writeHead(known ? STATUS_OK : STATUS_NOT_FOUND, { 'content-type': 'application/json' });
+    response.end(JSON.stringify({ controller: settings.controller, holdsLease: lease.held() !== null }));
+  });
+  await new Promise<void>((resolve, reject) => {
+    health.once('error', reject);
+    health.listen(settings.health.port, settings.health.host, () => resolve());
+  });
+  return {
+    healthAddress: `${settings.health.host}:${(health.address() as AddressInfo).port}`,
+    holdsLease: () => lease.held() !== null,
+    async stop() {
+      await stopRounds();
+      await stopLease();
+      await lease.release();
+      health.closeAllConnections();
+      await new Promise((resolve) => {
+        health.close(resolve);
+      });
+      await dispatcher.destroy();
+      await metrics.close();
+    },
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export { default as ChangeAccepted } from './lib/administration/ChangeAccepted.js';
 export { default as ChangeRequest } from './lib/administration/ChangeRequest.js';
 export { default as EntriesDocument } from './lib/administration/EntriesDocument.js';
+export { default as GrantsDocument } from './lib/administration/GrantsDocument.js';
 export { default as HEADERS } from './lib/administration/HEADERS.js';
 export { default as ReleaseDocument } from './lib/administration/ReleaseDocument.js';
 export { default as StatusDocument } from './lib/administration/StatusDocument.js';
--- /dev/null
+++ b/packages/core/src/lib/administration/GrantsDocument.ts
@@ -0,0 +1,20 @@
+import { z } from 'zod';
+import ReplicaId from '../ids/ReplicaId.js';
+import ServiceId from '../ids/ServiceId.js';
+
+/** Answer of an entry to `GET /v1/grants` on its peer port. */
+const GrantsDocument = z.object({
+  services: z.array(z.object({
+    service: ServiceId,
+    /** Version of the placement row that the entry follows; -1 before the first read. */
+    version: z.number().int(),
+    replicas: z.array(z.object({
+      replica: ReplicaId,
+      /** Requests that the entry has in flight there. */
+      inFlight: z.number().int().nonnegative(),
+    })),
+  })),
+});
+type GrantsDocument = z.infer<typeof GrantsDocument>;
+
+export default GrantsDocument;
--- /dev/null
+++ b/packages/entry/src/lib/dispatch/AnswerChecker.ts
@@ -0,0 +1,36 @@
+import type { Clock } from '@dandelionlane/core';
+import { assessAnswer, type AnswerAssessment, type MemberIncarnation } from '@dandelionlane/routing';
+import type ReplicaSlot from '../targets/ReplicaSlot.js';
+import type TargetTable from '../targets/TargetTable.js';
+
+/** Checks a replica before the last byte of an answer goes out. */
+export default class AnswerChecker {
+  readonly #table: TargetTable;
+
+  readonly #clock: Clock;
+
+  readonly #freshnessMilliseconds: number;
+
+  constructor(table: TargetTable, clock: Clock, freshnessMilliseconds: number) {
+    this.#table = table;
+    this.#clock = clock;
+    this.#freshnessMilliseconds = freshnessMilliseconds;
+  }
+
+  /**
+   * Asks every member anew, since a sighting from before the answer's end says nothing
+   * about the answer. A replica of one VM is known to be whole by its answer.
+   */
+  async check(slot: ReplicaSlot, incarnations: readonly MemberIncarnation[]): Promise<AnswerAssessment> {
+    const { members } = slot.replica;
+    if (members.length === 1) {
+      return { kind: 'valid' };
+    }
+    const askedAt = this.#clock.monotonicMilliseconds();
+    await Promise.all(members.map((member) => this.#table.ask(member)));
+    const sightings = this.#table.sightingsOf(members)
+      .filter(({ seenAtMilliseconds }) => seenAtMilliseconds >= askedAt);
+    const now = this.#clock.monotonicMilliseconds();
+    return assessAnswer(slot.replica, sightings, now, this.#freshnessMilliseconds, incarnations);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/dispatch/Attempt.ts
@@ -0,0 +1,11 @@
+import type { DispatchTicket, MemberIncarnation } from '@dandelionlane/routing';
+import type ReplicaSlot from '../targets/ReplicaSlot.js';
+
+/** One send of a request to a replica. */
+export default interface Attempt {
+  readonly slot: ReplicaSlot;
+  readonly ticket: DispatchTicket;
+  /** The members' process starts that the send rests on. */
+  readonly incarnations: readonly MemberIncarnation[];
+  readonly sentAtMilliseconds: number;
+}
--- /dev/null
+++ b/packages/entry/src/lib/dispatch/TargetAnswer.ts
@@ -0,0 +1,8 @@
+import type { Readable } from 'node:stream';
+import type AnswerHead from '../requests/AnswerHead.js';
+
+/** The answer of a target, whose body has yet to be read. */
+export default interface TargetAnswer {
+  readonly head: AnswerHead;
+  readonly body: Readable;
+}
--- /dev/null
+++ b/packages/entry/src/lib/dispatch/sendToTarget.ts
@@ -0,0 +1,60 @@
+import {
+  err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import type { Dispatcher } from 'undici';
+import { HEADERS } from '@dandelionlane/core';
+import { isNeverSent } from '@dandelionlane/platform';
+import type CallerRequest from '../requests/CallerRequest.js';
+import targetHeaders from '../requests/targetHeaders.js';
+import type AttemptFailure from './AttemptFailure.js';
+import type ReplicaSlot from '../targets/ReplicaSlot.js';
+import type TargetAnswer from './TargetAnswer.js';
+
+/** What `sendToTarget` sends. */
+interface TargetSend {
+  readonly dispatcher: Dispatcher;
+  readonly request: CallerRequest;
+  readonly slot: ReplicaSlot;
+  readonly body: Buffer;
+  readonly remainingMilliseconds: number;
+  readonly signal: AbortSignal;
+}
+
+function toFailure(cause: unknown): AttemptFailure {
+  const detail = cause instanceof Error ? cause.message : String(cause);
+  if (isNeverSent(cause)) {
+    return { progress: { kind: 'not-sent' }, cause: 'target-lost', detail };
+  }
+  const late = cause instanceof Error && (cause.name === 'TimeoutError' || cause.name === 'HeadersTimeoutError');
+  return { progress: { kind: 'sent' }, cause: late ? 'target-timeout' : 'target-lost', detail };
+}
+
+async function exchange(send: TargetSend): Promise<Result<TargetAnswer, AttemptFailure>> {
+  const {
+    dispatcher, request, slot, body,
+  } = send;
+  const answer = await dispatcher.request({
+    origin: `http://${slot.leader?.address ?? ''}`,
+    path: request.path,
+    method: request.method,
+    headers: targetHeaders(request, slot.replica.replica),
+    body: body.length === 0 ? null : body,
+    signal: send.signal,
+    headersTimeout: send.remainingMilliseconds,
+    bodyTimeout: send.remainingMilliseconds,
+  });
+  const echoed = answer.headers[HEADERS.requestId];
+  if (echoed !== undefined && echoed !== request.requestId) {
+    // An answer to another request, as after a target mixed up its connections.
+    answer.body.destroy();
+    return err({
+      progress: { kind: 'sent' }, cause: 'target-lost', detail: `answer belongs to request ${String(echoed)}`,
+    });
+  }
+  return ok({ head: { status: answer.statusCode, headers: answer.headers }, body: answer.body });
+}
+
+/** Sends a request to the first member of a replica and waits for the head of the answer. */
+export default function sendToTarget(send: TargetSend): ResultAsync<TargetAnswer, AttemptFailure> {
+  return ResultAsync.fromPromise(exchange(send), toFailure).andThen((result) => result);
+}
--- /dev/null
+++ b/packages/entry/src/lib/dispatch/writeCompleteAnswer.ts
@@ -0,0 +1,26 @@
+import { HEADERS } from '@dandelionlane/core';
+import type CallerRequest from '../requests/CallerRequest.js';
+import type AnswerHead from '../requests/AnswerHead.js';
+
+const PASSED_HEADERS = ['content-type', 'content-language', 'cache-control', 'etag', 'last-modified', 'location', 'retry-after'];
+
+/** Answers with a whole answer. */
+export default function writeCompleteAnswer(
+  { outgoing, requestId, method }: CallerRequest,
+  head: AnswerHead,
+  body: Buffer,
+): void {
+  if (outgoing.headersSent || outgoing.destroyed) {
+    return;
+  }
+  PASSED_HEADERS.forEach((name) => {
+    const value = head.headers[name];
+    if (value !== undefined) {
+      outgoing.setHeader(name, value);
+    }
+  });
+  outgoing.setHeader(HEADERS.requestId, requestId);
+  outgoing.setHeader('content-length', body.length);
+  outgoing.writeHead(head.status);
+  outgoing.end(method === 'HEAD' ? undefined : body);
+}
--- /dev/null
+++ b/packages/entry/src/lib/forward/RequestForwarder.ts
@@ -0,0 +1,77 @@
+import { pipeline } from 'node:stream/promises';
+import { err, ok, type Result } from 'neverthrow';
+import type { Dispatcher } from 'undici';
+import {
+  HEADERS, ServingError,
+  type AvailabilityZoneId, type Clock, type EntryId, type EntryRecord,
+} from '@dandelionlane/core';
+import { isNeverSent } from '@dandelionlane/platform';
+import type { Log } from '@dandelionlane/telemetry';
+import type CallerRequest from '../requests/CallerRequest.js';
+import targetHeaders from '../requests/targetHeaders.js';
+import withoutConnectionHeaders from '../requests/withoutConnectionHeaders.js';
+
+/** What a `RequestForwarder` needs from outside. */
+interface RequestForwarderOptions {
+  readonly entry: EntryId;
+  readonly availabilityZone: AvailabilityZoneId;
+  readonly dispatcher: Dispatcher;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Passes requests on to a home entry of their service, once. */
+export default class RequestForwarder {
+  readonly #options: RequestForwarderOptions;
+
+  constructor(options: RequestForwarderOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Tries the homes, near zone first, until one has been reached, and relays its answer.
+   * Errors: `home-unreachable` when no byte reached a home; `target-lost` when the
+   * connection was lost later.
+   */
+  async forward(request: CallerRequest, homes: readonly EntryRecord[]): Promise<Result<void, ServingError>> {
+    const near = homes.filter((home) => home.availabilityZone === this.#options.availabilityZone);
+    const far = homes.filter((home) => !near.includes(home));
+    for (const home of [...near, ...far]) {
+      this.#options.log.info('Request forwarded.', {
+        request: request.requestId, service: request.definition.service, home: home.entry,
+      });
+      const relayed = await this.#relay(request, home);
+      if (relayed.isOk() || relayed.error.kind !== 'home-unreachable') {
+        return relayed;
+      }
+    }
+    return err(new ServingError('no home entry of the service can be reached', { kind: 'home-unreachable' }));
+  }
+
+  async #relay(request: CallerRequest, home: EntryRecord): Promise<Result<void, ServingError>> {
+    const { outgoing } = request;
+    const remaining = Math.max(1, request.deadlineMilliseconds - this.#options.clock.monotonicMilliseconds());
+    try {
+      const answer = await this.#options.dispatcher.request({
+        origin: `http://${home.callerAddress}`,
+        path: request.originalPath,
+        method: request.method,
+        headers: {
+          ...targetHeaders(request, null),
+          [HEADERS.forwardedBy]: this.#options.entry,
+          [HEADERS.timeout]: String(Math.ceil(remaining)),
+        },
+        body: request.body.length === 0 ? null : request.body,
+        signal: AbortSignal.any([request.callerGone, AbortSignal.timeout(Math.ceil(remaining))]),
+        headersTimeout: remaining,
+        bodyTimeout: remaining,
+      });
+      outgoing.writeHead(answer.statusCode, withoutConnectionHeaders(answer.headers));
+      await pipeline(answer.body, outgoing);
+      return ok(undefined);
+    } catch (cause) {
+      const kind = isNeverSent(cause) ? 'home-unreachable' : 'target-lost';
+      return err(new ServingError(`home entry ${home.entry} was lost`, { kind, cause }));
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/peers/createGrantListener.ts
@@ -0,0 +1,30 @@
+import type { RequestListener } from 'node:http';
+import type { GrantsDocument } from '@dandelionlane/core';
+import type TargetTable from '../targets/TargetTable.js';
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+
+function createDocument(table: TargetTable): GrantsDocument {
+  return {
+    services: [...table.services()].map((targets) => ({
+      service: targets.service,
+      version: targets.version,
+      replicas: [...targets.slots()].map((slot) => ({
+        replica: slot.replica.replica, inFlight: slot.inFlight,
+      })),
+    })),
+  };
+}
+
+/** Answers controllers on the peer port: which placement rows this entry has read, and its work in flight. */
+export default function createGrantListener(table: () => TargetTable): RequestListener {
+  return (request, response) => {
+    if (request.method !== 'GET' || request.url !== '/v1/grants') {
+      response.writeHead(STATUS_NOT_FOUND).end();
+      return;
+    }
+    response.writeHead(STATUS_OK, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(createDocument(table())));
+  };
+}
--- /dev/null
+++ b/packages/entry/src/lib/release/ReleaseHolder.ts
@@ -0,0 +1,87 @@
+import type { ResultAsync } from 'neverthrow';
+import {
+  EMPTY_RELEASE_STATE,
+  type Clock, type ReleaseSequence, type ReleaseState, type ServiceDefinition, type ServiceId,
+  type ServingError, type TableStore,
+} from '@dandelionlane/core';
+import { chooseNewerState, loadReleaseState } from '@dandelionlane/release';
+import type { Log } from '@dandelionlane/telemetry';
+
+/** What a `ReleaseHolder` needs from outside. */
+interface ReleaseHolderOptions {
+  readonly store: TableStore;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/**
+ * The accepted state at this entry. Null until the table service or a peer gave one.
+ *
+ * Invariant: the sequence in force never goes back, whatever is read or offered.
+ */
+export default class ReleaseHolder {
+  readonly #options: ReleaseHolderOptions;
+
+  readonly #listeners: ((state: ReleaseState) => void)[] = [];
+
+  #state: ReleaseState | null = null;
+
+  #definitions: ReadonlyMap<ServiceId, ServiceDefinition> = new Map();
+
+  #storeReadAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: ReleaseHolderOptions) {
+    this.#options = options;
+  }
+
+  state(): ReleaseState | null {
+    return this.#state;
+  }
+
+  sequence(): ReleaseSequence {
+    return (this.#state ?? EMPTY_RELEASE_STATE).sequence;
+  }
+
+  definition(service: ServiceId): ServiceDefinition | undefined {
+    return this.#definitions.get(service);
+  }
+
+  definitions(): Iterable<ServiceDefinition> {
+    return this.#definitions.values();
+  }
+
+  /** Milliseconds since the table service last answered. */
+  storeSilenceMilliseconds(): number {
+    return this.#options.clock.monotonicMilliseconds() - this.#storeReadAt;
+  }
+
+  onChange(listener: (state: ReleaseState) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Takes a state from a peer or the table service. An older one changes nothing. */
+  offer(offered: ReleaseState, source: string): void {
+    const previous = this.#state;
+    const state = previous === null ? offered : chooseNewerState(previous, offered);
+    if (state === previous) {
+      return;
+    }
+    this.#state = state;
+    if (previous !== null && previous.sequence === state.sequence) {
+      return;
+    }
+    this.#definitions = new Map(state.services.map(({ definition }) => [definition.service, definition]));
+    this.#options.log.info('Release in force.', { sequence: state.sequence, source });
+    this.#listeners.forEach((listener) => listener(state));
+  }
+
+  /** Reads what the table service has after the state in force. */
+  readStore(): ResultAsync<void, ServingError> {
+    const { store, clock } = this.#options;
+    return loadReleaseState(store, this.#state ?? EMPTY_RELEASE_STATE)
+      .map((state) => {
+        this.#storeReadAt = clock.monotonicMilliseconds();
+        return this.offer(state, 'store');
+      });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/requests/RequestServer.ts
@@ -0,0 +1,312 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import {
+  hashText, RequestId, ServiceId, ServingError,
+  type Clock, type EntryId, type ServiceDefinition,
+} from '@dandelionlane/core';
+import {
+  createClaimKey, createFingerprint, type ClaimHandle, type ClaimStore,
+} from '@dandelionlane/platform';
+import type { Log, Metrics } from '@dandelionlane/telemetry';
+import type CompleteAnswer from '../dispatch/CompleteAnswer.js';
+import type RequestDispatcher from '../dispatch/RequestDispatcher.js';
+import writeCompleteAnswer from '../dispatch/writeCompleteAnswer.js';
+import type RequestForwarder from '../forward/RequestForwarder.js';
+import type EntryGroup from '../peers/EntryGroup.js';
+import type ReleaseHolder from '../release/ReleaseHolder.js';
+import type ServiceTargets from '../targets/ServiceTargets.js';
+import type TargetTable from '../targets/TargetTable.js';
+import type AdmissionDesk from './AdmissionDesk.js';
+import type Arrival from './Arrival.js';
+import type CallerHeaders from './CallerHeaders.js';
+import type CallerRequest from './CallerRequest.js';
+import isNotRun from './isNotRun.js';
+import judgeRepeatability from './judgeRepeatability.js';
+import parseChatBody from './parseChatBody.js';
+import promptOfChat from './promptOfChat.js';
+import readCallerHeaders from './readCallerHeaders.js';
+import receiveBody from './receiveBody.js';
+import type RequestTarget from './RequestTarget.js';
+import toStoredAnswer from './toStoredAnswer.js';
+import fromStoredAnswer from './fromStoredAnswer.js';
+import writeProblem from './writeProblem.js';
+import writeStreamProblem from './writeStreamProblem.js';
+
+const CLAIM_TIMEOUT_MILLISECONDS = 5_000;
+const PREFIX_CHARACTERS = 256;
+const CHARACTERS_PER_TOKEN = 4;
+const DEFAULT_ANSWER_TOKENS = 256;
+
+/** What a `RequestServer` needs from outside. */
+interface RequestServerOptions {
+  readonly entry: EntryId;
+  readonly clock: Clock;
+  readonly release: ReleaseHolder;
+  readonly group: EntryGroup;
+  readonly targets: TargetTable;
+  readonly admission: AdmissionDesk;
+  readonly claims: ClaimStore;
+  readonly dispatcher: RequestDispatcher;
+  readonly forwarder: RequestForwarder;
+  readonly maximumBodyBytes: number;
+  readonly receiveTimeoutMilliseconds: number;
+  /** Whether new requests are refused, as at the end of a graceful shutdown. */
+  readonly isClosed: () => boolean;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/**
+ * The path of a request: receive, identify, locate, admit, claim, dispatch, account.
+ * Each stage passes a typed value on or ends the request with one error.
+ */
+export default class RequestServer {
+  readonly #options: RequestServerOptions;
+
+  #inFlight = 0;
+
+  constructor(options: RequestServerOptions) {
+    this.#options = options;
+  }
+
+  /** Requests that have arrived and are not answered whole. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Serves one request and answers it. Never rejects. */
+  async serve(target: RequestTarget, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const startedAt = this.#options.clock.monotonicMilliseconds();
+    this.#inFlight += 1;
+    try {
+      const request = await this.#receive(target, incoming, outgoing, startedAt);
+      const result = request.isErr() ? err(request.error) : await this.#route(request.value);
+      this.#account(request.isOk() ? request.value : null, result, outgoing, startedAt);
+    } catch (cause) {
+      const error = new ServingError('request failed inside the entry', { kind: 'internal', cause });
+      this.#options.log.error('Request failed.', { detail: String(cause) });
+      writeProblem(outgoing, error);
+    } finally {
+      this.#inFlight -= 1;
+    }
+  }
+
+  #receive(
+    target: RequestTarget,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    receivedAtMilliseconds: number,
+  ): ResultAsync<CallerRequest, ServingError> {
+    const gone = new AbortController();
+    outgoing.once('close', () => gone.abort());
+    const { maximumBodyBytes, receiveTimeoutMilliseconds } = this.#options;
+    return this.#checkOpen()
+      .andThen(() => readCallerHeaders(incoming.headers))
+      .asyncAndThen((headers) => (
+        receiveBody(incoming, maximumBodyBytes, receiveTimeoutMilliseconds)
+          .andThen((body) => this.#identify(target, headers, body, {
+            incoming, outgoing, receivedAtMilliseconds, callerGone: gone.signal,
+          }))
+      ));
+  }
+
+  #checkOpen(): Result<void, ServingError> {
+    if (this.#options.isClosed()) {
+      return err(new ServingError('this entry is shutting down; ask which entry to use', { kind: 'entry-leaving' }));
+    }
+    if (this.#options.release.state() === null) {
+      return err(new ServingError('no release state has been read yet', { kind: 'no-accepted-state' }));
+    }
+    return ok(undefined);
+  }
+
+  #identify(
+    target: RequestTarget,
+    headers: CallerHeaders,
+    body: Buffer,
+    arrival: Arrival,
+  ): Result<CallerRequest, ServingError> {
+    switch (target.kind) {
+      case 'chat':
+        return parseChatBody(body).andThen((chat) => this.#define(chat.model, 'model').map((definition) => {
+          const prompt = promptOfChat(chat);
+          const answerTokens = chat.max_completion_tokens ?? chat.max_tokens ?? DEFAULT_ANSWER_TOKENS;
+          return this.#request(target, headers, body, arrival, definition, {
+            streaming: chat.stream === true,
+            repeatability: 'repeatable',
+            prefixHash: hashText(prompt.slice(0, PREFIX_CHARACTERS)),
+            estimatedTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN) + answerTokens,
+          });
+        }));
+      case 'plain':
+        return this.#define(target.service, 'plain').andThen((definition) => (
+          judgeRepeatability(definition, target.method, target.path, headers.idempotencyKey)
+            .map((repeatability) => this.#request(target, headers, body, arrival, definition, {
+              streaming: false, repeatability, prefixHash: null, estimatedTokens: 1,
+            }))
+        ));
+      default:
+        return target satisfies never;
+    }
+  }
+
+  #define(name: string, kind: ServiceDefinition['kind']): Result<ServiceDefinition, ServingError> {
+    const service = ServiceId.safeParse(name);
+    const definition = service.success ? this.#options.release.definition(service.data) : undefined;
+    if (definition === undefined || definition.kind !== kind) {
+      return err(new ServingError(`no ${kind} service ${name}`, { kind: 'unknown-service' }));
+    }
+    return ok(definition);
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- belongs to the stage that identifies
+  #request(
+    target: RequestTarget,
+    headers: CallerHeaders,
+    body: Buffer,
+    { incoming, ...arrival }: Arrival,
+    definition: ServiceDefinition,
+    nature: Pick<CallerRequest, 'streaming' | 'repeatability' | 'prefixHash' | 'estimatedTokens'>,
+  ): CallerRequest {
+    const timeout = Math.min(headers.timeoutMilliseconds, definition.limits.requestTimeoutMilliseconds);
+    return {
+      ...nature,
+      ...arrival,
+      requestId: headers.requestId,
+      team: headers.team,
+      idempotencyKey: headers.idempotencyKey,
+      forwardedBy: headers.forwardedBy,
+      definition,
+      method: target.method,
+      path: target.path,
+      headers: incoming.headers,
+      body,
+      deadlineMilliseconds: arrival.receivedAtMilliseconds + timeout,
+      originalPath: incoming.url ?? target.path,
+    };
+  }
+
+  async #route(request: CallerRequest): Promise<Result<void, ServingError>> {
+    const { group, entry, forwarder } = this.#options;
+    const { service } = request.definition;
+    const homes = group.homesOf(service);
+    const targets = this.#options.targets.targets(service);
+    const others = homes.filter((home) => home.entry !== entry);
+    // A home without a share of a cold replica passes requests on to one that has a share.
+    const mustServe = request.forwardedBy !== null || others.length === 0;
+    if (targets !== undefined && (targets.capacity() > 0 || mustServe)) {
+      return this.#serveHere(request, targets);
+    }
+    if (mustServe) {
+      return err(new ServingError(`${entry} is not a home of ${service}`, { kind: 'home-unreachable' }));
+    }
+    return forwarder.forward(request, others);
+  }
+
+  async #serveHere(request: CallerRequest, targets: ServiceTargets): Promise<Result<void, ServingError>> {
+    if (!targets.hasWholeReplica()) {
+      return err(new ServingError('no replica has all of its VMs present', { kind: 'no-whole-replica' }));
+    }
+    const admitted = await this.#options.admission.admit(request);
+    if (admitted.isErr()) {
+      return err(admitted.error);
+    }
+    try {
+      return request.repeatability === 'claimed'
+        ? await this.#serveClaimed(request)
+        : await this.#send(request);
+    } finally {
+      this.#options.admission.release(request.definition.service, request.requestId);
+    }
+  }
+
+  async #send(request: CallerRequest): Promise<Result<void, ServingError>> {
+    const sent = await this.#dispatch(request);
+    if (sent.isErr()) {
+      return err(sent.error);
+    }
+    if (sent.value !== null) {
+      writeCompleteAnswer(request, sent.value.head, sent.value.body);
+    }
+    return ok(undefined);
+  }
+
+  async #dispatch(request: CallerRequest): Promise<Result<CompleteAnswer | null, ServingError>> {
+    const targets = this.#options.targets.targets(request.definition.service);
+    if (targets === undefined) {
+      return err(new ServingError('no placement has been read yet', { kind: 'no-whole-replica' }));
+    }
+    return this.#options.dispatcher.dispatch(request, targets);
+  }
+
+  /** Invariant: nothing is sent before the claim is granted; a claim is given up only if nothing was sent. */
+  async #serveClaimed(request: CallerRequest): Promise<Result<void, ServingError>> {
+    const { claims } = this.#options;
+    const { idempotencyKey, team, definition } = request;
+    if (idempotencyKey === null) {
+      return err(new ServingError('the call needs an Idempotency-Key', { kind: 'idempotency-key-missing' }));
+    }
+    const key = createClaimKey(team, definition.service, idempotencyKey);
+    const fingerprint = createFingerprint(request.method, request.path, request.body);
+    const claimed = await claims.claim(key, fingerprint, CLAIM_TIMEOUT_MILLISECONDS);
+    if (claimed.isErr()) {
+      return err(claimed.error);
+    }
+    if (claimed.value.kind === 'completed') {
+      const { head, body } = fromStoredAnswer(claimed.value.answer);
+      writeCompleteAnswer(request, head, body);
+      return ok(undefined);
+    }
+    return this.#sendClaimed(request, claimed.value.handle);
+  }
+
+  async #sendClaimed(request: CallerRequest, handle: ClaimHandle): Promise<Result<void, ServingError>> {
+    const { claims } = this.#options;
+    const sent = await this.#dispatch(request);
+    if (sent.isErr()) {
+      if (isNotRun(sent.error)) {
+        claims.release(handle);
+      }
+      return err(sent.error);
+    }
+    if (sent.value !== null) {
+      const { head, body } = sent.value;
+      void claims.complete(handle, toStoredAnswer(head, body));
+      writeCompleteAnswer(request, head, body);
+    }
+    return ok(undefined);
+  }
+
+  #account(
+    request: CallerRequest | null,
+    result: Result<void, ServingError>,
+    outgoing: ServerResponse,
+    startedAt: number,
+  ): void {
+    const milliseconds = this.#options.clock.monotonicMilliseconds() - startedAt;
+    const outcome = result.isOk() ? 'answered' : result.error.kind;
+    this.#options.metrics.timing('entry.request', milliseconds, [`outcome:${outcome}`]);
+    this.#options.log.info('Request ended.', {
+      request: request?.requestId,
+      team: request?.team,
+      service: request?.definition.service,
+      outcome,
+      detail: result.isErr() ? result.error.message : undefined,
+      milliseconds: Math.round(milliseconds),
+    });
+    if (result.isErr()) {
+      this.#refuse(request, result.error, outgoing);
+    }
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- the last stage of the path
+  #refuse(request: CallerRequest | null, error: ServingError, outgoing: ServerResponse): void {
+    if (request?.streaming === true && outgoing.headersSent && !outgoing.writableEnded) {
+      writeStreamProblem(outgoing, error, request.requestId);
+      return;
+    }
+    writeProblem(outgoing, error, request?.requestId ?? RequestId.parse('unknown'));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/requests/judgeRepeatability.ts
@@ -0,0 +1,36 @@
+import { err, ok, type Result } from 'neverthrow';
+import { ServingError, type IdempotencyKey, type ServiceDefinition } from '@dandelionlane/core';
+import type Repeatability from './Repeatability.js';
+
+/** Methods that RFC 9110 defines as idempotent. */
+const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE']);
+
+function isListed(definition: ServiceDefinition, method: string, path: string): boolean {
+  return definition.kind === 'plain' && definition.nonRepeatableCalls.some((call) => (
+    call.method === method && path.startsWith(call.pathPrefix)
+  ));
+}
+
+/**
+ * Decides how often a call may run, by its method and the release note. Error:
+ * `idempotency-key-missing` for a call that the note lists as not repeatable.
+ */
+export default function judgeRepeatability(
+  definition: ServiceDefinition,
+  method: string,
+  path: string,
+  key: IdempotencyKey | null,
+): Result<Repeatability, ServingError> {
+  if (definition.kind === 'model') {
+    return ok('repeatable');
+  }
+  if (isListed(definition, method, path)) {
+    return key === null
+      ? err(new ServingError(`${method} ${path} needs an Idempotency-Key`, { kind: 'idempotency-key-missing' }))
+      : ok('claimed');
+  }
+  if (IDEMPOTENT_METHODS.has(method)) {
+    return ok('repeatable');
+  }
+  return ok(key === null ? 'once' : 'claimed');
+}
--- /dev/null
+++ b/packages/entry/src/lib/requests/readCallerHeaders.ts
@@ -0,0 +1,65 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import { randomUUID } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import {
+  EntryId, HEADERS, IdempotencyKey, RequestId, ServingError, TeamId,
+} from '@dandelionlane/core';
+import type CallerHeaders from './CallerHeaders.js';
+
+const MAXIMUM_TIMEOUT_MILLISECONDS = 3_600_000;
+
+function single(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value.join(',') : value;
+}
+
+function malformed(name: string): ServingError {
+  return new ServingError(`header ${name} is malformed`, { kind: 'malformed-request' });
+}
+
+/** An Idempotency-Key may be quoted, as a structured field string. */
+function unquote(value: string): string {
+  return value.length >= 2 && value.startsWith('"') && value.endsWith('"') ? value.slice(1, -1) : value;
+}
+
+function readTimeout(value: string | undefined): number | null {
+  if (value === undefined) {
+    return MAXIMUM_TIMEOUT_MILLISECONDS;
+  }
+  const milliseconds = Number(value);
+  const valid = Number.isFinite(milliseconds) && milliseconds > 0;
+  return valid ? Math.min(milliseconds, MAXIMUM_TIMEOUT_MILLISECONDS) : null;
+}
+
+/** Checks the headers that the system reads. Errors: `unknown-team`, `malformed-request`. */
+export default function readCallerHeaders(headers: IncomingHttpHeaders): Result<CallerHeaders, ServingError> {
+  const team = TeamId.safeParse(single(headers, HEADERS.team));
+  if (!team.success) {
+    return err(new ServingError(`header ${HEADERS.team} must name the team`, { kind: 'unknown-team' }));
+  }
+  const requestId = RequestId.safeParse(single(headers, HEADERS.requestId) ?? randomUUID());
+  if (!requestId.success) {
+    return err(malformed(HEADERS.requestId));
+  }
+  const keyText = single(headers, HEADERS.idempotencyKey);
+  const key = keyText === undefined ? null : IdempotencyKey.safeParse(unquote(keyText));
+  if (key !== null && !key.success) {
+    return err(malformed(HEADERS.idempotencyKey));
+  }
+  const forwardedText = single(headers, HEADERS.forwardedBy);
+  const forwardedBy = forwardedText === undefined ? null : EntryId.safeParse(forwardedText);
+  if (forwardedBy !== null && !forwardedBy.success) {
+    return err(malformed(HEADERS.forwardedBy));
+  }
+  const timeoutMilliseconds = readTimeout(single(headers, HEADERS.timeout));
+  if (timeoutMilliseconds === null) {
+    return err(malformed(HEADERS.timeout));
+  }
+  return ok({
+    team: team.data,
+    requestId: requestId.data,
+    idempotencyKey: key?.data ?? null,
+    forwardedBy: forwardedBy?.data ?? null,
+    timeoutMilliseconds,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/lib/settings/EntrySettings.ts
@@ -0,0 +1,72 @@
+import { z } from 'zod';
+import { AvailabilityZoneId, EntryId, RegionId } from '@dandelionlane/core';
+
+const MAXIMUM_PORT = 65_535;
+const MEBIBYTE = 1_024 * 1_024;
+
+const Listener = z.strictObject({
+  /** IP number to listen on, which is also the one given to callers and peers. */
+  host: z.string().default('127.0.0.1'),
+  /** 0 takes a free port. */
+  port: z.number().int().min(0).max(MAXIMUM_PORT),
+});
+
+/** Settings of `dandelionlane-entry`. Durations are in milliseconds, sizes in bytes. */
+const EntrySettings = z.strictObject({
+  entry: EntryId,
+  region: RegionId,
+  availabilityZone: AvailabilityZoneId,
+  callers: Listener,
+  peers: Listener,
+  administration: Listener.extend({ tokenFile: z.string().min(1) }),
+  /** `host:port` of the platform's services. */
+  platformAddress: z.string().min(3),
+  /** Peer addresses to join by. One that answers is enough. */
+  seeds: z.array(z.string().min(3)).max(64).default([]),
+  log: z.strictObject({
+    level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+    format: z.enum(['text', 'json']).default('text'),
+  }).prefault({}),
+  metrics: z.strictObject({
+    host: z.string().optional(),
+    port: z.number().int().min(1).max(MAXIMUM_PORT)
+      .optional(),
+  }).prefault({}),
+  limits: z.strictObject({
+    maximumBodyBytes: z.number().int().min(1).max(256 * MEBIBYTE)
+      .default(4 * MEBIBYTE),
+    maximumAnswerBytes: z.number().int().min(1).max(256 * MEBIBYTE)
+      .default(16 * MEBIBYTE),
+    maximumHeaderBytes: z.number().int().min(1_024).max(MEBIBYTE)
+      .default(16 * 1_024),
+    /** Longest wait for the whole of a request's header and body. */
+    receiveTimeoutMilliseconds: z.number().int().min(100).max(600_000)
+      .default(15_000),
+    /** Longest wait for a caller that does not read its answer. */
+    slowCallerTimeoutMilliseconds: z.number().int().min(100).max(600_000)
+      .default(30_000),
+  }).prefault({}),
+  timing: z.strictObject({
+    /** Period of membership probes. */
+    probePeriodMilliseconds: z.number().int().min(50).max(60_000)
+      .default(500),
+    /** Period of reads of the release head and the placement rows. */
+    pollPeriodMilliseconds: z.number().int().min(50).max(60_000)
+      .default(1_000),
+    /** Period of requests for VM reports. */
+    reportPeriodMilliseconds: z.number().int().min(50).max(60_000)
+      .default(1_000),
+    /** A VM without a report for this long counts as lost. */
+    freshnessMilliseconds: z.number().int().min(100).max(60_000)
+      .default(2_500),
+    /** How long callers may keep the answer to which entry to use. */
+    keepMilliseconds: z.number().int().min(1_000).max(600_000)
+      .default(10_000),
+    /** After SIGTERM, how long requests of callers with an older answer are still served. */
+    lameDuckMilliseconds: z.number().int().min(0).max(600_000)
+      .default(10_000),
+  }).prefault({}),
+});
+type EntrySettings = z.infer<typeof EntrySettings>;
+
+export default EntrySettings;
--- /dev/null
+++ b/packages/entry/src/lib/streams/EventSplitter.ts
@@ -0,0 +1,49 @@
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const MAXIMUM_EVENT_BYTES = 1_024 * 1_024;
+
+/**
+ * Splits a stream of server-sent events into events. Works on bytes, since a chunk
+ * may end inside a character.
+ */
+export default class EventSplitter {
+  #rest: Buffer = Buffer.alloc(0);
+
+  /** Whether bytes of an unfinished event are left. */
+  get hasRest(): boolean {
+    return this.#rest.length > 0;
+  }
+
+  /** Whole events, each with the blank line that ends it. Throws a RangeError for an event over 1 MiB. */
+  push(chunk: Buffer): readonly Buffer[] {
+    const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+    const events: Buffer[] = [];
+    let start = 0;
+    let end = EventSplitter.#findEnd(data, start);
+    while (end !== -1) {
+      events.push(data.subarray(start, end));
+      start = end;
+      end = EventSplitter.#findEnd(data, start);
+    }
+    this.#rest = data.subarray(start);
+    if (this.#rest.length > MAXIMUM_EVENT_BYTES) {
+      throw new RangeError('event is larger than 1 MiB');
+    }
+    return events;
+  }
+
+  /** Index after the blank line that ends the event at `from`, or -1. */
+  static #findEnd(data: Buffer, from: number): number {
+    let index = data.indexOf(LINE_FEED, from);
+    while (index !== -1) {
+      if (data[index + 1] === LINE_FEED) {
+        return index + 2;
+      }
+      if (data[index + 1] === CARRIAGE_RETURN && data[index + 2] === LINE_FEED) {
+        return index + 3;
+      }
+      index = data.indexOf(LINE_FEED, index + 1);
+    }
+    return -1;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/streams/waitForDrain.ts
@@ -0,0 +1,32 @@
+import type { ServerResponse } from 'node:http';
+
+/**
+ * Waits until the caller has read what was written. Resolves to false if the caller
+ * has gone or did not read within the time.
+ */
+export default async function waitForDrain(
+  outgoing: ServerResponse,
+  timeoutMilliseconds: number,
+): Promise<boolean> {
+  if (outgoing.destroyed) {
+    return false;
+  }
+  if (!outgoing.writableNeedDrain) {
+    return true;
+  }
+  return new Promise((resolve) => {
+    let timer: NodeJS.Timeout | undefined;
+    const onDrain = () => {
+      clearTimeout(timer);
+      outgoing.removeAllListeners('drain');
+      resolve(true);
+    };
+    const onClose = () => {
+      clearTimeout(timer);
+      resolve(false);
+    };
+    timer = setTimeout(onClose, timeoutMilliseconds);
+    outgoing.once('drain', onDrain);
+    outgoing.once('close', onClose);
+  });
+}
--- /dev/null
+++ b/packages/entry/src/lib/targets/ServiceTargets.ts
@@ -0,0 +1,107 @@
+import {
+  ServicePlacement,
+  type Clock, type EntryId, type Grant, type Replica, type ReplicaId, type ReplicaMember, type RowVersion,
+  type ServiceId, type TableRow,
+} from '@dandelionlane/core';
+import { LatencyTracker, type TargetView, type VMSighting } from '@dandelionlane/routing';
+import ReplicaSlot from './ReplicaSlot.js';
+
+/** What a `ServiceTargets` needs from outside. */
+interface ServiceTargetsOptions {
+  readonly entry: EntryId;
+  readonly clock: Clock;
+  readonly freshnessMilliseconds: number;
+  readonly sightingsOf: (members: readonly ReplicaMember[]) => readonly VMSighting[];
+}
+
+/** The replicas of one service at a home entry. */
+export default class ServiceTargets {
+  readonly service: ServiceId;
+
+  readonly latency = new LatencyTracker();
+
+  readonly #options: ServiceTargetsOptions;
+
+  #slots = new Map<ReplicaId, ReplicaSlot>();
+
+  #version: RowVersion | -1 = -1;
+
+  constructor(service: ServiceId, options: ServiceTargetsOptions) {
+    this.service = service;
+    this.#options = options;
+  }
+
+  get version(): number {
+    return this.#version;
+  }
+
+  slots(): Iterable<ReplicaSlot> {
+    return this.#slots.values();
+  }
+
+  slot(replica: ReplicaId): ReplicaSlot | undefined {
+    return this.#slots.get(replica);
+  }
+
+  members(): readonly ReplicaMember[] {
+    return [...this.#slots.values()].flatMap((slot) => slot.replica.members);
+  }
+
+  /**
+   * Takes in a read of the placement row that began at the given time. A row older
+   * than one already seen is a stale read and changes nothing. Returns false for a
+   * malformed row, which changes nothing either.
+   */
+  takeRow(row: TableRow, readAtMilliseconds: number): boolean {
+    if (row.version < this.#version || row.value === null) {
+      return true;
+    }
+    const parsed = ServicePlacement.safeParse(row.value);
+    if (!parsed.success) {
+      return false;
+    }
+    this.#version = row.version;
+    this.#slots = new Map(parsed.data.replicas.map((replica) => [
+      replica.replica, this.#slotFor(replica, row.version, readAtMilliseconds),
+    ]));
+    this.latency.refresh([...this.#slots.keys()], this.#options.clock.monotonicMilliseconds());
+    return true;
+  }
+
+  assess(): void {
+    this.#slots.forEach((slot) => slot.assess());
+  }
+
+  hasWholeReplica(): boolean {
+    return [...this.#slots.values()].some((slot) => slot.assess().kind === 'whole');
+  }
+
+  /** Requests that this entry may have in flight on all replicas together. */
+  capacity(): number {
+    let total = 0;
+    this.#slots.forEach((slot) => {
+      total += slot.allowed();
+    });
+    return total;
+  }
+
+  views(): readonly TargetView[] {
+    const now = this.#options.clock.monotonicMilliseconds();
+    return [...this.#slots.values()].map((slot) => slot.view(
+      this.latency.healthOf(slot.replica.replica, now),
+      this.latency.slownessOf(slot.replica.replica),
+    ));
+  }
+
+  #slotFor(replica: Replica, version: RowVersion, readAtMilliseconds: number): ReplicaSlot {
+    const grant: Grant = replica.grants.find(({ entry }) => entry === this.#options.entry)
+      ?? { entry: this.#options.entry, cold: 0, warm: 0 };
+    const reading = { grant, version, readAtMilliseconds };
+    const slot = this.#slots.get(replica.replica);
+    if (slot === undefined) {
+      return new ReplicaSlot(this.#options, replica, reading);
+    }
+    slot.update(replica, reading);
+    return slot;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/targets/TargetTable.ts
@@ -0,0 +1,147 @@
+import type { Dispatcher } from 'undici';
+import {
+  TABLE_NAMES,
+  type Clock, type EntryId, type RegionId, type ReplicaMember, type ServiceId, type TableStore, type VMId,
+} from '@dandelionlane/core';
+import { readVMReport } from '@dandelionlane/platform';
+import { mergeSighting, type VMSighting } from '@dandelionlane/routing';
+import type { Log } from '@dandelionlane/telemetry';
+import ServiceTargets from './ServiceTargets.js';
+
+/** What a `TargetTable` needs from outside. */
+interface TargetTableOptions {
+  readonly entry: EntryId;
+  readonly region: RegionId;
+  readonly store: TableStore;
+  readonly dispatcher: Dispatcher;
+  readonly clock: Clock;
+  readonly freshnessMilliseconds: number;
+  readonly log: Log;
+  /** Called after rows or sightings of a service changed what its targets bear. */
+  readonly changed: (targets: ServiceTargets) => void;
+}
+
+/** Live state of the targets of the services that this entry is a home of. */
+export default class TargetTable {
+  readonly #options: TargetTableOptions;
+
+  readonly #services = new Map<ServiceId, ServiceTargets>();
+
+  readonly #sightings = new Map<VMId, VMSighting>();
+
+  /** Requests for a report that are under way, one a VM. */
+  readonly #asking = new Map<VMId, Promise<void>>();
+
+  constructor(options: TargetTableOptions) {
+    this.#options = options;
+  }
+
+  targets(service: ServiceId): ServiceTargets | undefined {
+    return this.#services.get(service);
+  }
+
+  services(): Iterable<ServiceTargets> {
+    return this.#services.values();
+  }
+
+  /** Reads the placement rows of the home services in one call, and forgets the others. */
+  async readRows(homeServices: readonly ServiceId[]): Promise<void> {
+    this.#forgetOthers(new Set(homeServices));
+    const { store, region, clock } = this.#options;
+    const readAtMilliseconds = clock.monotonicMilliseconds();
+    const rows = await store.read(homeServices.map((service) => ({
+      table: TABLE_NAMES.placements, key: `${region}/${service}`,
+    })));
+    if (rows.isErr()) {
+      this.#options.log.debug('Placement rows were not read.', { kind: rows.error.kind });
+      return;
+    }
+    homeServices.forEach((service, index) => {
+      const row = rows.value[index];
+      const targets = this.#targetsFor(service);
+      if (row !== undefined && !targets.takeRow(row, readAtMilliseconds)) {
+        this.#options.log.error('Placement row is malformed.', { service });
+      }
+      this.#options.changed(targets);
+    });
+    this.#forgetSightings();
+  }
+
+  /** Asks every VM of the home services for a report. */
+  async readReports(): Promise<void> {
+    const services = [...this.#services.values()];
+    await Promise.all(services.flatMap((targets) => targets.members()).map((member) => this.ask(member)));
+    services.forEach((targets) => {
+      targets.assess();
+      this.#options.changed(targets);
+    });
+  }
+
+  /** Asks one VM for a report that is made after this call. */
+  async ask(member: ReplicaMember): Promise<void> {
+    const under = this.#asking.get(member.vm);
+    if (under !== undefined) {
+      // The answer under way may have been made before this call.
+      await under;
+    }
+    const again = this.#asking.get(member.vm);
+    if (again !== undefined) {
+      await again;
+      return;
+    }
+    const asked = this.#ask(member).finally(() => this.#asking.delete(member.vm));
+    this.#asking.set(member.vm, asked);
+    await asked;
+  }
+
+  sightingsOf(members: readonly ReplicaMember[]): readonly VMSighting[] {
+    return members
+      .map(({ vm }) => this.#sightings.get(vm))
+      .filter((sighting) => sighting !== undefined);
+  }
+
+  async #ask({ vm, address }: ReplicaMember): Promise<void> {
+    const report = await readVMReport(this.#options.dispatcher, vm, address);
+    report.map((heard) => {
+      const now = this.#options.clock.monotonicMilliseconds();
+      this.#sightings.set(vm, mergeSighting(this.#sightings.get(vm), heard, now));
+      return heard;
+    });
+  }
+
+  #targetsFor(service: ServiceId): ServiceTargets {
+    const known = this.#services.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const targets = new ServiceTargets(service, {
+      entry: this.#options.entry,
+      clock: this.#options.clock,
+      freshnessMilliseconds: this.#options.freshnessMilliseconds,
+      sightingsOf: (members) => this.sightingsOf(members),
+    });
+    this.#services.set(service, targets);
+    return targets;
+  }
+
+  /** A service stays while requests are in flight on it, so that its limits stay true. */
+  #forgetOthers(home: ReadonlySet<ServiceId>): void {
+    this.#services.forEach((targets, service) => {
+      const busy = [...targets.slots()].some(({ inFlight }) => inFlight > 0);
+      if (!home.has(service) && !busy) {
+        this.#services.delete(service);
+      }
+    });
+  }
+
+  #forgetSightings(): void {
+    const known = new Set([...this.#services.values()]
+      .flatMap((targets) => targets.members())
+      .map(({ vm }) => vm));
+    this.#sightings.forEach((_, vm) => {
+      if (!known.has(vm)) {
+        this.#sightings.delete(vm);
+      }
+    });
+  }
+}
