Keep prefix caches with their engine and look entries up anew after failures

A restart kept the prefix cache when the engine fell over and lost the event sequence when the VM was restarted, since both belonged to the HTTP server. They now belong to the engine: lost work empties the cache, events go on.

Callers kept an address that timed out for as long as the lookup said. Sending a call again was ruled out: the generator measures what one send gets.

--- a/packages/load/src/lib/callers/EntryLookup.ts
+++ b/packages/load/src/lib/callers/EntryLookup.ts
@@ -12,7 +12,8 @@
 
 /** Asks which entries to use for a service and keeps the answer for as long as it says. */
 export default class EntryLookup {
-  readonly #entries: readonly string[];
+  /** The entry that answered last comes first. */
+  #entries: readonly string[];
 
   readonly #parts: CallerParts;
 
@@ -36,7 +37,7 @@
     return pending;
   }
 
-  /** Forgets the answer for a service, after an address of it took no connection. */
+  /** Forgets the answer for a service, after an address of it failed. */
   forget(service: ServiceId): void {
     this.#kept.delete(service);
   }
@@ -48,13 +49,14 @@
   }
 
   async #askInTurn(service: ServiceId): Promise<readonly string[]> {
-    for (const entry of this.#entries) {
+    for (const [index, entry] of this.#entries.entries()) {
       const document = await this.#ask(entry, service).catch(() => undefined);
       const entries = document?.entries ?? [];
       if (entries.length > 0) {
         const keepSeconds = Math.min(...entries.map((candidate) => candidate.keepSeconds));
         const until = this.#parts.clock.monotonicMilliseconds() + keepSeconds * MILLISECONDS_PER_SECOND;
         const addresses = entries.map(({ address }) => address);
+        this.#entries = [...this.#entries.slice(index), ...this.#entries.slice(0, index)];
         this.#kept.set(service, { addresses, until });
         return addresses;
       }
--- a/packages/load/src/lib/runLoad.ts
+++ b/packages/load/src/lib/runLoad.ts
@@ -15,6 +15,8 @@
 import sendOnTime from './sendOnTime.js';
 import type LoadSettings from './settings/LoadSettings.js';
 
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+
 interface RunParts {
   readonly settings: LoadSettings;
   readonly run: string;
@@ -77,7 +79,7 @@
  * that cannot be reconciled proves nothing.
  */
 export default function runLoad(settings: LoadSettings, clock: Clock): ResultAsync<LoadReport, ServingError> {
-  const dispatcher = new Agent();
+  const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } });
   const parts = { clock, dispatcher, timeoutMilliseconds: settings.timeoutMilliseconds };
   const run: RunParts = {
     settings,
--- a/packages/standin/src/lib/engine/Engine.ts
+++ b/packages/standin/src/lib/engine/Engine.ts
@@ -1,15 +1,17 @@
 import {
-  type Clock, type EngineOrder, ServingError, type VMReport,
+  type Clock, type EngineOrder, SeededRandom, ServingError, type VMReport,
 } from '@dandelionlane/core';
 import { err, ok, type Result } from 'neverthrow';
 import AnswerFaults from '../vms/AnswerFaults.js';
 import FreezeGate from '../vms/FreezeGate.js';
 import Journal from '../journal/Journal.js';
 import LaggingValue from '../LaggingValue.js';
+import CacheEventFeed from './CacheEventFeed.js';
 import EngineLoad from './EngineLoad.js';
 import type EngineParts from './EngineParts.js';
 import type LoadOrder from './LoadOrder.js';
 import type MemberReport from './MemberReport.js';
+import PrefixCache from './PrefixCache.js';
 import type Refusal from './Refusal.js';
 import type RequestIdentity from './RequestIdentity.js';
 import type RunningRequest from './RunningRequest.js';
@@ -38,6 +40,10 @@
 
   readonly batch: TokenBatch;
 
+  readonly cacheEvents: CacheEventFeed;
+
+  readonly prefixCache: PrefixCache;
+
   readonly #requests: RunningRequests;
 
   readonly #figures: LaggingValue<LoadFigures>;
@@ -48,7 +54,12 @@
     this.parts = parts;
     this.#figures = new LaggingValue(IDLE, parts.common.reportLagMilliseconds, parts.clock);
     this.#requests = new RunningRequests(this.journal, parts.clock, () => this.#noteChange());
-    this.load = new EngineLoad(parts, () => this.#requests.failAll());
+    this.cacheEvents = new CacheEventFeed({
+      lagMilliseconds: parts.common.cacheEventLagMilliseconds,
+      lossRatio: parts.common.cacheEventLossRatio,
+    }, parts.clock, new SeededRandom(parts.common.seed));
+    this.prefixCache = new PrefixCache((event) => this.cacheEvents.add(event));
+    this.load = new EngineLoad(parts, () => this.#loseWork());
     this.batch = new TokenBatch(
       { ...parts.vm.timing, maximumBatch: parts.vm.timing.warmConcurrency },
       parts.clock,
@@ -113,6 +124,12 @@
     };
   }
 
+  /** The cache goes without events, as with a crash. */
+  #loseWork(): void {
+    this.#requests.failAll();
+    this.prefixCache.clear();
+  }
+
   #check(identity: RequestIdentity): Result<LoadOrder, Refusal> {
     const { order, phase, leaving } = this.load;
     if (order === undefined || order.replica !== identity.replica) {
--- a/packages/standin/src/lib/vms/addChatRoute.ts
+++ b/packages/standin/src/lib/vms/addChatRoute.ts
@@ -4,7 +4,6 @@
 import createChatWriter from '../answers/createChatWriter.js';
 import type ChatWriter from '../answers/ChatWriter.js';
 import type Engine from '../engine/Engine.js';
-import type PrefixCache from '../engine/PrefixCache.js';
 import readIdentity from '../engine/readIdentity.js';
 import type RunningRequest from '../engine/RunningRequest.js';
 import answerProblem from '../server/answerProblem.js';
@@ -21,7 +20,7 @@
   readonly running: RunningRequest;
 }
 
-async function generate(engine: Engine, cache: PrefixCache, generation: Generation): Promise<void> {
+async function generate(engine: Engine, generation: Generation): Promise<void> {
   const {
     body, answer, writer, running,
   } = generation;
@@ -32,7 +31,7 @@
   await members.watchWhile(() => engine.batch.generate({
     firstToken: answer.firstToken,
     endToken: answer.endToken,
-    prefillTokens: cache.use(answer.prompt),
+    prefillTokens: engine.prefixCache.use(answer.prompt),
     priority: body.priority,
     signal: running.signal,
     onToken: (position) => writer.token(position, answer.addToken(position, members.isWhole)),
@@ -46,7 +45,7 @@
 }
 
 /** Adds `POST /v1/chat/completions`. */
-export default function addChatRoute(app: ServerApp, engine: Engine, cache: PrefixCache): void {
+export default function addChatRoute(app: ServerApp, engine: Engine): void {
   app.post('/v1/chat/completions', async (context) => {
     const body = await readBody(context, ChatRequest);
     if (body.isErr()) {
@@ -65,7 +64,7 @@
       echoHeaders(identity),
       { stream: body.value.stream, duplicate },
     );
-    await generate(engine, cache, {
+    await generate(engine, {
       body: body.value, answer, writer, running: accepted.value,
     });
     return RESPONSE_ALREADY_SENT;
--- a/packages/standin/src/lib/vms/createVMApp.ts
+++ b/packages/standin/src/lib/vms/createVMApp.ts
@@ -1,9 +1,7 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
-import { EngineOrder, parseWith, SeededRandom } from '@dandelionlane/core';
+import { EngineOrder, parseWith } from '@dandelionlane/core';
 import { z } from 'zod';
-import CacheEventFeed from '../engine/CacheEventFeed.js';
 import type Engine from '../engine/Engine.js';
-import PrefixCache from '../engine/PrefixCache.js';
 import type SlotBook from '../plain/SlotBook.js';
 import answerProblem from '../server/answerProblem.js';
 import createServerApp from '../server/createServerApp.js';
@@ -30,15 +28,9 @@
 }
 
 function addModelRoutes(app: ServerApp, engine: Engine): void {
-  const { common, clock } = engine.parts;
-  const feed = new CacheEventFeed({
-    lagMilliseconds: common.cacheEventLagMilliseconds,
-    lossRatio: common.cacheEventLossRatio,
-  }, clock, new SeededRandom(common.seed));
-  addChatRoute(app, engine, new PrefixCache((event) => feed.add(event)));
-
+  addChatRoute(app, engine);
   app.get('/v1/cache-events', (context) => parseWith(AfterQuery, context.req.query(), 'malformed-request').match(
-    ({ after }) => context.json({ events: feed.after(after) }),
+    ({ after }) => context.json({ events: engine.cacheEvents.after(after) }),
     (error) => answerProblem(context, error),
   ));
 }
--- a/packages/standin/src/test/vms.test.ts
+++ b/packages/standin/src/test/vms.test.ts
@@ -41,6 +41,8 @@
 async function send(address: string, path: string, body?: unknown, headers: Headers = {}) {
   const answer = await request(`http://${address}${path}`, {
     method: body === undefined ? 'GET' : 'POST',
+    // A kept connection may be one that a restart has closed.
+    reset: true,
     headers,
     ...(body === undefined ? {} : { body: JSON.stringify(body) }),
   });
@@ -350,3 +352,17 @@
   expect(JSON.parse((await send(platform.address, '/v1/vms')).text))
     .toMatchObject({ vms: [{ vm: 'vm-0', address: addressOf(handle), state: 'live' }] });
 });
+
+test('restart forgets prefixes and events go on', async () => {
+  const handle = await start({}, ['model'], { cacheEventLagMilliseconds: 0, cacheEventLossRatio: 0 });
+  const chatOnce = async () => {
+    await orderAll(handle, loadOrder(handle, 1));
+    await untilPhase(handle, 'warm');
+    await chat(handle);
+  };
+  await chatOnce();
+  await fault(handle, 0, { kind: 'restart' });
+  await chatOnce();
+  expect(JSON.parse((await send(addressOf(handle), '/v1/cache-events?after=1')).text))
+    .toMatchObject({ events: [{ sequence: 2, kind: 'stored' }] });
+});
