Let load figures follow every step and test the parts of the stand-ins

Outstanding tokens changed only when a request began or ended, so that reports showed old figures far beyond their lag. They now follow every step of the batch.

--- a/packages/standin/src/lib/engine/Engine.ts
+++ b/packages/standin/src/lib/engine/Engine.ts
@@ -63,8 +63,11 @@
     this.batch = new TokenBatch(
       { ...parts.vm.timing, maximumBatch: parts.vm.timing.warmConcurrency },
       parts.clock,
-      () => this.#slowFactor(),
-      () => this.gate.pass(),
+      {
+        slowFactor: () => this.#slowFactor(),
+        passGate: () => this.gate.pass(),
+        onStep: () => this.#noteFigures(),
+      },
     );
   }
 
@@ -172,14 +175,18 @@
   }
 
   #noteChange(): void {
+    this.#noteFigures();
+    if (this.#requests.count === 0) {
+      this.load.becomeIdle();
+    }
+  }
+
+  #noteFigures(): void {
     const waitingRequests = this.batch.waitingCount;
     this.#figures.set({
       runningRequests: this.#requests.count - waitingRequests,
       waitingRequests,
       outstandingTokens: this.batch.outstandingTokens,
     });
-    if (this.#requests.count === 0) {
-      this.load.becomeIdle();
-    }
   }
 }
--- a/packages/standin/src/lib/engine/TokenBatch.ts
+++ b/packages/standin/src/lib/engine/TokenBatch.ts
@@ -14,6 +14,16 @@
   readyAt: number;
 }
 
+/** What a batch asks of its engine. */
+interface BatchSurroundings {
+  /** Factor on all times. */
+  slowFactor(): number;
+  /** Ends when the engine is not frozen. */
+  passGate(): Promise<void>;
+  /** Called after every step. */
+  onStep(): void;
+}
+
 interface BatchTiming {
   readonly maximumBatch: number;
   readonly prefillTokensPerSecond: number;
@@ -30,9 +40,7 @@
 
   readonly #clock: Clock;
 
-  readonly #slowFactor: () => number;
-
-  readonly #passGate: () => Promise<void>;
+  readonly #surroundings: BatchSurroundings;
 
   #batch: BatchEntry[] = [];
 
@@ -40,11 +48,10 @@
 
   #stepping = false;
 
-  constructor(timing: BatchTiming, clock: Clock, slowFactor: () => number, passGate: () => Promise<void>) {
+  constructor(timing: BatchTiming, clock: Clock, surroundings: BatchSurroundings) {
     this.#timing = timing;
     this.#clock = clock;
-    this.#slowFactor = slowFactor;
-    this.#passGate = passGate;
+    this.#surroundings = surroundings;
   }
 
   get waitingCount(): number {
@@ -83,8 +90,9 @@
       this.#admit();
       await sleep(Math.max(SHORTEST_WAIT_MILLISECONDS, this.#stepMilliseconds()));
       const now = this.#clock.monotonicMilliseconds();
-      await this.#passGate();
+      await this.#surroundings.passGate();
       this.#step(steppedAt, now);
+      this.#surroundings.onStep();
       steppedAt = this.#clock.monotonicMilliseconds();
     }
     this.#stepping = false;
@@ -92,7 +100,7 @@
 
   #stepMilliseconds(): number {
     const load = 1 + Math.max(0, this.#batch.length - 1) / this.#timing.maximumBatch;
-    return this.#timing.decodeMillisecondsPerToken * load * this.#slowFactor();
+    return this.#timing.decodeMillisecondsPerToken * load * this.#surroundings.slowFactor();
   }
 
   #admit(): void {
@@ -101,7 +109,7 @@
       const [entry] = this.#waiting.splice(Math.max(0, urgent), 1);
       if (entry !== undefined) {
         const prefill = (entry.request.prefillTokens / this.#timing.prefillTokensPerSecond)
-          * MILLISECONDS_PER_SECOND * this.#slowFactor();
+          * MILLISECONDS_PER_SECOND * this.#surroundings.slowFactor();
         entry.readyAt = this.#clock.monotonicMilliseconds() + prefill;
         this.#batch.push(entry);
       }
--- a/packages/standin/src/test/vms.test.ts
+++ b/packages/standin/src/test/vms.test.ts
@@ -366,3 +366,48 @@
   expect(JSON.parse((await send(addressOf(handle), '/v1/cache-events?after=1')).text))
     .toMatchObject({ events: [{ sequence: 2, kind: 'stored' }] });
 });
+
+test('late answer is whole', async () => {
+  const handle = await warm({}, ['plain']);
+  await fault(handle, 0, { kind: 'late-answer', answers: 1, milliseconds: 30 });
+  const order: string[] = [];
+  const call = async (name: string) => {
+    const { text } = await send(addressOf(handle), `/echo?note=${name}`, undefined, toReplica);
+    order.push(name);
+    return JSON.parse(text) as unknown;
+  };
+  const first = call('first');
+  await untilRuns(handle, 1);
+  expect(await call('second')).toMatchObject({ query: { note: 'second' } });
+  expect(await first).toMatchObject({ query: { note: 'first' } });
+  expect(order).toEqual(['second', 'first']);
+});
+
+test('slow engine still answers whole', async () => {
+  const handle = await warm();
+  await fault(handle, 0, { kind: 'slow', factor: 5, milliseconds: 0 });
+  expect(contentOf(await chat(handle))).toBe(expected);
+});
+
+test('weights that are there are not loaded again', async () => {
+  const handle = await warm({ weightLoadMilliseconds: 300 });
+  await orderAll(handle, { kind: 'unload', fencing: 2, replica: 'r-1' });
+  expect(await report(handle)).toMatchObject({ phase: 'empty', weightsLoaded: false });
+  await orderAll(handle, loadOrder(handle, 3, 'r-2'));
+  expect(await report(handle)).toMatchObject({ replica: 'r-2', weightsLoaded: true });
+});
+
+test('model order is refused by a plain VM', async () => {
+  const handle = await start({}, ['plain']);
+  expect((await send(addressOf(handle), '/v1/orders', loadOrder(handle, 1))).status).toBe(409);
+});
+
+test('report counts outstanding tokens', async () => {
+  const handle = await warm({ decodeMillisecondsPerToken: 20 });
+  const running = chat(handle, { max_tokens: 20 });
+  await expect.poll(async () => (await report(handle)).outstandingTokens, { interval: 2 })
+    .toSatisfy((tokens) => Number(tokens) > 0 && Number(tokens) < 20);
+  expect(await report(handle)).toMatchObject({ runningRequests: 1 });
+  await running;
+  expect(await report(handle)).toMatchObject({ runningRequests: 0, outstandingTokens: 0 });
+});
