Add links between processes that tests can cut

Partitions separate processes that both go on; killing or freezing one of them does not show that. A link is a port that leads to another one and passes on, holds or destroys connections. Faults inside the servers were ruled out, since they cannot tell their clients apart on one address.

--- /dev/null
+++ b/packages/standin/src/test/links.test.ts
@@ -0,0 +1,56 @@
+import {
+  afterEach, beforeEach, expect, test,
+} from 'vitest';
+import { request } from 'undici';
+import {
+  type LinkHandle, type PlatformHandle, startLink, startPlatform,
+} from '../index.js';
+
+let platform: PlatformHandle;
+let link: LinkHandle;
+
+beforeEach(async () => {
+  const started = await startPlatform({}).andThen((handle) => startLink({ target: handle.address })
+    .map((opened) => [handle, opened] as const));
+  [platform, link] = started.match((handles) => handles, (error) => {
+    throw new Error(error.message);
+  });
+});
+
+afterEach(async () => {
+  await link.close();
+  await platform.close();
+});
+
+async function ask(): Promise<number> {
+  const answer = await request(`http://${link.address}/counters`, { reset: true });
+  await answer.body.dump();
+  return answer.statusCode;
+}
+
+test('open link passes on', async () => {
+  expect(await ask()).toBe(200);
+});
+
+test('silent link answers when it opens', async () => {
+  link.setState('silent');
+  const answered: number[] = [];
+  const held = ask().then((status) => answered.push(status));
+  await expect(request(`http://${link.address}/counters`, { signal: AbortSignal.timeout(50) })).rejects.toThrow();
+  expect(answered).toEqual([]);
+  link.setState('open');
+  await held;
+  expect(answered).toEqual([200]);
+});
+
+test('refused link takes no connection until it opens', async () => {
+  link.setState('refused');
+  await expect(ask()).rejects.toThrow();
+  link.setState('open');
+  expect(await ask()).toBe(200);
+});
+
+test('closed target closes the connection', async () => {
+  await platform.close();
+  await expect(ask()).rejects.toThrow();
+});
