Fail a load run in which too few calls were answered

A run against a system that answered nothing passed, since no answer was wrong. The share that must be answered is a setting; at least one must be.

--- a/packages/load/src/lib/runLoad.ts
+++ b/packages/load/src/lib/runLoad.ts
@@ -9,6 +9,7 @@
 import Caller from './callers/Caller.js';
 import type CallerParts from './callers/CallerParts.js';
 import Recorder from './recorder/Recorder.js';
+import checkAnsweredShare from './reconcile/checkAnsweredShare.js';
 import reconcile from './reconcile/reconcile.js';
 import fetchJournals from './reconcile/fetchJournals.js';
 import type LoadReport from './reports/LoadReport.js';
@@ -56,7 +57,10 @@
   after: JournalDocument | undefined,
 ): LoadReport {
   const journals = before === undefined || after === undefined ? undefined : { before, after };
-  const checks = reconcile(recorder.records, journals);
+  const checks = [
+    checkAnsweredShare(recorder.records, settings.minimumAnsweredShare),
+    ...reconcile(recorder.records, journals),
+  ];
   return {
     run,
     startedAt,
--- a/packages/load/src/lib/settings/LoadSettings.ts
+++ b/packages/load/src/lib/settings/LoadSettings.ts
@@ -16,6 +16,8 @@
   journals: z.array(z.string().min(3)).default([]),
   /** Wait before the journals are read, so that runs without a caller can end, in milliseconds. */
   settleMilliseconds: z.number().nonnegative().default(500),
+  /** Share of the calls that must be answered for the run to pass, 0 to 1. */
+  minimumAnsweredShare: z.number().min(0).max(1).default(0),
   traffic: z.array(z.strictObject({
     team: TeamId,
     /** Share of the arrivals, relative to the other weights. */
--- a/packages/load/src/test/runLoad.test.ts
+++ b/packages/load/src/test/runLoad.test.ts
@@ -109,7 +109,7 @@
   const report = await load(await startEntry(targets), [targets.controlAddress]);
   expect(report.checks.filter(({ passed }) => !passed)).toEqual([]);
   expect(report.passed).toBe(true);
-  expect(report.checks).toHaveLength(5);
+  expect(report.checks).toHaveLength(6);
   expect(report.groups.map(({ team }) => team)).toEqual(['large', 'small']);
   expect(report.groups[0]?.firstToken?.count).toBeGreaterThan(0);
   expect(report.groups.reduce((total, { outcomes }) => total + outcomes.answered, 0)).toBe(report.calls);
@@ -127,6 +127,7 @@
   const labels = report.groups.flatMap(({ outcomes }) => Object.entries(outcomes))
     .flatMap(([label, count]) => (count > 0 ? [label] : []));
   expect(new Set(labels)).toEqual(new Set(['unreachable']));
+  expect(report.checks).toMatchObject([{ name: 'calls-answered', passed: false }, { passed: true }]);
 });
 
 test('reports stand alone', async () => {
