--- a/packages/load/src/lib/runLoad.ts
+++ b/packages/load/src/lib/runLoad.ts
@@ -9,12 +9,15 @@
 import Caller from './callers/Caller.js';
 import type CallerParts from './callers/CallerParts.js';
 import Recorder from './recorder/Recorder.js';
+import checkAnsweredShare from './reconcile/checkAnsweredShare.js';
 import reconcile from './reconcile/reconcile.js';
 import fetchJournals from './reconcile/fetchJournals.js';
 import type LoadReport from './reports/LoadReport.js';
 import sendOnTime from './sendOnTime.js';
 import type LoadSettings from './settings/LoadSettings.js';
 
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+
 interface RunParts {
   readonly settings: LoadSettings;
   readonly run: string;
@@ -54,7 +57,10 @@
   after: JournalDocument | undefined,
 ): LoadReport {
   const journals = before === undefined || after === undefined ? undefined : { before, after };
-  const checks = reconcile(recorder.records, journals);
+  const checks = [
+    checkAnsweredShare(recorder.records, settings.minimumAnsweredShare),
+    ...reconcile(recorder.records, journals),
+  ];
   return {
     run,
     startedAt,
@@ -77,7 +83,7 @@
  * that cannot be reconciled proves nothing.
  */
 export default function runLoad(settings: LoadSettings, clock: Clock): ResultAsync<LoadReport, ServingError> {
-  const dispatcher = new Agent();
+  const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } });
   const parts = { clock, dispatcher, timeoutMilliseconds: settings.timeoutMilliseconds };
   const run: RunParts = {
     settings,
