--- a/packages/release/src/test/FaultyStore.ts
+++ b/packages/release/src/test/FaultyStore.ts
@@ -13,7 +13,7 @@
 
 /**
  * A table store that takes one fault from a script for each call. Stale reads come from a
- * copy that receives each transaction when the next one commits.
+ * copy that receives each transaction when the next one that writes commits.
  */
 export default class FaultyStore implements TableStore {
   readonly #current = new MemoryTableStore();
@@ -81,9 +81,15 @@
   async #apply(transaction: TableTransaction): Promise<TransactionOutcome> {
     const outcome = unwrap(await this.#current.commit(transaction));
     if (outcome.kind === 'committed') {
-      await Promise.all(this.#lagged.splice(0).map((earlier) => this.#lagging.commit(earlier)));
-      this.#lagged = [transaction];
+      await this.#bringUpLagging(transaction);
     }
     return outcome;
   }
+
+  /** Transactions without writes keep the row versions of both copies equal. */
+  async #bringUpLagging(transaction: TableTransaction): Promise<void> {
+    const earlier = transaction.writes.length > 0 ? this.#lagged.splice(0) : [];
+    await Promise.all(earlier.map((one) => this.#lagging.commit(one)));
+    this.#lagged.push(transaction);
+  }
 }
