Describe releases for operators and developers, with examples and figures

Needed: how to publish, race, take out and bring back, what to do while the store is down or a region is cut off; every field of a release note; why releases work as they do and what they cost.

--- a/packages/release/src/test/parse.test.ts
+++ b/packages/release/src/test/parse.test.ts
@@ -1,7 +1,10 @@
-import { EMPTY_RELEASE_STATE, ReleaseState } from '@dandelionlane/core';
+import { readFile } from 'node:fs/promises';
+import {
+  CallPattern, EMPTY_RELEASE_STATE, ReleaseNote, ReleaseState, ServiceDefinition, ServiceLimits,
+} from '@dandelionlane/core';
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import { parseReleaseNote, parseReleaseNoteDraft } from '../index.js';
+import { parseReleaseNote, parseReleaseNoteDraft, validateChange } from '../index.js';
 import anyChange from './anyChange.js';
 import refusalOf from './refusalOf.js';
 import unwrap from './unwrap.js';
@@ -40,3 +43,18 @@
     }
   }), { seed: 6, numRuns: 500 });
 });
+
+test.each(['engraving', 'permits'])('example: %s', async (name) => {
+  const text = await readFile(new URL(`../../../../examples/${name}.jsonc`, import.meta.url), 'utf8');
+  const draft = unwrap(parseReleaseNoteDraft(text, `${name}.jsonc`));
+  const change = { kind: 'note', note: { ...draft, writtenAgainst: EMPTY_RELEASE_STATE.sequence } } as const;
+  expect(unwrap(validateChange(EMPTY_RELEASE_STATE, change))).toBe(change);
+  expect(draft.add).toHaveLength(3);
+});
+
+test('the page on release notes names every field', async () => {
+  const page = await readFile(new URL('../../../../docs/release-notes.md', import.meta.url), 'utf8');
+  const fields = [ReleaseNote, ...ServiceDefinition.options, ServiceLimits, CallPattern]
+    .flatMap(({ shape }) => Object.keys(shape));
+  expect(fields.filter((field) => !page.includes(`| \`${field}\` |`))).toEqual([]);
+});
