--- a/packages/release/src/bench/measureRelease.ts
+++ b/packages/release/src/bench/measureRelease.ts
@@ -11,6 +11,7 @@
 import {
   applyRecord, diffReleaseNote, parseReleaseNote, validateChange,
 } from '../index.js';
+import splitState from '../lib/splitState.js';
 
 const SERVICE_COUNTS = [1_000, 2_000, 4_000] as const;
 const SERVICES_PER_NOTE = 10;
@@ -82,7 +83,10 @@
 
 function measureState(state: ReleaseState): Measures {
   const text = JSON.stringify(state);
+  const parts = splitState(state).map((part) => JSON.stringify(part).length);
   return {
+    'parts of a snapshot': parts.length,
+    'largest part, kB of JSON': Math.max(...parts) / BYTES_PER_KILOBYTE,
     'state, kB of JSON': text.length / BYTES_PER_KILOBYTE,
     'write the state, ms': time(() => JSON.stringify(state)),
     'read and check the state, ms': time(() => ReleaseState.parse(JSON.parse(text))),
--- a/packages/release/src/lib/compactReleaseLog.ts
+++ b/packages/release/src/lib/compactReleaseLog.ts
@@ -1,42 +1,74 @@
 import {
-  ReleaseSequence, type ReleaseState, type ServingError, type TableStore, type TableTransaction,
+  ReleaseSequence, type ReleaseState, type ServingError, type TableRowKey, type TableStore,
+  type TableTransaction,
 } from '@dandelionlane/core';
 import { okAsync, type ResultAsync } from 'neverthrow';
 import changeRow from './changeRow.js';
+import findOldParts from './findOldParts.js';
 import readSnapshot from './readSnapshot.js';
+import type ReleaseSnapshot from './ReleaseSnapshot.js';
 import SNAPSHOT_ROW from './SNAPSHOT_ROW.js';
 import type StoredSnapshot from './StoredSnapshot.js';
+import writeSnapshotParts from './writeSnapshotParts.js';
 
 /** Records kept before the snapshot, for readers and publishers a little behind. */
 const KEPT_RECORDS = 256;
 
-/** Keeps the transaction within the 1,000 rows that the table service takes. */
-const MAXIMUM_DELETIONS = 900;
+/** Together, they keep the transaction within the 1,000 rows that the table service takes. */
+const MAXIMUM_RECORD_DELETIONS = 600;
+const MAXIMUM_PART_DELETIONS = 300;
 
 /** Lowest sequence whose row stays. Rows before it go, in order, a bounded number at a time. */
-function chooseFirstChange(snapshot: StoredSnapshot, state: ReleaseState): ReleaseSequence {
+function chooseFirstChange(previous: StoredSnapshot, state: ReleaseState): ReleaseSequence {
   const wanted = state.sequence - KEPT_RECORDS + 1;
-  const reachable = snapshot.firstChange + MAXIMUM_DELETIONS;
-  return ReleaseSequence.parse(Math.max(snapshot.firstChange, Math.min(wanted, reachable)));
+  const reachable = previous.firstChange + MAXIMUM_RECORD_DELETIONS;
+  return ReleaseSequence.parse(Math.max(previous.firstChange, Math.min(wanted, reachable)));
 }
 
-function buildTransaction(snapshot: StoredSnapshot, state: ReleaseState): TableTransaction {
-  const firstChange = chooseFirstChange(snapshot, state);
-  const deletions = Array.from(
-    { length: firstChange - snapshot.firstChange },
-    (_, index) => ({ ...changeRow(snapshot.firstChange + index), value: null }),
+function buildSnapshot(previous: StoredSnapshot, state: ReleaseState, parts: number): ReleaseSnapshot {
+  const {
+    sequence, teamWeights, availabilityZonesOut, vmsOut,
+  } = state;
+  const firstChange = chooseFirstChange(previous, state);
+  return {
+    sequence, teamWeights, availabilityZonesOut, vmsOut, parts, firstChange,
+  };
+}
+
+/** Puts the snapshot in place of the previous one and deletes what it makes needless. */
+function buildTransaction(
+  previous: StoredSnapshot,
+  snapshot: ReleaseSnapshot,
+  oldParts: readonly TableRowKey[],
+): TableTransaction {
+  const oldRecords = Array.from(
+    { length: snapshot.firstChange - previous.firstChange },
+    (_, index) => changeRow(previous.firstChange + index),
   );
+  const deletions = [...oldRecords, ...oldParts.slice(0, MAXIMUM_PART_DELETIONS)];
   return {
-    conditions: [{ ...SNAPSHOT_ROW, version: snapshot.version }],
-    writes: [{ ...SNAPSHOT_ROW, value: { state, firstChange } }, ...deletions],
+    conditions: [{ ...SNAPSHOT_ROW, version: previous.version }],
+    writes: [{ ...SNAPSHOT_ROW, value: snapshot }, ...deletions.map((key) => ({ ...key, value: null }))],
   };
 }
 
+function replaceSnapshot(
+  store: TableStore,
+  previous: StoredSnapshot,
+  state: ReleaseState,
+): ResultAsync<boolean, ServingError> {
+  return writeSnapshotParts(store, state)
+    .andThen((parts) => findOldParts(store, state.sequence).andThen((oldParts) => (
+      store.commit(buildTransaction(previous, buildSnapshot(previous, state, parts), oldParts))
+    )))
+    .map(({ kind }) => kind === 'committed');
+}
+
 /**
- * Writes an accepted state as the snapshot and deletes the records well before it, in
- * one transaction: there is never a gap that the snapshot does not cover. The answer
- * says whether this call wrote; it does not where a newer snapshot stands already or
- * another process wrote at the same time.
+ * Writes an accepted state as the snapshot and deletes the records well before it. The
+ * snapshot row changes in the transaction that deletes: there is never a gap that the
+ * snapshot does not cover. The answer says whether this call wrote; it does not where a
+ * newer snapshot stands already or another process wrote at the same time.
  *
  * Whoever publishes a multiple of `SNAPSHOT_INTERVAL` calls this. A call that fails is
  * made up for by the next one.
@@ -45,9 +77,7 @@
   store: TableStore,
   state: ReleaseState,
 ): ResultAsync<boolean, ServingError> {
-  return readSnapshot(store).andThen((snapshot) => (
-    snapshot.state.sequence >= state.sequence
-      ? okAsync(false)
-      : store.commit(buildTransaction(snapshot, state)).map(({ kind }) => kind === 'committed')
+  return readSnapshot(store).andThen((previous) => (
+    previous.sequence >= state.sequence ? okAsync(false) : replaceSnapshot(store, previous, state)
   ));
 }
--- a/packages/release/src/lib/followLog.ts
+++ b/packages/release/src/lib/followLog.ts
@@ -5,7 +5,7 @@
 import type LoadedRelease from './LoadedRelease.js';
 import readHead from './readHead.js';
 import readRecords from './readRecords.js';
-import readSnapshot from './readSnapshot.js';
+import readSnapshotState from './readSnapshotState.js';
 import type ReleaseHead from './ReleaseHead.js';
 import SNAPSHOT_INTERVAL from './SNAPSHOT_INTERVAL.js';
 
@@ -20,8 +20,8 @@
 
 /** Goes on from the snapshot if that is newer than the loaded state. */
 function addSnapshot(store: TableStore, loaded: LoadedRelease): ResultAsync<LoadedRelease, ServingError> {
-  return readSnapshot(store).andThen((snapshot) => {
-    const state = chooseNewerState(loaded.state, snapshot.state);
+  return readSnapshotState(store).andThen((snapshot) => {
+    const state = chooseNewerState(loaded.state, snapshot);
     return state === loaded.state
       ? okAsync(loaded)
       : addRecords(store, { ...loaded, state, isFromSnapshot: true });
--- a/packages/release/src/lib/readRecords.ts
+++ b/packages/release/src/lib/readRecords.ts
@@ -1,22 +1,7 @@
-import {
-  parseWith, ReleaseRecord, type ServingError, type TableRow, type TableStore,
-} from '@dandelionlane/core';
-import { okAsync, Result, type ResultAsync } from 'neverthrow';
+import { ReleaseRecord, type ServingError, type TableStore } from '@dandelionlane/core';
+import type { ResultAsync } from 'neverthrow';
 import changeRow from './changeRow.js';
-
-const ROWS_PER_READ = 100;
-
-/** Rows before the first absent one. */
-function takePresent(rows: readonly TableRow[]): readonly TableRow[] {
-  const absent = rows.findIndex(({ value }) => value === null);
-  return absent < 0 ? rows : rows.slice(0, absent);
-}
-
-function parseRecords(rows: readonly TableRow[]): Result<readonly ReleaseRecord[], ServingError> {
-  return Result.combine(
-    takePresent(rows).map(({ value }) => parseWith(ReleaseRecord, value, 'platform-answer-invalid')),
-  );
-}
+import readRowsInTurn from './readRowsInTurn.js';
 
 /**
  * Reads the records after one sequence up to another, in order, and ends before the
@@ -27,14 +12,7 @@
   after: number,
   last: number,
 ): ResultAsync<readonly ReleaseRecord[], ServingError> {
-  const count = Math.min(last - after, ROWS_PER_READ);
-  if (count <= 0) {
-    return okAsync([]);
-  }
-  const keys = Array.from({ length: count }, (_, index) => changeRow(after + index + 1));
-  return store.read(keys).andThen(parseRecords).andThen((records) => (
-    records.length < count
-      ? okAsync(records)
-      : readRecords(store, after + count, last).map((rest) => [...records, ...rest])
-  ));
+  const length = Math.max(0, last - after);
+  const keys = Array.from({ length }, (_, index) => changeRow(after + index + 1));
+  return readRowsInTurn(store, keys, ReleaseRecord);
 }
--- /dev/null
+++ b/packages/release/src/lib/readRowsInTurn.ts
@@ -0,0 +1,34 @@
+import {
+  parseWith, type ServingError, type TableRow, type TableRowKey, type TableStore,
+} from '@dandelionlane/core';
+import { okAsync, Result, type ResultAsync } from 'neverthrow';
+import type { ZodType } from 'zod';
+
+const ROWS_PER_READ = 100;
+
+/** Rows before the first absent one. */
+function takePresent(rows: readonly TableRow[]): readonly TableRow[] {
+  const absent = rows.findIndex(({ value }) => value === null);
+  return absent < 0 ? rows : rows.slice(0, absent);
+}
+
+/** Reads rows in the order of the keys and ends before the first that is absent. */
+export default function readRowsInTurn<Value>(
+  store: TableStore,
+  keys: readonly TableRowKey[],
+  schema: ZodType<Value>,
+): ResultAsync<readonly Value[], ServingError> {
+  if (keys.length === 0) {
+    return okAsync([]);
+  }
+  const batch = keys.slice(0, ROWS_PER_READ);
+  return store.read(batch)
+    .andThen((rows) => Result.combine(
+      takePresent(rows).map(({ value }) => parseWith(schema, value, 'platform-answer-invalid')),
+    ))
+    .andThen((values) => (
+      values.length < batch.length
+        ? okAsync(values)
+        : readRowsInTurn(store, keys.slice(ROWS_PER_READ), schema).map((rest) => [...values, ...rest])
+    ));
+}
--- a/packages/release/src/lib/readSnapshot.ts
+++ b/packages/release/src/lib/readSnapshot.ts
@@ -9,10 +9,15 @@
 
 /** What an absent row stands for: the empty log, with every change kept. */
 const EMPTY_SNAPSHOT: ReleaseSnapshot = {
-  state: EMPTY_RELEASE_STATE, firstChange: ReleaseSequence.parse(1),
+  sequence: EMPTY_RELEASE_STATE.sequence,
+  teamWeights: [],
+  availabilityZonesOut: [],
+  vmsOut: [],
+  parts: 0,
+  firstChange: ReleaseSequence.parse(1),
 };
 
-/** Reads the snapshot row. */
+/** Reads the snapshot row, without its parts. */
 export default function readSnapshot(store: TableStore): ResultAsync<StoredSnapshot, ServingError> {
   return store.read([SNAPSHOT_ROW]).andThen(([row]) => (
     parseWith(ReleaseSnapshot, row?.value ?? EMPTY_SNAPSHOT, 'platform-answer-invalid')
--- a/packages/release/src/test/publish.test.ts
+++ b/packages/release/src/test/publish.test.ts
@@ -1,5 +1,6 @@
 import {
-  EMPTY_RELEASE_STATE, MemoryTableStore, type ReleaseChange, ReleaseSequence, ReleaseState, SeededRandom,
+  EMPTY_RELEASE_STATE, MemoryTableStore, OutOfService, type ReleaseChange, ReleaseSequence, SeededRandom,
+  TABLE_NAMES,
 } from '@dandelionlane/core';
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
@@ -18,6 +19,8 @@
 import refusalOf from './refusalOf.js';
 import unwrap from './unwrap.js';
 
+const takeOut: ReleaseChange = { kind: 'take-out', subject: OutOfService.parse({ kind: 'vm', vm: 'vm-1' }) };
+
 const addProofs = buildNote({ add: [buildService('proofs')] });
 
 /** Lets other publishers go first, for a random number of turns. */
@@ -101,17 +104,38 @@
   expect(unwrap(await compactReleaseLog(store, middle))).toBe(false);
 });
 
-test('a snapshot that failed is made up for', async () => {
+test('a snapshot without its parts is no snapshot', async () => {
+  const store = new MemoryTableStore();
+  const first = unwrap(await publishChange(buildDependencies(store, 'first'), EMPTY_RELEASE_STATE, addProofs));
+  const start = unwrap(await loadReleaseState(store, EMPTY_RELEASE_STATE));
+  const head = await publishMany(store, 2 * SNAPSHOT_INTERVAL, start);
+  const parts = unwrap(await store.scan(TABLE_NAMES.releases, 'snapshot/'));
+  expect([first, parts.length]).toEqual([1, 1]);
+  const writes = parts.map(({ table, key }) => ({ table, key, value: null }));
+  unwrap(await store.commit({ conditions: [], writes }));
+  expect(refusalOf(await loadReleaseState(store, EMPTY_RELEASE_STATE))).toBe('store-unavailable: the release log could not be read');
+  expect(unwrap(await loadReleaseState(store, start))).toBe(start);
+  expect(unwrap(await publishChange(buildDependencies(store, 'last'), head, takeOut))).toBe(head.sequence + 1);
+});
+
+test.each([['first part', 0], ['second part', 1], ['snapshot row', 2]])('a snapshot that failed at the %s is made up for', async (_, failure) => {
   const store = new FaultyStore();
+  const services = Array.from({ length: 201 }, (__, index) => buildService(`service-${index + 100}`));
   const dependencies = buildDependencies(store);
-  const change: ReleaseChange = { kind: 'take-out', subject: { kind: 'vm', vm: 'vm-1' as never } };
-  for (let sequence = 1; sequence <= 2 * SNAPSHOT_INTERVAL; sequence += 1) {
-    store.faults = sequence === SNAPSHOT_INTERVAL ? ['none', 'none', 'none', 'none', 'lost-before'] : [];
-    const state = ReleaseState.parse({ ...EMPTY_RELEASE_STATE, sequence: sequence - 1 });
-    expect(unwrap(await publishChange(dependencies, state, change))).toBe(sequence);
+  unwrap(await publishChange(dependencies, EMPTY_RELEASE_STATE, buildNote({ add: services })));
+  let state = unwrap(await loadReleaseState(store, EMPTY_RELEASE_STATE));
+  for (let sequence = 2; sequence <= 2 * SNAPSHOT_INTERVAL; sequence += 1) {
+    // Reads of the head, commit, read of the snapshot; then the parts and the snapshot row.
+    const faults = Array.from({ length: 3 + failure }, () => 'none' as const);
+    store.faults = sequence === SNAPSHOT_INTERVAL ? [...faults, 'lost-before'] : [];
+    expect(unwrap(await publishChange(dependencies, state, takeOut))).toBe(sequence);
+    store.faults = [];
+    state = unwrap(await loadReleaseState(store, state));
+    expect(unwrap(await loadReleaseState(store, EMPTY_RELEASE_STATE))).toEqual(state);
   }
   expect((await readLog(store))[0]?.sequence).toBe(SNAPSHOT_INTERVAL + 1);
-  expect(unwrap(await loadReleaseState(store, EMPTY_RELEASE_STATE)).vmsOut).toEqual(['vm-1']);
+  const parts = unwrap(await store.scan(TABLE_NAMES.releases, 'snapshot/'));
+  expect(parts.map(({ key }) => key)).toEqual(['snapshot/000000000512/000000', 'snapshot/000000000512/000001']);
 });
 
 test('racing publishers with faults: accepted changes form a serial order', async () => {
