Plan by need, repair with survivors and drain without gaps

Cause: the first planner knew no repair, no surge, no spread and no limit on the weight store; a lost VM meant a whole new replica. Ruled out: a planner with memory of its own. Durations in the input suffice for hysteresis, and a takeover then needs no state. Change: views of VMs, replicas and services; repairs, placements, moves, drains, stops and removals as stages over one draft.

--- a/packages/placement/src/lib/DrainReason.ts
+++ b/packages/placement/src/lib/DrainReason.ts
@@ -4,8 +4,7 @@
   | 'vm-leaving'
   | 'withdrawn'
   | 'version-change'
-  | 'scale-down'
-  | 'spread'
+  | 'surplus'
   | 'replica-lost'
   | 'make-room';
 
--- /dev/null
+++ b/packages/placement/src/lib/FreePool.ts
@@ -0,0 +1,90 @@
+import type { AvailabilityZoneId, FabricDomainId } from '@dandelionlane/core';
+import compareText from './compareText.js';
+import type DomainPool from './DomainPool.js';
+import type FleetView from './FleetView.js';
+import fitsShape from './fitsShape.js';
+import hasWeights from './hasWeights.js';
+import type ReplicaShape from './ReplicaShape.js';
+import type VMObservation from './VMObservation.js';
+
+/**
+ * The VMs that a plan may still give away, by fabric domain. It only shrinks while a
+ * plan is made, so that a shape that once found no room finds none later in the plan.
+ */
+export default class FreePool {
+  readonly #domains = new Map<FabricDomainId, DomainPool>();
+
+  readonly #zoneSizes = new Map<AvailabilityZoneId, number>();
+
+  readonly #fullShapes = new Set<string>();
+
+  constructor(vms: readonly VMObservation[], fleet: FleetView) {
+    for (const vm of vms) {
+      if (fleet.isFree(vm)) this.#add(vm);
+    }
+  }
+
+  #add(vm: VMObservation): void {
+    const { availabilityZone, fabricDomain } = vm.record;
+    const domain = this.#domains.get(fabricDomain) ?? { availabilityZone, fabricDomain, free: [] };
+    domain.free.push(vm);
+    this.#domains.set(fabricDomain, domain);
+    this.#zoneSizes.set(availabilityZone, this.freeInZone(availabilityZone) + 1);
+  }
+
+  freeInZone(availabilityZone: AvailabilityZoneId): number {
+    return this.#zoneSizes.get(availabilityZone) ?? 0;
+  }
+
+  /** The free VMs of one domain that fit, best first. */
+  fitting(fabricDomain: FabricDomainId, shape: ReplicaShape): VMObservation[] {
+    const free = this.#domains.get(fabricDomain)?.free ?? [];
+    return free
+      .filter((vm) => fitsShape(vm, shape))
+      .sort((left, right) => FreePool.#compare(left, right, shape));
+  }
+
+  /** The domains with room for a whole replica. */
+  domainsWithRoom(shape: ReplicaShape): DomainPool[] {
+    const key = `${shape.kind} ${shape.vmsPerReplica} ${shape.acceleratorsPerVM}`;
+    if (this.#fullShapes.has(key)) return [];
+    const domains = [...this.#domains.values()].filter((domain) => FreePool.#hasRoom(domain, shape));
+    if (domains.length === 0) this.#fullShapes.add(key);
+    return domains;
+  }
+
+  take(vms: readonly VMObservation[]): void {
+    for (const vm of vms) {
+      const { availabilityZone, fabricDomain } = vm.record;
+      const free = this.#domains.get(fabricDomain)?.free ?? [];
+      const index = free.indexOf(vm);
+      if (index >= 0) {
+        free.splice(index, 1);
+        this.#zoneSizes.set(availabilityZone, this.freeInZone(availabilityZone) - 1);
+      }
+    }
+  }
+
+  static #hasRoom({ free }: DomainPool, shape: ReplicaShape): boolean {
+    if (free.length < shape.vmsPerReplica) return false;
+    let missing = shape.vmsPerReplica;
+    for (const vm of free) {
+      if (fitsShape(vm, shape)) missing -= 1;
+      if (missing === 0) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Weights at hand first, then the fewest accelerators. A smaller fencing number means
+   * that the last order to the VM is older, so that a late one is less likely.
+   */
+  static #compare(left: VMObservation, right: VMObservation, shape: ReplicaShape): number {
+    const leftWeights = hasWeights(left, shape.service, shape.version) ? 0 : 1;
+    const rightWeights = hasWeights(right, shape.service, shape.version) ? 0 : 1;
+    return leftWeights - rightWeights
+      || left.record.accelerators - right.record.accelerators
+      || (left.report?.fencing ?? 0) - (right.report?.fencing ?? 0)
+      || compareText(left.record.vm, right.record.vm);
+  }
+}
--- /dev/null
+++ b/packages/placement/src/lib/LoadBudget.ts
@@ -0,0 +1,46 @@
+import type FleetView from './FleetView.js';
+import hasWeights from './hasWeights.js';
+import type ServiceView from './ServiceView.js';
+
+/** Limits how many VMs take weights from the rate-limited weight store at one time. */
+export default class LoadBudget {
+  readonly #limit: number;
+
+  #used = 0;
+
+  #isClosed = false;
+
+  constructor(services: readonly ServiceView[], fleet: FleetView) {
+    this.#limit = fleet.limits.concurrentLoads;
+    for (const view of services) {
+      if (view.definition?.kind === 'model') this.#addLoading(view, fleet);
+    }
+  }
+
+  #addLoading(view: ServiceView, fleet: FleetView): void {
+    for (const { replica } of view.loading) {
+      for (const { vm } of replica.members) {
+        const observation = fleet.observation(vm);
+        const isLoaded = observation !== undefined
+          && hasWeights(observation, replica.service, replica.version);
+        if (!isLoaded) this.#used += 1;
+      }
+    }
+  }
+
+  /** Whether loads may start. A group larger than the limit may load alone. */
+  allows(loads: number, share = 1): boolean {
+    if (loads === 0) return true;
+    if (this.#isClosed) return false;
+    return this.#used === 0 || this.#used + loads <= this.#limit * share;
+  }
+
+  /** Keeps later loads of the plan back, so that a large group that waits is not overtaken for ever. */
+  close(): void {
+    this.#isClosed = true;
+  }
+
+  use(loads: number): void {
+    this.#used += loads;
+  }
+}
--- /dev/null
+++ b/packages/placement/src/lib/PlanContext.ts
@@ -0,0 +1,16 @@
+import type FleetView from './FleetView.js';
+import type FreePool from './FreePool.js';
+import type LoadBudget from './LoadBudget.js';
+import type PlanDraft from './PlanDraft.js';
+import type ServiceView from './ServiceView.js';
+
+/** What the stages of one plan share. The pool, the budget and the draft change as stages run. */
+export default interface PlanContext {
+  readonly fleet: FleetView;
+  readonly services: readonly ServiceView[];
+  readonly pool: FreePool;
+  readonly budget: LoadBudget;
+  readonly draft: PlanDraft;
+  /** Largest number of VMs that a replica of any wanted model spans. */
+  readonly largestGroup: number;
+}
--- /dev/null
+++ b/packages/placement/src/lib/addReplica.ts
@@ -0,0 +1,41 @@
+import type AdditionOutcome from './AdditionOutcome.js';
+import placeReasonOf from './placeReasonOf.js';
+import type PlanContext from './PlanContext.js';
+import type ServiceNeed from './ServiceNeed.js';
+import tryPlace from './tryPlace.js';
+import tryRebuild from './tryRebuild.js';
+
+function tryRepairs(need: ServiceNeed, context: PlanContext): AdditionOutcome {
+  while (need.repairable.length > 0) {
+    const [view] = need.repairable;
+    const outcome = view === undefined ? 'no-room' : tryRebuild(view, need, context);
+    if (outcome !== 'no-budget') need.repairable.shift();
+    if (outcome !== 'no-room') return outcome;
+  }
+  return 'no-room';
+}
+
+/** Where no room is left for a surge, a drained replica's own VMs take the new version. */
+function tryReuse(need: ServiceNeed, context: PlanContext): AdditionOutcome {
+  const { limits } = context.fleet;
+  for (const view of need.view.draining) {
+    const isReusable = view.isOutdated && view.isIdle
+      && view.stateMilliseconds >= limits.drainNoticeMilliseconds
+      && !context.draft.hasChanged(view.replica.replica);
+    const outcome = isReusable ? tryRebuild(view, need, context) : 'no-room';
+    if (outcome !== 'no-room') return outcome;
+  }
+  return 'no-room';
+}
+
+/**
+ * Adds one replica to a service in the cheapest way that works: repair, which loads
+ * few weights; a new replica; and last the VMs of a drained one.
+ */
+export default function addReplica(need: ServiceNeed, context: PlanContext): AdditionOutcome {
+  const repair = tryRepairs(need, context);
+  if (repair !== 'no-room') return repair;
+  const placement = tryPlace(need.shape, need.spread, placeReasonOf(need.view), context);
+  if (placement !== 'no-room') return placement;
+  return tryReuse(need, context);
+}
--- /dev/null
+++ b/packages/placement/src/lib/chooseDomain.ts
@@ -0,0 +1,65 @@
+import compareText from './compareText.js';
+import type DomainPool from './DomainPool.js';
+import type FreePool from './FreePool.js';
+import type ReplicaShape from './ReplicaShape.js';
+import type SpreadCount from './SpreadCount.js';
+
+/** Places for groups of the largest size that the domain loses beyond the one that is used itself. */
+function countBrokenSlots(free: number, groupSize: number, largestGroup: number): number {
+  const before = Math.floor(free / largestGroup);
+  const after = Math.floor((free - groupSize) / largestGroup);
+  return before - after - (groupSize === largestGroup ? 1 : 0);
+}
+
+/**
+ * Key of a domain; the smallest is best. Spread over availability zones bounds the
+ * loss with a zone. Then no large slot is broken for a small group, the emptier zone is
+ * taken, a domain of groups keeps a spare VM for repair, and the tightest domain wins.
+ */
+function rate(
+  domain: DomainPool,
+  shape: ReplicaShape,
+  spread: SpreadCount,
+  pool: FreePool,
+  largestGroup: number,
+): readonly number[] {
+  const free = domain.free.length;
+  const leftover = free - shape.vmsPerReplica;
+  return [
+    spread.inZone(domain.availabilityZone),
+    countBrokenSlots(free, shape.vmsPerReplica, largestGroup),
+    -pool.freeInZone(domain.availabilityZone),
+    shape.vmsPerReplica > 1 && leftover === 0 ? 1 : 0,
+    spread.inDomain(domain.fabricDomain),
+    leftover,
+  ];
+}
+
+function compareRatings(left: readonly number[], right: readonly number[]): number {
+  for (let index = 0; index < left.length; index += 1) {
+    const difference = (left[index] ?? 0) - (right[index] ?? 0);
+    if (difference !== 0) return difference;
+  }
+  return 0;
+}
+
+/** Chooses the fabric domain for a new replica, or null when no domain has room. */
+export default function chooseDomain(
+  pool: FreePool,
+  shape: ReplicaShape,
+  spread: SpreadCount,
+  largestGroup: number,
+): DomainPool | null {
+  let best: DomainPool | null = null;
+  let bestRating: readonly number[] = [];
+  for (const domain of pool.domainsWithRoom(shape)) {
+    const rating = rate(domain, shape, spread, pool, largestGroup);
+    const order = best === null ? -1 : compareRatings(rating, bestRating)
+      || compareText(domain.fabricDomain, best.fabricDomain);
+    if (order < 0) {
+      best = domain;
+      bestRating = rating;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/placement/src/lib/chooseRebuild.ts
@@ -0,0 +1,66 @@
+import type { ServiceId, VMId } from '@dandelionlane/core';
+import type FleetView from './FleetView.js';
+import fitsShape from './fitsShape.js';
+import type FreePool from './FreePool.js';
+import hasWeights from './hasWeights.js';
+import type ReplicaShape from './ReplicaShape.js';
+import type ReplicaView from './ReplicaView.js';
+import type VMObservation from './VMObservation.js';
+
+/** Members of a rebuilt replica. */
+interface Rebuild {
+  readonly members: readonly VMId[];
+  /** Members that come from the free pool. */
+  readonly spares: readonly VMObservation[];
+  /** Number of members that have to take weights from the store. */
+  readonly loads: number;
+}
+
+/** Members that stay: in service, fitting, and known to be alive. Index by position. */
+function findStaying(
+  view: ReplicaView,
+  shape: ReplicaShape,
+  fleet: FleetView,
+): readonly (VMObservation | null)[] {
+  return view.replica.members.map(({ vm }, index) => {
+    const condition = view.conditions[index];
+    const observation = fleet.observation(vm);
+    if (observation === undefined || (condition !== 'holding' && condition !== 'empty')) return null;
+    const isUsable = (condition === 'holding' || observation.report?.phase === 'empty')
+      && fleet.outReason(observation) === null
+      && (observation.unlistedMilliseconds ?? 0) === 0
+      && fitsShape(observation, shape);
+    return isUsable ? observation : null;
+  });
+}
+
+function countLoads(members: readonly VMObservation[], service: ServiceId, version: string): number {
+  return members.filter((vm) => !hasWeights(vm, service, version)).length;
+}
+
+/**
+ * Fills the places of missing members with free VMs of the same fabric domain. Null
+ * when there are too few, when nothing would be reused, or while a member's silence
+ * is too short to tell whether it is lost.
+ */
+export default function chooseRebuild(
+  view: ReplicaView,
+  shape: ReplicaShape,
+  pool: FreePool,
+  fleet: FleetView,
+): Rebuild | null {
+  if (view.conditions.includes('silent')) return null;
+  if (view.replica.members.length !== shape.vmsPerReplica) return null;
+  const staying = findStaying(view, shape, fleet);
+  const missing = staying.filter((vm) => vm === null).length;
+  if (missing === staying.length) return null;
+  const spares = missing === 0 ? [] : pool.fitting(view.fabricDomain, shape).slice(0, missing);
+  if (spares.length < missing) return null;
+  const unused = [...spares];
+  const members = staying.map((vm) => vm ?? unused.shift()).filter((vm) => vm !== undefined);
+  return {
+    members: members.map((vm) => vm.record.vm),
+    spares,
+    loads: shape.kind === 'plain' ? 0 : countLoads(members, shape.service, shape.version),
+  };
+}
--- /dev/null
+++ b/packages/placement/src/lib/createReplicaView.ts
@@ -0,0 +1,81 @@
+import type { Replica, ReplicaState, ServiceDefinition } from '@dandelionlane/core';
+import type DrainReason from './DrainReason.js';
+import type FleetView from './FleetView.js';
+import type MemberCondition from './MemberCondition.js';
+import type ReplicaObservation from './ReplicaObservation.js';
+import type ReplicaView from './ReplicaView.js';
+
+function findOutReason(replica: Replica, fleet: FleetView): DrainReason | null {
+  for (const { vm } of replica.members) {
+    const observation = fleet.observation(vm);
+    const reason = observation === undefined ? null : fleet.outReason(observation);
+    if (reason !== null) return reason;
+  }
+  return null;
+}
+
+function isOutdated(replica: Replica, definition: ServiceDefinition | null, fleet: FleetView): boolean {
+  if (definition === null) return true;
+  if (definition.version !== replica.version) return true;
+  if (definition.vmsPerReplica !== replica.members.length) return true;
+  return replica.members.some(({ vm }) => {
+    const accelerators = fleet.observation(vm)?.record.accelerators;
+    return accelerators !== undefined && accelerators < definition.acceleratorsPerVM;
+  });
+}
+
+/** A member of a loading replica may not have taken its order yet, so only its loss counts. */
+function isMissing(condition: MemberCondition, state: ReplicaState): boolean {
+  switch (condition) {
+    case 'holding':
+    case 'silent':
+      return false;
+    case 'lost':
+    case 'gone':
+      return true;
+    case 'empty':
+    case 'astray':
+      return state !== 'loading';
+    default:
+      return condition satisfies never;
+  }
+}
+
+/** Judges one replica. */
+export default function createReplicaView(
+  { replica, stateMilliseconds }: ReplicaObservation,
+  definition: ServiceDefinition | null,
+  fleet: FleetView,
+): ReplicaView {
+  const conditions = replica.members.map(({ vm }) => fleet.condition(vm, replica.replica));
+  const phases = replica.members.map(({ vm }, index) => (
+    conditions[index] === 'holding' ? fleet.observation(vm)?.report?.phase : undefined));
+  const isRunning = replica.members.some(({ vm }, index) => {
+    const report = fleet.observation(vm)?.report;
+    switch (conditions[index]) {
+      case 'holding':
+        return report === undefined || report === null
+          || report.runningRequests > 0 || report.waitingRequests > 0;
+      case 'silent':
+      case 'lost':
+        return true;
+      default:
+        return false;
+    }
+  });
+  const [{ availabilityZone, fabricDomain }] = replica.members as [Replica['members'][number]];
+  return {
+    replica,
+    stateMilliseconds,
+    availabilityZone,
+    fabricDomain,
+    conditions,
+    outReason: findOutReason(replica, fleet),
+    isOutdated: isOutdated(replica, definition, fleet),
+    isBroken: conditions.some((condition) => isMissing(condition, replica.state)),
+    isReady: phases.every((phase) => phase === 'cold' || phase === 'warm'),
+    isWarm: phases.every((phase) => phase === 'warm')
+      || stateMilliseconds >= fleet.limits.warmUpMilliseconds,
+    isIdle: !isRunning,
+  };
+}
--- /dev/null
+++ b/packages/placement/src/lib/hasWeights.ts
@@ -0,0 +1,11 @@
+import type { ServiceId } from '@dandelionlane/core';
+import type VMObservation from './VMObservation.js';
+
+/** Whether the VM already holds the weights of a version, so that it need not use the weight store. */
+export default function hasWeights(vm: VMObservation, service: ServiceId, version: string): boolean {
+  const { report } = vm;
+  return report !== null
+    && report.service === service
+    && report.version === version
+    && report.phase !== 'loading';
+}
--- /dev/null
+++ b/packages/placement/src/lib/planMoves.ts
@@ -0,0 +1,42 @@
+import chooseDomain from './chooseDomain.js';
+import countByZone from './countByZone.js';
+import type PlanContext from './PlanContext.js';
+import type ServiceView from './ServiceView.js';
+import shapeOf from './shapeOf.js';
+import SpreadCount from './SpreadCount.js';
+import tryPlace from './tryPlace.js';
+
+/** Difference between the fullest zone and the target below which a move gains nothing. */
+const MINIMUM_GAIN = 2;
+
+/** Only a service at rest moves: each replica has served for long, and nothing else is under way. */
+function isSettled(view: ServiceView, settledMilliseconds: number): boolean {
+  const others = [view.loading, view.outdated, view.broken, view.unwanted, view.draining];
+  return view.serving.length === view.wanted
+    && others.every(({ length }) => length === 0)
+    && view.serving.every(({ stateMilliseconds }) => stateMilliseconds >= settledMilliseconds);
+}
+
+function planMove(view: ServiceView, context: PlanContext): boolean {
+  const { fleet, pool, budget } = context;
+  if (view.definition === null || !isSettled(view, fleet.limits.settledMilliseconds)) return false;
+  const shape = shapeOf(view.definition);
+  const counts = countByZone(view.serving);
+  const fullest = Math.max(0, ...counts.values());
+  if (fullest < MINIMUM_GAIN || !budget.allows(shape.vmsPerReplica, fleet.limits.moveLoadShare)) return false;
+  const spread = new SpreadCount();
+  for (const { availabilityZone, fabricDomain } of view.serving) spread.add(availabilityZone, fabricDomain);
+  const domain = chooseDomain(pool, shape, spread, context.largestGroup);
+  if (domain === null || fullest - spread.inZone(domain.availabilityZone) < MINIMUM_GAIN) return false;
+  return tryPlace(shape, spread, 'spread', context) === 'added';
+}
+
+/**
+ * Starts at most one move per plan that evens out a service over availability zones. The
+ * new replica serves before the surplus one drains.
+ */
+export default function planMoves(context: PlanContext): void {
+  for (const view of context.services) {
+    if (planMove(view, context)) return;
+  }
+}
--- /dev/null
+++ b/packages/placement/src/lib/planRemovals.ts
@@ -0,0 +1,47 @@
+import type { VMId } from '@dandelionlane/core';
+import type FleetView from './FleetView.js';
+import type MemberCondition from './MemberCondition.js';
+import type PlanContext from './PlanContext.js';
+import type ReplicaView from './ReplicaView.js';
+import type ServiceView from './ServiceView.js';
+
+/** Whether the VM's engine is known to run the replica no more. */
+function isKnownStopped(condition: MemberCondition | undefined): boolean {
+  switch (condition) {
+    case 'gone':
+    case 'empty':
+    case 'astray':
+      return true;
+    default:
+      return false;
+  }
+}
+
+/** Engines that ignore fencing may still take a former holder's last order, so they wait longer. */
+function waitMilliseconds(service: ServiceView, fleet: FleetView): number {
+  return service.definition?.targetsCheckFencing === true ? 0 : fleet.limits.orderExpiryMilliseconds;
+}
+
+function planRemoval(view: ReplicaView, context: PlanContext): void {
+  const { replica, members } = view.replica;
+  const stopped: VMId[] = members
+    .filter((_, index) => isKnownStopped(view.conditions[index]))
+    .map(({ vm }) => vm);
+  if (stopped.length === members.length) {
+    context.draft.add({ kind: 'remove', replica, reason: 'members-stopped' });
+  } else if (stopped.length > 0) {
+    context.draft.add({
+      kind: 'free', replica, members: stopped, reason: 'members-stopped',
+    });
+  }
+}
+
+/** Frees the VMs of stopping replicas, each only when its engine is known to have stopped. */
+export default function planRemovals(context: PlanContext): void {
+  for (const service of context.services) {
+    const wait = waitMilliseconds(service, context.fleet);
+    for (const view of service.stopping) {
+      if (view.stateMilliseconds >= wait) planRemoval(view, context);
+    }
+  }
+}
--- /dev/null
+++ b/packages/placement/src/lib/planServes.ts
@@ -0,0 +1,10 @@
+import type PlanContext from './PlanContext.js';
+
+/** Lets loading replicas serve once every member reports that it can. */
+export default function planServes({ services, draft }: PlanContext): void {
+  for (const service of services) {
+    for (const { replica, isReady } of service.loading) {
+      if (isReady) draft.add({ kind: 'serve', replica: replica.replica, reason: 'members-ready' });
+    }
+  }
+}
--- /dev/null
+++ b/packages/placement/src/lib/planStops.ts
@@ -0,0 +1,54 @@
+import chooseForRemoval from './chooseForRemoval.js';
+import countByZone from './countByZone.js';
+import type FleetView from './FleetView.js';
+import type PlanContext from './PlanContext.js';
+import type ReplicaView from './ReplicaView.js';
+import type ServiceView from './ServiceView.js';
+import type StopReason from './StopReason.js';
+
+function stop(view: ReplicaView, reason: StopReason, { draft }: PlanContext): void {
+  const { replica, state } = view.replica;
+  if ((state !== 'loading' && state !== 'draining') || draft.hasChanged(replica)) return;
+  draft.add({ kind: 'stop', replica, reason });
+}
+
+/** A whole replica drains for as long as it runs requests; one with members missing has a limit. */
+function drainedReason(view: ReplicaView, { limits }: FleetView): StopReason | null {
+  if (view.stateMilliseconds < limits.drainNoticeMilliseconds) return null;
+  if (view.isIdle) return 'drained';
+  const isWhole = view.conditions.every((condition) => condition === 'holding');
+  return !isWhole && view.stateMilliseconds >= limits.lostDrainMilliseconds ? 'drain-limit' : null;
+}
+
+function unwantedReason(view: ReplicaView, { limits }: FleetView): StopReason {
+  if (view.outReason !== null) return 'out-of-service';
+  return view.stateMilliseconds >= limits.loadLimitMilliseconds ? 'load-limit' : 'not-wanted';
+}
+
+/** Whether the one loading replica beyond the wanted number evens out the zones. */
+function isMove(view: ServiceView): boolean {
+  const [mover] = view.loading;
+  if (mover === undefined || view.loading.length > 1 || view.serving.length !== view.wanted) return false;
+  const counts = countByZone([...view.serving, mover]);
+  const target = counts.get(mover.availabilityZone) ?? 0;
+  return Math.max(...counts.values()) > target;
+}
+
+function stopSurplus(service: ServiceView, context: PlanContext): void {
+  const surplus = service.serving.length + service.loading.length - service.wanted;
+  if (surplus <= 0 || isMove(service)) return;
+  for (const view of chooseForRemoval(service.loading, surplus)) stop(view, 'not-wanted', context);
+}
+
+/** Decides which replicas unload. */
+export default function planStops(context: PlanContext): void {
+  for (const service of context.services) {
+    for (const view of service.draining) {
+      const reason = drainedReason(view, context.fleet);
+      if (reason !== null) stop(view, reason, context);
+    }
+    for (const view of service.unwanted) stop(view, unwantedReason(view, context.fleet), context);
+    for (const view of service.broken) stop(view, 'member-lost', context);
+    stopSurplus(service, context);
+  }
+}
--- /dev/null
+++ b/packages/placement/src/lib/shapeOf.ts
@@ -0,0 +1,13 @@
+import type { ServiceDefinition } from '@dandelionlane/core';
+import type ReplicaShape from './ReplicaShape.js';
+
+/** What a replica of the service needs of its VMs. */
+export default function shapeOf(definition: ServiceDefinition): ReplicaShape {
+  return {
+    kind: definition.kind,
+    service: definition.service,
+    version: definition.version,
+    vmsPerReplica: definition.vmsPerReplica,
+    acceleratorsPerVM: definition.acceleratorsPerVM,
+  };
+}
--- /dev/null
+++ b/packages/placement/src/lib/tryPlace.ts
@@ -0,0 +1,36 @@
+import type AdditionOutcome from './AdditionOutcome.js';
+import chooseDomain from './chooseDomain.js';
+import hasWeights from './hasWeights.js';
+import type PlaceReason from './PlaceReason.js';
+import type PlanContext from './PlanContext.js';
+import type ReplicaShape from './ReplicaShape.js';
+import type SpreadCount from './SpreadCount.js';
+
+/** Places one new replica on free VMs. */
+export default function tryPlace(
+  shape: ReplicaShape,
+  spread: SpreadCount,
+  reason: PlaceReason,
+  {
+    pool, budget, draft, largestGroup,
+  }: PlanContext,
+): AdditionOutcome {
+  const domain = chooseDomain(pool, shape, spread, largestGroup);
+  if (domain === null) return 'no-room';
+  const members = pool.fitting(domain.fabricDomain, shape).slice(0, shape.vmsPerReplica);
+  const loads = shape.kind === 'plain'
+    ? 0
+    : members.filter((vm) => !hasWeights(vm, shape.service, shape.version)).length;
+  if (!budget.allows(loads)) return 'no-budget';
+  budget.use(loads);
+  pool.take(members);
+  spread.add(domain.availabilityZone, domain.fabricDomain);
+  draft.add({
+    kind: 'place',
+    service: shape.service,
+    version: shape.version,
+    members: members.map((vm) => vm.record.vm),
+    reason,
+  });
+  return 'added';
+}
--- /dev/null
+++ b/packages/placement/src/test/planPlacement.test.ts
@@ -0,0 +1,196 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { type PlacementCommand, planPlacement } from '../index.js';
+import applyEvent from './applyEvent.js';
+import checkPlan from './checkPlan.js';
+import createRelease from './createRelease.js';
+import FakeFleet from './FakeFleet.js';
+import type FleetEvent from './FleetEvent.js';
+import SMALL_FLEET from './SMALL_FLEET.js';
+
+const SEED = 20_261_203;
+const RUNS = 150;
+const STEP_MILLISECONDS = 1_000;
+const SETTLE_SECONDS = 600;
+const SERVICES = [
+  { name: 'letters', replicas: 2, vms: 2 },
+  { name: 'permits', replicas: 2, vms: 4 },
+  { name: 'records', replicas: 2 },
+];
+
+/** Plans and steps once a second; returns the commands of all plans. */
+function run(fleet: FakeFleet, seconds: number): PlacementCommand[] {
+  const issued: PlacementCommand[] = [];
+  for (let second = 0; second < seconds; second += 1) {
+    fleet.step(STEP_MILLISECONDS);
+    const input = fleet.observe();
+    const commands = planPlacement(input);
+    checkPlan(input, commands);
+    fleet.apply(commands);
+    issued.push(...commands);
+  }
+  return issued;
+}
+
+function createSettledFleet(services = SERVICES): FakeFleet {
+  const fleet = new FakeFleet(SMALL_FLEET, createRelease(services));
+  run(fleet, SETTLE_SECONDS);
+  return fleet;
+}
+
+function countServing(fleet: FakeFleet, service: string, version = 'one'): number {
+  return [...fleet.rows.replicas.values()].filter(({ replica }) => replica.service === service
+    && replica.version === version
+    && replica.state === 'serving'
+    && fleet.isWhole(replica)).length;
+}
+
+/** Services with too few replicas although a fabric domain has the free VMs for one. */
+function findUnmet(fleet: FakeFleet): string[] {
+  const { release, vms } = fleet.observe();
+  const free = vms.filter(({ record, report, unreachableMilliseconds }) => report?.phase === 'empty'
+    && record.state === 'live' && unreachableMilliseconds === 0 && !fleet.rows.allocations.has(record.vm)
+    && !release.vmsOut.includes(record.vm)
+    && !release.availabilityZonesOut.includes(record.availabilityZone));
+  return release.services.map(({ definition }) => definition).filter((definition) => {
+    const fitting = free.filter(({ record }) => (record.accelerators > 0) === (definition.kind === 'model'));
+    const domains = fitting.map(({ record }) => record.fabricDomain);
+    const hasRoom = domains.some((domain) => domains.filter((other) => other === domain).length
+      >= definition.vmsPerReplica);
+    return hasRoom && countServing(fleet, definition.service, definition.version) < definition.replicas;
+  }).map(({ service }) => service);
+}
+
+const pick = fc.nat(1_000);
+const seconds = fc.integer({ min: 1, max: 90 });
+const anyEvent: fc.Arbitrary<FleetEvent> = fc.oneof(
+  fc.record({ kind: fc.constant('wait' as const), seconds }),
+  fc.record({
+    kind: fc.constantFrom('crash' as const, 'silence' as const, 'domain-crash' as const), pick, seconds,
+  }),
+  fc.record({ kind: fc.constant('unlist' as const), pick, seconds: fc.integer({ min: 1, max: 25 }) }),
+  fc.record({
+    kind: fc.constantFrom(
+      'lose' as const,
+      'leave' as const,
+      'stray' as const,
+      'zone-out' as const,
+      'zone-in' as const,
+      'vm-out' as const,
+      'withdraw' as const,
+    ),
+    pick,
+  }),
+  fc.record({ kind: fc.constant('scale' as const), pick, replicas: fc.nat(4) }),
+  fc.record({ kind: fc.constant('version' as const), pick, version: fc.constantFrom('one', 'two', 'three') }),
+);
+const anyHistory = fc.array(fc.tuple(fc.nat(60), anyEvent), { maxLength: 14 });
+
+function replay(fleet: FakeFleet, history: readonly (readonly [number, FleetEvent])[]): void {
+  for (const [pause, event] of history) {
+    run(fleet, pause);
+    applyEvent(fleet, event);
+    run(fleet, event.kind === 'wait' ? event.seconds : 1);
+  }
+}
+
+function sortCommands(commands: readonly PlacementCommand[]): string[] {
+  return commands.map((command) => JSON.stringify(command)).sort();
+}
+
+const options = { seed: SEED, numRuns: RUNS };
+
+test('rules hold in every history', () => {
+  fc.assert(fc.property(anyHistory, (history) => {
+    replay(createSettledFleet(), history);
+  }), options);
+});
+
+test('a plan is a function of its input', () => {
+  fc.assert(fc.property(anyHistory, (history) => {
+    const fleet = createSettledFleet();
+    replay(fleet, history);
+    fleet.step(STEP_MILLISECONDS);
+    const input = fleet.observe();
+    const reversed = {
+      ...input,
+      vms: [...input.vms].reverse(),
+      replicas: [...input.replicas].reverse(),
+      allocations: [...input.allocations].reverse(),
+    };
+    expect(planPlacement(input)).toEqual(planPlacement(input));
+    expect(sortCommands(planPlacement(reversed))).toEqual(sortCommands(planPlacement(input)));
+  }), options);
+});
+
+test('converges and stays', () => {
+  fc.assert(fc.property(anyHistory, (history) => {
+    const fleet = createSettledFleet();
+    replay(fleet, history);
+    run(fleet, 3 * SETTLE_SECONDS);
+    expect(run(fleet, SETTLE_SECONDS)).toEqual([]);
+    expect(findUnmet(fleet)).toEqual([]);
+  }), options);
+});
+
+test('short silences and late lists cause nothing', () => {
+  const short = fc.record({
+    kind: fc.constant('silence' as const), pick, seconds: fc.integer({ min: 1, max: 9 }),
+  });
+  const late = fc.record({
+    kind: fc.constant('unlist' as const), pick, seconds: fc.integer({ min: 1, max: 29 }),
+  });
+  const history = fc.array(fc.tuple(fc.nat(40), fc.oneof(short, late)), { maxLength: 14 });
+  fc.assert(fc.property(history, (events) => {
+    const fleet = createSettledFleet();
+    run(fleet, SETTLE_SECONDS);
+    const before = [...fleet.rows.replicas.keys()];
+    replay(fleet, events);
+    expect([...fleet.rows.replicas.keys()]).toEqual(before);
+    expect(run(fleet, 60)).toEqual([]);
+  }), options);
+});
+
+test('a zone that is out stops serving at once', () => {
+  fc.assert(fc.property(anyHistory, pick, (history, zone) => {
+    const fleet = createSettledFleet();
+    replay(fleet, history);
+    applyEvent(fleet, { kind: 'zone-out', pick: zone });
+    run(fleet, 1);
+    const out = fleet.release.availabilityZonesOut;
+    const inZone = [...fleet.rows.replicas.values()].filter(({ replica }) => replica.state === 'serving'
+      && replica.members.some((member) => out.includes(member.availabilityZone)));
+    expect(inZone).toEqual([]);
+  }), options);
+});
+
+test('a new version serves before the old one drains', () => {
+  const fleet = createSettledFleet([{ name: 'letters', replicas: 3, vms: 2 }]);
+  applyEvent(fleet, { kind: 'version', pick: 0, version: 'two' });
+  for (let second = 0; second < SETTLE_SECONDS; second += 1) {
+    run(fleet, 1);
+    expect(countServing(fleet, 'letters') + countServing(fleet, 'letters', 'two')).toBeGreaterThanOrEqual(3);
+  }
+  expect(countServing(fleet, 'letters', 'two')).toBe(3);
+});
+
+test('a full fleet changes version in place', () => {
+  const fleet = createSettledFleet([{ name: 'letters', replicas: 6, vms: 5 }]);
+  applyEvent(fleet, { kind: 'version', pick: 0, version: 'two' });
+  const reasons = new Set(run(fleet, SETTLE_SECONDS).map(({ reason }) => reason));
+  expect(countServing(fleet, 'letters', 'two')).toBe(6);
+  expect(reasons).toContain('make-room');
+});
+
+test('a lost VM is replaced alone', () => {
+  const fleet = createSettledFleet([{ name: 'permits', replicas: 3, vms: 4 }]);
+  const [row] = fleet.rows.replicas.values();
+  const [first, ...others] = row?.replica.members ?? [];
+  if (first !== undefined) fleet.vm(first.vm).crash(fleet.now, Infinity);
+  const rebuilds = run(fleet, 120).filter(({ kind }) => kind === 'rebuild' || kind === 'place');
+  expect(rebuilds).toMatchObject([{ kind: 'rebuild', reason: 'member-lost' }]);
+  const [rebuild] = rebuilds;
+  const members = rebuild?.kind === 'rebuild' ? rebuild.members : [];
+  expect(members).toEqual(expect.arrayContaining(others.map(({ vm }) => vm)));
+  expect(countServing(fleet, 'permits')).toBe(3);
+});
