--- a/packages/routing/src/test/choice.test.ts
+++ b/packages/routing/src/test/choice.test.ts
@@ -1,11 +1,161 @@
-import { SeededRandom } from '@dandelionlane/core';
+import {
+  AvailabilityZoneId, ReplicaId, SeededRandom, type Replica,
+} from '@dandelionlane/core';
+import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import { chooseTarget } from '../index.js';
+import {
+  assessAnswer, assessReplica, chooseTarget, mergeSighting,
+  type LoadEstimate, type RequestView, type TargetView, type VMSighting,
+} from '../index.js';
+import makeReplica from './makeReplica.js';
+import makeReport from './makeReport.js';
 
-test('no candidates gives none', () => {
-  const request = {
-    availabilityZone: 'zone-a' as never, prefixHash: null, estimatedTokens: 1, tried: [], mayProbe: false,
+const SEED = 20_261_203;
+const NOW = 10_000;
+const FRESHNESS_MILLISECONDS = 3_000;
+const ZONES = ['zone-a', 'zone-b'].map((zone) => AvailabilityZoneId.parse(zone));
+
+const load: fc.Arbitrary<LoadEstimate> = fc.record({
+  reportedTokens: fc.nat({ max: 5_000 }),
+  reportAgeMilliseconds: fc.nat({ max: 3_000 }),
+  ownTokensSinceReport: fc.nat({ max: 2_000 }),
+  ownTokensInFlight: fc.nat({ max: 4_000 }),
+});
+
+/** The first value mostly, so that wholes are common among the many ways to be not whole. */
+function oftenOf<Value>(usual: Value, ...others: Value[]): fc.Arbitrary<Value> {
+  return fc.oneof({ weight: 12, arbitrary: fc.constant(usual) }, fc.constantFrom(...others));
+}
+
+/** A replica and what was seen of its two VMs: often all is well, often something is not. */
+const seenReplica = fc.record({
+  state: fc.constantFrom('serving', 'serving', 'serving', 'draining', 'loading'),
+  members: fc.array(fc.record({
+    isSeen: oftenOf(true, false),
+    age: oftenOf(0, 2_999, 3_000, 9_000),
+    phase: oftenOf('warm', 'cold', 'loading', 'stopping', 'empty'),
+    isOnReplica: oftenOf(true, false),
+    leaving: oftenOf(false, true),
+    version: oftenOf('v1', null, 'v0'),
+  }), { minLength: 2, maxLength: 2 }),
+  available: fc.constantFrom(0, 1, 5),
+  isTried: fc.constantFrom(false, false, false, true),
+  load,
+  cachedPrefixTokens: fc.constantFrom(0, 0, 400),
+  zone: fc.constantFrom(...ZONES),
+  health: fc.constantFrom('admitted' as const, 'admitted' as const, 'ejected' as const, 'probe' as const),
+});
+type SeenReplica = typeof seenReplica extends fc.Arbitrary<infer Value> ? Value : never;
+
+function recordsOf(seen: SeenReplica, index: number): { replica: Replica; sightings: VMSighting[] } {
+  const names = [`vm-${index}-0`, `vm-${index}-1`];
+  const replica = makeReplica(names, { replica: `replica-${index}`, state: seen.state });
+  const sightings = seen.members.flatMap((member, position) => (member.isSeen ? [{
+    report: makeReport({
+      vm: names[position],
+      phase: member.phase,
+      replica: member.isOnReplica ? replica.replica : null,
+      leaving: member.leaving,
+      version: member.version,
+    }),
+    seenAtMilliseconds: NOW - member.age,
+  }] : []));
+  return { replica, sightings };
+}
+
+function viewOf(seen: SeenReplica, index: number): TargetView {
+  const { replica, sightings } = recordsOf(seen, index);
+  return {
+    ...seen,
+    replica: replica.replica,
+    availabilityZone: seen.zone,
+    assessment: assessReplica(replica, sightings, NOW, FRESHNESS_MILLISECONDS),
+    slowness: 1,
   };
-  expect(chooseTarget(request, [], new SeededRandom(1)))
-    .toEqual({ kind: 'none', reason: 'no-whole-replica' });
+}
+
+/** Written from the promise alone: every VM of a serving replica is there and ready. */
+function isWholeNaively(seen: SeenReplica): boolean {
+  const faulty = seen.members.filter((member) => !member.isSeen || member.age >= 3_000
+    || !['warm', 'cold'].includes(member.phase) || !member.isOnReplica || member.leaving
+    || member.version === 'v0');
+  return seen.state === 'serving' && faulty.length === 0;
+}
+
+function requestOf(fields: Partial<RequestView> = {}): RequestView {
+  return {
+    availabilityZone: ZONES[0] ?? AvailabilityZoneId.parse('zone-a'),
+    prefixHash: null,
+    estimatedTokens: 100,
+    tried: [],
+    mayProbe: false,
+    ...fields,
+  };
+}
+
+test('chosen replica is whole, open and untried', () => {
+  const kinds = new Set<string>();
+  fc.assert(fc.property(
+    fc.array(seenReplica, { maxLength: 8, size: 'max' }),
+    fc.option(fc.nat()),
+    fc.boolean(),
+    (seen, prefixHash, mayProbe) => {
+      const tried = seen.flatMap(({ isTried }, index) => (isTried ? [ReplicaId.parse(`replica-${index}`)] : []));
+      const request = requestOf({ prefixHash, tried, mayProbe });
+      const choice = chooseTarget(request, seen.map(viewOf), new SeededRandom(1));
+      kinds.add(`${choice.kind} ${choice.reason}`);
+      const whole = seen.filter((each) => isWholeNaively(each) && !each.isTried);
+      const open = whole.filter(({ available }) => available > 0);
+      if (choice.kind === 'none') {
+        expect(open).toEqual([]);
+        expect(choice.reason).toBe(whole.length > 0 ? 'all-full' : 'no-whole-replica');
+        return;
+      }
+      const chosen = seen[Number(choice.replica.slice('replica-'.length))];
+      expect(open).toContain(chosen);
+      const isAdmittedOpen = open.some(({ health }) => health === 'admitted');
+      expect(chosen?.health === 'admitted' || choice.reason === 'probe' || !isAdmittedOpen).toBe(true);
+    },
+  ), { seed: SEED, numRuns: 5_000 });
+  expect(kinds.size).toBe(8);
+});
+
+test('without prefix and zones the least loaded is chosen', () => {
+  fc.assert(fc.property(fc.array(load, { minLength: 1, maxLength: 8 }), (loads) => {
+    const views = loads.map((each, index): TargetView => ({
+      replica: ReplicaId.parse(`replica-${index}`),
+      availabilityZone: requestOf().availabilityZone,
+      assessment: {
+        kind: 'whole', phase: 'warm', members: [], seenAtMilliseconds: 0, freshUntilMilliseconds: Infinity,
+      },
+      available: 1,
+      load: each,
+      cachedPrefixTokens: 0,
+      health: 'admitted',
+      slowness: 1,
+    }));
+    const naive = loads.map((each) => Math.max(
+      each.reportedTokens * Math.exp((-Math.LN2 * each.reportAgeMilliseconds) / 4_000)
+        + each.ownTokensSinceReport,
+      each.ownTokensInFlight,
+    ));
+    const choice = chooseTarget(requestOf(), views, new SeededRandom(1));
+    const index = choice.kind === 'chosen' ? Number(choice.replica.slice('replica-'.length)) : NaN;
+    expect(naive[index]).toBeCloseTo(Math.min(...naive), 6);
+  }), { seed: SEED, numRuns: 2_000 });
+});
+
+test('answer survives leaving but no restart', () => {
+  const replica = makeReplica(['vm-1'], { state: 'draining' });
+  const first = mergeSighting(undefined, makeReport({ sequence: 5 }), NOW);
+  const sentTo = [{ vm: first.report.vm, incarnation: first.report.incarnation }];
+  const leaving = mergeSighting(first, makeReport({ sequence: 6, leaving: true, phase: 'stopping' }), NOW);
+  const restarted = mergeSighting(leaving, makeReport({ sequence: 1, incarnation: 2 }), NOW);
+  const assess = (sighting: VMSighting): unknown => (
+    assessAnswer(replica, [sighting], NOW, FRESHNESS_MILLISECONDS, sentTo)
+  );
+  expect(assess(leaving)).toEqual({ kind: 'valid' });
+  expect(assess(restarted)).toMatchObject({ kind: 'invalid', reason: 'incarnation-changed' });
+  // A late report of the former process does not undo the restart.
+  expect(mergeSighting(restarted, makeReport({ sequence: 7 }), NOW)).toBe(restarted);
 });
