--- /dev/null
+++ b/packages/routing/src/experiments/Distribution.ts
@@ -0,0 +1,25 @@
+/** Collects numbers and gives their quantiles. */
+export default class Distribution {
+  #numbers: number[] = [];
+
+  #isSorted = true;
+
+  get count(): number {
+    return this.#numbers.length;
+  }
+
+  add(number: number): void {
+    this.#numbers.push(number);
+    this.#isSorted = false;
+  }
+
+  /** The quantile, rounded to a tenth; NaN of no numbers. */
+  quantile(share: number): number {
+    if (!this.#isSorted) {
+      this.#numbers.sort((left, right) => left - right);
+      this.#isSorted = true;
+    }
+    const index = Math.min(this.#numbers.length - 1, Math.floor(share * this.#numbers.length));
+    return Math.round((this.#numbers[index] ?? NaN) * 10) / 10;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/experiments/NaivePolicy.ts
@@ -0,0 +1,34 @@
+import type { RandomSource } from '@dandelionlane/core';
+import type ChoicePolicy from './ChoicePolicy.js';
+
+/* eslint-disable class-methods-use-this -- takes no notice of what happens */
+/** Round robin or random choice, the baselines. */
+export default class NaivePolicy implements ChoicePolicy {
+  #engines: number;
+
+  #random: RandomSource | null;
+
+  #next = 0;
+
+  /** Round robin without a random source. */
+  constructor(engines: number, random: RandomSource | null) {
+    this.#engines = engines;
+    this.#random = random;
+  }
+
+  choose(): number {
+    if (this.#random !== null) {
+      return Math.floor(this.#random.next() * this.#engines);
+    }
+    this.#next = (this.#next + 1) % this.#engines;
+    return this.#next;
+  }
+
+  dispatched(): void {}
+
+  ended(): void {}
+
+  report(): void {}
+
+  cached(): void {}
+}
--- /dev/null
+++ b/packages/routing/src/experiments/RoutingPolicy.ts
@@ -0,0 +1,146 @@
+import {
+  AvailabilityZoneId, ReplicaId, RequestId, type RandomSource,
+} from '@dandelionlane/core';
+import {
+  chooseTarget, LatencyTracker, OwnWork, type TargetView,
+} from '../index.js';
+import type ChoicePolicy from './ChoicePolicy.js';
+import type { Work } from './drawWork.js';
+import type FakeEngine from './FakeEngine.js';
+import type Simulation from './Simulation.js';
+
+const MEAN_OUTPUT_TOKENS = 150;
+const PROMPT_TOKEN_WEIGHT = 0.1;
+const REFRESH_MILLISECONDS = 1_000;
+
+/** Parts of the policy that a run may leave out, to see what each is worth. */
+export interface RoutingPolicyOptions {
+  readonly hasAffinity: boolean;
+  readonly hasOwnWork: boolean;
+  readonly hasEjection: boolean;
+}
+
+/** What the entry knows of one engine. */
+interface EngineView {
+  readonly replica: ReplicaId;
+  readonly availabilityZone: AvailabilityZoneId;
+  readonly ownWork: OwnWork;
+  readonly hints: Set<number>;
+  reportedTokens: number;
+  seenAtMilliseconds: number;
+}
+
+/** The package's choice of target, with reports and cache events as one entry sees them. */
+export default class RoutingPolicy implements ChoicePolicy {
+  #simulation: Simulation;
+
+  #random: RandomSource;
+
+  #zone: AvailabilityZoneId;
+
+  #options: RoutingPolicyOptions;
+
+  #views: EngineView[];
+
+  #latencies = new LatencyTracker();
+
+  #probes = new Set<string>();
+
+  #lastProbe: ReplicaId | null = null;
+
+  constructor(
+    simulation: Simulation,
+    random: RandomSource,
+    zones: readonly string[],
+    zone: string,
+    options: RoutingPolicyOptions,
+  ) {
+    this.#simulation = simulation;
+    this.#random = random;
+    this.#zone = AvailabilityZoneId.parse(zone);
+    this.#options = options;
+    this.#views = zones.map((engineZone, index) => ({
+      replica: ReplicaId.parse(`replica-${index}`),
+      availabilityZone: AvailabilityZoneId.parse(engineZone),
+      ownWork: new OwnWork(),
+      hints: new Set(),
+      reportedTokens: 0,
+      seenAtMilliseconds: 0,
+    }));
+    simulation.every(REFRESH_MILLISECONDS, REFRESH_MILLISECONDS, () => {
+      this.#latencies.refresh(this.#views.map(({ replica }) => replica), simulation.now);
+    });
+  }
+
+  choose(work: Work): number {
+    const candidates = this.#views.map((view) => this.#targetOf(view, work));
+    const choice = chooseTarget({
+      availabilityZone: this.#zone,
+      prefixHash: this.#options.hasAffinity ? work.prefix : null,
+      estimatedTokens: RoutingPolicy.#estimate(work),
+      tried: [],
+      mayProbe: true,
+    }, candidates, this.#random);
+    if (choice.kind === 'none') {
+      throw new Error('an engine is always whole here');
+    }
+    this.#lastProbe = choice.reason === 'probe' ? choice.replica : null;
+    return this.#views.findIndex(({ replica }) => replica === choice.replica);
+  }
+
+  dispatched(engine: number, id: string, work: Work): void {
+    const { now } = this.#simulation;
+    const view = this.#views[engine];
+    view?.ownWork.dispatched(RequestId.parse(id), RoutingPolicy.#estimate(work), now);
+    if (view !== undefined && this.#lastProbe === view.replica) {
+      this.#probes.add(id);
+      this.#latencies.probeSent(view.replica, now);
+    }
+  }
+
+  ended(engine: number, id: string, gapMilliseconds: number | null): void {
+    const view = this.#views[engine];
+    if (view === undefined) {
+      return;
+    }
+    view.ownWork.finished(RequestId.parse(id));
+    if (this.#probes.delete(id)) {
+      this.#latencies.probeEnded(view.replica, gapMilliseconds, this.#simulation.now);
+    } else if (gapMilliseconds !== null && this.#options.hasEjection) {
+      this.#latencies.record(view.replica, gapMilliseconds);
+    }
+  }
+
+  report(engine: number, report: ReturnType<FakeEngine['report']>): void {
+    const view = this.#views[engine];
+    if (view !== undefined) {
+      view.reportedTokens = report.outstandingTokens;
+      view.seenAtMilliseconds = this.#simulation.now;
+    }
+  }
+
+  cached(engine: number, prefix: number): void {
+    this.#views[engine]?.hints.add(prefix);
+  }
+
+  static #estimate(work: Work): number {
+    return MEAN_OUTPUT_TOKENS + PROMPT_TOKEN_WEIGHT * (work.prefixTokens + work.suffixTokens);
+  }
+
+  #targetOf(view: EngineView, work: Work): TargetView {
+    const { now } = this.#simulation;
+    const load = view.ownWork.estimate(view.reportedTokens, view.seenAtMilliseconds, now);
+    return {
+      replica: view.replica,
+      availabilityZone: view.availabilityZone,
+      assessment: {
+        kind: 'whole', phase: 'warm', members: [], seenAtMilliseconds: now, freshUntilMilliseconds: Infinity,
+      },
+      available: 1,
+      load: this.#options.hasOwnWork ? load : { ...load, ownTokensInFlight: 0, ownTokensSinceReport: 0 },
+      cachedPrefixTokens: view.hints.has(work.prefix) ? work.prefixTokens : 0,
+      health: this.#latencies.healthOf(view.replica, now),
+      slowness: this.#latencies.slownessOf(view.replica),
+    };
+  }
+}
--- /dev/null
+++ b/packages/routing/src/experiments/drawWork.ts
@@ -0,0 +1,33 @@
+import type { RandomSource } from '@dandelionlane/core';
+
+const PREFIXES = 48;
+const PREFIX_TOKENS = 1_500;
+const MEAN_SUFFIX_TOKENS = 200;
+const MEDIAN_OUTPUT_TOKENS = 110;
+const OUTPUT_SPREAD = 0.8;
+const MAXIMUM_OUTPUT_TOKENS = 800;
+
+/** Sizes of one request. */
+export interface Work {
+  readonly prefix: number;
+  readonly prefixTokens: number;
+  readonly suffixTokens: number;
+  readonly outputTokens: number;
+}
+
+/** A normally distributed number (Box-Muller). */
+function drawNormal(random: RandomSource): number {
+  return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
+}
+
+/** Draws a request: a shared prefix with few popular ones, exponential suffix, log-normal output. */
+export default function drawWork(random: RandomSource): Work {
+  const prefix = Math.floor(PREFIXES ** random.next());
+  const output = MEDIAN_OUTPUT_TOKENS * Math.exp(OUTPUT_SPREAD * drawNormal(random));
+  return {
+    prefix,
+    prefixTokens: PREFIX_TOKENS,
+    suffixTokens: Math.ceil(-Math.log(1 - random.next()) * MEAN_SUFFIX_TOKENS),
+    outputTokens: Math.max(1, Math.min(MAXIMUM_OUTPUT_TOKENS, Math.round(output))),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/experiments/runChoice.ts
@@ -0,0 +1,151 @@
+import { SeededRandom } from '@dandelionlane/core';
+import type ChoicePolicy from './ChoicePolicy.js';
+import Distribution from './Distribution.js';
+import drawGap from './drawGap.js';
+import drawWork from './drawWork.js';
+import FakeEngine from './FakeEngine.js';
+import NaivePolicy from './NaivePolicy.js';
+import printTable from './printTable.js';
+import RoutingPolicy, { type RoutingPolicyOptions } from './RoutingPolicy.js';
+import Simulation from './Simulation.js';
+
+const ENTRIES = 3;
+const ENGINES = 9;
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const RUN_MILLISECONDS = 240_000;
+const WARM_UP_MILLISECONDS = 40_000;
+const STRAGGLER_FROM_MILLISECONDS = 100_000;
+const STRAGGLER_SLOWNESS = 4;
+const REPORT_MILLISECONDS = 1_000;
+const REPORT_LAG_MILLISECONDS = 500;
+const CACHE_EVENT_LAG_MILLISECONDS = 2_000;
+const LOST_CACHE_EVENTS = 0.2;
+
+/** How one run differs from another. */
+interface Scenario {
+  readonly perSecond: number;
+  readonly hasStraggler: boolean;
+  readonly seed: number;
+}
+
+/** Makes the policy of one entry. */
+type PolicyFactory = (simulation: Simulation, entry: number, seed: number) => ChoicePolicy;
+
+const FULL: RoutingPolicyOptions = { hasAffinity: true, hasOwnWork: true, hasEjection: true };
+
+function routing(options: RoutingPolicyOptions): PolicyFactory {
+  return (simulation, entry, seed) => {
+    const zones = Array.from({ length: ENGINES }, (_, engine) => ZONES[engine % ZONES.length] ?? '');
+    return new RoutingPolicy(simulation, new SeededRandom(seed + entry), zones, ZONES[entry] ?? '', options);
+  };
+}
+
+const POLICIES: Readonly<Record<string, PolicyFactory>> = {
+  'round robin': () => new NaivePolicy(ENGINES, null),
+  random: (_, entry, seed) => new NaivePolicy(ENGINES, new SeededRandom(seed + 100 + entry)),
+  routing: routing(FULL),
+  'without affinity': routing({ ...FULL, hasAffinity: false }),
+  'without own work': routing({ ...FULL, hasOwnWork: false }),
+  'without ejection': routing({ ...FULL, hasEjection: false }),
+};
+
+/** Lets engines tell the entries of load, with a lag. */
+function connectReports(
+  simulation: Simulation,
+  engines: readonly FakeEngine[],
+  policies: readonly ChoicePolicy[],
+  random: SeededRandom,
+): void {
+  engines.forEach((engine, index) => {
+    const offset = random.next() * REPORT_MILLISECONDS;
+    simulation.every(REPORT_MILLISECONDS, offset, () => {
+      const report = engine.report();
+      simulation.after(REPORT_LAG_MILLISECONDS, () => policies.forEach((each) => each.report(index, report)));
+    });
+  });
+}
+
+/** Engines whose cache events reach the entries late and with gaps. */
+function makeEngines(
+  simulation: Simulation,
+  policies: readonly ChoicePolicy[],
+  random: SeededRandom,
+): readonly FakeEngine[] {
+  return Array.from({ length: ENGINES }, (_, index) => new FakeEngine(simulation, (prefix) => {
+    policies.filter(() => random.next() >= LOST_CACHE_EVENTS).forEach((policy) => {
+      simulation.after(CACHE_EVENT_LAG_MILLISECONDS, () => policy.cached(index, prefix));
+    });
+  }));
+}
+
+function runOne(name: string, factory: PolicyFactory, scenario: Scenario): Record<string, string | number> {
+  const simulation = new Simulation();
+  const random = new SeededRandom(scenario.seed);
+  const policies = Array.from({ length: ENTRIES }, (_, entry) => factory(simulation, entry, scenario.seed));
+  const other = new SeededRandom(scenario.seed + 1);
+  const engines = makeEngines(simulation, policies, other);
+  const firstToken = new Distribution();
+  const gaps = new Distribution();
+  connectReports(simulation, engines, policies, other);
+  let sent = 0;
+  const arrive = (): void => {
+    simulation.after(drawGap(random, scenario.perSecond), arrive);
+    const policy = policies[Math.floor(random.next() * ENTRIES)];
+    const work = drawWork(random);
+    const engine = policy?.choose(work) ?? 0;
+    sent += 1;
+    const id = `request-${sent}`;
+    const sentAt = simulation.now;
+    let firstTokenAt = sentAt;
+    const isCounted = sentAt > WARM_UP_MILLISECONDS;
+    policy?.dispatched(engine, id, work);
+    engines[engine]?.submit({
+      ...work,
+      onFirstToken: () => {
+        firstTokenAt = simulation.now;
+        if (isCounted) {
+          firstToken.add(simulation.now - sentAt);
+        }
+      },
+      onGap: (milliseconds) => {
+        if (isCounted) {
+          gaps.add(milliseconds);
+        }
+      },
+      onEnd: (outcome) => {
+        const gap = (simulation.now - firstTokenAt) / Math.max(1, work.outputTokens - 1);
+        policy?.ended(engine, id, outcome === 'success' ? gap : null);
+      },
+    });
+  };
+  arrive();
+  simulation.after(STRAGGLER_FROM_MILLISECONDS, () => {
+    engines[0]?.slowDown(scenario.hasStraggler ? STRAGGLER_SLOWNESS : 1);
+  });
+  simulation.runUntil(RUN_MILLISECONDS);
+  const hits = engines.reduce((sum, { hitShare }) => sum + hitShare, 0) / ENGINES;
+  return {
+    policy: name,
+    'first token p50 ms': firstToken.quantile(0.5),
+    'p95 ms': firstToken.quantile(0.95),
+    'p99 ms': firstToken.quantile(0.99),
+    'between tokens p50 ms': gaps.quantile(0.5),
+    'p95 between ms': gaps.quantile(0.95),
+    'p99 between ms': gaps.quantile(0.99),
+    'prefix hits': Math.round(hits * 100) / 100,
+    answered: firstToken.count,
+  };
+}
+
+/** Compares ways to choose a target: latencies at one load, with and without a straggler. */
+export default function runChoice(): void {
+  const scenarios: Record<string, Scenario> = {
+    'moderate load, no straggler': { perSecond: 18, hasStraggler: false, seed: 1 },
+    'high load, no straggler': { perSecond: 28, hasStraggler: false, seed: 2 },
+    'moderate load, one straggler': { perSecond: 18, hasStraggler: true, seed: 3 },
+  };
+  Object.entries(scenarios).forEach(([title, scenario]) => {
+    const rows = Object.entries(POLICIES).map(([name, factory]) => runOne(name, factory, scenario));
+    printTable(`Choice of target, ${title}, ${scenario.perSecond} requests/s, seed ${scenario.seed}`, rows);
+  });
+}
--- /dev/null
+++ b/packages/routing/src/experiments/runExperiments.ts
@@ -0,0 +1,15 @@
+import runChoice from './runChoice.js';
+
+/** Name and code of each experiment. */
+const EXPERIMENTS: Readonly<Record<string, () => void>> = {
+  choice: runChoice,
+};
+
+/** Runs the experiments named on the command line, or all. */
+export default function runExperiments(names: readonly string[]): void {
+  Object.entries(EXPERIMENTS)
+    .filter(([name]) => names.length === 0 || names.includes(name))
+    .forEach(([, run]) => run());
+}
+
+runExperiments(process.argv.slice(2));
--- a/packages/routing/src/lib/latency/LatencyTracker.ts
+++ b/packages/routing/src/lib/latency/LatencyTracker.ts
@@ -34,8 +34,9 @@
 
 /**
  * Latencies of one service's replicas as one entry measures them, and which
- * replicas are ejected as outliers. Samples are to be comparable between requests:
- * time between tokens for models, time to the first byte for plain services.
+ * replicas are ejected as outliers. One sample for each answer, comparable between
+ * requests: mean time between tokens for models, time to the first byte for plain
+ * services. Single gaps would not do, since one long prefill moves the average.
  */
 export default class LatencyTracker {
   #averages = new Map<ReplicaId, MovingAverage>();
