--- /dev/null
+++ b/packages/membership/src/experiments/Cost.ts
@@ -0,0 +1,12 @@
+import type Variant from './Variant.js';
+
+/** Cost of one entry of a group at rest. Messages and bytes count both directions. */
+export default interface Cost {
+  readonly variant: Variant;
+  readonly entries: number;
+  readonly regions: number;
+  readonly messagesPerSecond: number;
+  readonly bytesPerSecond: number;
+  readonly microsecondsPerSecond: number;
+  readonly storeReadsPerSecond: number;
+}
--- /dev/null
+++ b/packages/membership/src/experiments/Detection.ts
@@ -0,0 +1,11 @@
+import type Variant from './Variant.js';
+
+/** How fast crashes are seen. Times in seconds from the crash. */
+export default interface Detection {
+  readonly variant: Variant;
+  readonly entries: number;
+  readonly crashes: number;
+  readonly firstSuspicionMedian: number;
+  readonly deadEverywhereMedian: number;
+  readonly deadEverywhereMaximum: number;
+}
--- /dev/null
+++ b/packages/membership/src/experiments/FakeStore.ts
@@ -0,0 +1,28 @@
+import { type EntryId, type EntryRecord, ReleaseSequence } from '@dandelionlane/core';
+
+const reachableFromAll: (entry: EntryId) => boolean = () => true;
+
+/** The head of the release log, with outages and a count of reads. */
+export default class FakeStore {
+  sequence = ReleaseSequence.parse(0);
+
+  reads = 0;
+
+  #isReachableFrom = reachableFromAll;
+
+  /** Sets which entries reach the store. */
+  setReachable(predicate: (entry: EntryId) => boolean): void {
+    this.#isReachableFrom = predicate;
+  }
+
+  publish(): ReleaseSequence {
+    this.sequence = ReleaseSequence.parse(this.sequence + 1);
+    return this.sequence;
+  }
+
+  /** Reads the head. Undefined when the store is not reached. */
+  read({ entry }: EntryRecord): ReleaseSequence | undefined {
+    this.reads += 1;
+    return this.#isReachableFrom(entry) ? this.sequence : undefined;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/experiments/measureCost.ts
@@ -0,0 +1,53 @@
+import type Cost from './Cost.js';
+import createRegions from './createRegions.js';
+import createVariantNetwork from './createVariantNetwork.js';
+import type FakeEntry from './FakeEntry.js';
+import startEntries from './startEntries.js';
+import type Variant from './Variant.js';
+import WireMeter from './WireMeter.js';
+
+const SAMPLED_ENTRIES = 8;
+/** The naive version is given its peers and needs no time to find them. */
+const SETTLE_MILLISECONDS: Readonly<Record<Variant, number>> = { membership: 150_000, naive: 3_000 };
+const MILLISECONDS_PER_SECOND = 1_000;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+
+function totalSteps(processes: readonly FakeEntry[]): number {
+  return processes.reduce((sum, { stepMilliseconds }) => sum + stepMilliseconds, 0);
+}
+
+/** Measures the cost of one entry once the group is settled. */
+export default function measureCost(
+  variant: Variant,
+  entries: number,
+  regions: number,
+  seconds: number,
+): Cost {
+  const records = createRegions(entries, regions);
+  const sampled = records.slice(0, SAMPLED_ENTRIES);
+  const meter = new WireMeter(new Set(sampled.map(({ peerAddress }) => peerAddress)));
+  const network = createVariantNetwork(variant, records, {
+    carryMessage: (from, to, message) => meter.carry(from, to, message),
+  });
+  const processes = startEntries(network, records).slice(0, SAMPLED_ENTRIES);
+  meter.start();
+  network.runFor(SETTLE_MILLISECONDS[variant]);
+  const readsBefore = network.store.reads;
+  meter.start();
+  processes.forEach((process) => {
+    process.stepMilliseconds = 0;
+  });
+  network.runFor(seconds * MILLISECONDS_PER_SECOND);
+  const entrySeconds = sampled.length * seconds;
+  const stepMilliseconds = totalSteps(processes) - stepsBefore;
+  return {
+    variant,
+    entries,
+    regions,
+    messagesPerSecond: meter.messages / entrySeconds,
+    bytesPerSecond: meter.bytes / entrySeconds,
+    microsecondsPerSecond:
+      ((meter.codecMilliseconds + stepMilliseconds) * MICROSECONDS_PER_MILLISECOND) / entrySeconds,
+    storeReadsPerSecond: (network.store.reads - readsBefore) / seconds,
+  };
+}
