--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,6 +30,8 @@
       'no-void': 'off',
       // Both work on every supported Node.js, although their documentation says experimental.
       'n/no-unsupported-features/node-builtins': ['error', { ignores: ['Response', 'structuredClone'] }],
+      // neverthrow names its unchecked accessors so; only tests use them.
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
       // A cycle between packages is refused by the TypeScript project references.
       'import-x/no-cycle': 'off',
       'max-len': 'off',
--- a/packages/controller/src/lib/region/changeForCommand.ts
+++ b/packages/controller/src/lib/region/changeForCommand.ts
@@ -111,17 +111,22 @@
   };
 }
 
-function remove(context: ChangeContext, old: Replica): RowChange {
+/** Takes members out of a replica and frees those allocated to it. Without any left it is deleted. */
+function free(context: ChangeContext, old: Replica, freed: readonly VMId[]): RowChange {
   const placement = placementOf(context.rows, old.service);
+  const left = old.members.filter(({ vm }) => !freed.includes(vm));
   return {
     placement: {
       service: old.service,
-      replicas: placement.replicas.filter((each) => each.replica !== old.replica),
+      replicas: placement.replicas.flatMap((each) => {
+        if (each.replica !== old.replica) {
+          return [each];
+        }
+        return left.length === 0 ? [] : [{ ...old, members: left }];
+      }),
     },
     allocate: [],
-    free: old.members
-      .map(({ vm }) => vm)
-      .filter((vm) => context.rows.allocations.get(vm)?.allocation.replica === old.replica),
+    free: freed.filter((vm) => context.rows.allocations.get(vm)?.allocation.replica === old.replica),
   };
 }
 
@@ -136,7 +141,7 @@
   }
   switch (command.kind) {
     case 'rebuild':
-      return rebuild(context, old, old.version, command.members);
+      return rebuild(context, old, command.version, command.members);
     case 'serve':
       return ok(changeState(context, old, 'serving'));
     case 'drain':
@@ -144,7 +149,9 @@
     case 'stop':
       return ok(changeState(context, old, 'stopping'));
     case 'remove':
-      return ok(remove(context, old));
+      return ok(free(context, old, old.members.map(({ vm }) => vm)));
+    case 'free':
+      return ok(free(context, old, command.members));
     default:
       return command satisfies never;
   }
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,2 +1,6 @@
 /** Public surface of the package. */
-export {};
+export { default as ProcessGroup } from './lib/ProcessGroup.js';
+export { type default as RunningProcess } from './lib/RunningProcess.js';
+export { default as startSystem } from './lib/startSystem.js';
+export { type default as RunningSystem } from './lib/RunningSystem.js';
+export { type default as SystemPlan } from './lib/SystemPlan.js';
--- /dev/null
+++ b/packages/demo/src/lib/CallAnswer.ts
@@ -0,0 +1,5 @@
+/** Status and text of an answer. */
+export default interface CallAnswer {
+  readonly status: number;
+  readonly text: string;
+}
--- /dev/null
+++ b/packages/demo/src/lib/DemoStep.ts
@@ -0,0 +1,6 @@
+/** Outcome of one step of the demonstration. */
+export default interface DemoStep {
+  readonly name: string;
+  readonly passed: boolean;
+  readonly detail: string;
+}
