Read the settings of stand-ins and load as JSON with comments

Both read plain JSON through a small function of their own until the settings package was there. They now use it, so that faults name line and path.

--- a/packages/load/src/dandelionlane-load.ts
+++ b/packages/load/src/dandelionlane-load.ts
@@ -1,5 +1,5 @@
 import { parseWith, type ServingError, SystemClock } from '@dandelionlane/core';
-import { readStandInSettings } from '@dandelionlane/standin';
+import { readSettings } from '@dandelionlane/settings';
 import { okAsync, type ResultAsync } from 'neverthrow';
 import sade from 'sade';
 import applyOptions from './lib/settings/applyOptions.js';
@@ -22,9 +22,9 @@
 }
 
 async function run(options: LoadOptions): Promise<void> {
-  const outcome = await readStandInSettings(options.settings, LoadSettings)
+  const outcome = await readSettings(options.settings, LoadSettings)
     .andThen((settings) => parseWith(LoadSettings, applyOptions(settings, options), 'settings-invalid'))
-    .andThen((settings) => runLoad(settings, new SystemClock()))
+    .asyncAndThen((settings) => runLoad(settings, new SystemClock()))
     .andThen((report) => keepReport(report, options.report));
   outcome.match(
     (report) => {
@@ -40,7 +40,7 @@
 
 sade('dandelionlane-load', true)
   .describe('Sends an open-loop load, checks every answer and reports.')
-  .option('--settings', 'Settings file (JSON).', 'load.json')
+  .option('--settings', 'Settings file (JSON with comments).', 'load.json')
   .option('--duration', 'Seconds during which calls are sent.')
   .option('--rate', 'Calls per second.')
   .option('--seed', 'Seed of arrivals and contents.')
--- a/packages/standin/src/dandelionlane-standin.ts
+++ b/packages/standin/src/dandelionlane-standin.ts
@@ -1,9 +1,9 @@
 import type { ServingError } from '@dandelionlane/core';
+import { readSettings } from '@dandelionlane/settings';
 import type { ResultAsync } from 'neverthrow';
 import sade from 'sade';
 import PlatformSettings from './lib/platform/PlatformSettings.js';
 import startPlatform from './lib/platform/startPlatform.js';
-import readStandInSettings from './lib/readStandInSettings.js';
 import startVMs from './lib/vms/startVMs.js';
 import VMsSettings from './lib/vms/VMsSettings.js';
 
@@ -21,22 +21,22 @@
 }
 
 function runPlatform({ settings }: { settings: string }): Promise<void> {
-  return announce(readStandInSettings(settings, PlatformSettings)
-    .andThen((checked) => startPlatform(checked))
+  return announce(readSettings(settings, PlatformSettings)
+    .asyncAndThen((checked) => startPlatform(checked))
     .map(({ address }) => ({ address })));
 }
 
 function runVMs({ settings }: { settings: string }): Promise<void> {
-  return announce(readStandInSettings(settings, VMsSettings)
-    .andThen((checked) => startVMs(checked))
+  return announce(readSettings(settings, VMsSettings)
+    .asyncAndThen((checked) => startVMs(checked))
     .map(({ controlAddress, vms }) => ({ controlAddress, vms })));
 }
 
 sade('dandelionlane-standin')
   .command('platform', 'Run the table service, object store, VM list and weight store.')
-  .option('--settings', 'Settings file (JSON).', 'platform.json')
+  .option('--settings', 'Settings file (JSON with comments).', 'platform.json')
   .action(runPlatform)
   .command('vms', 'Run engines and applications, one per VM.')
-  .option('--settings', 'Settings file (JSON).', 'vms.json')
+  .option('--settings', 'Settings file (JSON with comments).', 'vms.json')
   .action(runVMs)
   .parse(process.argv);
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -12,7 +12,6 @@
 export { type default as PlatformHandle } from './lib/platform/PlatformHandle.js';
 export { default as PlatformSettings } from './lib/platform/PlatformSettings.js';
 export { default as startPlatform } from './lib/platform/startPlatform.js';
-export { default as readStandInSettings } from './lib/readStandInSettings.js';
 export { default as startVMs } from './lib/vms/startVMs.js';
 export { default as VMFault } from './lib/vms/VMFault.js';
 export { default as VMSettings } from './lib/vms/VMSettings.js';
