--- /dev/null
+++ b/packages/proofs/src/index.ts
@@ -0,0 +1,2 @@
+/** Public surface of the package. */
+export {};
