Move cold shares only when their holder can no longer use them

Cause: a share taken back from an entry was held for the grant's whole term of an hour, since no entry's word reached the planner. Ruled out: a shorter term, which would leave cold replicas without work whenever the store is down longer. Change: the planner asks the entries concerned which row they follow; an entry at whose address nothing listens, or that came back in a new incarnation, has ended. Warm shares move at once. Silences of VMs are counted within a lease term, and a VM that the list dropped stays in view for a minute.

--- a/packages/controller/src/lib/RegionController.ts
+++ b/packages/controller/src/lib/RegionController.ts
@@ -12,8 +12,10 @@
 import { loadReleaseState } from '@dandelionlane/release';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
 import FleetView from './fleet/FleetView.js';
+import askEntry from './grants/askEntry.js';
 import GrantKeeper from './grants/GrantKeeper.js';
 import type LiveEntries from './grants/LiveEntries.js';
+import readAcknowledgements from './grants/readAcknowledgements.js';
 import type OrderTask from './orders/OrderTask.js';
 import planOrders from './orders/planOrders.js';
 import applyRowChange from './region/applyRowChange.js';
@@ -46,6 +48,8 @@
 
 /** State that belongs to one term of the lease. A new term starts from the rows. */
 interface Term {
+  /** Silences are counted within the term only: before it, this process did not ask. */
+  readonly fleet: FleetView;
   readonly factory: ReplicaFactory;
   readonly grants: GrantKeeper;
   readonly stateSince: Map<string, number>;
@@ -60,8 +64,6 @@
 export default class RegionController {
   readonly #options: RegionControllerOptions;
 
-  readonly #fleet: FleetView;
-
   #release: ReleaseState = EMPTY_RELEASE_STATE;
 
   #term: Term | null = null;
@@ -70,7 +72,6 @@
 
   constructor(options: RegionControllerOptions) {
     this.#options = options;
-    this.#fleet = new FleetView(options.clock);
   }
 
   /** One round. Every failure ends the round; the next one starts from the rows again. */
@@ -81,7 +82,7 @@
       return;
     }
     const term = this.#termFor(lease);
-    await this.#observe();
+    await this.#observe(term);
     const rows = await readRegionRows(this.#options.store, this.#options.region);
     if (rows.isErr()) {
       this.#options.log.warn('Rows were not read.', { kind: rows.error.kind, detail: rows.error.message });
@@ -99,6 +100,7 @@
     this.#options.log.info('Lease acquired.', { region: this.#options.region, fencing: lease.fencing });
     this.#termFencing = lease.fencing;
     this.#term = {
+      fleet: new FleetView(this.#options.clock),
       factory: new ReplicaFactory(lease.fencing),
       grants: new GrantKeeper(this.#options.clock),
       stateSince: new Map(),
@@ -106,7 +108,7 @@
     return this.#term;
   }
 
-  async #observe(): Promise<void> {
+  async #observe({ fleet }: Term): Promise<void> {
     const { store, dispatcher, platformAddress } = this.#options;
     const [release, list] = await Promise.all([
       loadReleaseState(store, this.#release),
@@ -115,11 +117,11 @@
     ]);
     this.#release = release.unwrapOr(this.#release);
     if (list.isOk()) {
-      this.#fleet.list(list.value.vms);
+      fleet.list(list.value.vms);
     }
-    await Promise.all(this.#fleet.records().map(async ({ vm, address }) => {
+    await Promise.all(fleet.records().map(async ({ vm, address }) => {
       const report = await readVMReport(dispatcher, vm, address);
-      report.map((heard) => this.#fleet.hear(heard));
+      report.map((heard) => fleet.hear(heard));
     }));
   }
 
@@ -137,7 +139,7 @@
     const plan = planPlacement({
       monotonicMilliseconds: this.#options.clock.monotonicMilliseconds(),
       release: this.#release,
-      vms: this.#fleet.observations(),
+      vms: term.fleet.observations(),
       replicas: this.#observeReplicas(term, rows),
       allocations: [...rows.allocations.values()].map(({ allocation }) => allocation),
     });
@@ -153,13 +155,13 @@
     if (command.kind === 'unload') {
       await this.#send({
         vm: command.vm,
-        address: this.#fleet.recordMap().get(command.vm)?.address ?? '',
+        address: term.fleet.recordMap().get(command.vm)?.address ?? '',
         order: { kind: 'unload', fencing: term.factory.nextFencing(), replica: command.replica },
       });
       return rows;
     }
     const change = changeForCommand(command, {
-      rows, vms: this.#fleet.recordMap(), factory: term.factory,
+      rows, vms: term.fleet.recordMap(), factory: term.factory,
     });
     if (change.isErr()) {
       this.#options.log.error('Command was not carried out.', { detail: change.error.message });
@@ -191,6 +193,7 @@
 
   async #grant(term: Term, rows: RegionRows): Promise<RegionRows> {
     term.grants.hearEntries(this.#options.liveEntries.entries());
+    await this.#hearAcknowledgements(term, rows);
     term.grants.forgetAllBut(new Set(listReplicas(rows).map(({ replica }) => replica)));
     let current = rows;
     for (const { definition } of this.#release.services) {
@@ -199,13 +202,34 @@
     return current;
   }
 
+  /** Asks the entries whose shares were taken back, so that these can be given to others. */
+  async #hearAcknowledgements(term: Term, rows: RegionRows): Promise<void> {
+    const awaited = term.grants.awaited();
+    const answers = await Promise.all(awaited.map((entry) => askEntry(this.#options.dispatcher, entry)));
+    answers.forEach((answer) => {
+      switch (answer.kind) {
+        case 'document':
+          readAcknowledgements(answer.entry.entry, answer.document, [...rows.placements.values()])
+            .forEach((acknowledgement) => term.grants.acknowledge(acknowledgement));
+          return;
+        case 'gone':
+          term.grants.gone(answer.entry.entry);
+          return;
+        case 'silent':
+          return;
+        default:
+          answer satisfies never;
+      }
+    });
+  }
+
   async #grantService(term: Term, rows: RegionRows, definition: ServiceDefinition): Promise<RegionRows> {
     const placement = rows.placements.get(definition.service)?.placement;
     const homes = this.#homesOf(definition.service);
     if (placement === undefined || homes.length === 0) {
       return rows;
     }
-    const reports = this.#fleet.freshReports(FRESH_REPORT_MILLISECONDS);
+    const reports = term.fleet.freshReports(FRESH_REPORT_MILLISECONDS);
     const planned = new Map<ReplicaId, Replica>();
     placement.replicas
       .filter(({ state }) => state === 'loading' || state === 'serving')
@@ -259,7 +283,7 @@
     const tasks = planOrders({
       replicas: listReplicas(rows),
       definitions: new Map(this.#release.services.map(({ definition }) => [definition.service, definition])),
-      reports: this.#fleet.freshReports(FRESH_REPORT_MILLISECONDS),
+      reports: term.fleet.freshReports(FRESH_REPORT_MILLISECONDS),
     });
     await Promise.all(tasks.map((task) => this.#send(task)));
     this.#options.metrics.gauge('controller.replicas', listReplicas(rows).length);
--- a/packages/controller/src/lib/fleet/FleetView.ts
+++ b/packages/controller/src/lib/fleet/FleetView.ts
@@ -3,6 +3,7 @@
 } from '@dandelionlane/core';
 import type { VMObservation } from '@dandelionlane/placement';
 
+/** Whether a report was made before the last one, or is the same. */
 function isOlder(report: VMReport, previous: VMReport | null): boolean {
   if (previous === null) {
     return false;
@@ -10,7 +11,7 @@
   if (report.incarnation !== previous.incarnation) {
     return report.incarnation < previous.incarnation;
   }
-  return report.sequence < previous.sequence;
+  return report.sequence <= previous.sequence;
 }
 
 /** What is known of one VM. */
@@ -19,8 +20,16 @@
   readonly report: VMReport | null;
   /** Monotonic time of the last report, or of the first question when none came. */
   readonly heardAt: number;
+  /** Monotonic time since when the list has been without the VM; null while it is listed. */
+  readonly unlistedSince: number | null;
 }
 
+/** Age up to which a report counts as fresh, in milliseconds. */
+const FRESH_MILLISECONDS = 3_000;
+
+/** How long a VM that the list dropped is kept in view, since lists lag and go back. */
+const UNLISTED_LIMIT_MILLISECONDS = 60_000;
+
 /** The controller's view of the VMs: the platform's list joined with the VMs' own reports. */
 export default class FleetView {
   readonly #clock: Clock;
@@ -31,21 +40,20 @@
     this.#clock = clock;
   }
 
-  /** Takes in a list. VMs that are no longer listed are forgotten. */
+  /** Takes in a list. A VM that it dropped stays in view for a while. */
   list(records: readonly VMRecord[]): void {
     const now = this.#clock.monotonicMilliseconds();
-    this.#known = new Map(records.map((record) => {
-      const known = this.#known.get(record.vm);
-      const sameAddress = known?.record.address === record.address;
-      return [record.vm, {
-        record,
-        report: sameAddress ? known.report : null,
-        heardAt: sameAddress ? known.heardAt : now,
-      }];
-    }));
+    const listed = new Map(records.map((record) => [record.vm, this.#listed(record, now)] as const));
+    this.#known.forEach((known, vm) => {
+      const unlistedSince = known.unlistedSince ?? now;
+      if (!listed.has(vm) && now - unlistedSince < UNLISTED_LIMIT_MILLISECONDS) {
+        listed.set(vm, { ...known, unlistedSince });
+      }
+    });
+    this.#known = listed;
   }
 
-  /** Takes in a report; one that is older than the last is ignored. */
+  /** Takes in a report; one that is repeated or older than the last is no sign of life. */
   hear(report: VMReport): void {
     const known = this.#known.get(report.vm);
     if (known === undefined || isOlder(report, known.report)) {
@@ -76,8 +84,29 @@
 
   observations(): readonly VMObservation[] {
     const now = this.#clock.monotonicMilliseconds();
-    return [...this.#known.values()].map(({ record, report, heardAt }) => ({
-      record, report, unreachableMilliseconds: now - heardAt,
+    return [...this.#known.values()].map(({
+      record, report, heardAt, unlistedSince,
+    }) => ({
+      record,
+      report,
+      unreachableMilliseconds: this.#silence(heardAt, now),
+      unlistedMilliseconds: unlistedSince === null ? 0 : now - unlistedSince,
     }));
   }
+
+  /** A VM at a new address is a new VM: what was known of the old one is void. */
+  #listed(record: VMRecord, now: number): KnownVM {
+    const known = this.#known.get(record.vm);
+    return known?.record.address === record.address
+      ? { ...known, record, unlistedSince: null }
+      : {
+        record, report: null, heardAt: now, unlistedSince: null,
+      };
+  }
+
+  /** 0 while the last report is fresh. */
+  // eslint-disable-next-line class-methods-use-this -- belongs to the observations
+  #silence(heardAt: number, now: number): number {
+    return now - heardAt <= FRESH_MILLISECONDS ? 0 : now - heardAt;
+  }
 }
--- a/packages/controller/src/lib/grants/GrantKeeper.ts
+++ b/packages/controller/src/lib/grants/GrantKeeper.ts
@@ -1,5 +1,5 @@
 import type {
-  Clock, EntryId, EntryRecord, Grant, Incarnation, Replica, ReplicaId, ServiceLimits,
+  Clock, EntryId, EntryRecord, Grant, Replica, ReplicaId, ServiceLimits,
 } from '@dandelionlane/core';
 import {
   listWithdrawn, planGrants, settleWithdrawn, withdrawnAtTakeover,
@@ -33,18 +33,19 @@
 
   readonly #withdrawn = new Map<ReplicaId, readonly WithdrawnGrant[]>();
 
-  readonly #incarnations = new Map<EntryId, Incarnation>();
+  readonly #records = new Map<EntryId, EntryRecord>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
   }
 
   /** Entries that hold a share which was taken back, and whose acknowledgement is awaited. */
-  awaited(): ReadonlySet<EntryId> {
-    return new Set([...this.#withdrawn.values()].flat()
+  awaited(): readonly EntryRecord[] {
+    const entries = new Set([...this.#withdrawn.values()].flat()
       .filter(({ holder }) => holder.kind === 'unknown')
       .map(({ entry }) => entry)
       .filter((entry) => entry !== null));
+    return [...entries].map((entry) => this.#records.get(entry)).filter((record) => record !== undefined);
   }
 
   /** New grants for a replica, or null while the present ones stay. */
@@ -68,16 +69,21 @@
 
   /** Takes in which incarnation of each entry is alive: shares of an earlier one are no longer in use. */
   hearEntries(entries: readonly EntryRecord[]): void {
-    const now = this.#clock.monotonicMilliseconds();
-    entries.forEach(({ entry, incarnation }) => {
-      const known = this.#incarnations.get(entry);
-      this.#incarnations.set(entry, incarnation);
-      if (known !== undefined && incarnation > known) {
-        this.#settle(entry, (withdrawn) => ({ ...withdrawn, holder: { kind: 'gone', sinceMilliseconds: now } }));
+    entries.forEach((record) => {
+      const known = this.#records.get(record.entry);
+      this.#records.set(record.entry, record);
+      if (known !== undefined && record.incarnation > known.incarnation) {
+        this.gone(record.entry);
       }
     });
   }
 
+  /** Takes in that an entry's process has ended. */
+  gone(entry: EntryId): void {
+    const sinceMilliseconds = this.#clock.monotonicMilliseconds();
+    this.#settle(entry, (withdrawn) => ({ ...withdrawn, holder: { kind: 'gone', sinceMilliseconds } }));
+  }
+
   /** Takes in what an entry said of a replica after it had read the present row. */
   acknowledge(acknowledgement: GrantAcknowledgement): void {
     const { entry, replica, inFlight } = acknowledgement;
--- /dev/null
+++ b/packages/controller/src/lib/grants/askEntry.ts
@@ -0,0 +1,27 @@
+import type { Dispatcher } from 'undici';
+import { GrantsDocument, type EntryRecord } from '@dandelionlane/core';
+import type EntryAnswer from './EntryAnswer.js';
+
+const TIMEOUT_MILLISECONDS = 1_000;
+const CONNECTION_REFUSED = 'ECONNREFUSED';
+
+function isRefused(cause: unknown): boolean {
+  return typeof cause === 'object' && cause !== null
+    && (cause as { code?: unknown }).code === CONNECTION_REFUSED;
+}
+
+/** Asks an entry on its peer port which placement rows it follows. Never rejects. */
+export default async function askEntry(dispatcher: Dispatcher, entry: EntryRecord): Promise<EntryAnswer> {
+  try {
+    const answer = await dispatcher.request({
+      origin: `http://${entry.peerAddress}`,
+      path: '/v1/grants',
+      method: 'GET',
+      signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
+    });
+    const parsed = GrantsDocument.safeParse(await answer.body.json());
+    return parsed.success ? { kind: 'document', entry, document: parsed.data } : { kind: 'silent', entry };
+  } catch (cause) {
+    return isRefused(cause) ? { kind: 'gone', entry } : { kind: 'silent', entry };
+  }
+}
--- /dev/null
+++ b/packages/controller/src/test/grants.test.ts
@@ -0,0 +1,125 @@
+import {
+  AvailabilityZoneId, EntryId, FencingNumber, Incarnation, ManualClock, RegionId, ReplicaId, RowVersion,
+  ServiceId, ServiceLimits, VMId, type EntryRecord, type Grant, type Replica,
+} from '@dandelionlane/core';
+import { expect, test } from 'vitest';
+import GrantKeeper from '../lib/grants/GrantKeeper.js';
+import readAcknowledgements from '../lib/grants/readAcknowledgements.js';
+
+const limits = ServiceLimits.parse({ coldConcurrency: 3, warmConcurrency: 30 });
+const service = ServiceId.parse('proofs');
+const replicaId = ReplicaId.parse('proofs.1');
+
+function createEntry(name: string, incarnation = 1): EntryRecord {
+  return {
+    entry: EntryId.parse(name),
+    region: RegionId.parse('r'),
+    availabilityZone: AvailabilityZoneId.parse('z'),
+    incarnation: Incarnation.parse(incarnation),
+    callerAddress: '127.0.0.1:1',
+    peerAddress: '127.0.0.1:2',
+  };
+}
+
+function createReplica(grants: readonly Grant[]): Replica {
+  return {
+    replica: replicaId,
+    service,
+    version: '1',
+    state: 'serving',
+    fencing: FencingNumber.parse(1),
+    members: [{
+      vm: VMId.parse('a'), address: '127.0.0.1:3', availabilityZone: 'z' as never, fabricDomain: 'f' as never,
+    }],
+    grants: [...grants],
+  };
+}
+
+/** Plans and commits until the grants stay the same. */
+function settle(
+  keeper: GrantKeeper,
+  homes: readonly EntryRecord[],
+  grants: readonly Grant[],
+): readonly Grant[] {
+  const planned = keeper.plan({
+    replica: createReplica(grants), limits, homes, target: undefined,
+  });
+  if (planned === null) {
+    return grants;
+  }
+  keeper.committed(replicaId, grants, planned);
+  return settle(keeper, homes, planned);
+}
+
+function coldSum(grants: readonly Grant[]): number {
+  return grants.reduce((sum, { cold }) => sum + cold, 0);
+}
+
+function createHomes(...names: readonly string[]): readonly EntryRecord[] {
+  return names.map((name) => createEntry(name));
+}
+
+test('new replica has all of its cold limit given out', () => {
+  const grants = settle(new GrantKeeper(new ManualClock()), createHomes('a', 'b', 'c'), []);
+  expect(grants.map(({ cold }) => cold)).toEqual([1, 1, 1]);
+});
+
+test('cold share of a silent entry is not given away', () => {
+  const keeper = new GrantKeeper(new ManualClock());
+  const before = settle(keeper, createHomes('a', 'b', 'c'), []);
+  const after = settle(keeper, createHomes('a', 'b', 'd'), before);
+  expect(after.find(({ entry }) => entry === 'd')?.cold).toBe(0);
+  expect(coldSum(after)).toBe(2);
+});
+
+test('warm share of a silent entry moves at once', () => {
+  const keeper = new GrantKeeper(new ManualClock());
+  const before = settle(keeper, createHomes('a', 'b', 'c'), []);
+  const after = settle(keeper, createHomes('a', 'b', 'd'), before);
+  expect(after.find(({ entry }) => entry === 'd')?.warm).toBe(10);
+});
+
+test('cold share moves after the process has ended', () => {
+  const clock = new ManualClock();
+  const keeper = new GrantKeeper(clock);
+  keeper.hearEntries(createHomes('a', 'b', 'c'));
+  const before = settle(keeper, createHomes('a', 'b', 'c'), []);
+  const between = settle(keeper, createHomes('a', 'b', 'd'), before);
+  expect(keeper.awaited().map(({ entry }) => entry)).toEqual(['c']);
+  keeper.gone(EntryId.parse('c'));
+  clock.advance(limits.requestTimeoutMilliseconds);
+  const after = settle(keeper, createHomes('a', 'b', 'd'), between);
+  expect(after.find(({ entry }) => entry === 'd')?.cold).toBe(1);
+});
+
+test('restart in a new incarnation frees the share', () => {
+  const clock = new ManualClock();
+  const keeper = new GrantKeeper(clock);
+  keeper.hearEntries(createHomes('a', 'b', 'c'));
+  const before = settle(keeper, createHomes('a', 'b', 'c'), []);
+  const between = settle(keeper, createHomes('a', 'b', 'd'), before);
+  keeper.hearEntries([createEntry('c', 2)]);
+  clock.advance(limits.requestTimeoutMilliseconds);
+  expect(coldSum(settle(keeper, createHomes('a', 'b', 'd'), between))).toBe(3);
+});
+
+test('new planner assumes that withheld shares are in use', () => {
+  const clock = new ManualClock();
+  const first = new GrantKeeper(clock);
+  const before = settle(first, createHomes('a', 'b', 'c'), []);
+  const between = settle(first, createHomes('a', 'b', 'd'), before);
+  const after = settle(new GrantKeeper(clock), createHomes('a', 'b', 'd'), between);
+  expect(coldSum(after)).toBe(2);
+});
+
+test('entry that follows an older row acknowledges nothing', () => {
+  const versioned = {
+    placement: { service, replicas: [createReplica([])] }, version: RowVersion.parse(7),
+  };
+  const document = (version: number) => ({
+    services: [{ service, version, replicas: [{ replica: replicaId, inFlight: 1 }] }],
+  });
+  expect(readAcknowledgements(EntryId.parse('a'), document(6), [versioned])).toEqual([]);
+  expect(readAcknowledgements(EntryId.parse('a'), document(7), [versioned]))
+    .toEqual([{ entry: 'a', replica: replicaId, inFlight: 1 }]);
+});
