--- a/packages/controller/src/test/rows.test.ts
+++ b/packages/controller/src/test/rows.test.ts
@@ -15,6 +15,7 @@
 const SEED = 20_261_204;
 const region = RegionId.parse('r');
 const service = ServiceId.parse('proofs');
+const other = ServiceId.parse('other');
 const names = ['a', 'b', 'c', 'd', 'e'].map((name) => VMId.parse(name));
 const vms = new Map(names.map((vm): [VMId, VMRecord] => [vm, {
   vm,
@@ -31,9 +32,9 @@
   return new ReplicaFactory(FencingNumber.parse(fencing));
 }
 
-function place(members: readonly VMId[]): RowCommand {
+function place(members: readonly VMId[], owner = service): RowCommand {
   return {
-    kind: 'place', service, version: '1', members, reason: 'below-wanted' as never,
+    kind: 'place', service: owner, version: '1', members, reason: 'below-wanted' as never,
   };
 }
 
@@ -95,9 +96,10 @@
   const store = new MemoryTableStore();
   const first = changeForCommand(place(names.slice(0, 4)), { rows: empty, vms, factory: createFactory(1) });
   await store.commit(createRowTransaction(region, empty, first._unsafeUnwrap(), leaseCondition));
-  const command = { ...place(names.slice(3, 5)), service: ServiceId.parse('other') } as RowCommand;
+  const command = place(names.slice(3, 5), other);
   const second = changeForCommand(command, { rows: empty, vms, factory: createFactory(2) });
-  const outcome = await store.commit(createRowTransaction(region, empty, second._unsafeUnwrap(), leaseCondition));
+  const transaction = createRowTransaction(region, empty, second._unsafeUnwrap(), leaseCondition);
+  const outcome = await store.commit(transaction);
   expect(outcome._unsafeUnwrap().kind).toBe('conflict');
 });
 
@@ -113,6 +115,7 @@
 test('no VM is in two replicas under any racing commands', async () => {
   const command = fc.record({
     writer: fc.constantFrom(1, 2),
+    owner: fc.constantFrom(service, other),
     refresh: fc.boolean(),
     members: fc.shuffledSubarray(names, { minLength: 1, maxLength: 4 }),
     kind: fc.constantFrom('place', 'rebuild', 'remove'),
@@ -122,17 +125,17 @@
     const factories = new Map([[1, createFactory(1)], [2, createFactory(2)]]);
     const views = new Map([[1, empty], [2, empty]]);
     for (const {
-      writer, refresh, members, kind,
+      writer, owner, refresh, members, kind,
     } of steps) {
       if (refresh) {
         views.set(writer, (await readRegionRows(store, region))._unsafeUnwrap());
       }
       const rows = views.get(writer) ?? empty;
-      const existing = rows.placements.get(service)?.placement.replicas[0];
+      const existing = rows.placements.get(owner)?.placement.replicas[0];
       const free = members.filter((vm) => !rows.allocations.has(vm)
         || rows.allocations.get(vm)?.allocation.replica === existing?.replica);
       const row: RowCommand = existing === undefined || kind === 'place'
-        ? place(members.filter((vm) => !rows.allocations.has(vm)))
+        ? place(members.filter((vm) => !rows.allocations.has(vm)), owner)
         : {
           kind, replica: existing.replica, version: '1', members: free, reason: 'members-stopped',
         } as RowCommand;
