Relay streams by events instead of an async iterator

Cause: a profile of the entry at 35,000 tokens/s showed promises, iterator and readable-stream calls around each token, and requests that waited for one of 256 connections to a target while first tokens took 115 ms at p95. Ruled out: the log lines (0.3 % of the samples) and the splitting of events (0.3 %). Change: the relay listens to the body's events and pauses it for a slow caller; grants alone bound the requests in flight on a target.

--- a/packages/entry/src/lib/startEntry.ts
+++ b/packages/entry/src/lib/startEntry.ts
@@ -23,7 +23,6 @@
 import type EntrySettings from './settings/EntrySettings.js';
 import TargetTable from './targets/TargetTable.js';
 
-const CONNECTIONS_PER_TARGET = 256;
 const CONNECTIONS_TO_PLATFORM = 8;
 const STATUS_UNAVAILABLE = 503;
 const DRAIN_POLL_MILLISECONDS = 50;
@@ -78,7 +77,8 @@
   const token = readFileSync(settings.administration.tokenFile, 'utf8').trim();
   const platformAgent = new Agent({ connections: CONNECTIONS_TO_PLATFORM });
   const targetAgent = new Agent({
-    connections: CONNECTIONS_PER_TARGET,
+    // Grants bound the requests in flight; a second bound here would only hide a queue.
+    connections: null,
     keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
   });
   const reportAgent = new Agent({ connections: 2 });
--- a/packages/entry/src/lib/streams/StreamRelay.ts
+++ b/packages/entry/src/lib/streams/StreamRelay.ts
@@ -5,6 +5,8 @@
 import type StreamEnd from './StreamEnd.js';
 import waitForDrain from './waitForDrain.js';
 
+const STOPPED: StreamEnd = { kind: 'stopped' };
+
 /** What a `StreamRelay` needs from outside. */
 interface StreamRelayOptions {
   readonly outgoing: ServerResponse;
@@ -37,28 +39,49 @@
     return this.#deliveredTokens;
   }
 
-  /** Relays one attempt until its stream ends. `mayGoOn` is asked before each write. */
-  async relay(body: Readable, mayGoOn: () => boolean): Promise<StreamEnd> {
+  /**
+   * Relays one attempt until its stream ends. `mayGoOn` is asked before each write.
+   * Listens to the stream's events: an async iterator costs several promises a token.
+   */
+  relay(body: Readable, mayGoOn: () => boolean): Promise<StreamEnd> {
     const splitter = new EventSplitter();
     this.#ending = [];
-    try {
-      for await (const chunk of body) {
-        if (!mayGoOn()) {
-          return { kind: 'stopped' };
-        }
-        const events = splitter.push(chunk as Buffer);
-        const end = this.#takeEvents(events);
+    return new Promise((resolve) => {
+      body.on('data', (chunk: Buffer) => {
+        const end = mayGoOn() ? this.#takeChunk(splitter, chunk) : STOPPED;
         if (end !== null) {
-          return end;
+          body.pause();
+          body.removeAllListeners('data');
+          resolve(end);
+        } else if (this.#options.outgoing.writableNeedDrain) {
+          body.pause();
+          void this.#resumeWhenDrained(body, resolve);
         }
-        if (!(await waitForDrain(this.#options.outgoing, this.#options.slowCallerTimeoutMilliseconds))) {
-          return { kind: 'caller-gone' };
-        }
-      }
+      });
+      body.once('error', (cause) => resolve({ kind: 'broken', cause }));
+      body.once('end', () => resolve({ kind: 'broken', cause: new Error('stream ended before its last event') }));
+      body.once('close', () => resolve({ kind: 'broken', cause: new Error('stream was closed') }));
+    });
+  }
+
+  async #resumeWhenDrained(body: Readable, resolve: (end: StreamEnd) => void): Promise<void> {
+    const { outgoing, slowCallerTimeoutMilliseconds } = this.#options;
+    if (await waitForDrain(outgoing, slowCallerTimeoutMilliseconds)) {
+      body.resume();
+    } else {
+      resolve({ kind: 'caller-gone' });
+    }
+  }
+
+  #takeChunk(splitter: EventSplitter, chunk: Buffer): StreamEnd | null {
+    if (this.#options.outgoing.destroyed) {
+      return { kind: 'caller-gone' };
+    }
+    try {
+      return this.#takeEvents(splitter.push(chunk));
     } catch (cause) {
       return { kind: 'broken', cause };
     }
-    return { kind: 'broken', cause: new Error('stream ended before its last event') };
   }
 
   /** Sends the held-back end of the answer. */
