Measure the policy against a naive one

Cause: no figure yet for downtime, zone moves, steadiness and cost. Change: experiments on the fake fleet with a baseline that fits first, rebuilds whole replicas, and drains before it replaces. The fake cuts VMs off and notices a late order to a freed VM.

--- /dev/null
+++ b/packages/placement/src/experiments/PLANNERS.ts
@@ -0,0 +1,11 @@
+import { planPlacement } from '../index.js';
+import planNaively from './planNaively.js';
+import type Planner from './Planner.js';
+
+/** The policy and its baseline. */
+const PLANNERS: readonly { readonly name: string; readonly plan: Planner }[] = [
+  { name: 'policy', plan: (input) => planPlacement(input) },
+  { name: 'naive', plan: planNaively },
+];
+
+export default PLANNERS;
--- /dev/null
+++ b/packages/placement/src/experiments/measureChurn.ts
@@ -0,0 +1,49 @@
+import { SeededRandom } from '@dandelionlane/core';
+import FakeFleet from '../test/FakeFleet.js';
+import Churn from './Churn.js';
+import countDown from './countDown.js';
+import createServices from './createServices.js';
+import drive from './drive.js';
+import type ExperimentRow from './ExperimentRow.js';
+import FLEETS from './FLEETS.js';
+import type Planner from './Planner.js';
+import PLANNERS from './PLANNERS.js';
+
+const SETTLE_SECONDS = 3_600;
+const SECONDS_PER_DAY = 86_400;
+const STEP_SECONDS = 2;
+const SEED = 7;
+/** Of 198 possible groups; the free VMs beside them are a few in each domain. */
+const REPLICAS = 186;
+
+function measureDay(name: string, planner: Planner): ExperimentRow {
+  const fleet = new FakeFleet(FLEETS[1089], createServices(REPLICAS));
+  const churn = new Churn(new SeededRandom(SEED));
+  drive(fleet, planner, SETTLE_SECONDS, STEP_SECONDS);
+  const counts = { place: 0, rebuild: 0, spread: 0 };
+  let down = 0;
+  drive(fleet, planner, SECONDS_PER_DAY, STEP_SECONDS, (commands) => {
+    churn.step(fleet, STEP_SECONDS);
+    down += countDown(fleet) * STEP_SECONDS;
+    for (const { kind, reason } of commands) {
+      if (kind === 'place' || kind === 'rebuild') counts[kind] += 1;
+      if (reason === 'spread') counts.spread += 1;
+    }
+  });
+  return {
+    planner: name,
+    replicas: REPLICAS,
+    failures: churn.failures,
+    restarts: churn.restarts,
+    'replica-seconds down': down,
+    'down share': down / (REPLICAS * SECONDS_PER_DAY),
+    placed: counts.place,
+    rebuilt: counts.rebuild,
+    'moved for spread': counts.spread,
+  };
+}
+
+/** A day of failures and restarts on a region of 1,089 VMs. */
+export default function measureChurn(): ExperimentRow[] {
+  return PLANNERS.map(({ name, plan }) => measureDay(name, plan));
+}
--- /dev/null
+++ b/packages/placement/src/experiments/measureZoneMove.ts
@@ -0,0 +1,98 @@
+import { AvailabilityZoneId } from '@dandelionlane/core';
+import FakeFleet from '../test/FakeFleet.js';
+import createServices from './createServices.js';
+import drive from './drive.js';
+import type ExperimentRow from './ExperimentRow.js';
+import FLEETS from './FLEETS.js';
+import type Planner from './Planner.js';
+import PLANNERS from './PLANNERS.js';
+import servingCapacity from './servingCapacity.js';
+
+const SETTLE_SECONDS = 1_800;
+const OUT_SECONDS = 900;
+const BACK_SECONDS = 3_600;
+const LOAD_SHARE = 2 / 3;
+const DRAIN_WAIT_SECONDS = 3;
+const ZONE = AvailabilityZoneId.parse('zone-0');
+
+/** Figures over one phase of the move. */
+class Watch {
+  minimumShare = 1;
+
+  shortfall = 0;
+
+  peakLoads = 0;
+
+  placed = 0;
+
+  note(fleet: FakeFleet, seconds: number): void {
+    let wanted = 0;
+    let capacity = 0;
+    for (const service of servingCapacity(fleet).values()) {
+      wanted += service.wanted;
+      capacity += service.capacity;
+      this.shortfall += Math.max(0, service.wanted * LOAD_SHARE - service.capacity) * seconds;
+    }
+    this.minimumShare = Math.min(this.minimumShare, capacity / wanted);
+    const loads = [...fleet.vms.values()].filter((vm) => vm.loadLeft > 0).length;
+    this.peakLoads = Math.max(this.peakLoads, loads);
+  }
+}
+
+/** Holds zone drains back for some seconds while their replacements load. */
+function delayZoneDrains(plan: Planner): Planner {
+  let firstSeen: number | null = null;
+  return (input) => {
+    const commands = plan(input);
+    const isZoneDrain = (reason: string): boolean => reason === 'availability-zone-out';
+    if (firstSeen === null && commands.some(({ reason }) => isZoneDrain(reason))) {
+      firstSeen = input.monotonicMilliseconds;
+    }
+    const isHeld = firstSeen !== null
+      && input.monotonicMilliseconds - firstSeen < DRAIN_WAIT_SECONDS * 1_000;
+    return isHeld ? commands.filter(({ reason }) => !isZoneDrain(reason)) : commands;
+  };
+}
+
+function watchPhase(fleet: FakeFleet, planner: Planner, seconds: number): Watch {
+  const watch = new Watch();
+  drive(fleet, planner, seconds, 1, (commands, step) => {
+    watch.note(fleet, step);
+    watch.placed += commands.filter(({ kind }) => kind === 'place' || kind === 'rebuild').length;
+  });
+  return watch;
+}
+
+function measureMove(name: string, planner: Planner, replicas: number): ExperimentRow {
+  const fleet = new FakeFleet(FLEETS[66], createServices(replicas));
+  drive(fleet, planner, SETTLE_SECONDS);
+  fleet.changeRelease({ availabilityZonesOut: [ZONE] });
+  const out = watchPhase(fleet, planner, OUT_SECONDS);
+  fleet.changeRelease({ availabilityZonesOut: [] });
+  const back = watchPhase(fleet, planner, BACK_SECONDS);
+  return {
+    planner: name,
+    replicas,
+    'minimum share, out': out.minimumShare,
+    'shortfall, out': out.shortfall,
+    'minimum share, back': back.minimumShare,
+    'shortfall, back': back.shortfall,
+    'placed, out': out.placed,
+    'placed, back': back.placed,
+    'peak loads, back': back.peakLoads,
+  };
+}
+
+/**
+ * A zone leaves for 15 minutes and returns, at a load of two thirds of the wanted
+ * capacity. Shortfall: warm-replica-seconds below each service's load.
+ */
+export default function measureZoneMove(): ExperimentRow[] {
+  const rows: ExperimentRow[] = [];
+  for (const replicas of [6, 9, 12]) {
+    for (const { name, plan } of PLANNERS) rows.push(measureMove(name, plan, replicas));
+    const [policy] = PLANNERS;
+    if (policy !== undefined) rows.push(measureMove('policy, drain after 3 s', delayZoneDrains(policy.plan), replicas));
+  }
+  return rows;
+}
--- /dev/null
+++ b/packages/placement/src/experiments/planNaively.ts
@@ -0,0 +1,129 @@
+import type {
+  FabricDomainId, Replica, ServiceDefinition, VMId,
+} from '@dandelionlane/core';
+import type {
+  PlacementCommand, PlacementInput, ReplicaObservation, VMObservation,
+} from '../index.js';
+
+const FRESH_MILLISECONDS = 3_000;
+const NOTICE_MILLISECONDS = 5_000;
+const LOST_DRAIN_MILLISECONDS = 60_000;
+const ORDER_EXPIRY_MILLISECONDS = 15_000;
+
+/** State of one naive plan. */
+interface Naive {
+  readonly input: PlacementInput;
+  readonly vms: ReadonlyMap<VMId, VMObservation>;
+  readonly commands: PlacementCommand[];
+}
+
+function isUsable({ input }: Naive, vm: VMObservation): boolean {
+  return vm.record.state === 'live'
+    && vm.report?.leaving === false
+    && (vm.unlistedMilliseconds ?? 0) === 0
+    && vm.unreachableMilliseconds <= FRESH_MILLISECONDS
+    && !input.release.vmsOut.includes(vm.record.vm)
+    && !input.release.availabilityZonesOut.includes(vm.record.availabilityZone);
+}
+
+function isGood(naive: Naive, replica: Replica): boolean {
+  return replica.members.every(({ vm: id }) => {
+    const vm = naive.vms.get(id);
+    return vm !== undefined && isUsable(naive, vm)
+      && (replica.state === 'loading' || vm.report?.replica === replica.replica);
+  });
+}
+
+function isReady(naive: Naive, replica: Replica): boolean {
+  return replica.members.every(({ vm }) => {
+    const report = naive.vms.get(vm)?.report;
+    return report?.replica === replica.replica && (report.phase === 'cold' || report.phase === 'warm');
+  });
+}
+
+function hasStopped(naive: Naive, replica: Replica): boolean {
+  return replica.members.every(({ vm: id }) => {
+    const vm = naive.vms.get(id);
+    const isFresh = vm !== undefined && vm.unreachableMilliseconds <= FRESH_MILLISECONDS;
+    return vm === undefined || (vm.unlistedMilliseconds ?? 0) > LOST_DRAIN_MILLISECONDS
+      || (isFresh && vm.report?.replica !== replica.replica);
+  });
+}
+
+function isDrained(naive: Naive, { replica, stateMilliseconds }: ReplicaObservation): boolean {
+  const isIdle = replica.members.every(({ vm }) => naive.vms.get(vm)?.report?.runningRequests === 0);
+  return stateMilliseconds >= (isIdle ? NOTICE_MILLISECONDS : LOST_DRAIN_MILLISECONDS);
+}
+
+function planReplica(naive: Naive, observation: ReplicaObservation, isWanted: boolean): void {
+  const { replica: { replica, state } } = observation;
+  const isKept = isWanted && isGood(naive, observation.replica);
+  if (state === 'loading' && !isKept) naive.commands.push({ kind: 'stop', replica, reason: 'not-wanted' });
+  else if (state === 'loading' && isReady(naive, observation.replica)) {
+    naive.commands.push({ kind: 'serve', replica, reason: 'members-ready' });
+  }
+  if (state === 'serving' && !isKept) naive.commands.push({ kind: 'drain', replica, reason: 'surplus' });
+  if (state === 'draining' && isDrained(naive, observation)) {
+    naive.commands.push({ kind: 'stop', replica, reason: 'drained' });
+  }
+  const mayRemove = observation.stateMilliseconds >= ORDER_EXPIRY_MILLISECONDS
+    && hasStopped(naive, observation.replica);
+  if (state === 'stopping' && mayRemove) {
+    naive.commands.push({ kind: 'remove', replica, reason: 'members-stopped' });
+  }
+}
+
+function placeFirstFit(
+  naive: Naive,
+  definition: ServiceDefinition,
+  free: ReadonlyMap<FabricDomainId, VMId[]>,
+): boolean {
+  const domain = [...free].find(([, vms]) => vms.length >= definition.vmsPerReplica);
+  if (domain === undefined) return false;
+  naive.commands.push({
+    kind: 'place',
+    service: definition.service,
+    version: definition.version,
+    members: domain[1].splice(0, definition.vmsPerReplica),
+    reason: 'below-wanted',
+  });
+  return true;
+}
+
+function listFree(naive: Naive, isPlain: boolean): Map<FabricDomainId, VMId[]> {
+  const allocated = new Set(naive.input.allocations.map(({ vm }) => vm));
+  const free = new Map<FabricDomainId, VMId[]>();
+  for (const vm of naive.input.vms) {
+    const { vm: id, fabricDomain, accelerators } = vm.record;
+    const isFree = isUsable(naive, vm) && !allocated.has(id) && vm.report?.replica === null;
+    if (isFree && (accelerators === 0) === isPlain) {
+      free.set(fabricDomain, [...free.get(fabricDomain) ?? [], id]);
+    }
+  }
+  return free;
+}
+
+/**
+ * Baseline: first fit; any loss rebuilds the whole replica; drain and wait, so that
+ * nothing is replaced before its VMs are free; no limit on loads, no hysteresis.
+ */
+export default function planNaively(input: PlacementInput): readonly PlacementCommand[] {
+  const naive: Naive = { input, vms: new Map(input.vms.map((vm) => [vm.record.vm, vm])), commands: [] };
+  const pools = { plain: listFree(naive, true), model: listFree(naive, false) };
+  const seen = new Set<string>();
+  for (const { definition } of input.release.services) {
+    seen.add(definition.service);
+    const own = input.replicas.filter(({ replica }) => replica.service === definition.service);
+    own.forEach((observation, index) => {
+      const isWanted = index < definition.replicas && observation.replica.version === definition.version;
+      planReplica(naive, observation, isWanted);
+    });
+    for (let count = own.length; count < definition.replicas; count += 1) {
+      if (!placeFirstFit(naive, definition, pools[definition.kind])) break;
+    }
+  }
+  for (const observation of input.replicas) {
+    if (!seen.has(observation.replica.service)) planReplica(naive, observation, false);
+  }
+  return naive.commands;
+}
--- a/packages/placement/src/test/FakeFleet.ts
+++ b/packages/placement/src/test/FakeFleet.ts
@@ -32,6 +32,9 @@
 
   #sent = 0;
 
+  /** Replicas that each VM was freed from. */
+  readonly #freed = new Map<FakeVM, Set<Replica['replica']>>();
+
   constructor(settings: FleetSettings, release: ReleaseState) {
     this.settings = settings;
     this.#release = release;
@@ -111,7 +114,7 @@
 
   #unloadStray(id: VMId, replica: Replica['replica']): void {
     const vm = this.vm(id);
-    if (vm.isUp(this.now) && vm.replica === replica) vm.unload();
+    if (vm.isUp(this.now) && !vm.isCutOff(this.now) && vm.replica === replica) vm.unload();
   }
 
   /** Invariant: a VM is freed only when its engine truly runs the replica no more. */
@@ -125,6 +128,7 @@
       if (isAllocated && vm.isUp(this.now) && vm.replica === command.replica) {
         throw new Error(`${id} was freed while it runs ${command.replica}`);
       }
+      this.#freed.set(vm, (this.#freed.get(vm) ?? new Set()).add(command.replica));
     }
   }
 
@@ -153,7 +157,10 @@
     const arrived = this.#orders.filter((order) => order.arrivesMilliseconds <= this.now);
     this.#orders = this.#orders.filter((order) => order.arrivesMilliseconds > this.now);
     for (const { vm, kind, replica } of arrived) {
-      if (!vm.isUp(this.now)) continue;
+      if (!vm.isUp(this.now) || vm.isCutOff(this.now)) continue;
+      if (kind === 'load' && this.#freed.get(vm)?.has(replica.replica) === true) {
+        throw new Error(`${vm.record.vm} got an order for ${replica.replica} after it was freed`);
+      }
       if (kind === 'load') vm.load(replica);
       else if (vm.replica === replica.replica) vm.unload();
     }
--- a/packages/placement/src/test/FakeVM.ts
+++ b/packages/placement/src/test/FakeVM.ts
@@ -24,6 +24,9 @@
   /** Reports do not arrive until then. */
   silentUntilMilliseconds = 0;
 
+  /** Neither reports nor orders arrive until then; the engine runs on. */
+  cutOffUntilMilliseconds = 0;
+
   /** The platform's list leaves the VM out from the first time until the second. */
   unlistedFromMilliseconds = Infinity;
 
@@ -58,6 +61,10 @@
     return this.downUntilMilliseconds <= now;
   }
 
+  isCutOff(now: number): boolean {
+    return this.cutOffUntilMilliseconds > now;
+  }
+
   isUnlisted(now: number): boolean {
     return this.unlistedFromMilliseconds <= now && now < this.unlistedUntilMilliseconds;
   }
@@ -122,7 +129,7 @@
 
   /** Sends a report, which arrives unless the VM is down or cut off. */
   report(now: number): void {
-    if (!this.isUp(now) || this.silentUntilMilliseconds > now) return;
+    if (!this.isUp(now) || this.isCutOff(now) || this.silentUntilMilliseconds > now) return;
     this.heardMilliseconds = now;
     const last = this.lastReport;
     const isSame = last !== null && last.incarnation === this.#incarnation && last.phase === this.phase
--- a/packages/placement/src/test/FleetEvent.ts
+++ b/packages/placement/src/test/FleetEvent.ts
@@ -3,6 +3,7 @@
   | { readonly kind: 'crash'; readonly pick: number; readonly seconds: number }
   | { readonly kind: 'lose'; readonly pick: number }
   | { readonly kind: 'silence'; readonly pick: number; readonly seconds: number }
+  | { readonly kind: 'cut-off'; readonly pick: number; readonly seconds: number }
   | { readonly kind: 'unlist'; readonly pick: number; readonly seconds: number }
   | { readonly kind: 'leave'; readonly pick: number }
   | { readonly kind: 'stray'; readonly pick: number }
--- a/packages/placement/src/test/applyEvent.ts
+++ b/packages/placement/src/test/applyEvent.ts
@@ -50,6 +50,9 @@
     case 'silence':
       if (vm.silentUntilMilliseconds < fleet.now) vm.silentUntilMilliseconds = fleet.now + milliseconds;
       break;
+    case 'cut-off':
+      vm.cutOffUntilMilliseconds = fleet.now + milliseconds;
+      break;
     case 'unlist':
       vm.leaveList(fleet.now, milliseconds);
       break;
--- a/packages/placement/src/test/planPlacement.test.ts
+++ b/packages/placement/src/test/planPlacement.test.ts
@@ -66,7 +66,9 @@
 const anyEvent: fc.Arbitrary<FleetEvent> = fc.oneof(
   fc.record({ kind: fc.constant('wait' as const), seconds }),
   fc.record({
-    kind: fc.constantFrom('crash' as const, 'silence' as const, 'domain-crash' as const), pick, seconds,
+    kind: fc.constantFrom('crash' as const, 'silence' as const, 'cut-off' as const, 'domain-crash' as const),
+    pick,
+    seconds,
   }),
   fc.record({ kind: fc.constant('unlist' as const), pick, seconds: fc.integer({ min: 1, max: 25 }) }),
   fc.record({
