Weigh the slots of every larger group when a domain is chosen

Cause: only the largest group's slots were spared, so that single VMs broke slots of two and four. Change: the rating adds up the VMs in broken slots over all larger sizes wanted.

--- a/packages/placement/src/lib/PlanContext.ts
+++ b/packages/placement/src/lib/PlanContext.ts
@@ -11,6 +11,6 @@
   readonly pool: FreePool;
   readonly budget: LoadBudget;
   readonly draft: PlanDraft;
-  /** Largest number of VMs that a replica of any wanted model spans. */
-  readonly largestGroup: number;
+  /** Numbers of VMs that the replicas of wanted services span, each once. */
+  readonly groupSizes: readonly number[];
 }
--- a/packages/placement/src/lib/chooseDomain.ts
+++ b/packages/placement/src/lib/chooseDomain.ts
@@ -4,11 +4,14 @@
 import type ReplicaShape from './ReplicaShape.js';
 import type SpreadCount from './SpreadCount.js';
 
-/** Places for groups of the largest size that the domain loses beyond the one that is used itself. */
-function countBrokenSlots(free: number, groupSize: number, largestGroup: number): number {
-  const before = Math.floor(free / largestGroup);
-  const after = Math.floor((free - groupSize) / largestGroup);
-  return before - after - (groupSize === largestGroup ? 1 : 0);
+/** VMs in slots for larger groups that the domain loses, over all larger sizes wanted. */
+function countBrokenSlots(free: number, groupSize: number, groupSizes: readonly number[]): number {
+  let broken = 0;
+  for (const size of groupSizes) {
+    const lost = Math.floor(free / size) - Math.floor((free - groupSize) / size);
+    if (size > groupSize) broken += lost * size;
+  }
+  return broken;
 }
 
 /**
@@ -21,13 +24,13 @@
   shape: ReplicaShape,
   spread: SpreadCount,
   pool: FreePool,
-  largestGroup: number,
+  groupSizes: readonly number[],
 ): readonly number[] {
   const free = domain.free.length;
   const leftover = free - shape.vmsPerReplica;
   return [
     spread.inZone(domain.availabilityZone),
-    countBrokenSlots(free, shape.vmsPerReplica, largestGroup),
+    countBrokenSlots(free, shape.vmsPerReplica, groupSizes),
     -pool.freeInZone(domain.availabilityZone),
     shape.vmsPerReplica > 1 && leftover === 0 ? 1 : 0,
     spread.inDomain(domain.fabricDomain),
@@ -48,12 +51,12 @@
   pool: FreePool,
   shape: ReplicaShape,
   spread: SpreadCount,
-  largestGroup: number,
+  groupSizes: readonly number[],
 ): DomainPool | null {
   let best: DomainPool | null = null;
   let bestRating: readonly number[] = [];
   for (const domain of pool.domainsWithRoom(shape)) {
-    const rating = rate(domain, shape, spread, pool, largestGroup);
+    const rating = rate(domain, shape, spread, pool, groupSizes);
     const order = best === null ? -1 : compareRatings(rating, bestRating)
       || compareText(domain.fabricDomain, best.fabricDomain);
     if (order < 0) {
--- a/packages/placement/src/lib/planMoves.ts
+++ b/packages/placement/src/lib/planMoves.ts
@@ -26,7 +26,7 @@
   if (fullest < MINIMUM_GAIN || !budget.allows(shape.vmsPerReplica, fleet.limits.moveLoadShare)) return false;
   const spread = new SpreadCount();
   for (const { availabilityZone, fabricDomain } of view.serving) spread.add(availabilityZone, fabricDomain);
-  const domain = chooseDomain(pool, shape, spread, context.largestGroup);
+  const domain = chooseDomain(pool, shape, spread, context.groupSizes);
   if (domain === null || fullest - spread.inZone(domain.availabilityZone) < MINIMUM_GAIN) return false;
   return tryPlace(shape, spread, 'spread', context) === 'added';
 }
--- a/packages/placement/src/lib/planPlacement.ts
+++ b/packages/placement/src/lib/planPlacement.ts
@@ -19,8 +19,8 @@
 import planUnloads from './planUnloads.js';
 import type ServiceView from './ServiceView.js';
 
-function findLargestGroup(services: readonly ServiceView[]): number {
-  return services.reduce((largest, { definition }) => Math.max(largest, definition?.vmsPerReplica ?? 1), 1);
+function listGroupSizes(services: readonly ServiceView[]): readonly number[] {
+  return [...new Set(services.map(({ definition }) => definition?.vmsPerReplica ?? 1))];
 }
 
 function createContext(input: PlacementInput, limits: PlacementLimits): PlanContext {
@@ -32,7 +32,7 @@
     pool: new FreePool(input.vms, fleet),
     budget: new LoadBudget(services, fleet),
     draft: new PlanDraft(),
-    largestGroup: findLargestGroup(services),
+    groupSizes: listGroupSizes(services),
   };
 }
 
--- a/packages/placement/src/lib/tryPlace.ts
+++ b/packages/placement/src/lib/tryPlace.ts
@@ -12,10 +12,10 @@
   spread: SpreadCount,
   reason: PlaceReason,
   {
-    pool, budget, draft, largestGroup,
+    pool, budget, draft, groupSizes,
   }: PlanContext,
 ): AdditionOutcome {
-  const domain = chooseDomain(pool, shape, spread, largestGroup);
+  const domain = chooseDomain(pool, shape, spread, groupSizes);
   if (domain === null) return 'no-room';
   const members = pool.fitting(domain.fabricDomain, shape).slice(0, shape.vmsPerReplica);
   const loads = shape.kind === 'plain'
