Move small groups out of the way of large ones

Change: planDefragmentation copies one smaller, settled replica to another domain, and the surplus drain prefers the replica whose VMs a need waits for. Plain VMs and VMs with accelerators are pooled apart, so that they do not count for each other; the fake fleet now mixes them in one domain.

--- a/packages/placement/src/lib/FreePool.ts
+++ b/packages/placement/src/lib/FreePool.ts
@@ -7,12 +7,20 @@
 import type ReplicaShape from './ReplicaShape.js';
 import type VMObservation from './VMObservation.js';
 
+/** VMs without accelerators are for plain services, the others for models. */
+function kindOf({ record }: VMObservation): ReplicaShape['kind'] {
+  return record.accelerators === 0 ? 'plain' : 'model';
+}
+
 /**
  * The VMs that a plan may still give away, by fabric domain. It only shrinks while a
  * plan is made, so that a shape that once found no room finds none later in the plan.
  */
 export default class FreePool {
-  readonly #domains = new Map<FabricDomainId, DomainPool>();
+  readonly #domains: Readonly<Record<ReplicaShape['kind'], Map<FabricDomainId, DomainPool>>> = {
+    model: new Map(),
+    plain: new Map(),
+  };
 
   readonly #zoneSizes = new Map<AvailabilityZoneId, number>();
 
@@ -26,9 +34,10 @@
 
   #add(vm: VMObservation): void {
     const { availabilityZone, fabricDomain } = vm.record;
-    const domain = this.#domains.get(fabricDomain) ?? { availabilityZone, fabricDomain, free: [] };
+    const domains = this.#domains[kindOf(vm)];
+    const domain = domains.get(fabricDomain) ?? { availabilityZone, fabricDomain, free: [] };
     domain.free.push(vm);
-    this.#domains.set(fabricDomain, domain);
+    domains.set(fabricDomain, domain);
     this.#zoneSizes.set(availabilityZone, this.freeInZone(availabilityZone) + 1);
   }
 
@@ -38,7 +47,7 @@
 
   /** The free VMs of one domain that fit, best first. */
   fitting(fabricDomain: FabricDomainId, shape: ReplicaShape): VMObservation[] {
-    const free = this.#domains.get(fabricDomain)?.free ?? [];
+    const free = this.#domains[shape.kind].get(fabricDomain)?.free ?? [];
     return free
       .filter((vm) => fitsShape(vm, shape))
       .sort((left, right) => FreePool.#compare(left, right, shape));
@@ -48,7 +57,8 @@
   domainsWithRoom(shape: ReplicaShape): DomainPool[] {
     const key = `${shape.kind} ${shape.vmsPerReplica} ${shape.acceleratorsPerVM}`;
     if (this.#fullShapes.has(key)) return [];
-    const domains = [...this.#domains.values()].filter((domain) => FreePool.#hasRoom(domain, shape));
+    const domains = [...this.#domains[shape.kind].values()]
+      .filter((domain) => FreePool.#hasRoom(domain, shape));
     if (domains.length === 0) this.#fullShapes.add(key);
     return domains;
   }
@@ -56,7 +66,7 @@
   take(vms: readonly VMObservation[]): void {
     for (const vm of vms) {
       const { availabilityZone, fabricDomain } = vm.record;
-      const free = this.#domains.get(fabricDomain)?.free ?? [];
+      const free = this.#domains[kindOf(vm)].get(fabricDomain)?.free ?? [];
       const index = free.indexOf(vm);
       if (index >= 0) {
         free.splice(index, 1);
--- a/packages/placement/src/lib/PlaceReason.ts
+++ b/packages/placement/src/lib/PlaceReason.ts
@@ -1,4 +1,4 @@
 /** Why a replica is placed. */
-type PlaceReason = 'below-wanted' | 'version-change' | 'out-of-service' | 'replica-lost' | 'spread';
+type PlaceReason = 'below-wanted' | 'version-change' | 'out-of-service' | 'replica-lost' | 'spread' | 'defragment';
 
 export default PlaceReason;
--- a/packages/placement/src/lib/chooseDomain.ts
+++ b/packages/placement/src/lib/chooseDomain.ts
@@ -1,19 +1,10 @@
 import compareText from './compareText.js';
+import countBrokenSlots from './countBrokenSlots.js';
 import type DomainPool from './DomainPool.js';
 import type FreePool from './FreePool.js';
 import type ReplicaShape from './ReplicaShape.js';
 import type SpreadCount from './SpreadCount.js';
 
-/** VMs in slots for larger groups that the domain loses, over all larger sizes wanted. */
-function countBrokenSlots(free: number, groupSize: number, groupSizes: readonly number[]): number {
-  let broken = 0;
-  for (const size of groupSizes) {
-    const lost = Math.floor(free / size) - Math.floor((free - groupSize) / size);
-    if (size > groupSize) broken += lost * size;
-  }
-  return broken;
-}
-
 /**
  * Key of a domain; the smallest is best. Spread over availability zones bounds the
  * loss with a zone. Then no large slot is broken for a small group, the emptier zone is
@@ -52,10 +43,11 @@
   shape: ReplicaShape,
   spread: SpreadCount,
   groupSizes: readonly number[],
+  isAllowed: (domain: DomainPool) => boolean = () => true,
 ): DomainPool | null {
   let best: DomainPool | null = null;
   let bestRating: readonly number[] = [];
-  for (const domain of pool.domainsWithRoom(shape)) {
+  for (const domain of pool.domainsWithRoom(shape).filter(isAllowed)) {
     const rating = rate(domain, shape, spread, pool, groupSizes);
     const order = best === null ? -1 : compareRatings(rating, bestRating)
       || compareText(domain.fabricDomain, best.fabricDomain);
--- a/packages/placement/src/lib/chooseForRemoval.ts
+++ b/packages/placement/src/lib/chooseForRemoval.ts
@@ -6,12 +6,14 @@
 export default function chooseForRemoval(
   views: readonly ReplicaView[],
   count: number,
+  isInTheWay: (view: ReplicaView) => boolean = () => false,
 ): readonly ReplicaView[] {
   const left = [...views];
   const chosen: ReplicaView[] = [];
   const counts = countByZone(left);
   while (chosen.length < count && left.length > 0) {
-    const view = left.reduce((best, next) => (compareForRemoval(next, best, counts) < 0 ? next : best));
+    const view = left.reduce((best, next) => (
+      compareForRemoval(next, best, counts, isInTheWay) < 0 ? next : best));
     left.splice(left.indexOf(view), 1);
     chosen.push(view);
     counts.set(view.availabilityZone, (counts.get(view.availabilityZone) ?? 0) - 1);
--- a/packages/placement/src/lib/isRoomComing.ts
+++ b/packages/placement/src/lib/isRoomComing.ts
@@ -11,8 +11,7 @@
 
 function frees(service: ServiceView, lostDrainMilliseconds: number): boolean {
   const present = service.serving.length + service.loading.length + service.outdated.length;
-  const isRolling = service.outdated.length > 0 && present > service.wanted;
-  return isRolling
+  return present > service.wanted
     || [...service.draining, ...service.stopping].some((view) => isLeavingSoon(view, lostDrainMilliseconds));
 }
 
@@ -20,7 +19,7 @@
 export default function isRoomComing(kind: ServiceDefinition['kind'], context: PlanContext): boolean {
   const { lostDrainMilliseconds } = context.fleet.limits;
   const isSurging = context.draft.commands.some((command) => (
-    command.kind === 'place' && command.reason === 'version-change'));
+    command.kind === 'place' && ['version-change', 'defragment', 'spread'].includes(command.reason)));
   return isSurging || context.services
     .filter(({ definition }) => definition === null || definition.kind === kind)
     .some((service) => frees(service, lostDrainMilliseconds));
--- a/packages/placement/src/lib/planDrains.ts
+++ b/packages/placement/src/lib/planDrains.ts
@@ -1,6 +1,7 @@
 import chooseForRemoval from './chooseForRemoval.js';
 import type DrainReason from './DrainReason.js';
 import isRoomComing from './isRoomComing.js';
+import makesRoomFor from './makesRoomFor.js';
 import type PlanContext from './PlanContext.js';
 import type ReplicaView from './ReplicaView.js';
 import type ServiceNeed from './ServiceNeed.js';
@@ -28,10 +29,17 @@
 }
 
 /** Replicas of the wanted version count once they are warm, so that a cold one replaces nothing yet. */
-function drainSurplus(service: ServiceView, context: PlanContext): void {
+function drainSurplus(
+  service: ServiceView,
+  needs: readonly ServiceNeed[],
+  context: PlanContext,
+): void {
   const warm = service.serving.filter(({ isWarm }) => isWarm).length;
   const surplus = warm + service.outdated.length - service.wanted;
-  for (const view of chooseForRemoval([...service.serving, ...service.outdated], surplus)) {
+  if (surplus <= 0) return;
+  const isInTheWay = (view: ReplicaView): boolean => (
+    needs.some((need) => makesRoomFor(view, need, context.pool, context.fleet)));
+  for (const view of chooseForRemoval([...service.serving, ...service.outdated], surplus, isInTheWay)) {
     drain(view, view.isOutdated ? 'version-change' : 'surplus', context);
   }
 }
@@ -50,7 +58,7 @@
     for (const view of service.unwanted) drain(view, unwantedReason(view, service), context);
     if (service.wanted > 0) {
       drainBroken(service, context);
-      drainSurplus(service, context);
+      drainSurplus(service, needs, context);
     }
   }
   for (const need of needs) makeRoom(need, context);
--- a/packages/placement/src/lib/planMoves.ts
+++ b/packages/placement/src/lib/planMoves.ts
@@ -1,5 +1,6 @@
 import chooseDomain from './chooseDomain.js';
 import countByZone from './countByZone.js';
+import isAtRest from './isAtRest.js';
 import type PlanContext from './PlanContext.js';
 import type ServiceView from './ServiceView.js';
 import shapeOf from './shapeOf.js';
@@ -9,17 +10,9 @@
 /** Difference between the fullest zone and the target below which a move gains nothing. */
 const MINIMUM_GAIN = 2;
 
-/** Only a service at rest moves: each replica has served for long, and nothing else is under way. */
-function isSettled(view: ServiceView, settledMilliseconds: number): boolean {
-  const others = [view.loading, view.outdated, view.broken, view.unwanted, view.draining];
-  return view.serving.length === view.wanted
-    && others.every(({ length }) => length === 0)
-    && view.serving.every(({ stateMilliseconds }) => stateMilliseconds >= settledMilliseconds);
-}
-
 function planMove(view: ServiceView, context: PlanContext): boolean {
   const { fleet, pool, budget } = context;
-  if (view.definition === null || !isSettled(view, fleet.limits.settledMilliseconds)) return false;
+  if (view.definition === null || !isAtRest(view, fleet.limits.settledMilliseconds)) return false;
   const shape = shapeOf(view.definition);
   const counts = countByZone(view.serving);
   const fullest = Math.max(0, ...counts.values());
--- a/packages/placement/src/lib/planPlacement.ts
+++ b/packages/placement/src/lib/planPlacement.ts
@@ -6,6 +6,7 @@
 import planAbandons from './planAbandons.js';
 import planAdditions from './planAdditions.js';
 import type PlanContext from './PlanContext.js';
+import planDefragmentation from './planDefragmentation.js';
 import planDrains from './planDrains.js';
 import PlanDraft from './PlanDraft.js';
 import type PlacementCommand from './PlacementCommand.js';
@@ -48,11 +49,12 @@
   planRemovals(context);
   planServes(context);
   const needs = planAdditions(context);
+  planDefragmentation(needs, context);
   planMoves(context);
   planDrains(needs, context);
   planPreemptions(needs, context);
   planAbandons(context);
-  planStops(context);
+  planStops(needs, context);
   planUnloads(input, context);
   return context.draft.commands;
 }
--- a/packages/placement/src/lib/planStops.ts
+++ b/packages/placement/src/lib/planStops.ts
@@ -1,8 +1,10 @@
 import chooseForRemoval from './chooseForRemoval.js';
 import countByZone from './countByZone.js';
 import type FleetView from './FleetView.js';
+import makesRoomFor from './makesRoomFor.js';
 import type PlanContext from './PlanContext.js';
 import type ReplicaView from './ReplicaView.js';
+import type ServiceNeed from './ServiceNeed.js';
 import type ServiceView from './ServiceView.js';
 import type StopReason from './StopReason.js';
 
@@ -25,23 +27,30 @@
   return view.stateMilliseconds >= limits.loadLimitMilliseconds ? 'load-limit' : 'not-wanted';
 }
 
-/** Whether the one loading replica beyond the wanted number evens out the zones. */
-function isMove(view: ServiceView): boolean {
+/** Whether the one loading replica beyond the wanted number evens out the zones or makes room. */
+function isMove(view: ServiceView, needs: readonly ServiceNeed[], { pool, fleet }: PlanContext): boolean {
   const [mover] = view.loading;
   if (mover === undefined || view.loading.length > 1 || view.serving.length !== view.wanted) return false;
+  const isMakingRoom = view.serving.some((other) => other.fabricDomain !== mover.fabricDomain
+    && needs.some((need) => makesRoomFor(other, need, pool, fleet)));
+  if (isMakingRoom) return true;
   const counts = countByZone([...view.serving, mover]);
   const target = counts.get(mover.availabilityZone) ?? 0;
   return Math.max(...counts.values()) > target;
 }
 
-function stopSurplus(service: ServiceView, context: PlanContext): void {
+function stopSurplus(
+  service: ServiceView,
+  needs: readonly ServiceNeed[],
+  context: PlanContext,
+): void {
   const surplus = service.serving.length + service.loading.length - service.wanted;
-  if (surplus <= 0 || isMove(service)) return;
+  if (surplus <= 0 || isMove(service, needs, context)) return;
   for (const view of chooseForRemoval(service.loading, surplus)) stop(view, 'not-wanted', context);
 }
 
 /** Decides which replicas unload. */
-export default function planStops(context: PlanContext): void {
+export default function planStops(needs: readonly ServiceNeed[], context: PlanContext): void {
   for (const service of context.services) {
     for (const view of service.draining) {
       const reason = drainedReason(view, context.fleet);
@@ -49,6 +58,6 @@
     }
     for (const view of service.unwanted) stop(view, unwantedReason(view, context.fleet), context);
     for (const view of service.broken) stop(view, 'member-lost', context);
-    stopSurplus(service, context);
+    stopSurplus(service, needs, context);
   }
 }
--- a/packages/placement/src/lib/tryPlace.ts
+++ b/packages/placement/src/lib/tryPlace.ts
@@ -1,5 +1,6 @@
 import type AdditionOutcome from './AdditionOutcome.js';
 import chooseDomain from './chooseDomain.js';
+import type DomainPool from './DomainPool.js';
 import hasWeights from './hasWeights.js';
 import type PlaceReason from './PlaceReason.js';
 import type PlanContext from './PlanContext.js';
@@ -14,8 +15,9 @@
   {
     pool, budget, draft, groupSizes,
   }: PlanContext,
+  isAllowed?: (domain: DomainPool) => boolean,
 ): AdditionOutcome {
-  const domain = chooseDomain(pool, shape, spread, groupSizes);
+  const domain = chooseDomain(pool, shape, spread, groupSizes, isAllowed);
   if (domain === null) return 'no-room';
   const members = pool.fitting(domain.fabricDomain, shape).slice(0, shape.vmsPerReplica);
   const loads = shape.kind === 'plain'
--- a/packages/placement/src/test/createFakeVMs.ts
+++ b/packages/placement/src/test/createFakeVMs.ts
@@ -2,9 +2,9 @@
 import FakeVM from './FakeVM.js';
 import type FleetSettings from './FleetSettings.js';
 
-function createRecord(zone: number, domain: string, index: number, accelerators: number): VMRecord {
+function createRecord(zone: number, domain: string, name: string, accelerators: number): VMRecord {
   return VMRecord.parse({
-    vm: `vm-${domain}-${String(index).padStart(3, '0')}`,
+    vm: `vm-${domain}-${name}`,
     availabilityZone: `zone-${zone}`,
     fabricDomain: `domain-${domain}`,
     accelerators,
@@ -20,11 +20,11 @@
     for (let domain = 0; domain < settings.domainsPerZone; domain += 1) {
       const name = `${zone}-${String(domain).padStart(3, '0')}`;
       for (let index = 0; index < settings.vmsPerDomain; index += 1) {
-        records.push(createRecord(zone, name, index, settings.acceleratorsPerVM));
+        records.push(createRecord(zone, name, String(index).padStart(3, '0'), settings.acceleratorsPerVM));
       }
     }
     for (let index = 0; index < settings.plainVMsPerZone; index += 1) {
-      records.push(createRecord(zone, `${zone}-plain`, index, 0));
+      records.push(createRecord(zone, `${zone}-000`, `plain-${index}`, 0));
     }
   }
   return records.map((record) => new FakeVM(record, settings));
--- a/packages/placement/src/test/planPlacement.test.ts
+++ b/packages/placement/src/test/planPlacement.test.ts
@@ -233,3 +233,24 @@
   for (const vm of [...fleet.vms.values()].slice(0, 25)) vm.cutOffUntilMilliseconds = fleet.now + 120_000;
   expect(run(fleet, 180)).toEqual([]);
 });
+
+test('a small group moves out of the way of a large one', () => {
+  const fleet = createSettledFleet([{ name: 'letters', replicas: 9, vms: 2 }]);
+  const services = [{ name: 'letters', replicas: 6, vms: 2 }, { name: 'permits', replicas: 3, vms: 4 }];
+  fleet.changeRelease(createRelease(services));
+  run(fleet, 5 * SETTLE_SECONDS);
+  expect([countServing(fleet, 'letters'), countServing(fleet, 'permits')]).toEqual([6, 3]);
+  expect(run(fleet, SETTLE_SECONDS)).toEqual([]);
+});
+
+test('a zone that returns is used again, move by move', () => {
+  const fleet = createSettledFleet([{ name: 'letters', replicas: 6, vms: 2 }]);
+  const [zone] = [...fleet.vms.values()].map(({ record }) => record.availabilityZone);
+  if (zone !== undefined) fleet.changeRelease({ availabilityZonesOut: [zone] });
+  run(fleet, SETTLE_SECONDS);
+  fleet.changeRelease({ availabilityZonesOut: [] });
+  const moves = run(fleet, 5 * SETTLE_SECONDS).filter(({ kind }) => kind === 'place');
+  expect(moves.map(({ reason }) => reason)).toEqual(['spread', 'spread']);
+  expect(countServing(fleet, 'letters')).toBe(6);
+  expect(run(fleet, SETTLE_SECONDS)).toEqual([]);
+});
