--- a/packages/placement/src/lib/chooseDomain.ts
+++ b/packages/placement/src/lib/chooseDomain.ts
@@ -1,16 +1,10 @@
 import compareText from './compareText.js';
+import countBrokenSlots from './countBrokenSlots.js';
 import type DomainPool from './DomainPool.js';
 import type FreePool from './FreePool.js';
 import type ReplicaShape from './ReplicaShape.js';
 import type SpreadCount from './SpreadCount.js';
 
-/** Places for groups of the largest size that the domain loses beyond the one that is used itself. */
-function countBrokenSlots(free: number, groupSize: number, largestGroup: number): number {
-  const before = Math.floor(free / largestGroup);
-  const after = Math.floor((free - groupSize) / largestGroup);
-  return before - after - (groupSize === largestGroup ? 1 : 0);
-}
-
 /**
  * Key of a domain; the smallest is best. Spread over availability zones bounds the
  * loss with a zone. Then no large slot is broken for a small group, the emptier zone is
@@ -21,13 +15,13 @@
   shape: ReplicaShape,
   spread: SpreadCount,
   pool: FreePool,
-  largestGroup: number,
+  groupSizes: readonly number[],
 ): readonly number[] {
   const free = domain.free.length;
   const leftover = free - shape.vmsPerReplica;
   return [
     spread.inZone(domain.availabilityZone),
-    countBrokenSlots(free, shape.vmsPerReplica, largestGroup),
+    countBrokenSlots(free, shape.vmsPerReplica, groupSizes),
     -pool.freeInZone(domain.availabilityZone),
     shape.vmsPerReplica > 1 && leftover === 0 ? 1 : 0,
     spread.inDomain(domain.fabricDomain),
@@ -48,12 +42,13 @@
   pool: FreePool,
   shape: ReplicaShape,
   spread: SpreadCount,
-  largestGroup: number,
+  groupSizes: readonly number[],
+  isAllowed: (domain: DomainPool) => boolean = () => true,
 ): DomainPool | null {
   let best: DomainPool | null = null;
   let bestRating: readonly number[] = [];
-  for (const domain of pool.domainsWithRoom(shape)) {
-    const rating = rate(domain, shape, spread, pool, largestGroup);
+  for (const domain of pool.domainsWithRoom(shape).filter(isAllowed)) {
+    const rating = rate(domain, shape, spread, pool, groupSizes);
     const order = best === null ? -1 : compareRatings(rating, bestRating)
       || compareText(domain.fabricDomain, best.fabricDomain);
     if (order < 0) {
--- a/packages/placement/src/lib/planPlacement.ts
+++ b/packages/placement/src/lib/planPlacement.ts
@@ -6,20 +6,22 @@
 import planAbandons from './planAbandons.js';
 import planAdditions from './planAdditions.js';
 import type PlanContext from './PlanContext.js';
+import planDefragmentation from './planDefragmentation.js';
 import planDrains from './planDrains.js';
 import PlanDraft from './PlanDraft.js';
 import type PlacementCommand from './PlacementCommand.js';
 import type PlacementInput from './PlacementInput.js';
 import type PlacementLimits from './PlacementLimits.js';
 import planMoves from './planMoves.js';
+import planPreemptions from './planPreemptions.js';
 import planRemovals from './planRemovals.js';
 import planServes from './planServes.js';
 import planStops from './planStops.js';
 import planUnloads from './planUnloads.js';
 import type ServiceView from './ServiceView.js';
 
-function findLargestGroup(services: readonly ServiceView[]): number {
-  return services.reduce((largest, { definition }) => Math.max(largest, definition?.vmsPerReplica ?? 1), 1);
+function listGroupSizes(services: readonly ServiceView[]): readonly number[] {
+  return [...new Set(services.map(({ definition }) => definition?.vmsPerReplica ?? 1))];
 }
 
 function createContext(input: PlacementInput, limits: PlacementLimits): PlanContext {
@@ -31,7 +33,7 @@
     pool: new FreePool(input.vms, fleet),
     budget: new LoadBudget(services, fleet),
     draft: new PlanDraft(),
-    largestGroup: findLargestGroup(services),
+    groupSizes: listGroupSizes(services),
   };
 }
 
@@ -47,10 +49,12 @@
   planRemovals(context);
   planServes(context);
   const needs = planAdditions(context);
+  planDefragmentation(needs, context);
   planMoves(context);
   planDrains(needs, context);
+  planPreemptions(needs, context);
   planAbandons(context);
-  planStops(context);
+  planStops(needs, context);
   planUnloads(input, context);
   return context.draft.commands;
 }
