Choose for the prefix over all zones

Cause: with zones first, each zone fills its own caches with the same prefixes, and entries of three zones assign one prefix to three targets. Change: prefix affinity looks over all zones, the least-loaded choice stays in the entry's zone unless that is well behind. A hop between zones is under a millisecond; a held prefix saves a hundred.

--- a/packages/routing/src/experiments/FakeEngine.ts
+++ b/packages/routing/src/experiments/FakeEngine.ts
@@ -12,9 +12,6 @@
 const RAMP_MILLISECONDS = 10_000;
 const COLD_BEARABLE = 2;
 
-/** Work of a prompt token over that of a generated one. */
-const PROMPT_TOKEN_WEIGHT = 0.1;
-
 /** A job in the batch. */
 interface RunningJob {
   readonly job: EngineJob;
@@ -88,14 +85,8 @@
   }
 
   report(): EngineReport {
-    const running = this.#running.reduce(
-      (sum, { prefillLeft, outputLeft }) => sum + outputLeft + PROMPT_TOKEN_WEIGHT * prefillLeft,
-      0,
-    );
-    const waiting = this.#waiting.reduce(
-      (sum, job) => sum + job.outputTokens + PROMPT_TOKEN_WEIGHT * (job.prefixTokens + job.suffixTokens),
-      0,
-    );
+    const running = this.#running.reduce((sum, { outputLeft }) => sum + outputLeft, 0);
+    const waiting = this.#waiting.reduce((sum, { outputTokens }) => sum + outputTokens, 0);
     return {
       runningRequests: this.#running.length,
       waitingRequests: this.#waiting.length,
--- a/packages/routing/src/experiments/drawWork.ts
+++ b/packages/routing/src/experiments/drawWork.ts
@@ -1,6 +1,5 @@
 import type { RandomSource } from '@dandelionlane/core';
 
-const PREFIXES = 48;
 const PREFIX_TOKENS = 1_500;
 const MEAN_SUFFIX_TOKENS = 200;
 const MEDIAN_OUTPUT_TOKENS = 110;
@@ -21,8 +20,8 @@
 }
 
 /** Draws a request: a shared prefix with few popular ones, exponential suffix, log-normal output. */
-export default function drawWork(random: RandomSource): Work {
-  const prefix = Math.floor(PREFIXES ** random.next());
+export default function drawWork(random: RandomSource, prefixes: number): Work {
+  const prefix = Math.floor(prefixes ** random.next());
   const output = MEDIAN_OUTPUT_TOKENS * Math.exp(OUTPUT_SPREAD * drawNormal(random));
   return {
     prefix,
--- a/packages/routing/src/experiments/runChoice.ts
+++ b/packages/routing/src/experiments/runChoice.ts
@@ -25,6 +25,7 @@
 interface Scenario {
   readonly perSecond: number;
   readonly hasStraggler: boolean;
+  readonly prefixes: number;
   readonly seed: number;
 }
 
@@ -91,7 +92,7 @@
   const arrive = (): void => {
     simulation.after(drawGap(random, scenario.perSecond), arrive);
     const policy = policies[Math.floor(random.next() * ENTRIES)];
-    const work = drawWork(random);
+    const work = drawWork(random, scenario.prefixes);
     const engine = policy?.choose(work) ?? 0;
     sent += 1;
     const id = `request-${sent}`;
@@ -140,9 +141,18 @@
 /** Compares ways to choose a target: latencies at one load, with and without a straggler. */
 export default function runChoice(): void {
   const scenarios: Record<string, Scenario> = {
-    'moderate load, no straggler': { perSecond: 18, hasStraggler: false, seed: 1 },
-    'high load, no straggler': { perSecond: 28, hasStraggler: false, seed: 2 },
-    'moderate load, one straggler': { perSecond: 18, hasStraggler: true, seed: 3 },
+    'moderate load, no straggler': {
+      perSecond: 18, hasStraggler: false, prefixes: 48, seed: 1,
+    },
+    'high load, no straggler': {
+      perSecond: 28, hasStraggler: false, prefixes: 48, seed: 2,
+    },
+    'moderate load, one straggler': {
+      perSecond: 18, hasStraggler: true, prefixes: 48, seed: 3,
+    },
+    'moderate load, more prefixes than caches hold': {
+      perSecond: 18, hasStraggler: false, prefixes: 1_000, seed: 4,
+    },
   };
   Object.entries(scenarios).forEach(([title, scenario]) => {
     const rows = Object.entries(POLICIES).map(([name, factory]) => runOne(name, factory, scenario));
--- a/packages/routing/src/lib/choice/chooseTarget.ts
+++ b/packages/routing/src/lib/choice/chooseTarget.ts
@@ -24,23 +24,8 @@
   return admitted.length > 0 ? admitted : open;
 }
 
-/** Chooses among candidates of any zone. */
-function chooseAmong(
-  request: RequestView,
-  scored: readonly ScoredTarget[],
-  leastReason: ChoiceReason,
-  random: RandomSource,
-): TargetChoice {
-  const forPrefix = pickForPrefix(request, scored);
-  if (forPrefix !== undefined) {
-    return chosen(forPrefix.candidate, forPrefix.reason);
-  }
-  const least = pickLeast(scored, random);
-  return least === undefined ? { kind: 'none', reason: 'all-full' } : chosen(least, leastReason);
-}
-
-/** Chooses in the entry's own zone, or in another one if the own is well behind. */
-function chooseByZone(
+/** Chooses the least loaded in the entry's own zone, or in another one if the own is well behind. */
+function chooseLeast(
   request: RequestView,
   scored: readonly ScoredTarget[],
   random: RandomSource,
@@ -48,13 +33,13 @@
   const near = scored.filter(({ target }) => target.availabilityZone === request.availabilityZone);
   const leastNear = pickLeast(near, random);
   const least = pickLeast(scored, random);
-  if (leastNear === undefined || least === undefined) {
-    return chooseAmong(request, scored, 'least-tokens-other-zone', random);
+  if (least === undefined) {
+    return { kind: 'none', reason: 'all-full' };
   }
   const spillAt = least.tokens * SPILL_RATIO + SPILL_REQUESTS * request.estimatedTokens;
-  return leastNear.tokens > spillAt
-    ? chooseAmong(request, scored, 'least-tokens-other-zone', random)
-    : chooseAmong(request, near, 'least-tokens', random);
+  return leastNear !== undefined && leastNear.tokens <= spillAt
+    ? chosen(leastNear, 'least-tokens')
+    : chosen(least, 'least-tokens-other-zone');
 }
 
 /**
@@ -82,5 +67,8 @@
   if (only !== undefined && scored.length === 1) {
     return chosen(only, 'only-candidate');
   }
-  return chooseByZone(request, scored, random);
+  const forPrefix = pickForPrefix(request, scored);
+  return forPrefix === undefined
+    ? chooseLeast(request, scored, random)
+    : chosen(forPrefix.candidate, forPrefix.reason);
 }
