Share by water level, leave a reserve, refuse at once

Cause: (1) a large team fills every place that ordinary ones leave, so each of their requests waits for one to end; (2) the expected wait took the whole service rate for a team that only gets its own share, so what could not be served was queued and refused near the end of its wait; (3) a static share counts ordinary teams as over it while others leave places free; (4) with a capacity of 0 before any release, Retry-After was not a number (found by the property test). Change: shares by the max-min water level; a sixteenth of the places is left by teams at that level while several are active; the expected wait of a team at its share follows its own places; what is queued could wait 1.5 times as long as expected; silence counts from the first release. admitWaiting is new, to be called after cancel and expire.

--- a/packages/routing/src/experiments/runExperiments.ts
+++ b/packages/routing/src/experiments/runExperiments.ts
@@ -1,8 +1,10 @@
 import runChoice from './runChoice.js';
+import runFairness from './runFairness.js';
 
 /** Name and code of each experiment. */
 const EXPERIMENTS: Readonly<Record<string, () => void>> = {
   choice: runChoice,
+  fairness: runFairness,
 };
 
 /** Runs the experiments named on the command line, or all. */
--- a/packages/routing/src/lib/admission/AdmissionQueue.ts
+++ b/packages/routing/src/lib/admission/AdmissionQueue.ts
@@ -5,6 +5,7 @@
 import type AdmittedRequest from './AdmittedRequest.js';
 import BATCH_TURN from './BATCH_TURN.js';
 import countBefore from './countBefore.js';
+import findWaterLevel from './findWaterLevel.js';
 import pickTeam from './pickTeam.js';
 import type Refusal from './Refusal.js';
 import type RefusalKind from './RefusalKind.js';
@@ -12,18 +13,26 @@
 import ServiceRate from './ServiceRate.js';
 import TeamState from './TeamState.js';
 
+/** Part of the places that a team at its share leaves free while other teams are active. */
+const RESERVED_SHARE = 1 / 16;
+
+/** A request is queued if it could wait this many times as long as expected. */
+const OFFER_MARGIN = 1.5;
+
 /** A waiting request is refused when its expected wait is longer than what is left by this factor. */
-const REFUSAL_MARGIN = 1.25;
+const EXPIRY_MARGIN = 1.25;
 
 /**
  * Shares the places in flight of one service among teams by weighted max-min
  * fairness and keeps what has to wait.
  *
  * Invariants: no more than `capacity` requests are admitted at a time, save right
- * after the capacity fell. A request waits only while all places are taken and, by
- * the present service rate, it can still meet its deadline; else it is refused in
- * the call that finds out. A place that becomes free goes to the waiting team with
- * the fewest requests in flight by weight.
+ * after the capacity fell. A request waits only while its team has no place to take
+ * and, by the present service rate, it can still meet its deadline; else it is
+ * refused in the call that finds out. A place that becomes free goes to the waiting
+ * team with the fewest requests in flight by weight. While several teams are
+ * active, one that is at its share leaves an eighth of the places to the others,
+ * so that they need not wait for one of its requests to end.
  */
 export default class AdmissionQueue {
   #options: AdmissionQueueOptions;
@@ -66,25 +75,31 @@
   /** Changes how many requests may be in flight and returns those that go next. */
   setCapacity(capacity: number, monotonicMilliseconds: number): readonly RequestId[] {
     this.#capacity = capacity;
-    return this.#admitWaiting(monotonicMilliseconds);
+    return this.admitWaiting(monotonicMilliseconds);
   }
 
   /** Decides on a new request. */
   offer(request: AdmissionRequest, monotonicMilliseconds: number): AdmissionDecision {
+    if (monotonicMilliseconds + request.expectedServiceMilliseconds > request.deadlineMilliseconds) {
+      return { kind: 'refused', refusal: AdmissionQueue.#refuse(request, 'deadline-unreachable', 0) };
+    }
     const team = this.#teamOf(request.team);
-    if (this.#queued === 0 && this.running < this.#capacity) {
-      return this.#offerFreePlace(team, request, monotonicMilliseconds);
+    const waiting = team.waiting[request.priority];
+    waiting.set(request.requestId, request);
+    this.#queued += 1;
+    if (team.queued === 1 && this.#hasPlaceFor(team)) {
+      this.#removeWaiting(team, request.requestId);
+      this.#admit(team, request, monotonicMilliseconds);
+      return { kind: 'admitted' };
     }
-    const turn = team.waiting[request.priority].size + 1;
-    const wait = this.#expectedWait(team, turn, request.priority, monotonicMilliseconds);
-    const kind = this.#objection(team, request, wait, monotonicMilliseconds);
-    if (kind !== null) {
-      this.#forgetIfIdle(team);
-      return { kind: 'refused', refusal: AdmissionQueue.#refuse(request, kind, wait) };
+    const wait = this.#expectedWait(team, waiting.size, request.priority, monotonicMilliseconds);
+    const kind = this.#objection(team, request, wait * OFFER_MARGIN, monotonicMilliseconds);
+    if (kind === null) {
+      return { kind: 'queued', expectedWaitMilliseconds: wait };
     }
-    team.waiting[request.priority].set(request.requestId, request);
-    this.#queued += 1;
-    return { kind: 'queued', expectedWaitMilliseconds: wait };
+    this.#removeWaiting(team, request.requestId);
+    this.#forgetIfIdle(team);
+    return { kind: 'refused', refusal: AdmissionQueue.#refuse(request, kind, wait) };
   }
 
   /** Notes that a request in flight ended and returns those that go next. */
@@ -98,7 +113,7 @@
     team.noteReleased();
     this.#rate.released(monotonicMilliseconds - admitted.admittedAtMilliseconds, monotonicMilliseconds);
     this.#forgetIfIdle(team);
-    return this.#admitWaiting(monotonicMilliseconds);
+    return this.admitWaiting(monotonicMilliseconds);
   }
 
   /** Refuses the waiting requests that can no longer meet their deadline. Call it often. */
@@ -123,6 +138,21 @@
     return false;
   }
 
+  /**
+   * Admits what has a place and returns it. Call it after `cancel` and `expire`, which
+   * may leave a place to others; all other methods do so themselves.
+   */
+  admitWaiting(monotonicMilliseconds: number): readonly RequestId[] {
+    const admitted: RequestId[] = [];
+    for (;;) {
+      const requestId = this.#admitNext(monotonicMilliseconds);
+      if (requestId === undefined) {
+        return admitted;
+      }
+      admitted.push(requestId);
+    }
+  }
+
   static #refuse(request: AdmissionRequest, kind: RefusalKind, waitMilliseconds: number): Refusal {
     return {
       requestId: request.requestId,
@@ -131,19 +161,6 @@
     };
   }
 
-  #offerFreePlace(
-    team: TeamState,
-    request: AdmissionRequest,
-    monotonicMilliseconds: number,
-  ): AdmissionDecision {
-    if (monotonicMilliseconds + request.expectedServiceMilliseconds > request.deadlineMilliseconds) {
-      this.#forgetIfIdle(team);
-      return { kind: 'refused', refusal: AdmissionQueue.#refuse(request, 'deadline-unreachable', 0) };
-    }
-    this.#admit(team, request, monotonicMilliseconds);
-    return { kind: 'admitted' };
-  }
-
   /** Expected wait of the `turn`-th next request of a team's class, in milliseconds. */
   #expectedWait(
     team: TeamState,
@@ -152,7 +169,21 @@
     monotonicMilliseconds: number,
   ): number {
     const before = countBefore(team, this.#teams, turn, priority);
-    return (before + 1) * this.#rate.intervalMilliseconds(this.#capacity, monotonicMilliseconds);
+    const interval = this.#rate.intervalMilliseconds(this.#capacity, monotonicMilliseconds);
+    return Math.max((before + 1) * interval, this.#waitForOwnPlace(team, turn, interval));
+  }
+
+  /**
+   * Wait until a team at its share gets a place: about when one of its own becomes
+   * free, since later arrivals of other teams go first.
+   */
+  #waitForOwnPlace(team: TeamState, turn: number, intervalMilliseconds: number): number {
+    const unreserved = this.#capacity - this.#reserved();
+    const level = findWaterLevel(this.#teams.values(), unreserved);
+    const share = Math.min(unreserved, level * team.weight);
+    const turnsBeyondShare = Math.max(0, turn - Math.max(0, share - team.running));
+    const places = Math.max(1, share, team.running);
+    return (turnsBeyondShare * intervalMilliseconds * this.#capacity) / places;
   }
 
   /** Why a request that would wait so long is refused, or null. */
@@ -164,7 +195,7 @@
   ): RefusalKind | null {
     const startMilliseconds = monotonicMilliseconds + waitMilliseconds;
     const endMilliseconds = startMilliseconds + request.expectedServiceMilliseconds;
-    const isFull = this.#capacity <= 0 || this.#queued >= this.#options.maximumQueued;
+    const isFull = this.#capacity <= 0 || this.#queued > this.#options.maximumQueued;
     const isTooLong = startMilliseconds > request.queueUntilMilliseconds;
     const isTooLate = endMilliseconds > request.deadlineMilliseconds;
     if (!isFull && !isTooLong && !isTooLate) {
@@ -176,36 +207,42 @@
     return isFull || !isTooLate ? 'overloaded' : 'deadline-unreachable';
   }
 
-  /** Whether a team has or asks for more than its weight's part while others want places too. */
+  /** Whether a team has or asks for more than max-min fairness gives it beside the others. */
   #isOverShare(team: TeamState): boolean {
-    let weights = 0;
-    let others = 0;
-    for (const other of this.#teams.values()) {
-      if (other === team || other.demand > 0) {
-        weights += other.weight;
-        others += other === team ? 0 : 1;
-      }
-    }
-    return others > 0 && team.demand >= (this.#capacity * team.weight) / weights;
+    return this.#teams.size > 1 && team.demand >= this.#waterLevel() * team.weight;
   }
 
-  #admitWaiting(monotonicMilliseconds: number): readonly RequestId[] {
-    const admitted: RequestId[] = [];
-    while (this.#queued > 0 && this.running < this.#capacity) {
-      const requestId = this.#admitNext(monotonicMilliseconds);
-      if (requestId === undefined) {
-        break;
-      }
-      admitted.push(requestId);
+  #waterLevel(): number {
+    return findWaterLevel(this.#teams.values(), this.#capacity);
+  }
+
+  /** Places that no team at its share takes while several teams are active. */
+  #reserved(): number {
+    return this.#teams.size > 1 ? Math.floor(this.#capacity * RESERVED_SHARE) : 0;
+  }
+
+  /** Whether a team may take a place now. One at its share leaves some free for the others. */
+  #hasPlaceFor(team: TeamState): boolean {
+    const unreserved = this.#capacity - this.#reserved();
+    if (this.running < unreserved || this.running >= this.#capacity) {
+      return this.running < unreserved;
     }
-    return admitted;
+    return team.level < findWaterLevel(this.#teams.values(), unreserved);
   }
 
   #admitNext(monotonicMilliseconds: number): RequestId | undefined {
-    const priority = this.#nextPriority();
+    if (this.#queued === 0 || this.running >= this.#capacity) {
+      return undefined;
+    }
+    const first = this.#nextPriority();
+    return this.#admitOf(first, monotonicMilliseconds)
+      ?? this.#admitOf(first === 'batch' ? 'interactive' : 'batch', monotonicMilliseconds);
+  }
+
+  #admitOf(priority: Priority, monotonicMilliseconds: number): RequestId | undefined {
     const team = pickTeam(this.#teams.values(), priority);
     const [request] = team?.waiting[priority].values() ?? [];
-    if (team === undefined || request === undefined) {
+    if (team === undefined || request === undefined || !this.#hasPlaceFor(team)) {
       return undefined;
     }
     this.#removeWaiting(team, request.requestId);
@@ -216,11 +253,17 @@
 
   /** Interactive before batch, but for every tenth place. */
   #nextPriority(): Priority {
-    const teams = [...this.#teams.values()];
-    const isBatchWaiting = teams.some(({ waiting }) => waiting.batch.size > 0);
-    const isInteractiveWaiting = teams.some(({ waiting }) => waiting.interactive.size > 0);
     const isBatchTurn = this.#interactiveInRow >= BATCH_TURN - 1;
-    return isBatchWaiting && (isBatchTurn || !isInteractiveWaiting) ? 'batch' : 'interactive';
+    return isBatchTurn || !this.#isWaiting('interactive') ? 'batch' : 'interactive';
+  }
+
+  #isWaiting(priority: Priority): boolean {
+    for (const { waiting } of this.#teams.values()) {
+      if (waiting[priority].size > 0) {
+        return true;
+      }
+    }
+    return false;
   }
 
   #admit(team: TeamState, request: AdmissionRequest, monotonicMilliseconds: number): void {
@@ -244,7 +287,7 @@
     let turn = 1;
     for (const request of team.waiting[priority].values()) {
       const wait = this.#expectedWait(team, turn, priority, monotonicMilliseconds);
-      const kind = this.#objection(team, request, wait / REFUSAL_MARGIN, monotonicMilliseconds);
+      const kind = this.#objection(team, request, wait / EXPIRY_MARGIN, monotonicMilliseconds);
       if (kind === null) {
         turn += 1;
       } else {
--- a/packages/routing/src/lib/admission/ServiceRate.ts
+++ b/packages/routing/src/lib/admission/ServiceRate.ts
@@ -10,7 +10,7 @@
 export default class ServiceRate {
   #serviceTime = new MovingAverage(SAMPLE_WEIGHT);
 
-  #lastReleaseMilliseconds = -Infinity;
+  #lastReleaseMilliseconds: number | null = null;
 
   constructor(initialServiceMilliseconds: number) {
     for (let sample = 0; sample < INITIAL_SAMPLES; sample += 1) {
@@ -35,6 +35,10 @@
    */
   intervalMilliseconds(capacity: number, monotonicMilliseconds: number): number {
     const usual = this.#serviceTime.value / Math.max(1, capacity);
-    return Math.max(usual, monotonicMilliseconds - this.#lastReleaseMilliseconds - this.#serviceTime.value);
+    if (this.#lastReleaseMilliseconds === null) {
+      return usual;
+    }
+    const silence = monotonicMilliseconds - this.#lastReleaseMilliseconds;
+    return Math.max(usual, silence - this.#serviceTime.value);
   }
 }
--- /dev/null
+++ b/packages/routing/src/lib/admission/findWaterLevel.ts
@@ -0,0 +1,21 @@
+import type TeamState from './TeamState.js';
+
+/**
+ * Places by weight that max-min fairness gives each team which wants more than it
+ * gets: the level at which the demands, each capped at the level, fill the
+ * capacity. Infinity if all demands fit.
+ */
+export default function findWaterLevel(teams: Iterable<TeamState>, capacity: number): number {
+  let open = [...teams];
+  let places = capacity;
+  for (;;) {
+    const weights = open.reduce((sum, { weight }) => sum + weight, 0);
+    const level = weights > 0 ? places / weights : Infinity;
+    const satisfied = open.filter(({ demand, weight }) => demand / weight <= level);
+    if (satisfied.length === 0 || level === Infinity) {
+      return level;
+    }
+    places -= satisfied.reduce((sum, { demand }) => sum + demand, 0);
+    open = open.filter(({ demand, weight }) => demand / weight > level);
+  }
+}
