--- /dev/null
+++ b/packages/routing/src/experiments/runColdReturn.ts
@@ -0,0 +1,109 @@
+import { SeededRandom } from '@dandelionlane/core';
+import ColdEntry from './ColdEntry.js';
+import type ColdPolicy from './ColdPolicy.js';
+import drawGap from './drawGap.js';
+import drawWork from './drawWork.js';
+import FakeEngine from './FakeEngine.js';
+import printTable from './printTable.js';
+import Simulation from './Simulation.js';
+
+const ENGINES = 6;
+const PER_SECOND = 15;
+const PREFIXES = 48;
+const RUN_MILLISECONDS = 240_000;
+const RETURN_AT_MILLISECONDS = 60_000;
+const REPORT_MILLISECONDS = 1_000;
+/** Time in which a fall may come before any report of the return. */
+const EARLY_MILLISECONDS = 2_000;
+const REPORT_LAG_MILLISECONDS = 500;
+const WINDOW_MILLISECONDS = 2_000;
+
+/** Windows that are averaged over, against the noise of single answers. */
+const WINDOWS = 10;
+
+/** Answered over offered, in a window, that counts as full service. */
+const FULL_SERVICE = 0.9;
+
+/** Shares of a cold limit of 2 and a warm one of 32 over three entries. */
+const SHARES = [{ cold: 1, warm: 11 }, { cold: 1, warm: 11 }, { cold: 0, warm: 10 }];
+
+function sum(entries: readonly ColdEntry[], kind: 'answered' | 'failed' | 'refused'): number {
+  return entries.reduce((total, { outcome }) => total + outcome[kind], 0);
+}
+
+/** Seconds after the return from which answers came at the full rate, averaged over some windows. */
+function findFullService(answeredAt: readonly number[]): number | null {
+  const windowsPerSecond = 1_000 / WINDOW_MILLISECONDS;
+  const needed = (FULL_SERVICE * PER_SECOND * WINDOWS) / windowsPerSecond;
+  const index = answeredAt.findIndex((answered, start) => {
+    const end = answeredAt[start + WINDOWS];
+    return end !== undefined && end - answered >= needed;
+  });
+  return index < 0 ? null : index / windowsPerSecond;
+}
+
+function runOne(policy: ColdPolicy, seed: number): Record<string, string | number> {
+  const simulation = new Simulation();
+  const random = new SeededRandom(seed);
+  const engines = Array.from({ length: ENGINES }, () => new FakeEngine(simulation));
+  const entries = SHARES.map((shares, index) => (
+    new ColdEntry(simulation, new SeededRandom(seed + index), engines, policy, shares)));
+  engines.forEach((engine, index) => {
+    simulation.every(REPORT_MILLISECONDS, random.next() * REPORT_MILLISECONDS, () => {
+      const report = engine.report();
+      simulation.after(REPORT_LAG_MILLISECONDS, () => {
+        entries.forEach((entry) => entry.report(index, report));
+      });
+    });
+  });
+  let offered = 0;
+  const arrive = (): void => {
+    simulation.after(drawGap(random, PER_SECOND), arrive);
+    offered += 1;
+    entries[Math.floor(random.next() * entries.length)]?.offer(drawWork(random, PREFIXES));
+  };
+  simulation.after(REPORT_MILLISECONDS + REPORT_LAG_MILLISECONDS, arrive);
+  const falls = (): number => engines.reduce((total, engine) => total + engine.falls, 0);
+  let before = {
+    answered: 0, failed: 0, refused: 0, falls: 0, offered: 0,
+  };
+  simulation.after(RETURN_AT_MILLISECONDS, () => {
+    engines.forEach((engine) => engine.restart());
+    before = {
+      answered: sum(entries, 'answered'),
+      failed: sum(entries, 'failed'),
+      refused: sum(entries, 'refused'),
+      falls: falls(),
+      offered,
+    };
+  });
+  let early = 0;
+  simulation.after(RETURN_AT_MILLISECONDS + EARLY_MILLISECONDS, () => {
+    early = falls();
+  });
+  const answeredAt: number[] = [];
+  simulation.every(WINDOW_MILLISECONDS, RETURN_AT_MILLISECONDS, () => {
+    answeredAt.push(sum(entries, 'answered'));
+  });
+  simulation.runUntil(RUN_MILLISECONDS);
+  const returned = offered - before.offered;
+  const share = (kind: 'answered' | 'failed' | 'refused'): number => (
+    Math.round((1_000 * (sum(entries, kind) - before[kind])) / returned) / 10);
+  return {
+    policy,
+    seed,
+    'falls in first 2 s': early - before.falls,
+    'falls later': falls() - early,
+    'full service after s': findFullService(answeredAt) ?? 'not reached',
+    'answered % after the return': share('answered'),
+    'failed %': share('failed'),
+    'refused %': share('refused'),
+  };
+}
+
+/** All engines start cold at once, under load: falls and time to full service. */
+export default function runColdReturn(): void {
+  const policies: ColdPolicy[] = ['limiter', 'limiter without growth', 'fixed floor', 'no limit'];
+  const rows = [1, 2, 3].flatMap((seed) => policies.map((policy) => runOne(policy, seed)));
+  printTable('Cold return of six targets under 15 requests/s: cold for 20 s, then a ramp of 10 s', rows);
+}
--- a/packages/routing/src/experiments/runExperiments.ts
+++ b/packages/routing/src/experiments/runExperiments.ts
@@ -1,10 +1,16 @@
 import runChoice from './runChoice.js';
+import runColdReturn from './runColdReturn.js';
+import runCost from './runCost.js';
 import runFairness from './runFairness.js';
+import runRetries from './runRetries.js';
 
 /** Name and code of each experiment. */
 const EXPERIMENTS: Readonly<Record<string, () => void>> = {
   choice: runChoice,
   fairness: runFairness,
+  retries: runRetries,
+  cold: runColdReturn,
+  cost: runCost,
 };
 
 /** Runs the experiments named on the command line, or all. */
--- /dev/null
+++ b/packages/routing/src/experiments/runRetries.ts
@@ -0,0 +1,88 @@
+import { SeededRandom } from '@dandelionlane/core';
+import {
+  decideRetry, RetryBudget, type AttemptProgress,
+} from '../index.js';
+import drawGap from './drawGap.js';
+import printTable from './printTable.js';
+
+const PER_SECOND = 300;
+const RUN_MILLISECONDS = 180_000;
+const OUTAGE_FROM_MILLISECONDS = 60_000;
+const OUTAGE_TO_MILLISECONDS = 120_000;
+const USUAL_FAILURES = 0.002;
+
+/** Whether retries draw on one budget, or each request has as many as it likes. */
+type Budgeting = 'one budget' | 'no budget';
+
+/** Totals over some time. */
+interface Totals {
+  offered: number;
+  attempts: number;
+  answered: number;
+}
+
+/** How a failed attempt failed: half before a byte was sent, half after. */
+function drawProgress(random: SeededRandom): AttemptProgress {
+  return random.next() < 0.5 ? { kind: 'not-sent' } : { kind: 'sent' };
+}
+
+/** One request to its end. */
+function runRequest(random: SeededRandom, failures: number, budget: RetryBudget, totals: Totals): void {
+  const sum = totals;
+  let mayHaveRunBefore = false;
+  for (let attempts = 1; ; attempts += 1) {
+    sum.attempts += 1;
+    if (random.next() >= failures) {
+      sum.answered += 1;
+      return;
+    }
+    const progress = drawProgress(random);
+    const decision = decideRetry({
+      repeatable: true,
+      resumable: false,
+      progress,
+      cause: progress.kind === 'not-sent' ? 'target-refused' : 'target-lost',
+      mayHaveRunBefore,
+      attempts,
+      hasAlternative: true,
+      remainingMilliseconds: 10_000,
+      budget,
+    });
+    mayHaveRunBefore ||= progress.kind === 'sent';
+    if (decision.kind === 'give-up') {
+      return;
+    }
+  }
+}
+
+function runOne(budgeting: Budgeting, outageFailures: number): Record<string, string | number> {
+  const random = new SeededRandom(5);
+  const shared = new RetryBudget();
+  const usual: Totals = { offered: 0, attempts: 0, answered: 0 };
+  const outage: Totals = { offered: 0, attempts: 0, answered: 0 };
+  for (let now = 0; now < RUN_MILLISECONDS; now += drawGap(random, PER_SECOND)) {
+    const isOutage = now >= OUTAGE_FROM_MILLISECONDS && now < OUTAGE_TO_MILLISECONDS;
+    const totals = isOutage ? outage : usual;
+    const budget = budgeting === 'one budget' ? shared : new RetryBudget();
+    totals.offered += 1;
+    budget.freshRequest();
+    runRequest(random, isOutage ? outageFailures : USUAL_FAILURES, budget, totals);
+  }
+  return {
+    budgeting,
+    'failing in outage %': 100 * outageFailures,
+    'attempts over offered, outage': Math.round((1_000 * outage.attempts) / outage.offered) / 1_000,
+    'answered, outage %': Math.round((1_000 * outage.answered) / outage.offered) / 10,
+    'attempts over offered, else': Math.round((1_000 * usual.attempts) / usual.offered) / 1_000,
+    'answered, else %': Math.round((100_000 * usual.answered) / usual.offered) / 1_000,
+  };
+}
+
+/** Total work in an outage, with one budget of retries and without. */
+export default function runRetries(): void {
+  const rows = [0.05, 0.3, 0.9, 1].flatMap((failures) => [
+    runOne('one budget', failures),
+    runOne('no budget', failures),
+  ]);
+  printTable('Retries: attempts over offered requests in an outage of 60 s, 300 requests/s, seed 5', rows);
+}
