Drop the limit at the first lost connection, grow by what was in use

Cause: after targets restart, entries send on for up to a report's period and lag; a run of three failures comes too late at an entry with fewer requests there. And growth looked at the requests in flight at the end of one, so that requests ending together counted as a limit not in use. Change: a lost connection is a sign of a fall by itself; the ticket of a request notes how many were in flight when it was sent. An entry with nothing in flight there still learns of a fall only from the next report.

--- a/packages/routing/src/experiments/ColdEntry.ts
+++ b/packages/routing/src/experiments/ColdEntry.ts
@@ -175,7 +175,7 @@
       onEnd: (result) => {
         this.#work.delete(requestId);
         state.ownWork.finished(requestId);
-        state.limiter.finished(ticket, result, this.#simulation.now);
+        state.limiter.finished(ticket, result === 'success' ? result : 'lost', this.#simulation.now);
         this.outcome.answered += result === 'success' ? 1 : 0;
         this.outcome.failed += result === 'failure' ? 1 : 0;
         this.#simulation.after(0, () => {
--- a/packages/routing/src/lib/concurrency/ConcurrencyLimiter.ts
+++ b/packages/routing/src/lib/concurrency/ConcurrencyLimiter.ts
@@ -8,7 +8,7 @@
 /** Failures in a row that count as a fall back into cold start. */
 const FAILURE_RUN = 3;
 
-/** After a run of failures, warm reports that arrive within this time may predate the fall. */
+/** After a sign of a fall, warm reports that arrive within this time may be of before it. */
 const SUSPICION_MILLISECONDS = 3_000;
 
 /** What each success adds to the limit while the target is warm. */
@@ -77,22 +77,32 @@
   /** Notes that a request is sent. Call it only while `available` is above 0. */
   dispatched(): DispatchTicket {
     this.#inFlight += 1;
-    return { epoch: this.#epoch };
+    return { epoch: this.#epoch, inFlight: this.#inFlight };
   }
 
-  /** Notes that a request ended. A failure is an error, a timeout or a refusal of the target. */
-  finished(ticket: DispatchTicket, outcome: 'success' | 'failure', monotonicMilliseconds: number): void {
+  /**
+   * Notes that a request ended. `failure`: an error, a timeout or a refusal of the
+   * target. `lost`: its connection broke, which one restart of a member does to all.
+   */
+  finished(
+    ticket: DispatchTicket,
+    outcome: 'success' | 'failure' | 'lost',
+    monotonicMilliseconds: number,
+  ): void {
     this.#inFlight -= 1;
     if (ticket.epoch !== this.#epoch) {
       return;
     }
     switch (outcome) {
       case 'success':
-        this.#noteSuccess();
+        this.#noteSuccess(ticket);
         return;
       case 'failure':
         this.#noteFailure(monotonicMilliseconds);
         return;
+      case 'lost':
+        this.#suspect(monotonicMilliseconds);
+        return;
       default:
         outcome satisfies never;
     }
@@ -129,9 +139,10 @@
       && this.#whole.seenAtMilliseconds < this.#suspectedUntilMilliseconds;
   }
 
-  #noteSuccess(): void {
+  #noteSuccess(ticket: DispatchTicket): void {
     this.#failuresInRow = 0;
-    const isInUse = this.#inFlight + 1 >= this.#warmLimit / 2;
+    // A limit that was not nearly reached has not been measured.
+    const isInUse = ticket.inFlight >= this.#warmLimit / 2;
     if (this.#whole?.phase === 'warm' && !this.#isSuspected() && isInUse) {
       const grown = Math.max(this.#warmLimit, this.#floor()) + GROWTH_PER_SUCCESS;
       this.#warmLimit = Math.min(grown, this.#reading.grant.warm);
@@ -141,11 +152,16 @@
   #noteFailure(monotonicMilliseconds: number): void {
     this.#failuresInRow += 1;
     if (this.#failuresInRow >= FAILURE_RUN) {
-      this.#suspectedUntilMilliseconds = monotonicMilliseconds + SUSPICION_MILLISECONDS;
-      this.#resetGrowth();
+      this.#suspect(monotonicMilliseconds);
     }
   }
 
+  /** Takes the replica for cold until reports come that were made after this time. */
+  #suspect(monotonicMilliseconds: number): void {
+    this.#suspectedUntilMilliseconds = monotonicMilliseconds + SUSPICION_MILLISECONDS;
+    this.#resetGrowth();
+  }
+
   #resetGrowth(): void {
     this.#warmLimit = 0;
     this.#failuresInRow = 0;
--- a/packages/routing/src/lib/concurrency/DispatchTicket.ts
+++ b/packages/routing/src/lib/concurrency/DispatchTicket.ts
@@ -2,4 +2,6 @@
 export default interface DispatchTicket {
   /** Number of resets that the limiter had seen. */
   readonly epoch: number;
+  /** Requests in flight when it was sent, itself included. */
+  readonly inFlight: number;
 }
--- a/packages/routing/src/test/ColdStartModel.ts
+++ b/packages/routing/src/test/ColdStartModel.ts
@@ -149,7 +149,7 @@
         this.#dispatch(this.#entry(event.entry), event.burst);
         break;
       case 'finish':
-        this.#finish(this.#inFlight[event.pick % this.#inFlight.length], event.succeeds);
+        this.#finish(this.#inFlight[event.pick % this.#inFlight.length], event.result);
         break;
       default:
         event satisfies never;
@@ -170,7 +170,7 @@
     this.#now += milliseconds;
     this.#inFlight
       .filter(({ sentAt }) => this.#now - sentAt >= this.limits.requestTimeoutMilliseconds)
-      .forEach((sent) => this.#finish(sent, false));
+      .forEach((sent) => this.#finish(sent, 'failure'));
     this.#reports = this.#reports.filter(({ madeAt }) => this.#now - madeAt <= REPORT_LAG_MILLISECONDS);
     this.#reads = this.#reads.filter(({ beganAt }) => this.#now - beganAt <= GRANT_MARGIN_MILLISECONDS);
   }
@@ -321,12 +321,12 @@
     }
   }
 
-  #finish(sent: Sent | undefined, succeeds: boolean): void {
+  #finish(sent: Sent | undefined, result: 'success' | 'failure' | 'lost'): void {
     if (sent === undefined) {
       return;
     }
     this.#inFlight.splice(this.#inFlight.indexOf(sent), 1);
-    sent.entry.limiter?.finished(sent.ticket, succeeds ? 'success' : 'failure', this.#now);
+    sent.entry.limiter?.finished(sent.ticket, result, this.#now);
   }
 
   /** What the reports heard say, computed from scratch from the newest of each VM. */
--- a/packages/routing/src/test/ModelEvent.ts
+++ b/packages/routing/src/test/ModelEvent.ts
@@ -16,6 +16,6 @@
   | { readonly kind: 'plan' }
   | { readonly kind: 'takeover' }
   | { readonly kind: 'dispatch'; readonly entry: number; readonly burst: number }
-  | { readonly kind: 'finish'; readonly pick: number; readonly succeeds: boolean };
+  | { readonly kind: 'finish'; readonly pick: number; readonly result: 'success' | 'failure' | 'lost' };
 
 export default ModelEvent;
--- a/packages/routing/src/test/coldStart.test.ts
+++ b/packages/routing/src/test/coldStart.test.ts
@@ -1,6 +1,11 @@
+import {
+  EntryId, Incarnation, RowVersion, VMId,
+} from '@dandelionlane/core';
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import { GRANT_MARGIN_MILLISECONDS, GRANT_TERM_MILLISECONDS } from '../index.js';
+import {
+  ConcurrencyLimiter, GRANT_MARGIN_MILLISECONDS, GRANT_TERM_MILLISECONDS, type WholeReplica,
+} from '../index.js';
 import ColdStartModel, { type ModelTotals } from './ColdStartModel.js';
 import type ModelEvent from './ModelEvent.js';
 
@@ -40,7 +45,7 @@
   eventOf(5, 'plan', {}),
   eventOf(1, 'takeover', {}),
   eventOf(16, 'dispatch', { entry: small, burst: fc.integer({ min: 1, max: 4 }) }),
-  eventOf(8, 'finish', { pick: small, succeeds: fc.boolean() }),
+  eventOf(8, 'finish', { pick: small, result: fc.constantFrom('success' as const, 'failure' as const, 'lost' as const) }),
 );
 
 /** Few kinds of events and two homes, so that runs reach moves between a cut holder and a new one. */
@@ -86,3 +91,41 @@
   const totals = runModels(moveEvent, fc.constant(2));
   expect(totals.coldDispatches).toBeGreaterThan(8_000);
 });
+
+test('limit grows by success and falls at once', () => {
+  const grant = { entry: EntryId.parse('entry-0'), cold: 2, warm: 6 };
+  const limiter = new ConcurrencyLimiter({ grant, version: RowVersion.parse(1), readAtMilliseconds: 0 });
+  const whole = (seenAtMilliseconds: number, incarnation = 1): WholeReplica => ({
+    kind: 'whole',
+    phase: 'warm',
+    members: [{ vm: VMId.parse('vm-1'), incarnation: Incarnation.parse(incarnation) }],
+    seenAtMilliseconds,
+    freshUntilMilliseconds: seenAtMilliseconds + 3_000,
+  });
+  const succeed = (times: number, now: number): void => {
+    Array.from({ length: times }, () => limiter.dispatched())
+      .forEach((ticket) => limiter.finished(ticket, 'success', now));
+  };
+  limiter.assess(whole(0));
+  expect(limiter.allowed(0)).toBe(2);
+  succeed(2, 0);
+  expect(limiter.allowed(0)).toBe(4);
+  succeed(20, 0);
+  expect(limiter.allowed(0)).toBe(6);
+  // Falls when the assessment is out of date, and at once with another incarnation.
+  expect(limiter.allowed(3_000)).toBe(0);
+  limiter.assess(whole(3_000, 2));
+  expect(limiter.allowed(3_000)).toBe(2);
+  succeed(20, 3_000);
+  const sentBefore = limiter.dispatched();
+  limiter.finished(limiter.dispatched(), 'lost', 3_000);
+  // Warm reports that may be of before the loss do not count, later ones do.
+  limiter.assess(whole(5_999, 2));
+  succeed(20, 5_999);
+  expect(limiter.allowed(5_999)).toBe(2);
+  limiter.assess(whole(6_000, 2));
+  limiter.finished(sentBefore, 'success', 6_000);
+  expect(limiter.allowed(6_000)).toBe(2);
+  succeed(2, 6_000);
+  expect(limiter.allowed(6_000)).toBe(4);
+});
