Test homes, membership and dissemination under faults

Property tests with a fixed seed over the in-memory network; differential test of homes against a sort of all entries.

--- a/packages/membership/src/experiments/FakeNetwork.ts
+++ b/packages/membership/src/experiments/FakeNetwork.ts
@@ -30,6 +30,8 @@
 
   #isCut = nothingIsCut;
 
+  #loss: number;
+
   readonly #random: SeededRandom;
 
   readonly #addresses = new Map<string, EntryId>();
@@ -39,6 +41,7 @@
 
   constructor(options: FakeNetworkOptions) {
     this.#options = options;
+    this.#loss = options.loss;
     this.#random = new SeededRandom(options.seed);
   }
 
@@ -51,6 +54,11 @@
     this.#isCut = nothingIsCut;
   }
 
+  /** Sets the share of messages lost from now on. */
+  setLoss(loss: number): void {
+    this.#loss = loss;
+  }
+
   get now(): number {
     return this.schedule.now;
   }
@@ -111,6 +119,11 @@
     return sequence;
   }
 
+  /** Tells an entry that a sequence is in force, as a late answer would. */
+  injectInForce(entry: FakeEntry, sequence: ReleaseSequence): void {
+    this.#perform(entry, entry.stepDissemination({ kind: 'in-force', sequence }, this.now));
+  }
+
   leave(entry: FakeEntry): void {
     this.#perform(entry, entry.stepMembership({ kind: 'leave' }, this.now));
   }
@@ -173,7 +186,7 @@
   /** Runs `deliver` in the process at an address, unless the message is lost on the way. */
   #transmit(from: EntryRecord, address: string, deliver: (receiver: FakeEntry) => void): void {
     const receiver = this.entries.get(this.#addresses.get(address)!);
-    const isLost = this.#random.next() < this.#options.loss;
+    const isLost = this.#random.next() < this.#loss;
     if (receiver === undefined || isLost || this.#isCut(from, receiver.record)) {
       return;
     }
--- a/packages/membership/src/experiments/FakeStore.ts
+++ b/packages/membership/src/experiments/FakeStore.ts
@@ -8,6 +8,8 @@
 
   reads = 0;
 
+  readonly #readsByEntry = new Map<EntryId, number>();
+
   #isReachableFrom = reachableFromAll;
 
   /** Sets which entries reach the store. */
@@ -15,6 +17,10 @@
     this.#isReachableFrom = predicate;
   }
 
+  readsBy(entry: EntryId): number {
+    return this.#readsByEntry.get(entry) ?? 0;
+  }
+
   publish(): ReleaseSequence {
     this.sequence = ReleaseSequence.parse(this.sequence + 1);
     return this.sequence;
@@ -23,6 +29,7 @@
   /** Reads the head. Undefined when the store is not reached. */
   read({ entry }: EntryRecord): ReleaseSequence | undefined {
     this.reads += 1;
+    this.#readsByEntry.set(entry, this.readsBy(entry) + 1);
     return this.#isReachableFrom(entry) ? this.sequence : undefined;
   }
 }
--- a/packages/membership/src/experiments/measureCost.ts
+++ b/packages/membership/src/experiments/measureCost.ts
@@ -34,9 +34,7 @@
   network.runFor(SETTLE_MILLISECONDS[variant]);
   const readsBefore = network.store.reads;
   meter.start();
-  processes.forEach((process) => {
-    process.stepMilliseconds = 0;
-  });
+  const stepsBefore = totalSteps(processes);
   network.runFor(seconds * MILLISECONDS_PER_SECOND);
   const entrySeconds = sampled.length * seconds;
   const stepMilliseconds = totalSteps(processes) - stepsBefore;
--- /dev/null
+++ b/packages/membership/src/test/homes.test.ts
@@ -0,0 +1,135 @@
+import {
+  AvailabilityZoneId, type EntryRecord, SeededRandom, ServiceId,
+} from '@dandelionlane/core';
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import createEntryRecord from '../experiments/createEntryRecord.js';
+import {
+  chooseHomes, type Member, orderEntriesForCaller,
+} from '../index.js';
+import scoreEntry from '../lib/homes/scoreEntry.js';
+
+const SEED = 7;
+const HOMES = 3;
+const ZONES = 4;
+
+function entriesOf(numbers: readonly number[]): readonly EntryRecord[] {
+  return numbers.map((number) => ({
+    ...createEntryRecord(1, number, 1),
+    availabilityZone: AvailabilityZoneId.parse(`zone-${number % ZONES}`),
+  }));
+}
+
+const numbers = fc.uniqueArray(fc.nat(200), { maxLength: 40 });
+const manyNumbers = fc.uniqueArray(fc.nat(200), { minLength: 13, maxLength: 40 });
+const services = fc.integer({ min: 0, max: 10_000 }).map((number) => ServiceId.parse(`service-${number}`));
+
+/** Naive version: sorts all entries, then takes unused zones first. */
+function chooseNaively(service: ServiceId, entries: readonly EntryRecord[]): readonly EntryRecord[] {
+  const sorted = [...entries].sort((left, right) => scoreEntry(service, right) - scoreEntry(service, left));
+  const leaders = sorted.filter((entry, index) => (
+    sorted.findIndex(({ availabilityZone }) => availabilityZone === entry.availabilityZone) === index
+  ));
+  const rest = sorted.filter((entry) => !leaders.includes(entry));
+  return [...leaders, ...rest].slice(0, HOMES);
+}
+
+function membersOf(entries: readonly EntryRecord[]): readonly Member[] {
+  return entries.map((entry) => ({ entry, state: 'alive', sequenceInForce: 0 as Member['sequenceInForce'] }));
+}
+
+test('homes equal the naive choice', () => {
+  fc.assert(fc.property(services, numbers, (service, chosen) => {
+    const entries = entriesOf(chosen);
+    expect(chooseHomes(service, entries, HOMES)).toEqual(chooseNaively(service, entries));
+  }), { seed: SEED });
+});
+
+test('homes lie in different zones', () => {
+  fc.assert(fc.property(services, numbers, (service, chosen) => {
+    const entries = entriesOf(chosen);
+    const zones = new Set(entries.map(({ availabilityZone }) => availabilityZone));
+    const homes = chooseHomes(service, entries, HOMES);
+    const homeZones = new Set(homes.map(({ availabilityZone }) => availabilityZone));
+    expect(homes.length).toBe(Math.min(HOMES, entries.length));
+    expect(homeZones.size).toBe(Math.min(HOMES, zones.size));
+  }), { seed: SEED });
+});
+
+test('one entry gone replaces only itself', () => {
+  // With enough zones left, the loss of an entry takes away at most its own place.
+  fc.assert(fc.property(services, manyNumbers, (service, chosen) => {
+    const entries = entriesOf(chosen);
+    const before = chooseHomes(service, entries, HOMES);
+    const gone = entries[0]!;
+    const after = chooseHomes(service, entries.slice(1), HOMES);
+    const kept = before.filter((home) => after.includes(home));
+    expect(kept.length).toBe(before.includes(gone) ? HOMES - 1 : HOMES);
+  }), { seed: SEED });
+});
+
+test('homes spread evenly', () => {
+  const entries = entriesOf(Array.from({ length: 12 }, (_, number) => number));
+  const counts = new Map(entries.map(({ entry }) => [entry, 0]));
+  for (let number = 0; number < 4_000; number += 1) {
+    chooseHomes(ServiceId.parse(`desk-${number}`), entries, HOMES)
+      .forEach(({ entry }) => counts.set(entry, counts.get(entry)! + 1));
+  }
+  expect(Math.min(...counts.values())).toBeGreaterThan(850);
+  expect(Math.max(...counts.values())).toBeLessThan(1_150);
+});
+
+test('caller is told near homes first', () => {
+  const entries = entriesOf([0, 1, 2, 3, 4, 5, 6, 7]);
+  const service = ServiceId.parse('desk');
+  const members = membersOf(entries);
+  const homes = chooseHomes(service, entries, HOMES);
+  const nearZone = homes[2]!.availabilityZone;
+  const answers = orderEntriesForCaller({
+    service,
+    members,
+    availabilityZonesOut: [],
+    nearZone,
+    homeCount: HOMES,
+    keepSeconds: 5,
+    random: new SeededRandom(SEED),
+  });
+  expect(answers[0]).toEqual({ entry: homes[2], keepSeconds: 5 });
+  expect(answers.length).toBe(HOMES);
+});
+
+test('leaving, dead and taken out entries are left out', () => {
+  const entries = entriesOf([0, 1, 2, 3, 4, 5, 6, 7]);
+  const members = membersOf(entries).map((member, index): Member => {
+    if (index === 0) {
+      return { ...member, state: 'leaving' };
+    }
+    return index === 1 ? { ...member, state: 'dead' } : member;
+  });
+  const answers = orderEntriesForCaller({
+    service: ServiceId.parse('desk'),
+    members,
+    availabilityZonesOut: [AvailabilityZoneId.parse('zone-2')],
+    nearZone: undefined,
+    homeCount: entries.length,
+    keepSeconds: 5,
+    random: new SeededRandom(SEED),
+  });
+  const left = [entries[3], entries[4], entries[5], entries[7]].map((entry) => entry!.entry);
+  expect(answers.map(({ entry }) => entry.entry).sort()).toEqual(left.sort());
+});
+
+test('callers are rotated over homes', () => {
+  const members = membersOf(entriesOf([0, 1, 2, 3, 4, 5]));
+  const random = new SeededRandom(SEED);
+  const first = Array.from({ length: 60 }, () => orderEntriesForCaller({
+    service: ServiceId.parse('desk'),
+    members,
+    availabilityZonesOut: [],
+    nearZone: undefined,
+    homeCount: HOMES,
+    keepSeconds: 5,
+    random,
+  })[0]!.entry.entry);
+  expect(new Set(first).size).toBe(HOMES);
+});
--- /dev/null
+++ b/packages/membership/src/test/membership.test.ts
@@ -0,0 +1,165 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import createFakeNetwork from '../experiments/createFakeNetwork.js';
+import createRegions from '../experiments/createRegions.js';
+import type FakeEntry from '../experiments/FakeEntry.js';
+import type FakeNetwork from '../experiments/FakeNetwork.js';
+import startEntries from '../experiments/startEntries.js';
+import { PeerMessage, type PeerTarget } from '../index.js';
+
+const SEED = 7;
+const SETTLE_MILLISECONDS = 20_000;
+const HEAL_MILLISECONDS = 120_000;
+
+const faults = fc.oneof(
+  fc.record({ kind: fc.constant('pause' as const), subject: fc.nat(20), seconds: fc.integer({ min: 1, max: 30 }) }),
+  fc.record({ kind: fc.constant('cut' as const), subject: fc.nat(20), seconds: fc.integer({ min: 1, max: 30 }) }),
+  fc.record({ kind: fc.constant('halve' as const), subject: fc.nat(20), seconds: fc.integer({ min: 1, max: 40 }) }),
+  fc.record({ kind: fc.constant('restart' as const), subject: fc.nat(20), seconds: fc.integer({ min: 1, max: 10 }) }),
+  fc.record({ kind: fc.constant('crash' as const), subject: fc.nat(20), seconds: fc.integer({ min: 1, max: 10 }) }),
+);
+type Fault = typeof faults extends fc.Arbitrary<infer Value> ? Value : never;
+
+const scenarios = fc.record({
+  seed: fc.nat(1_000_000),
+  size: fc.integer({ min: 3, max: 12 }),
+  loss: fc.double({ min: 0, max: 0.15, noNaN: true }),
+  duplication: fc.double({ min: 0, max: 0.3, noNaN: true }),
+  maximumDelayMilliseconds: fc.integer({ min: 1, max: 150 }),
+  faults: fc.array(faults, { maxLength: 5 }),
+});
+
+function seedsOf(entries: readonly FakeEntry[]): readonly PeerTarget[] {
+  return entries.slice(0, 3).map(({ record }) => ({ kind: 'entry', entry: record }));
+}
+
+function inject(network: FakeNetwork, entries: readonly FakeEntry[], fault: Fault): void {
+  const { record } = entries[fault.subject % entries.length]!;
+  const milliseconds = fault.seconds * 1_000;
+  const subject = network.entries.get(record.entry);
+  switch (fault.kind) {
+    case 'pause':
+      network.pause(record.entry);
+      network.runFor(milliseconds);
+      network.resume(record.entry);
+      break;
+    case 'cut':
+      network.cut((from) => from.entry === record.entry);
+      network.runFor(milliseconds);
+      network.heal();
+      break;
+    case 'halve':
+      network.cut((from, to) => (from.entry < record.entry) !== (to.entry < record.entry));
+      network.runFor(milliseconds);
+      network.heal();
+      break;
+    case 'restart':
+      network.crash(record.entry);
+      network.runFor(milliseconds);
+      if (subject !== undefined) {
+        network.restart(subject, seedsOf(entries));
+      }
+      break;
+    case 'crash':
+      network.crash(record.entry);
+      network.runFor(milliseconds);
+      break;
+    default:
+      throw new Error(`unknown fault ${String(fault satisfies never)}`);
+  }
+}
+
+/** Entries that an entry takes for alive, in order. */
+function aliveAt({ membership }: FakeEntry): readonly string[] {
+  return membership.members()
+    .filter(({ state }) => state === 'alive')
+    .map(({ entry }) => `${entry.entry} ${entry.incarnation}`)
+    .sort();
+}
+
+function expectAllSeeAll(network: FakeNetwork): void {
+  const running = [...network.entries.values()];
+  running.forEach((entry) => {
+    const others = running
+      .filter((other) => other !== entry)
+      .map(({ record }) => `${record.entry} ${record.incarnation}`)
+      .sort();
+    expect(aliveAt(entry)).toEqual(others);
+  });
+}
+
+test('live entries see just the live ones after faults', () => {
+  fc.assert(fc.property(scenarios, ({ size, faults: list, ...options }) => {
+    const network = createFakeNetwork({
+      ...options, carryMessage: (_from, _to, message) => PeerMessage.parse(message),
+    });
+    const entries = startEntries(network, createRegions(size, 1));
+    network.runFor(SETTLE_MILLISECONDS);
+    list.forEach((fault) => inject(network, entries, fault));
+    // Settles without loss: under loss a passing suspicion at the moment of looking is legitimate.
+    network.setLoss(0);
+    network.runFor(HEAL_MILLISECONDS);
+    expectAllSeeAll(network);
+  }), { seed: SEED, numRuns: 40 });
+});
+
+test('paused entry accuses nobody when it wakes', () => {
+  const network = createFakeNetwork({ seed: SEED });
+  const [paused, ...others] = startEntries(network, createRegions(9, 1));
+  network.runFor(SETTLE_MILLISECONDS);
+  network.pause(paused!.record.entry);
+  network.runFor(30_000);
+  network.resume(paused!.record.entry);
+  const accusations = new Set<string>();
+  for (let step = 0; step < 300; step += 1) {
+    network.runFor(100);
+    [paused!, ...others].forEach(({ membership }) => membership.members()
+      .filter(({ entry, state }) => state !== 'alive' && entry.entry !== paused!.record.entry)
+      .forEach(({ entry }) => accusations.add(entry.entry)));
+  }
+  expect([...accusations]).toEqual([]);
+  expectAllSeeAll(network);
+});
+
+test('entry heard by few is kept by indirect probes', () => {
+  const network = createFakeNetwork({ seed: SEED });
+  const entries = startEntries(network, createRegions(9, 1));
+  network.runFor(SETTLE_MILLISECONDS);
+  const [first, second] = entries;
+  network.cut((from, to) => from === first!.record && to === second!.record);
+  const states = new Set<string>();
+  for (let step = 0; step < 600; step += 1) {
+    network.runFor(100);
+    second!.membership.members()
+      .filter(({ entry }) => entry.entry === first!.record.entry)
+      .forEach(({ state }) => states.add(state));
+  }
+  expect([...states]).toEqual(['alive']);
+});
+
+test('crashed entry is dead everywhere, then forgotten', () => {
+  const network = createFakeNetwork({ seed: SEED });
+  const entries = startEntries(network, createRegions(9, 1));
+  network.runFor(SETTLE_MILLISECONDS);
+  const crashed = entries[4]!.record.entry;
+  network.crash(crashed);
+  network.runFor(15_000);
+  const stateOf = ({ membership }: FakeEntry): string | undefined => membership.members()
+    .find(({ entry }) => entry.entry === crashed)?.state;
+  const others = [...network.entries.values()];
+  expect(others.map(stateOf)).toEqual(others.map(() => 'dead'));
+  network.runFor(700_000);
+  expect(others.map(stateOf)).toEqual(others.map(() => undefined));
+});
+
+test('leaving is told to all within seconds', () => {
+  const network = createFakeNetwork({ seed: SEED });
+  const entries = startEntries(network, createRegions(9, 1));
+  network.runFor(SETTLE_MILLISECONDS);
+  network.leave(entries[2]!);
+  network.runFor(5_000);
+  const states = entries.filter((entry) => entry !== entries[2])
+    .map(({ membership }) => membership.members()
+      .find(({ entry }) => entry.entry === entries[2]!.record.entry)!.state);
+  expect(states).toEqual(states.map(() => 'leaving'));
+});
