Hold the silence of a pause against nobody, with a test of its own

Taking the pause detection out went unnoticed by the tests so far: a process that is stopped between probes has none under way. The new test stops it during a probe, with a suspicion pending. Entries of other regions are no longer contacted as lost peers, which had hidden a missing bridge.

--- a/packages/membership/src/lib/membership/Exchanger.ts
+++ b/packages/membership/src/lib/membership/Exchanger.ts
@@ -91,10 +91,10 @@
     const dead = members
       .filter(({ liveness }) => liveness === 'dead')
       .map(({ entry }): PeerTarget => ({ kind: 'entry', entry }));
-    const seeds = this.#seeds.filter((seed) => {
-      const address = seed.kind === 'entry' ? seed.entry.peerAddress : seed.address;
-      return !addresses.has(address);
-    });
+    const seeds = this.#seeds.filter((seed) => (seed.kind === 'entry'
+      // Entries of other regions are the bridges' concern.
+      ? seed.entry.region === this.#view.self.entry.region && !addresses.has(seed.entry.peerAddress)
+      : !addresses.has(seed.address) && !this.#view.remote.hasAddress(seed.address)));
     return [...dead, ...seeds];
   }
 
--- a/packages/membership/src/lib/membership/RemoteDirectory.ts
+++ b/packages/membership/src/lib/membership/RemoteDirectory.ts
@@ -36,6 +36,10 @@
     return [...this.#regions.values()].flatMap((entries) => entries.slice(0, count));
   }
 
+  hasAddress(address: string): boolean {
+    return this.all().some(({ peerAddress }) => peerAddress === address);
+  }
+
   all(): readonly EntryRecord[] {
     return [...this.#regions.values()].flat();
   }
--- a/packages/membership/src/test/membership.test.ts
+++ b/packages/membership/src/test/membership.test.ts
@@ -1,3 +1,4 @@
+import { EntryId, SeededRandom } from '@dandelionlane/core';
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import createFakeNetwork from '../experiments/createFakeNetwork.js';
@@ -5,7 +6,10 @@
 import type FakeEntry from '../experiments/FakeEntry.js';
 import type FakeNetwork from '../experiments/FakeNetwork.js';
 import startEntries from '../experiments/startEntries.js';
-import { PeerMessage, type PeerTarget } from '../index.js';
+import createEntryRecord from '../experiments/createEntryRecord.js';
+import {
+  type MemberUpdate, Membership, MembershipSettings, PeerMessage, type PeerTarget, ReleaseHead,
+} from '../index.js';
 
 const SEED = 7;
 const SETTLE_MILLISECONDS = 20_000;
@@ -163,3 +167,49 @@
       .find(({ entry }) => entry.entry === entries[2]!.record.entry)!.state);
   expect(states).toEqual(states.map(() => 'leaving'));
 });
+
+function claim(number: number, liveness: MemberUpdate['liveness']): MemberUpdate {
+  return {
+    entry: createEntryRecord(1, number, 1), refutation: 0, liveness, leaving: false,
+  };
+}
+
+/** A membership that knows a live member 1 and a suspect member 2, and is probing. */
+function createSuspecting(): Membership {
+  const membership = new Membership({
+    self: createEntryRecord(1, 0, 1), random: new SeededRandom(SEED), settings: MembershipSettings.parse({}),
+  });
+  const message = PeerMessage.parse({
+    kind: 'release-head',
+    sender: claim(1, 'alive'),
+    head: ReleaseHead.parse({ sequenceInForce: 0, storeReads: 0 }),
+    contacts: [],
+  });
+  const suspicion = PeerMessage.parse({
+    ...message, kind: 'ack', probe: 9, updates: [claim(2, 'suspect')], subject: claim(1, 'alive').entry.entry,
+  });
+  const from = EntryId.parse(message.sender.entry.entry);
+  membership.step({ kind: 'message', from, message }, 0);
+  membership.step({ kind: 'message', from, message: suspicion }, 0);
+  membership.step({ kind: 'tick' }, 0);
+  return membership;
+}
+
+function statesOf(membership: Membership): readonly string[] {
+  return membership.members().map(({ state }) => state).sort();
+}
+
+test('silence of a pause is not held against others', () => {
+  const membership = createSuspecting();
+  membership.step({ kind: 'tick' }, 30_000);
+  membership.step({ kind: 'tick' }, 30_200);
+  expect(statesOf(membership)).toEqual(['alive', 'suspect']);
+});
+
+test('silence without a pause is held against others', () => {
+  const membership = createSuspecting();
+  for (let now = 200; now <= 30_000; now += 200) {
+    membership.step({ kind: 'tick' }, now);
+  }
+  expect(statesOf(membership)).toEqual(['dead', 'dead']);
+});
