Exchange only the parts of views that differ

Cause: an exchange carried the whole view, so its bytes grew with the group, and what it brought was piggybacked again: after a mass start the queue of updates was so long that a crash could stay unknown to some for over a minute. Ruled out: a longer period (less repair), more updates a message (the same bytes elsewhere). What an exchange brings is not piggybacked. A dead stranger is not taken in, since it would never be forgotten.

--- a/packages/membership/src/lib/membership/Exchanger.ts
+++ b/packages/membership/src/lib/membership/Exchanger.ts
@@ -1,4 +1,4 @@
-import type { EntryRecord } from '@dandelionlane/core';
+import type { EntryRecord, RegionId } from '@dandelionlane/core';
 import type MemberUpdate from '../messages/MemberUpdate.js';
 import type PeerMessage from '../messages/PeerMessage.js';
 import type GroupView from './GroupView.js';
@@ -11,12 +11,14 @@
 const CONTACTS_PER_REGION = 1;
 const CONTACTS_FOR_OTHER_REGION = 3;
 
-/** Anti-entropy: now and then exchanges whole views with a peer, and finds lost peers again. */
+/** Anti-entropy: exchanges the parts of views that differ, and finds lost peers again. */
 export default class Exchanger {
   readonly #view: GroupView;
 
   #seeds: readonly PeerTarget[] = [];
 
+  #nextRepairAt = Number.NEGATIVE_INFINITY;
+
   #nextExchangeAt = Number.NEGATIVE_INFINITY;
 
   constructor(view: GroupView) {
@@ -34,52 +36,88 @@
       .forEach((seed) => this.#request(seed));
   }
 
+  /** Now and then contacts a lost peer: a healed partition may have brought it back. */
   tick(now: number): void {
     if (now < this.#nextExchangeAt) {
       return;
     }
-    const present = this.#view.samplePresent(1);
-    this.#nextExchangeAt = now + this.#wait(present.length > 0);
-    present.forEach((entry) => this.#request({ kind: 'entry', entry }));
-    // Peers on the other side of a healed partition are dead or forgotten here.
+    this.#nextExchangeAt = now + this.#wait(this.#view.table.present().length > 0);
     sample(this.#lostPeers(), 1, this.#view.random)
       .forEach((peer) => this.#request(peer));
   }
 
+  /** Compares a peer's view with the own one and begins an exchange if they differ. */
+  compare(peer: EntryRecord, viewDigest: number, now: number): void {
+    if (viewDigest === this.#view.digest.whole || now < this.#nextRepairAt) {
+      return;
+    }
+    this.#nextRepairAt = now + this.#view.settings.repairIntervalMilliseconds;
+    this.#request({ kind: 'entry', entry: peer });
+  }
+
+  /** Exchanges spread news by themselves, so what they bring is not piggybacked as well. */
   take(message: ExchangeMessage, now: number): void {
-    message.updates.forEach((update) => this.#view.apply(update, now));
+    message.updates.forEach((update) => this.#view.merge(update, now));
     message.contacts.forEach((entry) => this.#view.remote.note(entry));
-    if (message.phase === 'request') {
-      this.#answer(message.sender.entry);
+    const { entry } = message.sender;
+    switch (message.phase) {
+      case 'request':
+        this.#view.sendTo(entry, this.#message('answer', entry.region, message.digests));
+        break;
+      case 'answer':
+        this.#complete(entry, message.digests);
+        break;
+      case 'completion':
+        break;
+      default:
+        throw new Error(`unknown phase ${String(message.phase satisfies never)}`);
     }
   }
 
-  #request(to: PeerTarget): void {
-    const sameRegion = to.kind === 'entry' && to.entry.region === this.#view.self.entry.region;
-    this.#view.send(to, this.#message('request', sameRegion));
+  #complete(peer: EntryRecord, digests: readonly number[]): void {
+    const completion = this.#message('completion', peer.region, digests);
+    if (completion.updates.length > 0) {
+      this.#view.sendTo(peer, completion);
+    }
   }
 
-  #answer(receiver: EntryRecord): void {
-    const sameRegion = receiver.region === this.#view.self.entry.region;
-    this.#view.sendTo(receiver, this.#message('answer', sameRegion));
+  #request(to: PeerTarget): void {
+    const region = to.kind === 'entry' ? to.entry.region : this.#view.self.entry.region;
+    this.#view.send(to, this.#message('request', region));
   }
 
-  /** Whole views stay inside a region: towards others only a few contacts are named. */
-  #message(phase: 'request' | 'answer', sameRegion: boolean): ExchangeMessage {
+  /**
+   * Updates stay inside a region: towards others only a few contacts are named.
+   * `digests` are the peer's; without them nothing is known to differ yet.
+   */
+  #message(
+    phase: ExchangeMessage['phase'],
+    region: RegionId,
+    digests?: readonly number[],
+  ): ExchangeMessage {
+    const sameRegion = region === this.#view.self.entry.region;
     return {
       kind: 'exchange',
       phase,
       sender: this.#view.self,
       head: this.#view.head,
-      updates: sameRegion ? this.#updates() : [],
-      contacts: [...(sameRegion
-        ? this.#view.remote.sample(CONTACTS_PER_REGION)
-        : this.#view.samplePresent(CONTACTS_FOR_OTHER_REGION))],
+      digests: sameRegion && phase !== 'completion' ? this.#view.digest.parts() : [],
+      updates: sameRegion && digests !== undefined ? this.#updates(digests) : [],
+      contacts: this.#contacts(sameRegion, phase),
     };
   }
 
-  #updates(): MemberUpdate[] {
-    return this.#view.table.all().map(({ update }) => update);
+  #contacts(sameRegion: boolean, phase: ExchangeMessage['phase']): EntryRecord[] {
+    if (!sameRegion) {
+      return [...this.#view.samplePresent(CONTACTS_FOR_OTHER_REGION)];
+    }
+    return phase === 'answer' ? [...this.#view.remote.sample(CONTACTS_PER_REGION)] : [];
+  }
+
+  #updates(digests: readonly number[]): MemberUpdate[] {
+    return this.#view.table.all()
+      .map(({ update }) => update)
+      .filter(({ entry }) => this.#view.digest.differs(entry.entry, digests));
   }
 
   /** Seeds and dead members: those that a healed partition may have brought back. */
--- a/packages/membership/src/lib/membership/GroupView.ts
+++ b/packages/membership/src/lib/membership/GroupView.ts
@@ -14,6 +14,7 @@
 import sample from './sample.js';
 import toMember from './toMember.js';
 import UpdateQueue from './UpdateQueue.js';
+import ViewDigest from './ViewDigest.js';
 
 const REMOTE_ENTRIES_PER_REGION = 8;
 
@@ -23,7 +24,9 @@
 
   readonly random: RandomSource;
 
-  readonly table = new MemberTable();
+  readonly digest = new ViewDigest();
+
+  readonly table = new MemberTable(this.digest);
 
   readonly remote: RemoteDirectory;
 
@@ -42,6 +45,7 @@
     this.#self = {
       entry: self, refutation: 0, liveness: 'alive', leaving: false,
     };
+    this.digest.replace(undefined, this.#self);
     this.#queue.add(self.entry);
   }
 
@@ -61,25 +65,31 @@
   }
 
   leave(): void {
-    this.#self = { ...this.#self, leaving: true };
-    this.#queue.add(this.#self.entry.entry);
+    this.#setSelf({ ...this.#self, leaving: true });
   }
 
   /** Takes a claim in and queues it for dissemination if it says something new. */
   apply(update: MemberUpdate, now: number): void {
+    if (this.merge(update, now)) {
+      this.#queue.add(update.entry.entry);
+    }
+  }
+
+  /** Takes a claim in without passing it on. Returns whether it changed a member. */
+  merge(update: MemberUpdate, now: number): boolean {
     if (update.entry.entry === this.#self.entry.entry) {
       this.#refute(update);
-      return;
+      return false;
     }
     if (update.entry.region !== this.#self.entry.region) {
       this.remote.note(update.entry);
-      return;
+      return false;
     }
     const changed = this.table.apply(update, now);
     if (changed !== undefined) {
-      this.#queue.add(update.entry.entry);
       this.#commands.push({ kind: 'member-changed', member: toMember(changed) });
     }
+    return changed !== undefined;
   }
 
   /** Takes in what a message says of its sender. */
@@ -134,6 +144,12 @@
     return commands;
   }
 
+  #setSelf(self: MemberUpdate): void {
+    this.digest.replace(this.#self, self);
+    this.#self = self;
+    this.#queue.add(self.entry.entry);
+  }
+
   #updateOf(entry: EntryId): MemberUpdate | undefined {
     return entry === this.#self.entry.entry ? this.#self : this.table.get(entry)?.update;
   }
@@ -149,8 +165,7 @@
       && claim.entry.incarnation === this.#self.entry.incarnation
       && claim.refutation >= this.#self.refutation;
     if (accused) {
-      this.#self = { ...this.#self, refutation: claim.refutation + 1 };
-      this.#queue.add(this.#self.entry.entry);
+      this.#setSelf({ ...this.#self, refutation: claim.refutation + 1 });
     }
   }
 }
--- a/packages/membership/src/lib/membership/MemberTable.ts
+++ b/packages/membership/src/lib/membership/MemberTable.ts
@@ -2,13 +2,20 @@
 import type MemberUpdate from '../messages/MemberUpdate.js';
 import type MemberEntry from './MemberEntry.js';
 import mergeUpdate from './mergeUpdate.js';
+import type ViewDigest from './ViewDigest.js';
 
 const NO_SEQUENCE = ReleaseSequence.parse(0);
 
 /** The other members of a region's group, by entry. */
 export default class MemberTable {
+  readonly #digest: ViewDigest;
+
   readonly #members = new Map<EntryId, MemberEntry>();
 
+  constructor(digest: ViewDigest) {
+    this.#digest = digest;
+  }
+
   get(entry: EntryId): MemberEntry | undefined {
     return this.#members.get(entry);
   }
@@ -30,7 +37,8 @@
   apply(update: MemberUpdate, now: number): MemberEntry | undefined {
     const current = this.#members.get(update.entry.entry);
     if (current === undefined) {
-      return this.#put({ update, sequenceInForce: NO_SEQUENCE, changedAtMilliseconds: now });
+      // A dead stranger is not taken in: its peers would never agree when to forget it.
+      return update.liveness === 'dead' ? undefined : this.#put({ update, sequenceInForce: NO_SEQUENCE, changedAtMilliseconds: now });
     }
     const merged = mergeUpdate(current.update, update);
     if (merged === current.update) {
@@ -59,10 +67,12 @@
   }
 
   forget(entry: EntryId): void {
+    this.#digest.replace(this.#members.get(entry)?.update, undefined);
     this.#members.delete(entry);
   }
 
   #put(member: MemberEntry): MemberEntry {
+    this.#digest.replace(this.#members.get(member.update.entry.entry)?.update, member.update);
     this.#members.set(member.update.entry.entry, member);
     return member;
   }
--- a/packages/membership/src/lib/membership/Membership.ts
+++ b/packages/membership/src/lib/membership/Membership.ts
@@ -8,6 +8,8 @@
 import type MembershipOptions from './MembershipOptions.js';
 import Prober from './Prober.js';
 
+type PiggybackMessage = Extract<PeerMessage, { viewDigest: number }>;
+
 const CONTACTS_FOR_OTHER_REGION = 3;
 
 /**
@@ -108,15 +110,15 @@
     this.#view.hear(message.sender, message.head, now);
     switch (message.kind) {
       case 'ping':
-        this.#applyAll(message.updates, now);
+        this.#takePiggyback(message, now);
         this.#prober.answerPing(message);
         break;
       case 'ping-request':
-        this.#applyAll(message.updates, now);
+        this.#takePiggyback(message, now);
         this.#prober.relayPing(message, now);
         break;
       case 'ack':
-        this.#applyAll(message.updates, now);
+        this.#takePiggyback(message, now);
         this.#prober.takeAck(message);
         break;
       case 'exchange':
@@ -130,8 +132,9 @@
     }
   }
 
-  #applyAll(updates: Extract<PeerMessage, { kind: 'ping' }>['updates'], now: number): void {
-    updates.forEach((update) => this.#view.apply(update, now));
+  #takePiggyback(message: PiggybackMessage, now: number): void {
+    message.updates.forEach((update) => this.#view.apply(update, now));
+    this.#exchanger.compare(message.sender.entry, message.viewDigest, now);
   }
 
   #sendFailed({ to }: Extract<MembershipEvent, { kind: 'send-failed' }>): void {
--- a/packages/membership/src/lib/membership/MembershipSettings.ts
+++ b/packages/membership/src/lib/membership/MembershipSettings.ts
@@ -19,7 +19,9 @@
   /** Updates carried by one probe message. */
   maximumUpdates: z.number().int().min(1).max(64)
     .default(6),
-  /** Mean time between anti-entropy exchanges. */
+  /** Least time between exchanges that an entry begins because views differ. */
+  repairIntervalMilliseconds: milliseconds.default(2_000),
+  /** Mean time between contacts of dead members and seeds. */
   exchangePeriodMilliseconds: milliseconds.default(30_000),
   /** A dead member is forgotten after this time. */
   forgetAfterMilliseconds: milliseconds.default(600_000),
--- a/packages/membership/src/lib/membership/Prober.ts
+++ b/packages/membership/src/lib/membership/Prober.ts
@@ -128,6 +128,7 @@
         head: this.#view.head,
         probe: probe.number,
         updates: this.#view.piggyback(helper.entry),
+        viewDigest: this.#view.digest.whole,
         target,
       }));
   }
@@ -148,6 +149,7 @@
       head: this.#view.head,
       probe: number,
       updates: this.#view.piggyback(target.entry),
+      viewDigest: this.#view.digest.whole,
     });
   }
 
@@ -158,6 +160,7 @@
       head: this.#view.head,
       probe,
       updates: this.#view.piggyback(receiver.entry),
+      viewDigest: this.#view.digest.whole,
       subject,
     });
   }
