Tell the accused at once and refute ahead after a pause

Cause: an entry under suspicion heard of it only when somebody who knew happened to probe it, so suspicions of running entries lived long and spread. Ruled out: a longer suspicion timeout, which slows every detection. Change: who raises a suspicion sends the claim to the accused, which refutes it in its answer; a process that wakes from a pause raises its refutation and tells a few peers before it hears of suspicions. Both mechanisms have a test; the claim in the answer to the accused has one too now.

--- a/packages/membership/src/lib/membership/GroupView.ts
+++ b/packages/membership/src/lib/membership/GroupView.ts
@@ -68,6 +68,11 @@
     this.#setSelf({ ...this.#self, leaving: true });
   }
 
+  /** Makes the own claim stronger than any made so far. */
+  refuteAhead(): void {
+    this.#setSelf({ ...this.#self, refutation: this.#self.refutation + 1 });
+  }
+
   /** Takes a claim in and queues it for dissemination if it says something new. */
   apply(update: MemberUpdate, now: number): void {
     if (this.merge(update, now)) {
--- a/packages/membership/src/lib/membership/Prober.ts
+++ b/packages/membership/src/lib/membership/Prober.ts
@@ -38,12 +38,18 @@
     return now >= this.#accusationsFrom;
   }
 
-  /** Drops what was under way before a pause and holds accusations back for a while. */
+  /**
+   * Drops what was under way before a pause and holds accusations back for a while.
+   * Peers may have raised a suspicion meanwhile; it is refuted before it is heard of.
+   */
   recoverFromPause(now: number): void {
     const { pauseRecoveryPeriods, probePeriodMilliseconds } = this.#view.settings;
     this.#probe = undefined;
     this.#relays.clear();
     this.#accusationsFrom = now + pauseRecoveryPeriods * probePeriodMilliseconds;
+    this.#view.refuteAhead();
+    this.#view.samplePresent(this.#view.settings.indirectProbes)
+      .forEach((peer) => this.#sendPing(peer, this.#nextNumber()));
   }
 
   tick(now: number): void {
@@ -139,6 +145,8 @@
     const member = this.#view.table.get(target);
     if (member !== undefined && this.mayAccuse(now)) {
       this.#view.apply({ ...member.update, liveness: 'suspect' }, now);
+      // Carries the claim, so that an entry that runs refutes it without delay.
+      this.#sendPing(member.update.entry, this.#nextNumber());
     }
   }
 
--- a/packages/membership/src/test/membership.test.ts
+++ b/packages/membership/src/test/membership.test.ts
@@ -218,3 +218,29 @@
   }
   expect(statesOf(membership)).toEqual(['dead', 'dead']);
 });
+
+test('accused entry is told of the claim', () => {
+  const membership = createSuspecting();
+  const message = PeerMessage.parse({
+    kind: 'ping',
+    sender: claim(2, 'alive'),
+    head: { sequenceInForce: 0, storeReads: 0 },
+    probe: 1,
+    updates: [],
+    viewDigest: 0,
+  });
+  const commands = membership.step({ kind: 'message', from: message.sender.entry.entry, message }, 10);
+  const answers = commands.flatMap((command) => (
+    command.kind === 'send' && command.message.kind === 'ack' ? command.message.updates : []
+  ));
+  expect(answers).toContainEqual(claim(2, 'suspect'));
+});
+
+test('entry refutes ahead when it wakes', () => {
+  const membership = createSuspecting();
+  const commands = membership.step({ kind: 'tick' }, 30_000);
+  const told = commands.flatMap((command) => (
+    command.kind === 'send' && command.message.kind === 'ping' ? [command.message.sender.refutation] : []
+  ));
+  expect(Math.max(...told)).toBe(1);
+});
