Ask a second source when a pull is slow

Cause: with 1% loss some entry of 68 nearly always loses a pull and then waited the whole timeout of 2 s before it asked again. Ruled out: more announcements, since the lost message is the pull. A short fixed timeout would pull large states again and again. Change: another source is asked after 400 ms, then after twice the time each; a late answer still counts. The poll has its own timeout.

--- a/packages/membership/src/lib/release/ReleaseDissemination.ts
+++ b/packages/membership/src/lib/release/ReleaseDissemination.ts
@@ -50,6 +50,8 @@
 
   #pull: Pull | undefined;
 
+  #pullWait: number;
+
   #nextBridgeAt = Number.NEGATIVE_INFINITY;
 
   #commands: ReleaseDisseminationCommand[] = [];
@@ -61,6 +63,7 @@
     this.#random = random;
     this.#settings = settings;
     this.#sequenceInForce = sequenceInForce;
+    this.#pullWait = settings.pullHedgeMilliseconds;
     this.#polling = new StorePolling(settings, random);
     this.#peerHeads = new PeerHeads(self, random);
   }
@@ -151,6 +154,7 @@
     }
     this.#sequenceInForce = sequence;
     this.#pull = undefined;
+    this.#pullWait = this.#settings.pullHedgeMilliseconds;
     this.#peerHeads.dropUpTo(sequence);
     this.#announce();
   }
@@ -170,9 +174,11 @@
     }
   }
 
+  /** Goes on to the next source. A late answer of the earlier one still counts. */
   #expirePull(now: number): void {
     const pull = this.#pull;
-    if (pull !== undefined && now - pull.startedAtMilliseconds > this.#settings.pullTimeoutMilliseconds) {
+    if (pull !== undefined && now - pull.startedAtMilliseconds >= this.#pullWait) {
+      this.#pullWait = Math.min(this.#pullWait * 2, this.#settings.pullTimeoutMilliseconds);
       this.#failPull(pull.source);
     }
   }
--- a/packages/membership/src/lib/release/ReleaseDisseminationSettings.ts
+++ b/packages/membership/src/lib/release/ReleaseDisseminationSettings.ts
@@ -16,8 +16,12 @@
   rankDelayMilliseconds: milliseconds.default(500),
   /** How long an entry that stepped in goes on polling. */
   substituteMilliseconds: milliseconds.default(60_000),
-  /** A pull that takes longer counts as failed. */
-  pullTimeoutMilliseconds: milliseconds.default(2_000),
+  /** A poll that takes longer counts as failed. */
+  pollTimeoutMilliseconds: milliseconds.default(2_000),
+  /** Wait for the first pull before another source is asked. Doubles with each further source. */
+  pullHedgeMilliseconds: milliseconds.default(400),
+  /** Longest wait for a pull. */
+  pullTimeoutMilliseconds: milliseconds.default(8_000),
   /** Peers of the region that are told a new head at once. */
   fanout: z.number().int().nonnegative().default(3),
   /** Entries of a region that also tell other regions. */
--- a/packages/membership/src/lib/release/StorePolling.ts
+++ b/packages/membership/src/lib/release/StorePolling.ts
@@ -77,7 +77,7 @@
   }
 
   #expirePoll(now: number): void {
-    if (this.#pollSentAt !== undefined && now - this.#pollSentAt > this.#settings.pullTimeoutMilliseconds) {
+    if (this.#pollSentAt !== undefined && now - this.#pollSentAt > this.#settings.pollTimeoutMilliseconds) {
       this.fail();
     }
   }
