--- a/packages/membership/src/lib/membership/Prober.ts
+++ b/packages/membership/src/lib/membership/Prober.ts
@@ -38,12 +38,18 @@
     return now >= this.#accusationsFrom;
   }
 
-  /** Drops what was under way before a pause and holds accusations back for a while. */
+  /**
+   * Drops what was under way before a pause and holds accusations back for a while.
+   * Peers may have raised a suspicion meanwhile; it is refuted before it is heard of.
+   */
   recoverFromPause(now: number): void {
     const { pauseRecoveryPeriods, probePeriodMilliseconds } = this.#view.settings;
     this.#probe = undefined;
     this.#relays.clear();
     this.#accusationsFrom = now + pauseRecoveryPeriods * probePeriodMilliseconds;
+    this.#view.refuteAhead();
+    this.#view.samplePresent(this.#view.settings.indirectProbes)
+      .forEach((peer) => this.#sendPing(peer, this.#nextNumber()));
   }
 
   tick(now: number): void {
@@ -128,6 +134,7 @@
         head: this.#view.head,
         probe: probe.number,
         updates: this.#view.piggyback(helper.entry),
+        viewDigest: this.#view.digest.whole,
         target,
       }));
   }
@@ -138,6 +145,8 @@
     const member = this.#view.table.get(target);
     if (member !== undefined && this.mayAccuse(now)) {
       this.#view.apply({ ...member.update, liveness: 'suspect' }, now);
+      // Carries the claim, so that an entry that runs refutes it without delay.
+      this.#sendPing(member.update.entry, this.#nextNumber());
     }
   }
 
@@ -148,6 +157,7 @@
       head: this.#view.head,
       probe: number,
       updates: this.#view.piggyback(target.entry),
+      viewDigest: this.#view.digest.whole,
     });
   }
 
@@ -158,6 +168,7 @@
       head: this.#view.head,
       probe,
       updates: this.#view.piggyback(receiver.entry),
+      viewDigest: this.#view.digest.whole,
       subject,
     });
   }
