Keep answers that come after the caller's deadline

Cause: a claimed call was sent with its caller's deadline as the limit, so an answer that came later was dropped and its key stayed "in progress" for good (test "answer after the timeout is kept": waited in vain for 15 s). Ruled out: the claim row and the nonce were right; the target ran once. Change: `ClaimedCalls` sends on after the deadline, for 60 s at most, keeps the answer, holds the place at the target and keeps a graceful shutdown waiting; the caller is told `target-timeout` in time. A request whose deadline passed before it was sent is refused as not run. An answer whose body was too large to keep is no longer given as an empty one. Found beside it in the claim store: a claim refused as not run after an unknown commit was not given back, and a give-up over a released row let a claim on its way take effect.

--- a/packages/entry/src/lib/dispatch/RequestDispatcher.ts
+++ b/packages/entry/src/lib/dispatch/RequestDispatcher.ts
@@ -23,6 +23,9 @@
 import type TargetAnswer from './TargetAnswer.js';
 import writeStreamHead from './writeStreamHead.js';
 
+/** How long the answer to a claimed call is awaited after its caller's deadline, so that it can be kept. */
+const LATE_ANSWER_MILLISECONDS = 60_000;
+
 function isOK({ head }: TargetAnswer): boolean {
   return head.status >= 200 && head.status < 300;
 }
@@ -68,6 +71,9 @@
   ): Promise<Result<CompleteAnswer | null, ServingError>> {
     this.#budget.freshRequest();
     const course = this.#begin(request, targets);
+    if (this.#remaining(request) <= 0) {
+      return err(new ServingError('the deadline passed before the request was sent', { kind: 'deadline-unreachable' }));
+    }
     for (;;) {
       const choice = this.#choose(course);
       if (choice.kind === 'none') {
@@ -96,7 +102,7 @@
       writeHead: () => writeStreamHead(request),
       tokenRelayed: () => undefined,
     });
-    const remaining = AbortSignal.timeout(Math.max(1, Math.ceil(this.#remaining(request))));
+    const remaining = AbortSignal.timeout(this.#answerTimeout(request));
     // A call that may not be repeated goes on without its caller, so that its answer can be kept.
     const signal = request.repeatability === 'claimed'
       ? remaining
@@ -148,7 +154,7 @@
       request,
       slot: attempt.slot,
       body: resumeBody(request.body, relay.deliveredTokens),
-      remainingMilliseconds: Math.max(1, this.#remaining(request)),
+      remainingMilliseconds: this.#answerTimeout(request),
       signal,
     });
     if (sent.isErr()) {
@@ -287,6 +293,12 @@
       : { ...failure, progress: { kind: 'answering', deliveredTokens: relay.deliveredTokens } };
   }
 
+  /** How long to wait for an answer, in whole milliseconds. */
+  #answerTimeout(request: CallerRequest): number {
+    const late = request.repeatability === 'claimed' ? LATE_ANSWER_MILLISECONDS : 0;
+    return Math.max(1, Math.ceil(this.#remaining(request) + late));
+  }
+
   #remaining(request: CallerRequest): number {
     return request.deadlineMilliseconds - this.#options.clock.monotonicMilliseconds();
   }
--- a/packages/entry/src/lib/requests/RequestServer.ts
+++ b/packages/entry/src/lib/requests/RequestServer.ts
@@ -6,9 +6,7 @@
   hashText, RequestId, ServiceId, ServingError,
   type Clock, type EntryId, type ServiceDefinition,
 } from '@dandelionlane/core';
-import {
-  createClaimKey, createFingerprint, type ClaimHandle, type ClaimStore,
-} from '@dandelionlane/platform';
+import type { ClaimStore } from '@dandelionlane/platform';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
 import type CompleteAnswer from '../dispatch/CompleteAnswer.js';
 import type RequestDispatcher from '../dispatch/RequestDispatcher.js';
@@ -22,19 +20,16 @@
 import type Arrival from './Arrival.js';
 import type CallerHeaders from './CallerHeaders.js';
 import type CallerRequest from './CallerRequest.js';
-import isNotRun from './isNotRun.js';
+import ClaimedCalls from './ClaimedCalls.js';
 import judgeRepeatability from './judgeRepeatability.js';
 import parseChatBody from './parseChatBody.js';
 import promptOfChat from './promptOfChat.js';
 import readCallerHeaders from './readCallerHeaders.js';
 import receiveBody from './receiveBody.js';
 import type RequestTarget from './RequestTarget.js';
-import toStoredAnswer from './toStoredAnswer.js';
-import fromStoredAnswer from './fromStoredAnswer.js';
 import writeProblem from './writeProblem.js';
 import writeStreamProblem from './writeStreamProblem.js';
 
-const CLAIM_TIMEOUT_MILLISECONDS = 5_000;
 const PREFIX_CHARACTERS = 256;
 const CHARACTERS_PER_TOKEN = 4;
 const DEFAULT_ANSWER_TOKENS = 256;
@@ -65,15 +60,18 @@
 export default class RequestServer {
   readonly #options: RequestServerOptions;
 
+  readonly #claimedCalls: ClaimedCalls;
+
   #inFlight = 0;
 
   constructor(options: RequestServerOptions) {
     this.#options = options;
+    this.#claimedCalls = new ClaimedCalls(options);
   }
 
-  /** Requests that have arrived and are not answered whole. */
+  /** Requests that have arrived and are not answered whole, and calls whose outcome is not yet kept. */
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#inFlight + this.#claimedCalls.unsettled;
   }
 
   /** Serves one request and answers it. Never rejects. */
@@ -213,12 +211,14 @@
     if (admitted.isErr()) {
       return err(admitted.error);
     }
+    const ended = () => this.#options.admission.release(request.definition.service, request.requestId);
+    if (request.repeatability === 'claimed') {
+      return this.#claimedCalls.serve(request, () => this.#dispatch(request), ended);
+    }
     try {
-      return request.repeatability === 'claimed'
-        ? await this.#serveClaimed(request)
-        : await this.#send(request);
+      return await this.#send(request);
     } finally {
-      this.#options.admission.release(request.definition.service, request.requestId);
+      ended();
     }
   }
 
@@ -241,44 +241,6 @@
     return this.#options.dispatcher.dispatch(request, targets);
   }
 
-  /** Invariant: nothing is sent before the claim is granted; a claim is given up only if nothing was sent. */
-  async #serveClaimed(request: CallerRequest): Promise<Result<void, ServingError>> {
-    const { claims } = this.#options;
-    const { idempotencyKey, team, definition } = request;
-    if (idempotencyKey === null) {
-      return err(new ServingError('the call needs an Idempotency-Key', { kind: 'idempotency-key-missing' }));
-    }
-    const key = createClaimKey(team, definition.service, idempotencyKey);
-    const fingerprint = createFingerprint(request.method, request.path, request.body);
-    const claimed = await claims.claim(key, fingerprint, CLAIM_TIMEOUT_MILLISECONDS);
-    if (claimed.isErr()) {
-      return err(claimed.error);
-    }
-    if (claimed.value.kind === 'completed') {
-      const { head, body } = fromStoredAnswer(claimed.value.answer);
-      writeCompleteAnswer(request, head, body);
-      return ok(undefined);
-    }
-    return this.#sendClaimed(request, claimed.value.handle);
-  }
-
-  async #sendClaimed(request: CallerRequest, handle: ClaimHandle): Promise<Result<void, ServingError>> {
-    const { claims } = this.#options;
-    const sent = await this.#dispatch(request);
-    if (sent.isErr()) {
-      if (isNotRun(sent.error)) {
-        claims.release(handle);
-      }
-      return err(sent.error);
-    }
-    if (sent.value !== null) {
-      const { head, body } = sent.value;
-      void claims.complete(handle, toStoredAnswer(head, body));
-      writeCompleteAnswer(request, head, body);
-    }
-    return ok(undefined);
-  }
-
   #account(
     request: CallerRequest | null,
     result: Result<void, ServingError>,
--- a/packages/entry/src/lib/requests/fromStoredAnswer.ts
+++ b/packages/entry/src/lib/requests/fromStoredAnswer.ts
@@ -1,10 +1,23 @@
+import { err, ok, type Result } from 'neverthrow';
+import { ServingError } from '@dandelionlane/core';
 import type { StoredAnswer } from '@dandelionlane/platform';
 import type KeptAnswer from './KeptAnswer.js';
 
-/** The answer to a later call with the same idempotency key. A body that was not kept is empty. */
-export default function fromStoredAnswer({ status, contentType, bodyBase64 }: StoredAnswer): KeptAnswer {
-  return {
+/**
+ * The answer to a later call with the same idempotency key. Error: `answer-too-large`
+ * for a body that was not kept.
+ */
+export default function fromStoredAnswer(
+  { status, contentType, bodyBase64 }: StoredAnswer,
+): Result<KeptAnswer, ServingError> {
+  if (bodyBase64 === null) {
+    return err(new ServingError(
+      `the call ran with status ${status}; its answer was too large to be kept`,
+      { kind: 'answer-too-large' },
+    ));
+  }
+  return ok({
     head: { status, headers: { 'content-type': contentType } },
-    body: Buffer.from(bodyBase64 ?? '', 'base64'),
-  };
+    body: Buffer.from(bodyBase64, 'base64'),
+  });
 }
--- a/packages/platform/src/lib/claims/ClaimAttempt.ts
+++ b/packages/platform/src/lib/claims/ClaimAttempt.ts
@@ -9,6 +9,8 @@
   readonly record: ClaimRecord;
   /** Version of the row that the claim replaces; 0 for an absent row. */
   readonly replaces: RowVersion;
+  /** Whether an earlier commit may have taken effect, or may still do so. */
+  readonly mayBeWritten: boolean;
   /** Monotonic time after which the attempt is given up. */
   readonly deadlineMilliseconds: number;
   readonly settle: (result: Result<ClaimOutcome, ServingError>) => void;
--- a/packages/platform/src/lib/claims/ClaimReleaser.ts
+++ b/packages/platform/src/lib/claims/ClaimReleaser.ts
@@ -12,15 +12,20 @@
     return true;
   }
   const existing = ClaimRecord.safeParse(row.value);
-  return existing.success && existing.data.nonce === record.nonce && existing.data.state === 'claimed';
+  if (!existing.success) {
+    return false;
+  }
+  const { nonce, state } = existing.data;
+  return state === 'released' ? nonce !== record.nonce : state === 'claimed' && nonce === record.nonce;
 }
 
 /**
  * Marks given-up claims as released, in the background, until the store has answered.
  *
- * Invariant: only a row that carries the given-up nonce, or no row at all, is
- * overwritten. Writing over an absent row keeps a claim that is still on its way
- * from taking effect later, since that claim is conditioned on the absence.
+ * Invariant: only a claimed row that carries the given-up nonce, a released row, or no
+ * row at all is overwritten. Writing over an absent or released row keeps a claim that
+ * is still on its way from taking effect later, since that claim is conditioned on the
+ * row's version.
  */
 export default class ClaimReleaser {
   readonly #store: TableStore;
--- a/packages/platform/src/lib/claims/ClaimStore.ts
+++ b/packages/platform/src/lib/claims/ClaimStore.ts
@@ -13,8 +13,8 @@
 import type StoredAnswer from './StoredAnswer.js';
 
 const MAXIMUM_BATCH = 200;
-const COMPLETE_ATTEMPTS = 5;
-const COMPLETE_RETRY_MILLISECONDS = 500;
+const COMPLETE_ATTEMPTS = 7;
+const FIRST_COMPLETE_RETRY_MILLISECONDS = 500;
 
 function grant(attempt: ClaimAttempt, version: RowVersion): void {
   const { key, record } = attempt;
@@ -102,7 +102,7 @@
     const deadlineMilliseconds = clock.monotonicMilliseconds() + timeoutMilliseconds;
     const settled = new Promise<Result<ClaimOutcome, ServingError>>((settle) => {
       this.#enqueue({
-        key, record, replaces: RowVersion.parse(0), deadlineMilliseconds, settle,
+        key, record, replaces: RowVersion.parse(0), mayBeWritten: false, deadlineMilliseconds, settle,
       });
     });
     return new ResultAsync(settled);
@@ -130,6 +130,7 @@
       claimedAt: handle.claimedAt,
       answer,
     };
+    let pause = FIRST_COMPLETE_RETRY_MILLISECONDS;
     for (let attempt = 0; attempt < COMPLETE_ATTEMPTS; attempt += 1) {
       const outcome = await this.#options.store.commit({
         conditions: [{ table: TABLE_NAMES.claims, key: handle.key, version: handle.version }],
@@ -139,9 +140,11 @@
       if (outcome.isOk()) {
         return;
       }
+      const wait = pause;
       await new Promise((resolve) => {
-        setTimeout(resolve, COMPLETE_RETRY_MILLISECONDS).unref();
+        setTimeout(resolve, wait).unref();
       });
+      pause *= 2;
     }
   }
 
@@ -204,10 +207,18 @@
     if (this.#options.clock.monotonicMilliseconds() < attempt.deadlineMilliseconds) {
       return false;
     }
-    attempt.settle(err(new ServingError('claim was not written in time', { kind: 'store-unavailable' })));
+    this.#refuse(attempt, new ServingError('claim was not written in time', { kind: 'store-unavailable' }));
     return true;
   }
 
+  /** Refuses as not granted. What may have been written is given back in the background. */
+  #refuse(attempt: ClaimAttempt, error: ServingError): void {
+    if (attempt.mayBeWritten) {
+      this.#releaser.release(attempt.key, { ...attempt.record, state: 'released' });
+    }
+    attempt.settle(err(error));
+  }
+
   /** The store refused the batch for some of its rows; the others try again. */
   #settleConflict(attempt: ClaimAttempt, row: TableRow | undefined): void {
     if (row === undefined) {
@@ -226,21 +237,19 @@
 
   async #settleFailure(batch: readonly ClaimAttempt[], error: ServingError): Promise<void> {
     if (error.kind !== 'store-outcome-unknown') {
-      batch.forEach((attempt) => attempt.settle(err(error)));
+      batch.forEach((attempt) => this.#refuse(attempt, error));
       return;
     }
+    const written = batch.map((attempt) => ({ ...attempt, mayBeWritten: true }));
     const rows = await this.#options.store.read(
-      batch.map(({ key }) => ({ table: TABLE_NAMES.claims, key })),
+      written.map(({ key }) => ({ table: TABLE_NAMES.claims, key })),
     );
     if (rows.isErr()) {
-      // The write may have taken effect or may still do so: it is given back in the background.
-      batch.forEach((attempt) => {
-        this.#releaser.release(attempt.key, { ...attempt.record, state: 'released' });
-        attempt.settle(err(new ServingError('claim could not be settled', { kind: 'store-unavailable' })));
-      });
+      const unsettled = new ServingError('claim could not be settled', { kind: 'store-unavailable' });
+      written.forEach((attempt) => this.#refuse(attempt, unsettled));
       return;
     }
     const byKey = new Map(rows.value.map((row) => [row.key, row]));
-    batch.forEach((attempt) => this.#settleConflict(attempt, byKey.get(attempt.key)));
+    written.forEach((attempt) => this.#settleConflict(attempt, byKey.get(attempt.key)));
   }
 }
--- a/packages/platform/src/test/ClaimStore.test.ts
+++ b/packages/platform/src/test/ClaimStore.test.ts
@@ -1,7 +1,8 @@
 import {
-  EntryId, ManualClock, MemoryTableStore, TABLE_NAMES,
+  EntryId, ManualClock, MemoryTableStore, RowVersion, ServingError, TABLE_NAMES,
 } from '@dandelionlane/core';
 import fc from 'fast-check';
+import { errAsync, okAsync } from 'neverthrow';
 import { expect, test, vi } from 'vitest';
 import { ClaimRecord, ClaimStore, type ClaimOutcome } from '../index.js';
 
@@ -145,3 +146,47 @@
     },
   ), { seed: SEED, numRuns: 300 });
 });
+
+test('claim refused after an unknown commit is released', async () => {
+  const store = new MemoryTableStore();
+  const claims = createClaims(store);
+  const commit = store.commit.bind(store);
+  vi.spyOn(store, 'commit').mockImplementationOnce((transaction) => {
+    const outcome = commit(transaction);
+    store.setFault('stale-reads');
+    return outcome.andThen(() => errAsync(new ServingError('lost', { kind: 'store-outcome-unknown' })));
+  }).mockImplementationOnce(() => {
+    store.setFault('none');
+    return errAsync(new ServingError('down', { kind: 'store-unavailable' }));
+  });
+  vi.spyOn(store, 'read').mockImplementationOnce((keys) => okAsync(keys.map((key) => ({
+    ...key, version: RowVersion.parse(0), value: null,
+  }))));
+  const refused = await claims.claim('key', 'print', 1_000);
+  expect(refused._unsafeUnwrapErr().kind).toBe('store-unavailable');
+  await vi.waitFor(async () => expect((await readClaim(store, 'key')).state).toBe('released'));
+});
+
+test('release over a released row stops a claim on its way', async () => {
+  const store = new MemoryTableStore();
+  const claims = createClaims(store);
+  claims.release(handleOf((await claims.claim('key', 'print', 1_000))._unsafeUnwrap()));
+  await vi.waitFor(async () => expect((await readClaim(store, 'key')).state).toBe('released'));
+  const commit = store.commit.bind(store);
+  const onItsWay: (() => Promise<unknown>)[] = [];
+  vi.spyOn(store, 'commit').mockImplementation((transaction) => {
+    if (transaction.conditions[0]?.version === 0) {
+      return commit(transaction);
+    }
+    vi.mocked(store.commit).mockImplementation(commit);
+    vi.spyOn(store, 'read').mockImplementationOnce(() => errAsync(new ServingError('down', { kind: 'store-unavailable' })));
+    onItsWay.push(async () => commit(transaction));
+    return errAsync(new ServingError('lost', { kind: 'store-outcome-unknown' }));
+  });
+  const refused = await claims.claim('key', 'print', 1_000);
+  expect(refused._unsafeUnwrapErr().kind).toBe('store-unavailable');
+  const { nonce } = await readClaim(store, 'key');
+  await vi.waitFor(async () => expect((await readClaim(store, 'key')).nonce).not.toBe(nonce));
+  await onItsWay[0]?.();
+  expect((await readClaim(store, 'key')).state).toBe('released');
+});
