--- a/packages/demo/src/lib/SystemPlan.ts
+++ b/packages/demo/src/lib/SystemPlan.ts
@@ -10,4 +10,8 @@
   readonly controllers: number;
   /** Whether the model engines refuse orders with an old fencing number. */
   readonly checksFencing: boolean;
+  /** Differences from the model VMs' usual timing, as in the settings of the stand-ins. */
+  readonly modelTiming?: Readonly<Record<string, number>>;
+  /** Whether each zone's VMs run in a process of their own. */
+  readonly separateZones?: boolean;
 }
--- a/packages/demo/src/lib/startSystem.ts
+++ b/packages/demo/src/lib/startSystem.ts
@@ -25,8 +25,8 @@
   return file;
 }
 
-function describeVMs(plan: SystemPlan): readonly object[] {
-  return plan.availabilityZones.flatMap((availabilityZone) => {
+function describeVMs(plan: SystemPlan, availabilityZones: readonly string[]): readonly object[] {
+  return availabilityZones.flatMap((availabilityZone) => {
     const model = Array.from({ length: plan.modelVMsPerZone }, (_, index) => ({
       vm: `${availabilityZone}-model-${index + 1}`,
       availabilityZone,
@@ -34,7 +34,7 @@
       accelerators: ACCELERATORS,
       kind: 'model',
       checksFencing: plan.checksFencing,
-      timing: MODEL_TIMING,
+      timing: { ...MODEL_TIMING, ...plan.modelTiming },
     }));
     const plain = Array.from({ length: plan.plainVMsPerZone }, (_, index) => ({
       vm: `${availabilityZone}-plain-${index + 1}`,
@@ -48,6 +48,29 @@
   });
 }
 
+/** One process for all VMs, or one for each zone. */
+async function startVMProcesses(
+  processes: ProcessGroup,
+  plan: SystemPlan,
+  platformAddress: string,
+): Promise<readonly RunningProcess[]> {
+  const groups = plan.separateZones === true
+    ? plan.availabilityZones.map((zone) => [zone])
+    : [plan.availabilityZones];
+  const started: RunningProcess[] = [];
+  for (const [index, zones] of groups.entries()) {
+    const name = `vms-${index + 1}`;
+    const settings = { platform: platformAddress, vms: describeVMs(plan, zones) };
+    const file = await writeSettings(plan.directory, name, settings);
+    started.push(await processes.start(
+      name,
+      programPath('standin', 'dandelionlane-standin'),
+      ['vms', '--settings', file],
+    ));
+  }
+  return started;
+}
+
 /** Starts stand-ins, entries and controllers as separate processes on loopback, on free ports. */
 export default async function startSystem(plan: SystemPlan): Promise<RunningSystem> {
   const { directory } = plan;
@@ -60,8 +83,7 @@
   const platformSettings = await writeSettings(directory, 'platform', { vmListLagMilliseconds: 500 });
   const platform = await processes.start('platform', standIn, ['platform', '--settings', platformSettings]);
   const platformAddress = String(platform.addresses.address);
-  const vmSettings = await writeSettings(directory, 'vms', { platform: platformAddress, vms: describeVMs(plan) });
-  const vms = await processes.start('vms', standIn, ['vms', '--settings', vmSettings]);
+  const vmProcesses = await startVMProcesses(processes, plan, platformAddress);
 
   const entries: RunningProcess[] = [];
   for (let index = 0; index < plan.entries; index += 1) {
@@ -103,6 +125,13 @@
     ));
   }
   return {
-    processes, platform, vms, entries, controllers, tokenFile, token,
+    processes,
+    platform,
+    vms: vmProcesses[0] as RunningProcess,
+    vmProcesses,
+    entries,
+    controllers,
+    tokenFile,
+    token,
   };
 }
