--- a/packages/routing/src/lib/admission/AdmissionQueue.ts
+++ b/packages/routing/src/lib/admission/AdmissionQueue.ts
@@ -209,7 +209,7 @@
 
   /** Whether a team has or asks for more than max-min fairness gives it beside the others. */
   #isOverShare(team: TeamState): boolean {
-    return this.#teams.size > 1 && team.demand >= this.#waterLevel() * team.weight;
+    return this.#teams.size > 1 && team.demand > this.#waterLevel() * team.weight;
   }
 
   #waterLevel(): number {
