--- a/packages/routing/src/experiments/runExperiments.ts
+++ b/packages/routing/src/experiments/runExperiments.ts
@@ -2,6 +2,7 @@
 import runColdReturn from './runColdReturn.js';
 import runCost from './runCost.js';
 import runFairness from './runFairness.js';
+import runQueue from './runQueue.js';
 import runRetries from './runRetries.js';
 
 /** Name and code of each experiment. */
@@ -9,6 +10,7 @@
   choice: runChoice,
   fairness: runFairness,
   retries: runRetries,
+  queue: runQueue,
   cold: runColdReturn,
   cost: runCost,
 };
