--- a/packages/routing/src/experiments/FakeEngine.ts
+++ b/packages/routing/src/experiments/FakeEngine.ts
@@ -96,6 +96,12 @@
     };
   }
 
+  /** Takes a job out without calling `onEnd`, its caller having got the answer elsewhere. */
+  cancel(job: EngineJob): void {
+    this.#waiting = this.#waiting.filter((waiting) => waiting !== job);
+    this.#running = this.#running.filter((running) => running.job !== job);
+  }
+
   submit(job: EngineJob): void {
     this.#waiting.push(job);
     if (this.#running.length + this.#waiting.length > 1.5 * this.bearable) {
--- a/packages/routing/src/experiments/RoutingPolicy.ts
+++ b/packages/routing/src/experiments/RoutingPolicy.ts
@@ -72,14 +72,15 @@
     });
   }
 
-  choose(work: Work): number {
+  /** Index of the engine that takes the work, none of those tried before. */
+  choose(work: Work, tried: readonly number[] = []): number {
     const candidates = this.#views.map((view) => this.#targetOf(view, work));
     const choice = chooseTarget({
       availabilityZone: this.#zone,
       prefixHash: this.#options.hasAffinity ? work.prefix : null,
       estimatedTokens: RoutingPolicy.#estimate(work),
-      tried: [],
-      mayProbe: true,
+      tried: tried.map((engine) => ReplicaId.parse(`replica-${engine}`)),
+      mayProbe: tried.length === 0,
     }, candidates, this.#random);
     if (choice.kind === 'none') {
       throw new Error('an engine is always whole here');
--- a/packages/routing/src/experiments/runExperiments.ts
+++ b/packages/routing/src/experiments/runExperiments.ts
@@ -2,6 +2,7 @@
 import runColdReturn from './runColdReturn.js';
 import runCost from './runCost.js';
 import runFairness from './runFairness.js';
+import runHedging from './runHedging.js';
 import runQueue from './runQueue.js';
 import runRetries from './runRetries.js';
 
@@ -12,6 +13,7 @@
   retries: runRetries,
   queue: runQueue,
   cold: runColdReturn,
+  hedging: runHedging,
   cost: runCost,
 };
 
--- /dev/null
+++ b/packages/routing/src/experiments/runHedging.ts
@@ -0,0 +1,171 @@
+import { SeededRandom } from '@dandelionlane/core';
+import { decideHedge, QuantileEstimate, RetryBudget } from '../index.js';
+import Distribution from './Distribution.js';
+import drawGap from './drawGap.js';
+import drawWork, { type Work } from './drawWork.js';
+import type EngineJob from './EngineJob.js';
+import FakeEngine from './FakeEngine.js';
+import printTable from './printTable.js';
+import RoutingPolicy from './RoutingPolicy.js';
+import Simulation from './Simulation.js';
+
+const ENGINES = 9;
+const PER_SECOND = 18;
+const PREFIXES = 48;
+const RUN_MILLISECONDS = 300_000;
+const WARM_UP_MILLISECONDS = 30_000;
+const REPORT_MILLISECONDS = 1_000;
+const REPORT_LAG_MILLISECONDS = 500;
+const CHECK_MILLISECONDS = 20;
+const USUAL_QUANTILE = 0.95;
+const PAUSES_PER_SECOND = 0.5;
+const PAUSE_MILLISECONDS = 1_500;
+const PAUSE_SLOWNESS = 8;
+
+/** An attempt at one engine. */
+interface SentJob {
+  readonly engine: number;
+  readonly id: string;
+  readonly job: EngineJob;
+}
+
+/** Serves requests, some of them at two engines. */
+class HedgingRun {
+  readonly firstToken = new Distribution();
+
+  attempts = 0;
+
+  offered = 0;
+
+  #simulation = new Simulation();
+
+  #engines = Array.from({ length: ENGINES }, () => new FakeEngine(this.#simulation));
+
+  #policy: RoutingPolicy;
+
+  #random: SeededRandom;
+
+  #budget = new RetryBudget();
+
+  #usual = new QuantileEstimate(USUAL_QUANTILE);
+
+  #isHedging: boolean;
+
+  constructor(isHedging: boolean, seed: number) {
+    this.#isHedging = isHedging;
+    this.#random = new SeededRandom(seed);
+    const zones = this.#engines.map(() => 'zone-a');
+    const options = { hasAffinity: true, hasOwnWork: true, hasEjection: true };
+    this.#policy = new RoutingPolicy(this.#simulation, new SeededRandom(seed + 1), zones, 'zone-a', options);
+  }
+
+  run(): this {
+    this.#engines.forEach((engine, index) => {
+      this.#simulation.every(REPORT_MILLISECONDS, this.#random.next() * REPORT_MILLISECONDS, () => {
+        const report = engine.report();
+        this.#simulation.after(REPORT_LAG_MILLISECONDS, () => this.#policy.report(index, report));
+      });
+    });
+    this.#arrive();
+    this.#pause(new SeededRandom(99));
+    this.#simulation.runUntil(RUN_MILLISECONDS);
+    return this;
+  }
+
+  /** Lets an engine stand nearly still for a while, again and again. */
+  #pause(random: SeededRandom): void {
+    this.#simulation.after(drawGap(random, PAUSES_PER_SECOND), () => {
+      const engine = this.#engines[Math.floor(random.next() * ENGINES)];
+      engine?.slowDown(PAUSE_SLOWNESS);
+      this.#simulation.after(PAUSE_MILLISECONDS, () => engine?.slowDown(1));
+      this.#pause(random);
+    });
+  }
+
+  #arrive(): void {
+    const { now } = this.#simulation;
+    this.#simulation.after(drawGap(this.#random, PER_SECOND), () => this.#arrive());
+    this.offered += 1;
+    this.#budget.freshRequest();
+    const work = drawWork(this.#random, PREFIXES);
+    const jobs: SentJob[] = [];
+    const isCounted = now > WARM_UP_MILLISECONDS;
+    let hasBegun = false;
+    const begin = (job: EngineJob): void => {
+      hasBegun = true;
+      const milliseconds = this.#simulation.now - now;
+      this.#usual.add(milliseconds);
+      if (isCounted) {
+        this.firstToken.add(milliseconds);
+      }
+      jobs.filter((other) => other.job !== job).forEach((other) => {
+        this.#engines[other.engine]?.cancel(other.job);
+        this.#policy.ended(other.engine, other.id, null);
+      });
+    };
+    const send = (): void => {
+      const engine = this.#policy.choose(work, jobs.map((each) => each.engine));
+      const sent = this.#makeJob(work, engine, () => !hasBegun, begin);
+      jobs.push(sent);
+      this.#engines[engine]?.submit(sent.job);
+    };
+    send();
+    const check = (): void => {
+      const decision = decideHedge({
+        repeatable: true,
+        answerBegun: hasBegun,
+        attemptsInFlight: jobs.length,
+        elapsedMilliseconds: this.#simulation.now - now,
+        usualFirstByteMilliseconds: this.#usual.value,
+        hasAlternative: true,
+        budget: this.#budget,
+      });
+      if (decision.kind === 'hedge') {
+        send();
+      } else if (decision.kind === 'wait') {
+        this.#simulation.after(CHECK_MILLISECONDS, check);
+      }
+    };
+    if (this.#isHedging) {
+      check();
+    }
+  }
+
+  #makeJob(work: Work, engine: number, isFirst: () => boolean, begin: (job: EngineJob) => void): SentJob {
+    this.attempts += 1;
+    const id = `r-${this.attempts}`;
+    this.#policy.dispatched(engine, id, work);
+    const startedAt = this.#simulation.now;
+    const job: EngineJob = {
+      ...work,
+      onFirstToken: () => {
+        if (isFirst()) {
+          begin(job);
+        }
+      },
+      onGap: () => {},
+      onEnd: () => {
+        const gap = (this.#simulation.now - startedAt) / work.outputTokens;
+        this.#policy.ended(engine, id, gap);
+      },
+    };
+    return { engine, id, job };
+  }
+}
+
+/** First tokens with and without a second attempt for late requests, while engines pause at times. */
+export default function runHedging(): void {
+  const rows = [1, 2, 3].flatMap((seed) => [false, true].map((isHedging) => {
+    const run = new HedgingRun(isHedging, seed).run();
+    return {
+      hedging: isHedging ? 'yes' : 'no',
+      seed,
+      'first token p50 ms': run.firstToken.quantile(0.5),
+      'p95 ms': run.firstToken.quantile(0.95),
+      'p99 ms': run.firstToken.quantile(0.99),
+      'p99.9 ms': run.firstToken.quantile(0.999),
+      'attempts over offered': Math.round((1_000 * run.attempts) / run.offered) / 1_000,
+    };
+  }));
+  printTable('Hedging: engines pause for 1.5 s, one every 2 s, 18 requests/s', rows);
+}
