Check drains in every plan, and measure a zone move of a region

Cause: trials that broke one line of the policy each showed that no test saw a drain cut short or a VM with too few accelerators. Change: every plan is checked for drains that end without notice or cut a request on a VM that is not gone; a test with mixed accelerators. The zone move also runs on 1,089 VMs. The first form of the check counted the last report of a VM that had left the list as running; such a VM runs nothing, so the check leaves it out.

--- a/packages/placement/src/experiments/measureZoneMove.ts
+++ b/packages/placement/src/experiments/measureZoneMove.ts
@@ -1,4 +1,5 @@
 import { AvailabilityZoneId } from '@dandelionlane/core';
+import { planPlacement } from '../index.js';
 import FakeFleet from '../test/FakeFleet.js';
 import createServices from './createServices.js';
 import drive from './drive.js';
@@ -15,6 +16,22 @@
 const DRAIN_WAIT_SECONDS = 3;
 const ZONES = ['zone-0', 'zone-1', 'zone-2'].map((zone) => AvailabilityZoneId.parse(zone));
 
+/** A fleet, how many replicas it serves, and the zones that leave. */
+interface Setup {
+  readonly size: 66 | 1089;
+  readonly replicas: number;
+  readonly zones: readonly AvailabilityZoneId[];
+}
+
+/** The small fleet has room for 12 replicas, the large one for 198. */
+const SETUPS: readonly Setup[] = [
+  { size: 66, replicas: 6, zones: ZONES },
+  { size: 66, replicas: 9, zones: ZONES },
+  { size: 66, replicas: 12, zones: ZONES },
+  { size: 1089, replicas: 132, zones: ZONES.slice(0, 1) },
+  { size: 1089, replicas: 186, zones: ZONES.slice(0, 1) },
+];
+
 /** Figures over one phase of the move. */
 class Watch {
   minimumShare = 1;
@@ -69,10 +86,11 @@
 
 function moveZone(
   planner: Planner,
+  size: Setup['size'],
   replicas: number,
   zone: AvailabilityZoneId,
 ): { readonly out: Watch; readonly back: Watch } {
-  const fleet = new FakeFleet(FLEETS[66], createServices(replicas));
+  const fleet = new FakeFleet(FLEETS[size], createServices(replicas));
   drive(fleet, planner, SETTLE_SECONDS);
   fleet.changeRelease({ availabilityZonesOut: [zone] });
   const out = watchPhase(fleet, planner, OUT_SECONDS);
@@ -85,10 +103,15 @@
   return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
 
-function measureMove(name: string, planner: Planner, replicas: number): ExperimentRow {
-  const moves = ZONES.map((zone) => moveZone(planner, replicas, zone));
+function measureMove(
+  name: string,
+  planner: Planner,
+  { size, replicas, zones }: Setup,
+): ExperimentRow {
+  const moves = zones.map((zone) => moveZone(planner, size, replicas, zone));
   return {
     planner: name,
+    VMs: size,
     replicas,
     'minimum share, out': Math.min(...moves.map(({ out }) => out.minimumShare)),
     'shortfall, out': mean(moves.map(({ out }) => out.shortfall)),
@@ -106,11 +129,8 @@
  * capacity; means and extremes over the zones. Shortfall: warm-replica-seconds below each service's load.
  */
 export default function measureZoneMove(): ExperimentRow[] {
-  const rows: ExperimentRow[] = [];
-  for (const replicas of [6, 9, 12]) {
-    for (const { name, plan } of PLANNERS) rows.push(measureMove(name, plan, replicas));
-    const [policy] = PLANNERS;
-    if (policy !== undefined) rows.push(measureMove('policy, drain after 3 s', delayZoneDrains(policy.plan), replicas));
-  }
-  return rows;
+  return SETUPS.flatMap((setup) => [
+    ...PLANNERS.map(({ name, plan }) => measureMove(name, plan, setup)),
+    measureMove('policy, drain after 3 s', delayZoneDrains((input) => planPlacement(input)), setup),
+  ]);
 }
--- a/packages/placement/src/test/SMALL_FLEET.ts
+++ b/packages/placement/src/test/SMALL_FLEET.ts
@@ -11,7 +11,7 @@
   storeStreams: 8,
   startMilliseconds: 5_000,
   warmUpMilliseconds: 10_000,
-  drainMilliseconds: 6_000,
+  drainMilliseconds: 3_000,
   orderDelayMilliseconds: 1_000,
 };
 
--- a/packages/placement/src/test/checkPlan.ts
+++ b/packages/placement/src/test/checkPlan.ts
@@ -1,5 +1,7 @@
 import type { VMId } from '@dandelionlane/core';
-import type { PlacementCommand, PlacementInput, VMObservation } from '../index.js';
+import {
+  DEFAULT_PLACEMENT_LIMITS, type PlacementCommand, type PlacementInput, type VMObservation,
+} from '../index.js';
 
 function check(condition: boolean, message: string): asserts condition {
   if (!condition) throw new Error(message);
@@ -49,9 +51,29 @@
   check(isFitting, 'a member has the wrong accelerators');
 }
 
+/** A drained replica stops only after the notice, and with no request running on a VM that is not gone. */
+function checkStop(command: PlacementCommand, input: PlacementInput, vms: Map<VMId, VMObservation>): void {
+  if (command.kind !== 'stop') return;
+  const row = input.replicas.find(({ replica }) => replica.replica === command.replica);
+  check(row !== undefined, 'stopped an unknown replica');
+  if (row.replica.state !== 'draining') return;
+  const isRunning = row.replica.members.some(({ vm }) => {
+    const observation = vms.get(vm);
+    const isGone = (observation?.unlistedMilliseconds ?? 0) >= DEFAULT_PLACEMENT_LIMITS.unlistedMilliseconds;
+    const report = observation?.report;
+    return !isGone && report?.replica === command.replica && report.runningRequests > 0;
+  });
+  const isOverLimit = row.stateMilliseconds >= DEFAULT_PLACEMENT_LIMITS.lostDrainMilliseconds;
+  check(row.stateMilliseconds >= DEFAULT_PLACEMENT_LIMITS.drainNoticeMilliseconds, 'stopped without notice');
+  check(!isRunning || (isOverLimit && command.reason === 'drain-limit'), 'cut a running request');
+}
+
 /** Throws when a plan breaks a rule that must hold of every plan. */
 export default function checkPlan(input: PlacementInput, commands: readonly PlacementCommand[]): void {
   const vms = new Map(input.vms.map((vm) => [vm.record.vm, vm]));
   checkNoClash(commands);
-  for (const command of commands) checkMembers(command, input, vms);
+  for (const command of commands) {
+    checkMembers(command, input, vms);
+    checkStop(command, input, vms);
+  }
 }
--- a/packages/placement/src/test/planPlacement.test.ts
+++ b/packages/placement/src/test/planPlacement.test.ts
@@ -278,3 +278,14 @@
   const placed = planPlacement(fleet.observe(), limits).filter(({ kind }) => kind === 'place');
   expect(placed).toMatchObject([{ service: 'permits' }]);
 });
+
+test('VMs with too few accelerators are passed over', () => {
+  const fleet = new FakeFleet(SMALL_FLEET, createRelease([{ name: 'letters', replicas: 6, vms: 4 }]));
+  const input = fleet.observe();
+  const vms = input.vms.map((vm, index) => (index % 3 === 0
+    ? { ...vm, record: { ...vm.record, accelerators: Math.min(2, vm.record.accelerators) } }
+    : vm));
+  const commands = planPlacement({ ...input, vms });
+  checkPlan({ ...input, vms }, commands);
+  expect(commands.length).toBeLessThan(6);
+});
