--- /dev/null
+++ b/packages/placement/src/lib/planPlacement.ts
@@ -0,0 +1,60 @@
+import createServiceViews from './createServiceViews.js';
+import DEFAULT_PLACEMENT_LIMITS from './DEFAULT_PLACEMENT_LIMITS.js';
+import FleetView from './FleetView.js';
+import FreePool from './FreePool.js';
+import LoadBudget from './LoadBudget.js';
+import planAbandons from './planAbandons.js';
+import planAdditions from './planAdditions.js';
+import type PlanContext from './PlanContext.js';
+import planDefragmentation from './planDefragmentation.js';
+import planDrains from './planDrains.js';
+import PlanDraft from './PlanDraft.js';
+import type PlacementCommand from './PlacementCommand.js';
+import type PlacementInput from './PlacementInput.js';
+import type PlacementLimits from './PlacementLimits.js';
+import planMoves from './planMoves.js';
+import planPreemptions from './planPreemptions.js';
+import planRemovals from './planRemovals.js';
+import planServes from './planServes.js';
+import planStops from './planStops.js';
+import planUnloads from './planUnloads.js';
+import type ServiceView from './ServiceView.js';
+
+function listGroupSizes(services: readonly ServiceView[]): readonly number[] {
+  return [...new Set(services.map(({ definition }) => definition?.vmsPerReplica ?? 1))];
+}
+
+function createContext(input: PlacementInput, limits: PlacementLimits): PlanContext {
+  const fleet = new FleetView(input, limits);
+  const services = createServiceViews(input, fleet);
+  return {
+    fleet,
+    services,
+    pool: new FreePool(input.vms, fleet),
+    budget: new LoadBudget(services, fleet),
+    draft: new PlanDraft(),
+    groupSizes: listGroupSizes(services),
+  };
+}
+
+/**
+ * Plans the next steps that bring the fleet to what the release wants. Pure: the
+ * same input gives the same commands, whatever the order of its arrays.
+ */
+export default function planPlacement(
+  input: PlacementInput,
+  limits: PlacementLimits = DEFAULT_PLACEMENT_LIMITS,
+): readonly PlacementCommand[] {
+  const context = createContext(input, limits);
+  planRemovals(context);
+  planServes(context);
+  const needs = planAdditions(context);
+  planDefragmentation(needs, context);
+  planMoves(context);
+  planDrains(needs, context);
+  planPreemptions(needs, context);
+  planAbandons(context);
+  planStops(needs, context);
+  planUnloads(input, context);
+  return context.draft.commands;
+}
--- /dev/null
+++ b/packages/release/src/lib/readRecords.ts
@@ -0,0 +1,18 @@
+import { ReleaseRecord, type ServingError, type TableStore } from '@dandelionlane/core';
+import type { ResultAsync } from 'neverthrow';
+import changeRow from './changeRow.js';
+import readRowsInTurn from './readRowsInTurn.js';
+
+/**
+ * Reads the records after one sequence up to another, in order, and ends before the
+ * first that is absent: it was compacted away, or the read is stale.
+ */
+export default function readRecords(
+  store: TableStore,
+  after: number,
+  last: number,
+): ResultAsync<readonly ReleaseRecord[], ServingError> {
+  const length = Math.max(0, last - after);
+  const keys = Array.from({ length }, (_, index) => changeRow(after + index + 1));
+  return readRowsInTurn(store, keys, ReleaseRecord);
+}
--- /dev/null
+++ b/packages/routing/src/experiments/runExperiments.ts
@@ -0,0 +1,23 @@
+import runChoice from './runChoice.js';
+import runColdReturn from './runColdReturn.js';
+import runCost from './runCost.js';
+import runFairness from './runFairness.js';
+import runRetries from './runRetries.js';
+
+/** Name and code of each experiment. */
+const EXPERIMENTS: Readonly<Record<string, () => void>> = {
+  choice: runChoice,
+  fairness: runFairness,
+  retries: runRetries,
+  cold: runColdReturn,
+  cost: runCost,
+};
+
+/** Runs the experiments named on the command line, or all. */
+export default function runExperiments(names: readonly string[]): void {
+  Object.entries(EXPERIMENTS)
+    .filter(([name]) => names.length === 0 || names.includes(name))
+    .forEach(([, run]) => run());
+}
+
+runExperiments(process.argv.slice(2));
--- /dev/null
+++ b/packages/routing/src/lib/admission/AdmissionQueue.ts
@@ -0,0 +1,322 @@
+import type { Priority, RequestId, TeamId } from '@dandelionlane/core';
+import type AdmissionDecision from './AdmissionDecision.js';
+import type AdmissionQueueOptions from './AdmissionQueueOptions.js';
+import type AdmissionRequest from './AdmissionRequest.js';
+import type AdmittedRequest from './AdmittedRequest.js';
+import BATCH_TURN from './BATCH_TURN.js';
+import countBefore from './countBefore.js';
+import findWaterLevel from './findWaterLevel.js';
+import pickTeam from './pickTeam.js';
+import type Refusal from './Refusal.js';
+import type RefusalKind from './RefusalKind.js';
+import retryAfterSeconds from './retryAfterSeconds.js';
+import ServiceRate from './ServiceRate.js';
+import TeamState from './TeamState.js';
+
+/** Part of the places that a team at its share leaves free while other teams are active. */
+const RESERVED_SHARE = 1 / 16;
+
+/** A request is queued if it could wait this many times as long as expected. */
+const OFFER_MARGIN = 1.5;
+
+/** A waiting request is refused when its expected wait is longer than what is left by this factor. */
+const EXPIRY_MARGIN = 1.25;
+
+/**
+ * Shares the places in flight of one service among teams by weighted max-min
+ * fairness and keeps what has to wait.
+ *
+ * Invariants: no more than `capacity` requests are admitted at a time, save right
+ * after the capacity fell. A request waits only while its team has no place to take
+ * and, by the present service rate, it can still meet its deadline; else it is
+ * refused in the call that finds out. A place that becomes free goes to the waiting
+ * team with the fewest requests in flight by weight. While several teams are
+ * active, one that is at its share leaves an eighth of the places to the others,
+ * so that they need not wait for one of its requests to end.
+ */
+export default class AdmissionQueue {
+  #options: AdmissionQueueOptions;
+
+  #capacity: number;
+
+  #teams = new Map<TeamId, TeamState>();
+
+  #admitted = new Map<RequestId, AdmittedRequest>();
+
+  #queued = 0;
+
+  #turn = 0;
+
+  #interactiveInRow = 0;
+
+  #rate: ServiceRate;
+
+  constructor(options: AdmissionQueueOptions) {
+    this.#options = options;
+    this.#capacity = options.capacity;
+    this.#rate = new ServiceRate(options.initialServiceMilliseconds);
+  }
+
+  /** Requests in flight. */
+  get running(): number {
+    return this.#admitted.size;
+  }
+
+  /** Requests that wait. */
+  get queued(): number {
+    return this.#queued;
+  }
+
+  /** Requests of one team in flight. */
+  runningOf(team: TeamId): number {
+    return this.#teams.get(team)?.running ?? 0;
+  }
+
+  /** Changes how many requests may be in flight and returns those that go next. */
+  setCapacity(capacity: number, monotonicMilliseconds: number): readonly RequestId[] {
+    this.#capacity = capacity;
+    return this.admitWaiting(monotonicMilliseconds);
+  }
+
+  /** Decides on a new request. */
+  offer(request: AdmissionRequest, monotonicMilliseconds: number): AdmissionDecision {
+    if (monotonicMilliseconds + request.expectedServiceMilliseconds > request.deadlineMilliseconds) {
+      return { kind: 'refused', refusal: AdmissionQueue.#refuse(request, 'deadline-unreachable', 0) };
+    }
+    const team = this.#teamOf(request.team);
+    const waiting = team.waiting[request.priority];
+    waiting.set(request.requestId, request);
+    this.#queued += 1;
+    if (team.queued === 1 && this.#hasPlaceFor(team)) {
+      this.#removeWaiting(team, request.requestId);
+      this.#admit(team, request, monotonicMilliseconds);
+      return { kind: 'admitted' };
+    }
+    const wait = this.#expectedWait(team, waiting.size, request.priority, monotonicMilliseconds);
+    const kind = this.#objection(team, request, wait * OFFER_MARGIN, monotonicMilliseconds);
+    if (kind === null) {
+      return { kind: 'queued', expectedWaitMilliseconds: wait };
+    }
+    this.#removeWaiting(team, request.requestId);
+    this.#forgetIfIdle(team);
+    return { kind: 'refused', refusal: AdmissionQueue.#refuse(request, kind, wait) };
+  }
+
+  /** Notes that a request in flight ended and returns those that go next. */
+  release(requestId: RequestId, monotonicMilliseconds: number): readonly RequestId[] {
+    const admitted = this.#admitted.get(requestId);
+    if (admitted === undefined) {
+      return [];
+    }
+    this.#admitted.delete(requestId);
+    const team = this.#teamOf(admitted.team);
+    team.noteReleased();
+    this.#rate.released(monotonicMilliseconds - admitted.admittedAtMilliseconds, monotonicMilliseconds);
+    this.#forgetIfIdle(team);
+    return this.admitWaiting(monotonicMilliseconds);
+  }
+
+  /** Refuses the waiting requests that can no longer meet their deadline. Call it often. */
+  expire(monotonicMilliseconds: number): readonly Refusal[] {
+    const refusals: Refusal[] = [];
+    for (const team of this.#teams.values()) {
+      this.#expireClass(team, 'interactive', monotonicMilliseconds, refusals);
+      this.#expireClass(team, 'batch', monotonicMilliseconds, refusals);
+      this.#forgetIfIdle(team);
+    }
+    return refusals;
+  }
+
+  /** Takes a waiting request out, its caller being gone. False if it does not wait. */
+  cancel(requestId: RequestId): boolean {
+    for (const team of this.#teams.values()) {
+      if (this.#removeWaiting(team, requestId)) {
+        this.#forgetIfIdle(team);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Admits what has a place and returns it. Call it after `cancel` and `expire`, which
+   * may leave a place to others; all other methods do so themselves.
+   */
+  admitWaiting(monotonicMilliseconds: number): readonly RequestId[] {
+    const admitted: RequestId[] = [];
+    for (;;) {
+      const requestId = this.#admitNext(monotonicMilliseconds);
+      if (requestId === undefined) {
+        return admitted;
+      }
+      admitted.push(requestId);
+    }
+  }
+
+  static #refuse(request: AdmissionRequest, kind: RefusalKind, waitMilliseconds: number): Refusal {
+    return {
+      requestId: request.requestId,
+      kind,
+      retryAfterSeconds: retryAfterSeconds(waitMilliseconds),
+    };
+  }
+
+  /** Expected wait of the `turn`-th next request of a team's class, in milliseconds. */
+  #expectedWait(
+    team: TeamState,
+    turn: number,
+    priority: Priority,
+    monotonicMilliseconds: number,
+  ): number {
+    const before = countBefore(team, this.#teams, turn, priority);
+    const interval = this.#rate.intervalMilliseconds(this.#capacity, monotonicMilliseconds);
+    return Math.max((before + 1) * interval, this.#waitForOwnPlace(team, turn, interval));
+  }
+
+  /**
+   * Wait until a team at its share gets a place: about when one of its own becomes
+   * free, since later arrivals of other teams go first.
+   */
+  #waitForOwnPlace(team: TeamState, turn: number, intervalMilliseconds: number): number {
+    const unreserved = this.#capacity - this.#reserved();
+    const level = findWaterLevel(this.#teams.values(), unreserved);
+    const share = Math.min(unreserved, level * team.weight);
+    const turnsBeyondShare = Math.max(0, turn - Math.max(0, share - team.running));
+    const places = Math.max(1, share, team.running);
+    return (turnsBeyondShare * intervalMilliseconds * this.#capacity) / places;
+  }
+
+  /** Why a request that would wait so long is refused, or null. */
+  #objection(
+    team: TeamState,
+    request: AdmissionRequest,
+    waitMilliseconds: number,
+    monotonicMilliseconds: number,
+  ): RefusalKind | null {
+    const startMilliseconds = monotonicMilliseconds + waitMilliseconds;
+    const endMilliseconds = startMilliseconds + request.expectedServiceMilliseconds;
+    const isFull = this.#capacity <= 0 || this.#queued > this.#options.maximumQueued;
+    const isTooLong = startMilliseconds > request.queueUntilMilliseconds;
+    const isTooLate = endMilliseconds > request.deadlineMilliseconds;
+    if (!isFull && !isTooLong && !isTooLate) {
+      return null;
+    }
+    if (this.#isOverShare(team)) {
+      return 'team-over-share';
+    }
+    return isFull || !isTooLate ? 'overloaded' : 'deadline-unreachable';
+  }
+
+  /** Whether a team has or asks for more than max-min fairness gives it beside the others. */
+  #isOverShare(team: TeamState): boolean {
+    return this.#teams.size > 1 && team.demand >= this.#waterLevel() * team.weight;
+  }
+
+  #waterLevel(): number {
+    return findWaterLevel(this.#teams.values(), this.#capacity);
+  }
+
+  /** Places that no team at its share takes while several teams are active. */
+  #reserved(): number {
+    return this.#teams.size > 1 ? Math.floor(this.#capacity * RESERVED_SHARE) : 0;
+  }
+
+  /** Whether a team may take a place now. One at its share leaves some free for the others. */
+  #hasPlaceFor(team: TeamState): boolean {
+    const unreserved = this.#capacity - this.#reserved();
+    if (this.running < unreserved || this.running >= this.#capacity) {
+      return this.running < unreserved;
+    }
+    return team.level < findWaterLevel(this.#teams.values(), unreserved);
+  }
+
+  #admitNext(monotonicMilliseconds: number): RequestId | undefined {
+    if (this.#queued === 0 || this.running >= this.#capacity) {
+      return undefined;
+    }
+    const first = this.#nextPriority();
+    return this.#admitOf(first, monotonicMilliseconds)
+      ?? this.#admitOf(first === 'batch' ? 'interactive' : 'batch', monotonicMilliseconds);
+  }
+
+  #admitOf(priority: Priority, monotonicMilliseconds: number): RequestId | undefined {
+    const team = pickTeam(this.#teams.values(), priority);
+    const [request] = team?.waiting[priority].values() ?? [];
+    if (team === undefined || request === undefined || !this.#hasPlaceFor(team)) {
+      return undefined;
+    }
+    this.#removeWaiting(team, request.requestId);
+    this.#interactiveInRow = priority === 'interactive' ? this.#interactiveInRow + 1 : 0;
+    this.#admit(team, request, monotonicMilliseconds);
+    return request.requestId;
+  }
+
+  /** Interactive before batch, but for every tenth place. */
+  #nextPriority(): Priority {
+    const isBatchTurn = this.#interactiveInRow >= BATCH_TURN - 1;
+    return isBatchTurn || !this.#isWaiting('interactive') ? 'batch' : 'interactive';
+  }
+
+  #isWaiting(priority: Priority): boolean {
+    for (const { waiting } of this.#teams.values()) {
+      if (waiting[priority].size > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #admit(team: TeamState, request: AdmissionRequest, monotonicMilliseconds: number): void {
+    if (this.running === 0) {
+      this.#rate.idleAt(monotonicMilliseconds);
+    }
+    this.#turn += 1;
+    team.noteAdmitted(this.#turn);
+    this.#admitted.set(request.requestId, {
+      team: team.team,
+      admittedAtMilliseconds: monotonicMilliseconds,
+    });
+  }
+
+  #expireClass(
+    team: TeamState,
+    priority: Priority,
+    monotonicMilliseconds: number,
+    refusals: Refusal[],
+  ): void {
+    let turn = 1;
+    for (const request of team.waiting[priority].values()) {
+      const wait = this.#expectedWait(team, turn, priority, monotonicMilliseconds);
+      const kind = this.#objection(team, request, wait / EXPIRY_MARGIN, monotonicMilliseconds);
+      if (kind === null) {
+        turn += 1;
+      } else {
+        this.#removeWaiting(team, request.requestId);
+        refusals.push(AdmissionQueue.#refuse(request, kind, wait));
+      }
+    }
+  }
+
+  #removeWaiting(team: TeamState, requestId: RequestId): boolean {
+    const isRemoved = team.waiting.interactive.delete(requestId)
+      || team.waiting.batch.delete(requestId);
+    this.#queued -= isRemoved ? 1 : 0;
+    return isRemoved;
+  }
+
+  #teamOf(team: TeamId): TeamState {
+    const known = this.#teams.get(team);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = new TeamState(team, this.#options.weightOf(team));
+    this.#teams.set(team, created);
+    return created;
+  }
+
+  #forgetIfIdle(team: TeamState): void {
+    if (team.demand === 0) {
+      this.#teams.delete(team.team);
+    }
+  }
+}
