--- a/packages/settings/src/test/parseSettings.test.ts
+++ b/packages/settings/src/test/parseSettings.test.ts
@@ -76,6 +76,17 @@
   ]);
 });
 
+test('text that ends in an escape', () => {
+  expect(faults('"\\')).toContain('entry.jsonc:1:1 (root): expected the closing double quote');
+});
+
+test('long string', () => {
+  expect(faults(`"${'a'.repeat(20_000_000)}`)).toEqual([
+    'entry.jsonc:1:1 (root): expected the closing double quote',
+    'entry.jsonc:1:1 (root): expected object, received string',
+  ]);
+});
+
 test('empty text', () => {
   expect(faults('')).toEqual(['entry.jsonc:1:1 (root): expected a value']);
 });
