Time reading out sooner than changes, and use plainer words

Change: reading times out after 5 s, a change after 30 s, so that its outcome is seldom left unknown. Wording of comments and pages.

--- a/packages/command-line/src/lib/AdministrationClient.ts
+++ b/packages/command-line/src/lib/AdministrationClient.ts
@@ -12,17 +12,12 @@
 import toFailure from './toFailure.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 3_000;
-const ANSWER_TIMEOUT_MILLISECONDS = 30_000;
 
 /** Talks to the administration of the entries, `/admin/v1`. Close it when done. */
 export default class AdministrationClient {
   readonly #connection: Connection;
 
-  readonly #agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
-    headersTimeout: ANSWER_TIMEOUT_MILLISECONDS,
-    bodyTimeout: ANSWER_TIMEOUT_MILLISECONDS,
-  });
+  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } });
 
   constructor(connection: Connection) {
     this.#connection = connection;
--- a/packages/command-line/src/lib/sendRequest.ts
+++ b/packages/command-line/src/lib/sendRequest.ts
@@ -3,6 +3,12 @@
 import type Exchange from './Exchange.js';
 import isBeforeSending from './isBeforeSending.js';
 
+/** Short, so that reading goes on to the next entry soon. */
+const READ_TIMEOUT_MILLISECONDS = 5_000;
+
+/** Long, so that the outcome of a change is seldom left unknown. */
+const CHANGE_TIMEOUT_MILLISECONDS = 30_000;
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
@@ -26,10 +32,13 @@
   token: string | undefined,
   exchange: Exchange,
 ): Promise<Attempt> {
+  const timeout = exchange.method === 'GET' ? READ_TIMEOUT_MILLISECONDS : CHANGE_TIMEOUT_MILLISECONDS;
   try {
     const { statusCode, body } = await request(`http://${entry}${exchange.path}`, {
       dispatcher,
       method: exchange.method,
+      headersTimeout: timeout,
+      bodyTimeout: timeout,
       headers: buildHeaders(exchange, token),
       ...(exchange.method === 'POST' ? { body: JSON.stringify(exchange.body) } : {}),
     });
--- a/packages/release/src/lib/validateChange.ts
+++ b/packages/release/src/lib/validateChange.ts
@@ -7,9 +7,8 @@
 /**
  * Decides whether a change may follow the state. It is accepted whole or refused whole.
  *
- * Take-out and bring-back are idempotent: operators race one another, and two who take
- * the same availability zone out both get what they asked for. The later one of a
- * take-out and a bring-back wins, in the order of the log.
+ * Take-out and bring-back are idempotent: of two concurrent take-outs of one availability
+ * zone, both are accepted. Of a take-out and a bring-back, the later one in the log wins.
  *
  * Errors: `release-invalid` for a note that adds what exists, changes or withdraws what
  * does not, names a service or a team twice, or is written against a sequence in the
