Pass requests on to another home when the own share is in use

Cause: each home of a service holds a third of a replica's warm limit, and with limits of 12 a home is full by chance while the others have places: 122 of 4,151 calls were refused as overloaded and first tokens waited at p90 up to 681 ms, although the replicas were at two thirds. Ruled out: slow targets (time between tokens stayed at 24 ms) and late reports. Change: a home without a free place passes a request on, once; the home that gets it queues it.

--- a/packages/core/src/lib/table/TABLE_NAMES.ts
+++ b/packages/core/src/lib/table/TABLE_NAMES.ts
@@ -1,6 +1,10 @@
 /** Names of the tables that the system keeps in the platform's table service. */
 const TABLE_NAMES = {
-  /** Key `head`: the latest accepted sequence. Key `change/<sequence, 12 digits>`: a `ReleaseRecord`. */
+  /**
+   * Key `head`: the latest accepted sequence. Key `change/<sequence, 12 digits>`: a
+   * `ReleaseRecord`. Keys `snapshot` and `snapshot/<sequence, 12 digits>/<part, 6 digits>`:
+   * the state that older changes add up to.
+   */
   releases: 'releases',
   /** Key `<region>/<service>`: a `ServicePlacement`. */
   placements: 'placements',
--- a/packages/entry/src/lib/requests/AdmissionDesk.ts
+++ b/packages/entry/src/lib/requests/AdmissionDesk.ts
@@ -78,6 +78,11 @@
     this.#wake(next);
   }
 
+  /** Whether a request would be admitted without a wait. */
+  hasRoom(service: ServiceId): boolean {
+    return this.#queueFor(service).hasRoom;
+  }
+
   queued(): number {
     return this.#waiting.size;
   }
--- a/packages/entry/src/lib/requests/RequestServer.ts
+++ b/packages/entry/src/lib/requests/RequestServer.ts
@@ -192,9 +192,9 @@
     const homes = group.homesOf(service);
     const targets = this.#options.targets.targets(service);
     const others = homes.filter((home) => home.entry !== entry);
-    // A home without a share of a cold replica passes requests on to one that has a share.
+    // A home whose share is in use passes requests on: the others' shares may be free.
     const mustServe = request.forwardedBy !== null || others.length === 0;
-    if (targets !== undefined && (targets.capacity() > 0 || mustServe)) {
+    if (targets !== undefined && (this.#options.admission.hasRoom(service) || mustServe)) {
       return this.#serveHere(request, targets);
     }
     if (mustServe) {
--- a/packages/routing/src/lib/admission/AdmissionQueue.ts
+++ b/packages/routing/src/lib/admission/AdmissionQueue.ts
@@ -62,6 +62,11 @@
     return this.#admitted.size;
   }
 
+  /** Whether a place is free and nobody waits for it. */
+  get hasRoom(): boolean {
+    return this.#queued === 0 && this.running < this.#capacity;
+  }
+
   /** Requests that wait. */
   get queued(): number {
     return this.#queued;
