--- a/packages/experiments/src/lib/measureZoneMove.ts
+++ b/packages/experiments/src/lib/measureZoneMove.ts
@@ -2,10 +2,11 @@
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { request } from 'undici';
-import { StatusDocument, SystemClock } from '@dandelionlane/core';
+import { SystemClock } from '@dandelionlane/core';
 import { runCommand, startSystem, type RunningSystem } from '@dandelionlane/demo';
 import { LoadSettings, runLoad } from '@dandelionlane/load';
 import { JournalDocument } from '@dandelionlane/standin';
+import waitUntilServing from './waitUntilServing.js';
 import type ZoneMovePlan from './ZoneMovePlan.js';
 import type ZoneMoveResult from './ZoneMoveResult.js';
 
@@ -47,23 +48,6 @@
   };
 }
 
-async function waitUntilServing(system: RunningSystem): Promise<void> {
-  const address = String(system.entries[0]?.addresses.administrationAddress);
-  const end = performance.now() + SERVING_TIMEOUT_MILLISECONDS;
-  while (performance.now() < end) {
-    const answer = await request(`http://${address}/admin/v1/status`, {
-      headers: { authorization: `Bearer ${system.token}` },
-    });
-    const { services } = StatusDocument.parse(await answer.body.json());
-    if (services.every((service) => service.replicasServing >= service.replicasWanted)) {
-      await delay(SETTLE_MILLISECONDS);
-      return;
-    }
-    await delay(MILLISECONDS_PER_SECOND);
-  }
-  throw new Error('not every replica serves in time');
-}
-
 function controlAddresses(system: RunningSystem): readonly string[] {
   return system.vmProcesses.map(({ addresses }) => String(addresses.controlAddress));
 }
@@ -133,7 +117,8 @@
     if (published.code !== 0) {
       throw new Error(`note was not published: ${published.output}`);
     }
-    await waitUntilServing(system);
+    await waitUntilServing(system, SERVING_TIMEOUT_MILLISECONDS);
+    await delay(SETTLE_MILLISECONDS);
     const [loaded, moved] = await Promise.all([
       runLoad(createLoadSettings(system, plan), new SystemClock()),
       moveZone(system, plan),
