--- a/packages/controller/src/lib/fleet/FleetView.ts
+++ b/packages/controller/src/lib/fleet/FleetView.ts
@@ -1,81 +1,120 @@
-import {
-  type Clock, type VMId, type VMRecord, type VMReport,
+import type {
+  Clock, ReleaseState, Replica, ReplicaMember, VMId, VMRecord, VMReport,
 } from '@dandelionlane/core';
 import type { VMObservation } from '@dandelionlane/placement';
+import isNewerReport from './isNewerReport.js';
+import type KnownVM from './KnownVM.js';
 
-/** Whether a report was made before the last one, or is the same. */
-function isOlder(report: VMReport, previous: VMReport | null): boolean {
-  if (previous === null) {
-    return false;
-  }
-  if (report.incarnation !== previous.incarnation) {
-    return report.incarnation < previous.incarnation;
-  }
-  return report.sequence <= previous.sequence;
+function createKnown(record: VMRecord, now: number): KnownVM {
+  return {
+    record,
+    report: null,
+    heardAt: now,
+    askedAt: Number.NEGATIVE_INFINITY,
+    silentSince: null,
+    unlistedSince: null,
+  };
 }
 
-/** What is known of one VM. */
-interface KnownVM {
-  readonly record: VMRecord;
-  readonly report: VMReport | null;
-  /** Monotonic time of the last report, or of the first question when none came. */
-  readonly heardAt: number;
-  /** Monotonic time since when the list has been without the VM; null while it is listed. */
-  readonly unlistedSince: number | null;
+/** Until a list tells more, the VM is taken to have the accelerators that its service needs. */
+function createUnlisted(member: ReplicaMember, accelerators: number, now: number): KnownVM {
+  const record: VMRecord = { ...member, accelerators, state: 'live' };
+  return { ...createKnown(record, now), unlistedSince: now };
 }
 
-/** Age up to which a report counts as fresh, in milliseconds. */
-const FRESH_MILLISECONDS = 3_000;
-
 /** How long a VM that the list dropped is kept in view, since lists lag and go back. */
 const UNLISTED_LIMIT_MILLISECONDS = 60_000;
 
+/** Period of questions to a VM in whose state no change is under way. */
+const STABLE_PERIOD_MILLISECONDS = 4_000;
+
+/** Age up to which a report says what a VM does now. */
+const FRESH_MILLISECONDS = 6_000;
+
 /** The controller's view of the VMs: the platform's list joined with the VMs' own reports. */
 export default class FleetView {
   readonly #clock: Clock;
 
   #known = new Map<VMId, KnownVM>();
 
+  #listed = false;
+
   constructor(clock: Clock) {
     this.#clock = clock;
   }
 
+  /** Whether a list has been read. */
+  get isListed(): boolean {
+    return this.#listed;
+  }
+
   /** Takes in a list. A VM that it dropped stays in view for a while. */
   list(records: readonly VMRecord[]): void {
     const now = this.#clock.monotonicMilliseconds();
-    const listed = new Map(records.map((record) => [record.vm, this.#listed(record, now)] as const));
+    const next = new Map(records.map((record) => [record.vm, this.#join(record, now)] as const));
     this.#known.forEach((known, vm) => {
       const unlistedSince = known.unlistedSince ?? now;
-      if (!listed.has(vm) && now - unlistedSince < UNLISTED_LIMIT_MILLISECONDS) {
-        listed.set(vm, { ...known, unlistedSince });
+      if (!next.has(vm) && now - unlistedSince < UNLISTED_LIMIT_MILLISECONDS) {
+        next.set(vm, { ...known, unlistedSince });
       }
     });
-    this.#known = listed;
+    this.#known = next;
+    this.#listed = true;
   }
 
-  /** Takes in a report; one that is repeated or older than the last is no sign of life. */
-  hear(report: VMReport): void {
-    const known = this.#known.get(report.vm);
-    if (known === undefined || isOlder(report, known.report)) {
-      return;
-    }
-    this.#known.set(report.vm, { ...known, report, heardAt: this.#clock.monotonicMilliseconds() });
+  /**
+   * Brings the members of placed replicas into view. A list that lags may lack them,
+   * and a VM that is not in view counts as gone.
+   */
+  include(replicas: readonly Replica[], release: ReleaseState | null): void {
+    const now = this.#clock.monotonicMilliseconds();
+    replicas.forEach(({ service, members }) => {
+      const needed = release?.services.find(({ definition }) => definition.service === service);
+      members
+        .filter(({ vm }) => !this.#known.has(vm))
+        .forEach((member) => this.#known.set(
+          member.vm,
+          createUnlisted(member, needed?.definition.acceleratorsPerVM ?? 0, now),
+        ));
+    });
   }
 
-  records(): readonly VMRecord[] {
-    return [...this.#known.values()].map(({ record }) => record);
+  /** The VMs to ask for a report now: those that change or are silent each time, the others by turns. */
+  due(changing: ReadonlySet<VMId>): readonly VMRecord[] {
+    const now = this.#clock.monotonicMilliseconds();
+    return [...this.#known.values()]
+      .filter(({
+        record, report, silentSince, askedAt,
+      }) => report === null || silentSince !== null || changing.has(record.vm)
+        || now - askedAt >= STABLE_PERIOD_MILLISECONDS)
+      .map(({ record }) => record);
+  }
+
+  /** Takes in the answer to a question that went out at the given time; null when none came. */
+  hear(vm: VMId, report: VMReport | null, askedAt: number): void {
+    const known = this.#known.get(vm);
+    if (known === undefined) {
+      return;
+    }
+    if (report === null || !isNewerReport(report, known.report)) {
+      this.#known.set(vm, { ...known, askedAt, silentSince: known.silentSince ?? askedAt });
+      return;
+    }
+    this.#known.set(vm, {
+      ...known, report, askedAt, heardAt: this.#clock.monotonicMilliseconds(), silentSince: null,
+    });
   }
 
   recordMap(): ReadonlyMap<VMId, VMRecord> {
     return new Map([...this.#known].map(([vm, { record }]) => [vm, record]));
   }
 
-  /** Reports that are younger than the given age in milliseconds. */
-  freshReports(maximumAgeMilliseconds: number): ReadonlyMap<VMId, VMReport> {
+  /** Reports that say what their VMs do now. */
+  freshReports(): ReadonlyMap<VMId, VMReport> {
     const now = this.#clock.monotonicMilliseconds();
     const fresh = new Map<VMId, VMReport>();
-    this.#known.forEach(({ report, heardAt }, vm) => {
-      if (report !== null && now - heardAt <= maximumAgeMilliseconds) {
+    this.#known.forEach(({ report, heardAt, silentSince }, vm) => {
+      if (report !== null && silentSince === null && now - heardAt <= FRESH_MILLISECONDS) {
         fresh.set(vm, report);
       }
     });
@@ -85,28 +124,20 @@
   observations(): readonly VMObservation[] {
     const now = this.#clock.monotonicMilliseconds();
     return [...this.#known.values()].map(({
-      record, report, heardAt, unlistedSince,
+      record, report, silentSince, unlistedSince,
     }) => ({
       record,
       report,
-      unreachableMilliseconds: this.#silence(heardAt, now),
+      unreachableMilliseconds: silentSince === null ? 0 : now - silentSince,
       unlistedMilliseconds: unlistedSince === null ? 0 : now - unlistedSince,
     }));
   }
 
   /** A VM at a new address is a new VM: what was known of the old one is void. */
-  #listed(record: VMRecord, now: number): KnownVM {
+  #join(record: VMRecord, now: number): KnownVM {
     const known = this.#known.get(record.vm);
     return known?.record.address === record.address
       ? { ...known, record, unlistedSince: null }
-      : {
-        record, report: null, heardAt: now, unlistedSince: null,
-      };
-  }
-
-  /** 0 while the last report is fresh. */
-  // eslint-disable-next-line class-methods-use-this -- belongs to the observations
-  #silence(heardAt: number, now: number): number {
-    return now - heardAt <= FRESH_MILLISECONDS ? 0 : now - heardAt;
+      : createKnown(record, now);
   }
 }
