--- a/packages/placement/src/test/planPlacement.test.ts
+++ b/packages/placement/src/test/planPlacement.test.ts
@@ -1,4 +1,4 @@
-import { ServiceId } from '@dandelionlane/core';
+import { ReplicaId, ServiceId } from '@dandelionlane/core';
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import { DEFAULT_PLACEMENT_LIMITS, type PlacementCommand, planPlacement } from '../index.js';
@@ -296,3 +296,47 @@
   checkPlan({ ...input, vms }, commands);
   expect(commands.length).toBeLessThan(6);
 });
+
+test('a zone out is drained and replaced in one plan', () => {
+  const fleet = createSettledFleet([{ name: 'letters', replicas: 3, vms: 2 }]);
+  applyEvent(fleet, { kind: 'zone-out', pick: 0 });
+  expect(run(fleet, 1).map(({ kind, reason }) => [kind, reason])).toEqual([
+    ['place', 'out-of-service'],
+    ['drain', 'availability-zone-out'],
+  ]);
+});
+
+test('a zone that returns soon takes its drained replica back', () => {
+  const fleet = createSettledFleet([{ name: 'permits', replicas: 6, vms: 4 }]);
+  applyEvent(fleet, { kind: 'zone-out', pick: 0 });
+  run(fleet, 2);
+  applyEvent(fleet, { kind: 'zone-in', pick: 0 });
+  const rebuilds = run(fleet, 60).filter(({ kind }) => kind === 'rebuild');
+  expect(rebuilds.map(({ reason }) => reason)).toEqual(['wanted-again', 'wanted-again']);
+  expect(countServing(fleet, 'permits')).toBe(6);
+});
+
+test('one dead VM does not hold the others', () => {
+  const fleet = createSettledFleet([{ name: 'permits', replicas: 1, vms: 4 }]);
+  const [row] = fleet.rows.replicas.values();
+  const [member] = row?.replica.members ?? [];
+  if (member !== undefined) fleet.vm(member.vm).cutOffUntilMilliseconds = Infinity;
+  fleet.changeRelease(createRelease([]));
+  expect(run(fleet, SETTLE_SECONDS).map(({ kind }) => kind)).toEqual(['drain', 'stop', 'free']);
+  expect([...fleet.rows.allocations.keys()]).toEqual([member?.vm]);
+});
+
+test('a VM that carries another replica is put right', () => {
+  const fleet = createSettledFleet([{ name: 'permits', replicas: 1, vms: 4 }]);
+  const [row] = fleet.rows.replicas.values();
+  const [member] = row?.replica.members ?? [];
+  if (member !== undefined && row !== undefined) {
+    fleet.vm(member.vm).load({ ...row.replica, replica: ReplicaId.parse('replica-other') });
+  }
+  expect(run(fleet, 1).map(({ kind, reason }) => [kind, reason])).toEqual([
+    ['rebuild', 'member-astray'],
+    ['unload', 'load-without-allocation'],
+  ]);
+  run(fleet, SETTLE_SECONDS);
+  expect([countServing(fleet, 'permits'), findUnexplained(fleet)]).toEqual([1, []]);
+});
