Prefer spare VMs to members that restarted

Cause: a VM that restarts again and again was put back into its replica each time. Change: while others of the replica hold, free VMs of the domain replace a restarted member, whose weights are gone either way. Among free VMs with equal fencing numbers the one with the smaller incarnation goes first.

--- a/packages/placement/src/lib/FreePool.ts
+++ b/packages/placement/src/lib/FreePool.ts
@@ -87,7 +87,8 @@
 
   /**
    * Weights at hand first, then the fewest accelerators. A smaller fencing number means
-   * that the last order to the VM is older, so that a late one is less likely.
+   * that the last order to the VM is older, so that a late one is less likely; a smaller
+   * incarnation, that it has restarted less often.
    */
   static #compare(left: VMObservation, right: VMObservation, shape: ReplicaShape): number {
     const leftWeights = hasWeights(left, shape.service, shape.version) ? 0 : 1;
@@ -95,6 +96,7 @@
     return leftWeights - rightWeights
       || left.record.accelerators - right.record.accelerators
       || (left.report?.fencing ?? 0) - (right.report?.fencing ?? 0)
+      || (left.report?.incarnation ?? 0) - (right.report?.incarnation ?? 0)
       || compareText(left.record.vm, right.record.vm);
   }
 }
--- a/packages/placement/src/lib/chooseRebuild.ts
+++ b/packages/placement/src/lib/chooseRebuild.ts
@@ -34,6 +34,24 @@
   });
 }
 
+/**
+ * A member that has restarted may do so again, and its weights are gone either way. So
+ * free VMs replace such members as far as they reach, if others of the replica stay.
+ */
+function leaveOutRestarted(
+  staying: readonly (VMObservation | null)[],
+  view: ReplicaView,
+  free: number,
+): readonly (VMObservation | null)[] {
+  if (view.replica.state === 'loading' || !view.conditions.includes('holding')) return staying;
+  let left = free - staying.filter((vm) => vm === null).length;
+  return staying.map((vm, index) => {
+    if (vm === null || view.conditions[index] !== 'empty' || left <= 0) return vm;
+    left -= 1;
+    return null;
+  });
+}
+
 function countLoads(members: readonly VMObservation[], service: ServiceId, version: string): number {
   return members.filter((vm) => !hasWeights(vm, service, version)).length;
 }
@@ -52,12 +70,13 @@
   if (view.conditions.includes('silent')) return null;
   if (view.replica.members.length !== shape.vmsPerReplica) return null;
   const staying = findStaying(view, shape, fleet);
-  const missing = staying.filter((vm) => vm === null).length;
-  if (missing === staying.length) return null;
-  const spares = missing === 0 ? [] : pool.fitting(view.fabricDomain, shape).slice(0, missing);
-  if (spares.length < missing) return null;
+  if (staying.every((vm) => vm === null)) return null;
+  const free = pool.fitting(view.fabricDomain, shape);
+  const kept = leaveOutRestarted(staying, view, free.length);
+  const spares = free.slice(0, kept.filter((vm) => vm === null).length);
   const unused = [...spares];
-  const members = staying.map((vm) => vm ?? unused.shift()).filter((vm) => vm !== undefined);
+  const members = kept.map((vm) => vm ?? unused.shift()).filter((vm) => vm !== undefined);
+  if (members.length < shape.vmsPerReplica) return null;
   return {
     members: members.map((vm) => vm.record.vm),
     spares,
--- a/packages/placement/src/test/planPlacement.test.ts
+++ b/packages/placement/src/test/planPlacement.test.ts
@@ -340,3 +340,13 @@
   run(fleet, SETTLE_SECONDS);
   expect([countServing(fleet, 'permits'), findUnexplained(fleet)]).toEqual([1, []]);
 });
+
+test('a VM that restarts makes way for a spare one', () => {
+  const fleet = createSettledFleet([{ name: 'permits', replicas: 1, vms: 4 }]);
+  const [row] = fleet.rows.replicas.values();
+  const [member] = row?.replica.members ?? [];
+  if (member !== undefined) fleet.vm(member.vm).crash(fleet.now, 1_000);
+  const [rebuild] = run(fleet, 2);
+  expect(rebuild).toMatchObject({ kind: 'rebuild', reason: 'member-restarted' });
+  expect(rebuild?.kind === 'rebuild' ? rebuild.members : []).not.toContain(member?.vm);
+});
