Give a broken replica up before a healthy one

Cause: with a full region a service that served nothing took a healthy replica's VMs while the VMs left of a broken one lay idle. Change: planAbandons also serves needs with a lower covered share than the broken replica's service, and comes before preemption. Room that other commands of the plan make counts as coming. Three counts that stood twice are shared now. Ruled out: one drain for room in the whole region at a time; in a full region a roll of 186 replicas at 97 s each would take five hours.

--- a/packages/placement/src/lib/ServiceNeed.ts
+++ b/packages/placement/src/lib/ServiceNeed.ts
@@ -1,34 +1,24 @@
 import compareText from './compareText.js';
+import countFitting from './countFitting.js';
+import countHolding from './countHolding.js';
+import countSpread from './countSpread.js';
 import type FleetView from './FleetView.js';
-import fitsShape from './fitsShape.js';
 import type ReplicaShape from './ReplicaShape.js';
 import type ReplicaView from './ReplicaView.js';
 import type ServiceView from './ServiceView.js';
 import shapeOf from './shapeOf.js';
-import SpreadCount from './SpreadCount.js';
+import type SpreadCount from './SpreadCount.js';
 
 /** A replica that has drained may be taken back, as no request on it can be cut. */
 function isDrained(view: ReplicaView, fleet: FleetView): boolean {
   return view.isIdle && view.stateMilliseconds >= fleet.limits.drainNoticeMilliseconds;
 }
 
-function countHolding(view: ReplicaView): number {
-  return view.conditions.filter((condition) => condition === 'holding').length;
-}
-
 function compareRepairs(left: ReplicaView, right: ReplicaView): number {
   return countHolding(right) - countHolding(left)
     || compareText(left.replica.replica, right.replica.replica);
 }
 
-function countSpread(view: ServiceView): SpreadCount {
-  const spread = new SpreadCount();
-  for (const { availabilityZone, fabricDomain } of [...view.serving, ...view.loading]) {
-    spread.add(availabilityZone, fabricDomain);
-  }
-  return spread;
-}
-
 /** Missing replicas, kept below the surge limit while replicas of another version serve. */
 function countMissing(view: ServiceView, surgeShare: number): number {
   const current = view.serving.length + view.loading.length;
@@ -60,7 +50,7 @@
   private constructor(view: ServiceView, shape: ReplicaShape, missing: number, fleet: FleetView) {
     this.view = view;
     this.shape = shape;
-    this.spread = countSpread(view);
+    this.spread = countSpread([...view.serving, ...view.loading]);
     this.#missing = missing;
     this.#covered = view.serving.length + view.loading.length + view.outdated.length;
     const drained = view.draining.filter((replica) => !replica.isOutdated && isDrained(replica, fleet));
@@ -102,12 +92,7 @@
 
   /** Whether the VMs of a leaving replica would give this need the room that it lacks. */
   lacksRoomOf(view: ReplicaView, fleet: FleetView): boolean {
-    if (!this.#hasNoRoom) return false;
-    const fitting = view.replica.members.filter(({ vm }) => {
-      const observation = fleet.observation(vm);
-      return observation !== undefined && fitsShape(observation, this.shape);
-    });
-    return fitting.length >= this.shape.vmsPerReplica;
+    return this.#hasNoRoom && countFitting(view, this.shape, fleet) >= this.shape.vmsPerReplica;
   }
 
   noteNoRoom(): void {
--- /dev/null
+++ b/packages/placement/src/lib/countFitting.ts
@@ -0,0 +1,18 @@
+import type FleetView from './FleetView.js';
+import fitsShape from './fitsShape.js';
+import type MemberCondition from './MemberCondition.js';
+import type ReplicaShape from './ReplicaShape.js';
+import type ReplicaView from './ReplicaView.js';
+
+/** Number of the replica's members that fit another shape, counting those in a condition that qualifies. */
+export default function countFitting(
+  view: ReplicaView,
+  shape: ReplicaShape,
+  fleet: FleetView,
+  qualifies: (condition: MemberCondition | undefined) => boolean = () => true,
+): number {
+  return view.replica.members.filter(({ vm }, index) => {
+    const observation = fleet.observation(vm);
+    return observation !== undefined && qualifies(view.conditions[index]) && fitsShape(observation, shape);
+  }).length;
+}
--- a/packages/placement/src/lib/isRoomComing.ts
+++ b/packages/placement/src/lib/isRoomComing.ts
@@ -1,8 +1,14 @@
 import type { ServiceDefinition } from '@dandelionlane/core';
+import type PlacementCommand from './PlacementCommand.js';
 import type PlanContext from './PlanContext.js';
 import type ReplicaView from './ReplicaView.js';
 import type ServiceView from './ServiceView.js';
 
+/** Reasons of commands in the same plan that end with free VMs. */
+const REASONS_THAT_FREE: ReadonlySet<PlacementCommand['reason']> = new Set([
+  'version-change', 'defragment', 'spread', 'make-room',
+]);
+
 /** Whether the replica's VMs are soon free for others: not if it hangs, is all lost, or is out of service. */
 function isLeavingSoon(view: ReplicaView, lostDrainMilliseconds: number): boolean {
   return view.outReason === null
@@ -19,9 +25,8 @@
 /** Whether VMs for this kind of service are about to become free, so that making room can wait. */
 export default function isRoomComing(kind: ServiceDefinition['kind'], context: PlanContext): boolean {
   const { lostDrainMilliseconds } = context.fleet.limits;
-  const isSurging = context.draft.commands.some((command) => (
-    command.kind === 'place' && ['version-change', 'defragment', 'spread'].includes(command.reason)));
-  return isSurging || context.services
+  const isBeingMade = context.draft.commands.some(({ reason }) => REASONS_THAT_FREE.has(reason));
+  return isBeingMade || context.services
     .filter(({ definition }) => definition === null || definition.kind === kind)
     .some((service) => frees(service, lostDrainMilliseconds));
 }
--- a/packages/placement/src/lib/makesRoomFor.ts
+++ b/packages/placement/src/lib/makesRoomFor.ts
@@ -1,5 +1,5 @@
+import countFitting from './countFitting.js';
 import type FleetView from './FleetView.js';
-import fitsShape from './fitsShape.js';
 import type FreePool from './FreePool.js';
 import type ReplicaView from './ReplicaView.js';
 import type ServiceNeed from './ServiceNeed.js';
@@ -14,9 +14,6 @@
   if (!need.hasNoRoom) return false;
   const { vmsPerReplica } = need.shape;
   const free = pool.fitting(view.fabricDomain, need.shape).length;
-  const fitting = view.replica.members.filter(({ vm }) => {
-    const observation = fleet.observation(vm);
-    return observation !== undefined && fitsShape(observation, need.shape);
-  });
-  return free < vmsPerReplica && free + fitting.length >= vmsPerReplica;
+  if (free >= vmsPerReplica) return false;
+  return free + countFitting(view, need.shape, fleet) >= vmsPerReplica;
 }
--- a/packages/placement/src/lib/planAbandons.ts
+++ b/packages/placement/src/lib/planAbandons.ts
@@ -1,11 +1,10 @@
 import type { FabricDomainId } from '@dandelionlane/core';
 import compareText from './compareText.js';
+import countFitting from './countFitting.js';
+import countHolding from './countHolding.js';
 import type PlanContext from './PlanContext.js';
 import type ReplicaView from './ReplicaView.js';
-
-function countHolding(view: ReplicaView): number {
-  return view.conditions.filter((condition) => condition === 'holding').length;
-}
+import type ServiceNeed from './ServiceNeed.js';
 
 /** Whether a member has been missing for so long that its return is not waited for. */
 function isLongMissing(view: ReplicaView, { fleet }: PlanContext): boolean {
@@ -28,11 +27,28 @@
   return countHolding(left) - countHolding(right) || compareText(left.replica.replica, right.replica.replica);
 }
 
+/** Whether a service with a lower covered share could use what is left of the replica. */
+function isNeededMore(
+  view: ReplicaView,
+  needs: readonly ServiceNeed[],
+  { services, pool, fleet }: PlanContext,
+): boolean {
+  const own = services.find(({ service }) => service === view.replica.service);
+  if (own === undefined) return false;
+  const ownShare = (own.serving.length + own.loading.length) / own.wanted;
+  return needs.some((need) => {
+    if (!need.hasNoRoom || need.coveredShare >= ownShare) return false;
+    const free = pool.fitting(view.fabricDomain, need.shape).length;
+    const usable = countFitting(view, need.shape, fleet, (condition) => condition === 'holding');
+    return free + usable >= need.shape.vmsPerReplica;
+  });
+}
+
 /**
- * Where several replicas of one fabric domain are broken and no spare VM is left, gives
- * up the one with the least left, one at a time, so that its VMs can repair the others.
+ * Gives up a broken replica for which no spare VM is left, one at a time in a domain, when
+ * its VMs can repair another broken replica there or serve a service that needs them more.
  */
-export default function planAbandons(context: PlanContext): void {
+export default function planAbandons(needs: readonly ServiceNeed[], context: PlanContext): void {
   const { services, draft } = context;
   const stuck = services
     .flatMap(({ broken }) => broken)
@@ -44,7 +60,8 @@
     .map(({ fabricDomain }) => fabricDomain));
   for (const [fabricDomain, views] of groupByDomain(stuck)) {
     const [view] = views.sort(compareForAbandon);
-    if (view !== undefined && views.length > 1 && !leaving.has(fabricDomain)) {
+    if (view === undefined || leaving.has(fabricDomain)) continue;
+    if (views.length > 1 || isNeededMore(view, needs, context)) {
       draft.add({ kind: 'drain', replica: view.replica.replica, reason: 'make-room' });
     }
   }
--- a/packages/placement/src/lib/planDefragmentation.ts
+++ b/packages/placement/src/lib/planDefragmentation.ts
@@ -1,5 +1,6 @@
 import compareText from './compareText.js';
 import countByZone from './countByZone.js';
+import countSpread from './countSpread.js';
 import countBrokenSlots from './countBrokenSlots.js';
 import type DomainPool from './DomainPool.js';
 import isAtRest from './isAtRest.js';
@@ -10,7 +11,6 @@
 import type ServiceNeed from './ServiceNeed.js';
 import type ServiceView from './ServiceView.js';
 import shapeOf from './shapeOf.js';
-import SpreadCount from './SpreadCount.js';
 import tryPlace from './tryPlace.js';
 
 /** A replica that could move away, and its service. */
@@ -35,10 +35,7 @@
 function tryMove({ service, view }: Candidate, need: ServiceNeed, context: PlanContext): boolean {
   if (service.definition === null) return false;
   const shape = shapeOf(service.definition);
-  const spread = new SpreadCount();
-  for (const other of service.serving) {
-    if (other !== view) spread.add(other.availabilityZone, other.fabricDomain);
-  }
+  const spread = countSpread(service.serving.filter((other) => other !== view));
   const mostInZone = countByZone(service.serving).get(view.availabilityZone) ?? 0;
   const isAllowed = ({ availabilityZone, fabricDomain, free }: DomainPool): boolean => (
     fabricDomain !== view.fabricDomain
--- a/packages/placement/src/lib/planDrains.ts
+++ b/packages/placement/src/lib/planDrains.ts
@@ -48,7 +48,6 @@
 function makeRoom(need: ServiceNeed, context: PlanContext): void {
   const { loading, draining, outdated } = need.view;
   if (!need.hasNoRoom || loading.length > 0 || draining.length > 0) return;
-  if (isRoomComing(need.shape.kind, context)) return;
   for (const view of chooseForRemoval(outdated, 1)) drain(view, 'make-room', context);
 }
 
@@ -61,5 +60,7 @@
       drainSurplus(service, needs, context);
     }
   }
-  for (const need of needs) makeRoom(need, context);
+  // Decided before any of these drains is in the draft, so that services do not wait for each other.
+  const waiting = needs.filter((need) => !isRoomComing(need.shape.kind, context));
+  for (const need of waiting) makeRoom(need, context);
 }
--- a/packages/placement/src/lib/planMoves.ts
+++ b/packages/placement/src/lib/planMoves.ts
@@ -1,10 +1,10 @@
 import chooseDomain from './chooseDomain.js';
 import countByZone from './countByZone.js';
+import countSpread from './countSpread.js';
 import isAtRest from './isAtRest.js';
 import type PlanContext from './PlanContext.js';
 import type ServiceView from './ServiceView.js';
 import shapeOf from './shapeOf.js';
-import SpreadCount from './SpreadCount.js';
 import tryPlace from './tryPlace.js';
 
 /** Difference between the fullest zone and the target below which a move gains nothing. */
@@ -17,8 +17,7 @@
   const counts = countByZone(view.serving);
   const fullest = Math.max(0, ...counts.values());
   if (fullest < MINIMUM_GAIN || !budget.allows(shape.vmsPerReplica, fleet.limits.moveLoadShare)) return false;
-  const spread = new SpreadCount();
-  for (const { availabilityZone, fabricDomain } of view.serving) spread.add(availabilityZone, fabricDomain);
+  const spread = countSpread(view.serving);
   const domain = chooseDomain(pool, shape, spread, context.groupSizes);
   if (domain === null || fullest - spread.inZone(domain.availabilityZone) < MINIMUM_GAIN) return false;
   return tryPlace(shape, spread, 'spread', context) === 'added';
--- a/packages/placement/src/lib/planPlacement.ts
+++ b/packages/placement/src/lib/planPlacement.ts
@@ -52,8 +52,8 @@
   planDefragmentation(needs, context);
   planMoves(context);
   planDrains(needs, context);
+  planAbandons(needs, context);
   planPreemptions(needs, context);
-  planAbandons(context);
   planStops(needs, context);
   planUnloads(input, context);
   return context.draft.commands;
--- a/packages/placement/src/test/planPlacement.test.ts
+++ b/packages/placement/src/test/planPlacement.test.ts
@@ -350,3 +350,17 @@
   expect(rebuild).toMatchObject({ kind: 'rebuild', reason: 'member-restarted' });
   expect(rebuild?.kind === 'rebuild' ? rebuild.members : []).not.toContain(member?.vm);
 });
+
+test('what is left of a broken replica goes to who needs it more', () => {
+  const fleet = createSettledFleet([{ name: 'permits', replicas: 6, vms: 5 }]);
+  const [row] = fleet.rows.replicas.values();
+  const [member] = row?.replica.members ?? [];
+  if (member !== undefined) fleet.vm(member.vm).crash(fleet.now, Infinity);
+  run(fleet, 120);
+  fleet.changeRelease(createRelease([
+    { name: 'permits', replicas: 6, vms: 5 }, { name: 'letters', replicas: 1, vms: 2 },
+  ]));
+  const drains = run(fleet, SETTLE_SECONDS).filter(({ kind }) => kind === 'drain');
+  expect(drains).toMatchObject([{ replica: row?.replica.replica, reason: 'make-room' }]);
+  expect([countServing(fleet, 'permits'), countServing(fleet, 'letters')]).toEqual([5, 1]);
+});
