Decide once per plan whether room is coming, and keep needs sorted

Cause: a plan of 12,030 VMs short of room took 27.8 ms, since each need without room looked at every service, and each step looked at every need. Change: listWaiting asks once per kind; planAdditions keeps a sorted queue.

--- a/packages/placement/src/lib/planAdditions.ts
+++ b/packages/placement/src/lib/planAdditions.ts
@@ -10,13 +10,9 @@
     || compareText(left.view.service, right.view.service);
 }
 
-function findNeediest(needs: readonly ServiceNeed[]): ServiceNeed | null {
-  let neediest: ServiceNeed | null = null;
-  for (const need of needs) {
-    const isNeedier = !need.isSettled && (neediest === null || compareNeeds(need, neediest) < 0);
-    if (isNeedier) neediest = need;
-  }
-  return neediest;
+function requeue(queue: ServiceNeed[], need: ServiceNeed): void {
+  const index = queue.findIndex((other) => compareNeeds(need, other) < 0);
+  queue.splice(index < 0 ? queue.length : index, 0, need);
 }
 
 function satisfyOnce(need: ServiceNeed, needs: readonly ServiceNeed[], context: PlanContext): void {
@@ -42,8 +38,10 @@
   const needs = context.services
     .map((view) => ServiceNeed.from(view, context.fleet))
     .filter((need) => need !== null);
-  for (let need = findNeediest(needs); need !== null; need = findNeediest(needs)) {
+  const queue = [...needs].sort(compareNeeds);
+  for (let need = queue.shift(); need !== undefined; need = queue.shift()) {
     satisfyOnce(need, needs, context);
+    if (!need.isSettled) requeue(queue, need);
   }
   return needs;
 }
--- a/packages/placement/src/lib/planDefragmentation.ts
+++ b/packages/placement/src/lib/planDefragmentation.ts
@@ -4,7 +4,7 @@
 import countBrokenSlots from './countBrokenSlots.js';
 import type DomainPool from './DomainPool.js';
 import isAtRest from './isAtRest.js';
-import isRoomComing from './isRoomComing.js';
+import listWaiting from './listWaiting.js';
 import makesRoomFor from './makesRoomFor.js';
 import type PlanContext from './PlanContext.js';
 import type ReplicaView from './ReplicaView.js';
@@ -51,8 +51,7 @@
  * one smaller replica out of its way. One such move is under way at a time.
  */
 export default function planDefragmentation(needs: readonly ServiceNeed[], context: PlanContext): void {
-  const waiting = needs
-    .filter((need) => need.hasNoRoom && !isRoomComing(need.shape.kind, context))
+  const waiting = [...listWaiting(needs, context)]
     .sort((left, right) => left.coveredShare - right.coveredShare
       || compareText(left.view.service, right.view.service));
   for (const need of waiting) {
--- a/packages/placement/src/lib/planDrains.ts
+++ b/packages/placement/src/lib/planDrains.ts
@@ -1,6 +1,6 @@
 import chooseForRemoval from './chooseForRemoval.js';
 import type DrainReason from './DrainReason.js';
-import isRoomComing from './isRoomComing.js';
+import listWaiting from './listWaiting.js';
 import makesRoomFor from './makesRoomFor.js';
 import type PlanContext from './PlanContext.js';
 import type ReplicaView from './ReplicaView.js';
@@ -47,7 +47,7 @@
 /** Without room for a surge, one replica of the old version has to go before a new one can come. */
 function makeRoom(need: ServiceNeed, context: PlanContext): void {
   const { loading, draining, outdated } = need.view;
-  if (!need.hasNoRoom || loading.length > 0 || draining.length > 0) return;
+  if (loading.length > 0 || draining.length > 0) return;
   for (const view of chooseForRemoval(outdated, 1)) drain(view, 'make-room', context);
 }
 
@@ -61,6 +61,6 @@
     }
   }
   // Decided before any of these drains is in the draft, so that services do not wait for each other.
-  const waiting = needs.filter((need) => !isRoomComing(need.shape.kind, context));
+  const waiting = listWaiting(needs, context);
   for (const need of waiting) makeRoom(need, context);
 }
--- a/packages/placement/src/lib/planPreemptions.ts
+++ b/packages/placement/src/lib/planPreemptions.ts
@@ -1,5 +1,5 @@
 import compareText from './compareText.js';
-import isRoomComing from './isRoomComing.js';
+import listWaiting from './listWaiting.js';
 import type PlanContext from './PlanContext.js';
 import type ReplicaView from './ReplicaView.js';
 import type ServiceNeed from './ServiceNeed.js';
@@ -8,14 +8,14 @@
 /** Share of its wanted replicas that a service keeps when it gives one up for another. */
 const MINIMUM_DONOR_SHARE = 0.5;
 
-/** A service that serves nothing, with no room, and no missing member that may still return. */
+/** A service that serves nothing and has no missing member that may still return. */
 function isDesperate(need: ServiceNeed, context: PlanContext): boolean {
   const { abandonMilliseconds } = context.fleet.limits;
   const mayHeal = need.view.broken.some((view) => view.replica.members.every(({ vm }, index) => {
     const silence = context.fleet.observation(vm)?.unreachableMilliseconds ?? Infinity;
     return view.conditions[index] !== 'lost' || silence < abandonMilliseconds;
   }));
-  return need.hasNoRoom && need.coveredShare === 0 && !mayHeal;
+  return need.coveredShare === 0 && !mayHeal;
 }
 
 /** Share of its wanted replicas that the service would still serve with one fewer. */
@@ -49,8 +49,8 @@
  */
 export default function planPreemptions(needs: readonly ServiceNeed[], context: PlanContext): void {
   const given = new Map<ServiceView, number>();
-  for (const need of needs) {
-    if (!isDesperate(need, context) || isRoomComing(need.shape.kind, context)) continue;
+  for (const need of listWaiting(needs, context)) {
+    if (!isDesperate(need, context)) continue;
     const donor = chooseDonor(need, given, context);
     if (donor === null) continue;
     given.set(donor.service, (given.get(donor.service) ?? 0) + 1);
