Count own work since a report once per report

Cause: each estimate walked all requests in flight at the replica. Change: a running sum, counted anew when a report with another arrival is used. Proof: against the plain sum in any order of sends, ends and reports.

--- a/packages/routing/src/experiments/runCost.ts
+++ b/packages/routing/src/experiments/runCost.ts
@@ -2,7 +2,8 @@
   AvailabilityZoneId, EntryId, Replica, ReplicaId, RequestId, RowVersion, SeededRandom, TeamId, VMReport,
 } from '@dandelionlane/core';
 import {
-  AdmissionQueue, assessReplica, chooseTarget, ConcurrencyLimiter, decideRetry, mergeSighting, OwnWork,
+  AdmissionQueue, assessReplica, chooseTarget, ConcurrencyLimiter, decideRetry, LatencyTracker,
+  mergeSighting, OwnWork,
   planGrants, RetryBudget, type AdmissionRequest, type RequestView, type TargetView, type VMSighting,
 } from '../index.js';
 import measureBytes from './measureBytes.js';
@@ -153,6 +154,10 @@
   });
   limiter.assess(assessReplica(replica, sightings, 0, 3_000));
   const ownWork = new OwnWork();
+  const busyWork = new OwnWork();
+  Array.from({ length: 1_000 }, (_, index) => busyWork.dispatched(RequestId.parse(`r-${index}`), 100, index));
+  const latencies = new LatencyTracker();
+  const replicas = Array.from({ length: 12 }, (_, index) => ReplicaId.parse(`replica-${index}`));
   const budget = new RetryBudget();
   const homes = [0, 1, 2].map((index) => EntryId.parse(`entry-${index}`));
   const limits = { coldConcurrency: 2, warmConcurrency: 32, requestTimeoutMilliseconds: 60_000 };
@@ -167,6 +172,9 @@
       ownWork.estimate(1_000, 0, 2);
       ownWork.finished(id);
     },
+    'own work: estimate, 1000 in flight': () => busyWork.estimate(1_000, 500, 1_000),
+    'latencies: record': () => latencies.record(replica.replica, 20),
+    'latencies: refresh, 12 replicas': () => latencies.refresh(replicas, 1),
     'decideRetry, budget spent': () => decideRetry({
       repeatable: true,
       resumable: true,
--- a/packages/routing/src/lib/choice/OwnWork.ts
+++ b/packages/routing/src/lib/choice/OwnWork.ts
@@ -13,11 +13,19 @@
 
   #tokensInFlight = 0;
 
+  /** Arrival of the report that `#tokensSinceReport` counts from. */
+  #reportedAtMilliseconds = -Infinity;
+
+  #tokensSinceReport = 0;
+
   /** Notes a request that is sent, with its estimated tokens. */
   dispatched(request: RequestId, tokens: number, monotonicMilliseconds: number): void {
     this.finished(request);
     this.#items.set(request, { tokens, sentAtMilliseconds: monotonicMilliseconds });
     this.#tokensInFlight += tokens;
+    if (monotonicMilliseconds >= this.#reportedAtMilliseconds) {
+      this.#tokensSinceReport += tokens;
+    }
   }
 
   /** Notes that a request ended. One that is not known is ignored. */
@@ -26,26 +34,34 @@
     if (item !== undefined) {
       this.#items.delete(request);
       this.#tokensInFlight -= item.tokens;
+      if (item.sentAtMilliseconds >= this.#reportedAtMilliseconds) {
+        this.#tokensSinceReport -= item.tokens;
+      }
     }
   }
 
   /** The estimate that goes with a report of this many tokens and this arrival. */
   estimate(reportedTokens: number, seenAtMilliseconds: number, monotonicMilliseconds: number): LoadEstimate {
+    this.#countFrom(seenAtMilliseconds);
     return {
       reportedTokens,
       reportAgeMilliseconds: monotonicMilliseconds - seenAtMilliseconds,
-      ownTokensSinceReport: this.#tokensSince(seenAtMilliseconds),
+      ownTokensSinceReport: this.#tokensSinceReport,
       ownTokensInFlight: this.#tokensInFlight,
     };
   }
 
-  #tokensSince(milliseconds: number): number {
-    let tokens = 0;
+  /** Counts anew once per report, so that estimates in between cost the same at any number in flight. */
+  #countFrom(seenAtMilliseconds: number): void {
+    if (seenAtMilliseconds === this.#reportedAtMilliseconds) {
+      return;
+    }
+    this.#reportedAtMilliseconds = seenAtMilliseconds;
+    this.#tokensSinceReport = 0;
     for (const item of this.#items.values()) {
-      if (item.sentAtMilliseconds >= milliseconds) {
-        tokens += item.tokens;
+      if (item.sentAtMilliseconds >= seenAtMilliseconds) {
+        this.#tokensSinceReport += item.tokens;
       }
     }
-    return tokens;
   }
 }
--- a/packages/routing/src/test/choice.test.ts
+++ b/packages/routing/src/test/choice.test.ts
@@ -1,10 +1,10 @@
 import {
-  AvailabilityZoneId, ReplicaId, SeededRandom, type Replica,
+  AvailabilityZoneId, ReplicaId, RequestId, SeededRandom, type Replica,
 } from '@dandelionlane/core';
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import {
-  assessAnswer, assessReplica, chooseTarget, mergeSighting,
+  assessAnswer, assessReplica, chooseTarget, mergeSighting, OwnWork,
   type LoadEstimate, type RequestView, type TargetView, type VMSighting,
 } from '../index.js';
 import makeReplica from './makeReplica.js';
@@ -145,6 +145,33 @@
   }), { seed: SEED, numRuns: 2_000 });
 });
 
+test('own work counts as a sum over requests in flight', () => {
+  const step = fc.record({ id: fc.nat({ max: 5 }), isSent: fc.boolean(), isReport: fc.boolean() });
+  fc.assert(fc.property(fc.array(step, { maxLength: 60, size: 'max' }), (steps) => {
+    const work = new OwnWork();
+    const naive = new Map<RequestId, number>();
+    let reportedAt = 0;
+    steps.forEach(({ id, isSent, isReport }, now) => {
+      const request = RequestId.parse(`r-${id}`);
+      naive.delete(request);
+      if (isSent) {
+        naive.set(request, now);
+        work.dispatched(request, 10, now);
+      } else {
+        work.finished(request);
+      }
+      reportedAt = isReport ? now : reportedAt;
+      const since = [...naive.values()].filter((sentAt) => sentAt >= reportedAt);
+      expect(work.estimate(7, reportedAt, now)).toEqual({
+        reportedTokens: 7,
+        reportAgeMilliseconds: now - reportedAt,
+        ownTokensSinceReport: 10 * since.length,
+        ownTokensInFlight: 10 * naive.size,
+      });
+    });
+  }), { seed: SEED, numRuns: 1_000 });
+});
+
 test('answer survives leaving but no restart', () => {
   const replica = makeReplica(['vm-1'], { state: 'draining' });
   const first = mergeSighting(undefined, makeReport({ sequence: 5 }), NOW);
