--- a/packages/routing/src/lib/latency/LatencyTracker.ts
+++ b/packages/routing/src/lib/latency/LatencyTracker.ts
@@ -66,6 +66,7 @@
     const latencies = replicas.map((replica) => this.#latencyOf(replica));
     const known = latencies.filter(({ samples }) => samples > 0);
     this.#medianMilliseconds = findMedian(known.map(({ milliseconds }) => milliseconds));
+    this.#admitSurplus(maximumEjected(replicas.length));
     const room = maximumEjected(replicas.length) - this.#ejections.size;
     findOutliers(latencies)
       .filter((replica) => !this.#ejections.has(replica))
@@ -131,6 +132,12 @@
     });
   }
 
+  /** Admits those ejected first when the replicas have become fewer. */
+  #admitSurplus(maximum: number): void {
+    const surplus = Math.max(0, this.#ejections.size - maximum);
+    [...this.#ejections.keys()].slice(0, surplus).forEach((replica) => this.#ejections.delete(replica));
+  }
+
   #forgetOthers(replicas: readonly ReplicaId[]): void {
     const kept = new Set(replicas);
     for (const replica of [...this.#averages.keys(), ...this.#ejections.keys()]) {
--- a/packages/routing/src/lib/latency/QuantileEstimate.ts
+++ b/packages/routing/src/lib/latency/QuantileEstimate.ts
@@ -1,6 +1,9 @@
 /** Part of the present estimate by which one sample moves it. */
 const STEP = 0.05;
 
+/** Estimate below which steps no longer shrink, so that a sample of 0 does not hold it there. */
+const SMALLEST_SCALE = 1;
+
 /**
  * Estimate of a quantile in constant memory, by stochastic approximation: samples
  * above move it up by `q` steps, samples below move it down by `1 - q` steps, so that
@@ -25,7 +28,7 @@
       this.#value = sample;
       return;
     }
-    const step = STEP * this.#value;
+    const step = STEP * Math.max(this.#value, SMALLEST_SCALE);
     this.#value += sample > this.#value ? step * this.#quantile : -step * (1 - this.#quantile);
   }
 }
