--- a/packages/routing/src/experiments/ChoicePolicy.ts
+++ b/packages/routing/src/experiments/ChoicePolicy.ts
@@ -1,4 +1,4 @@
-import type { Work } from './drawWork.js';
+import type Work from './Work.js';
 import type FakeEngine from './FakeEngine.js';
 
 /** One entry's way to choose engines. */
--- a/packages/routing/src/experiments/ColdEntry.ts
+++ b/packages/routing/src/experiments/ColdEntry.ts
@@ -6,7 +6,7 @@
   type WholeReplica,
 } from '../index.js';
 import type ColdPolicy from './ColdPolicy.js';
-import type { Work } from './drawWork.js';
+import type Work from './Work.js';
 import type FakeEngine from './FakeEngine.js';
 import type Simulation from './Simulation.js';
 
@@ -27,7 +27,7 @@
 }
 
 /** Counts of what became of requests. */
-export interface ColdOutcome {
+interface ColdOutcome {
   answered: number;
   failed: number;
   refused: number;
--- a/packages/routing/src/experiments/RoutingPolicy.ts
+++ b/packages/routing/src/experiments/RoutingPolicy.ts
@@ -5,21 +5,15 @@
   chooseTarget, LatencyTracker, OwnWork, type TargetView,
 } from '../index.js';
 import type ChoicePolicy from './ChoicePolicy.js';
-import type { Work } from './drawWork.js';
+import type Work from './Work.js';
 import type FakeEngine from './FakeEngine.js';
+import type RoutingPolicyOptions from './RoutingPolicyOptions.js';
 import type Simulation from './Simulation.js';
 
 const MEAN_OUTPUT_TOKENS = 150;
 const PROMPT_TOKEN_WEIGHT = 0.1;
 const REFRESH_MILLISECONDS = 1_000;
 
-/** Parts of the policy that a run may leave out, to see what each is worth. */
-export interface RoutingPolicyOptions {
-  readonly hasAffinity: boolean;
-  readonly hasOwnWork: boolean;
-  readonly hasEjection: boolean;
-}
-
 /** What the entry knows of one engine. */
 interface EngineView {
   readonly replica: ReplicaId;
--- a/packages/routing/src/experiments/drawWork.ts
+++ b/packages/routing/src/experiments/drawWork.ts
@@ -1,4 +1,5 @@
 import type { RandomSource } from '@dandelionlane/core';
+import type Work from './Work.js';
 
 const PREFIX_TOKENS = 1_500;
 const MEAN_SUFFIX_TOKENS = 200;
@@ -6,14 +7,6 @@
 const OUTPUT_SPREAD = 0.8;
 const MAXIMUM_OUTPUT_TOKENS = 800;
 
-/** Sizes of one request. */
-export interface Work {
-  readonly prefix: number;
-  readonly prefixTokens: number;
-  readonly suffixTokens: number;
-  readonly outputTokens: number;
-}
-
 /** A normally distributed number (Box-Muller). */
 function drawNormal(random: RandomSource): number {
   return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
--- a/packages/routing/src/experiments/runChoice.ts
+++ b/packages/routing/src/experiments/runChoice.ts
@@ -6,7 +6,8 @@
 import FakeEngine from './FakeEngine.js';
 import NaivePolicy from './NaivePolicy.js';
 import printTable from './printTable.js';
-import RoutingPolicy, { type RoutingPolicyOptions } from './RoutingPolicy.js';
+import RoutingPolicy from './RoutingPolicy.js';
+import type RoutingPolicyOptions from './RoutingPolicyOptions.js';
 import Simulation from './Simulation.js';
 
 const ENTRIES = 3;
--- a/packages/routing/src/test/ColdStartModel.ts
+++ b/packages/routing/src/test/ColdStartModel.ts
@@ -9,19 +9,13 @@
 import makeReplica from './makeReplica.js';
 import makeReport from './makeReport.js';
 import type ModelEvent from './ModelEvent.js';
+import type ModelTotals from './ModelTotals.js';
 
 const VMS = ['vm-1', 'vm-2'];
 const FRESHNESS_MILLISECONDS = 3_000;
 const TRAVEL_MILLISECONDS = 1_000;
 const REPORT_LAG_MILLISECONDS = REPORT_SETTLE_MILLISECONDS - TRAVEL_MILLISECONDS;
 
-/** How often each thing happened in a run. */
-export interface ModelTotals {
-  dispatches: number;
-  coldDispatches: number;
-  moves: number;
-}
-
 interface Sent {
   readonly entry: ModelEntry;
   readonly ticket: DispatchTicket;
--- /dev/null
+++ b/packages/routing/src/test/Demand.ts
@@ -0,0 +1,6 @@
+/** What one team wants, and its weight. */
+export default interface Demand {
+  readonly team: string;
+  readonly demand: number;
+  readonly weight: number;
+}
--- /dev/null
+++ b/packages/routing/src/test/ModelTotals.ts
@@ -0,0 +1,6 @@
+/** How often each thing happened in a run. */
+export default interface ModelTotals {
+  dispatches: number;
+  coldDispatches: number;
+  moves: number;
+}
--- a/packages/routing/src/test/admission.test.ts
+++ b/packages/routing/src/test/admission.test.ts
@@ -4,7 +4,9 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import { AdmissionQueue, type AdmissionRequest } from '../index.js';
-import shareNaively, { mayTakeNaively, type Demand } from './shareNaively.js';
+import type Demand from './Demand.js';
+import mayTakeNaively from './mayTakeNaively.js';
+import shareNaively from './shareNaively.js';
 
 const SEED = 20_261_203;
 const FAR_MILLISECONDS = 1e9;
--- a/packages/routing/src/test/coldStart.test.ts
+++ b/packages/routing/src/test/coldStart.test.ts
@@ -6,8 +6,9 @@
 import {
   ConcurrencyLimiter, GRANT_MARGIN_MILLISECONDS, GRANT_TERM_MILLISECONDS, type WholeReplica,
 } from '../index.js';
-import ColdStartModel, { type ModelTotals } from './ColdStartModel.js';
+import ColdStartModel from './ColdStartModel.js';
 import type ModelEvent from './ModelEvent.js';
+import type ModelTotals from './ModelTotals.js';
 
 const SEED = 20_261_203;
 const small = fc.nat({ max: 11 });
--- /dev/null
+++ b/packages/routing/src/test/findLevelNaively.ts
@@ -0,0 +1,19 @@
+import type Demand from './Demand.js';
+
+const STEPS = 100;
+
+/** Level at which the demands, each capped at it, fill the capacity; by bisection. Infinity if all fit. */
+export default function findLevelNaively(demands: readonly Demand[], capacity: number): number {
+  const filled = (level: number): number => (
+    demands.reduce((sum, { demand, weight }) => sum + Math.min(demand, level * weight), 0));
+  if (filled(Infinity) <= capacity) {
+    return Infinity;
+  }
+  let low = 0;
+  let high = capacity;
+  for (let step = 0; step < STEPS; step += 1) {
+    const middle = (low + high) / 2;
+    [low, high] = filled(middle) < capacity ? [middle, high] : [low, middle];
+  }
+  return low;
+}
--- a/packages/routing/src/test/shareNaively.ts
+++ b/packages/routing/src/test/shareNaively.ts
@@ -1,40 +1,5 @@
-/** What one team wants, and its weight. */
-export interface Demand {
-  readonly team: string;
-  readonly demand: number;
-  readonly weight: number;
-}
-
-const STEPS = 100;
-const TOLERANCE = 1e-9;
-
-/** Level at which the demands, each capped at it, fill the capacity; by bisection. Infinity if all fit. */
-export function findLevelNaively(demands: readonly Demand[], capacity: number): number {
-  const filled = (level: number): number => (
-    demands.reduce((sum, { demand, weight }) => sum + Math.min(demand, level * weight), 0));
-  if (filled(Infinity) <= capacity) {
-    return Infinity;
-  }
-  let low = 0;
-  let high = capacity;
-  for (let step = 0; step < STEPS; step += 1) {
-    const middle = (low + high) / 2;
-    [low, high] = filled(middle) < capacity ? [middle, high] : [low, middle];
-  }
-  return low;
-}
-
-/** Whether a team at this level may take a place with so many taken: the last ones are for those below. */
-export function mayTakeNaively(
-  demands: readonly Demand[],
-  capacity: number,
-  taken: number,
-  level: number,
-): boolean {
-  const reserved = demands.filter(({ demand }) => demand > 0).length > 1 ? Math.floor(capacity / 16) : 0;
-  const isBelow = level < findLevelNaively(demands, capacity - reserved) - TOLERANCE;
-  return taken < capacity - reserved || (taken < capacity && isBelow);
-}
+import type Demand from './Demand.js';
+import mayTakeNaively from './mayTakeNaively.js';
 
 /** Weighted max-min shares by progressive filling: place by place to the team with the fewest by weight. */
 export default function shareNaively(demands: readonly Demand[], capacity: number): Map<string, number> {
