Hold the cold limit when an entry restarts under its id

Cause: a process that starts anew under its former id has a fresh limiter, while requests of the former process run on at the target; and its acknowledgement of a withdrawal counted only its own. Found by adding restarts to the model: 2 in flight sent cold, limit 1, first by sending, then by an acknowledgement. Change: the limiter takes the time at which former requests have ended; until then the cold share is 0 and `excess`, which an acknowledgement carries, is null. Ruled out: holding back warm replicas as well, which would keep a restarted entry from its own services for a request timeout; the warm limit is stated without what the former process has in flight.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -18,6 +18,7 @@
 export { default as GRANT_TERM_MILLISECONDS } from './lib/concurrency/GRANT_TERM_MILLISECONDS.js';
 export { type default as GrantPlanInput } from './lib/concurrency/GrantPlanInput.js';
 export { type default as GrantReading } from './lib/concurrency/GrantReading.js';
+export { type default as HolderExcess } from './lib/concurrency/HolderExcess.js';
 export { type default as HolderState } from './lib/concurrency/HolderState.js';
 export { default as listWithdrawn } from './lib/concurrency/listWithdrawn.js';
 export { default as planGrants } from './lib/concurrency/planGrants.js';
--- a/packages/routing/src/lib/concurrency/ConcurrencyLimiter.ts
+++ b/packages/routing/src/lib/concurrency/ConcurrencyLimiter.ts
@@ -4,6 +4,7 @@
 import type DispatchTicket from './DispatchTicket.js';
 import GRANT_TERM_MILLISECONDS from './GRANT_TERM_MILLISECONDS.js';
 import type GrantReading from './GrantReading.js';
+import type HolderExcess from './HolderExcess.js';
 
 /** Failures in a row that count as a fall back into cold start. */
 const FAILURE_RUN = 3;
@@ -26,6 +27,8 @@
 export default class ConcurrencyLimiter {
   #reading: GrantReading;
 
+  #formerRequestsEndMilliseconds: number;
+
   #whole: WholeReplica | undefined;
 
   #warmLimit = 0;
@@ -38,8 +41,14 @@
 
   #inFlight = 0;
 
-  constructor(reading: GrantReading) {
+  /**
+   * An entry that starts anew under its former id gives the time at which requests
+   * of its former process have ended at the latest, its start and the request timeout.
+   * Until then it sends nothing to a cold replica, since the grant may be in use.
+   */
+  constructor(reading: GrantReading, formerRequestsEndMilliseconds = -Infinity) {
     this.#reading = reading;
+    this.#formerRequestsEndMilliseconds = formerRequestsEndMilliseconds;
     this.#resetGrowth();
   }
 
@@ -108,6 +117,18 @@
     }
   }
 
+  /**
+   * What the entry adds when it acknowledges the row that it has read last. Null while
+   * its former process may have requests in flight: then it must not acknowledge.
+   */
+  excess(monotonicMilliseconds: number): HolderExcess | null {
+    if (monotonicMilliseconds < this.#formerRequestsEndMilliseconds) {
+      return null;
+    }
+    const { cold, warm } = this.#reading.grant;
+    return { cold: Math.max(0, this.#inFlight - cold), warm: Math.max(0, this.#inFlight - warm) };
+  }
+
   /** Requests that may be in flight at this time. */
   allowed(monotonicMilliseconds: number): number {
     const { grant, readAtMilliseconds } = this.#reading;
@@ -118,7 +139,8 @@
       return 0;
     }
     if (this.#whole.phase === 'cold' || this.#isSuspected()) {
-      return Math.min(grant.cold, grant.warm);
+      const isShared = monotonicMilliseconds < this.#formerRequestsEndMilliseconds;
+      return isShared ? 0 : Math.min(grant.cold, grant.warm);
     }
     return Math.min(Math.max(this.#warmLimit, this.#floor()), grant.warm);
   }
--- /dev/null
+++ b/packages/routing/src/lib/concurrency/HolderExcess.ts
@@ -0,0 +1,5 @@
+/** Requests that a holder has in flight beyond its present grant. */
+export default interface HolderExcess {
+  readonly cold: number;
+  readonly warm: number;
+}
--- a/packages/routing/src/lib/concurrency/HolderState.ts
+++ b/packages/routing/src/lib/concurrency/HolderState.ts
@@ -1,3 +1,5 @@
+import type HolderExcess from './HolderExcess.js';
+
 /**
  * What is known of an entry whose grant was reduced or withdrawn. `unknown`: it may
  * send under the old grant until that runs out. `acknowledged`: it has read the
@@ -9,7 +11,7 @@
   | {
     readonly kind: 'acknowledged';
     readonly sinceMilliseconds: number;
-    readonly excess: { readonly cold: number; readonly warm: number };
+    readonly excess: HolderExcess;
   }
   | { readonly kind: 'gone'; readonly sinceMilliseconds: number };
 
--- a/packages/routing/src/test/ModelEvent.ts
+++ b/packages/routing/src/test/ModelEvent.ts
@@ -12,6 +12,7 @@
   | { readonly kind: 'cut'; readonly entry: number; readonly isCut: boolean }
   | { readonly kind: 'acknowledge'; readonly entry: number }
   | { readonly kind: 'crash'; readonly entry: number }
+  | { readonly kind: 'restart'; readonly entry: number }
   | { readonly kind: 'homes'; readonly homes: readonly number[] }
   | { readonly kind: 'plan' }
   | { readonly kind: 'takeover' }
