Estimate waits in a module of its own, with one water level per pass

Change: estimateWait and PlaceSupply; the level is computed once per class and anew after a refusal.

--- a/packages/routing/src/lib/admission/AdmissionQueue.ts
+++ b/packages/routing/src/lib/admission/AdmissionQueue.ts
@@ -4,9 +4,10 @@
 import type AdmissionRequest from './AdmissionRequest.js';
 import type AdmittedRequest from './AdmittedRequest.js';
 import BATCH_TURN from './BATCH_TURN.js';
-import countBefore from './countBefore.js';
+import estimateWait from './estimateWait.js';
 import findWaterLevel from './findWaterLevel.js';
 import pickTeam from './pickTeam.js';
+import type PlaceSupply from './PlaceSupply.js';
 import type Refusal from './Refusal.js';
 import type RefusalKind from './RefusalKind.js';
 import retryAfterSeconds from './retryAfterSeconds.js';
@@ -92,7 +93,8 @@
       this.#admit(team, request, monotonicMilliseconds);
       return { kind: 'admitted' };
     }
-    const wait = this.#expectedWait(team, waiting.size, request.priority, monotonicMilliseconds);
+    const supply = this.#supply(monotonicMilliseconds);
+    const wait = estimateWait(team, this.#teams, waiting.size, request.priority, supply);
     const kind = this.#objection(team, request, wait * OFFER_MARGIN, monotonicMilliseconds);
     if (kind === null) {
       return { kind: 'queued', expectedWaitMilliseconds: wait };
@@ -161,29 +163,14 @@
     };
   }
 
-  /** Expected wait of the `turn`-th next request of a team's class, in milliseconds. */
-  #expectedWait(
-    team: TeamState,
-    turn: number,
-    priority: Priority,
-    monotonicMilliseconds: number,
-  ): number {
-    const before = countBefore(team, this.#teams, turn, priority);
-    const interval = this.#rate.intervalMilliseconds(this.#capacity, monotonicMilliseconds);
-    return Math.max((before + 1) * interval, this.#waitForOwnPlace(team, turn, interval));
-  }
-
-  /**
-   * Wait until a team at its share gets a place: about when one of its own becomes
-   * free, since later arrivals of other teams go first.
-   */
-  #waitForOwnPlace(team: TeamState, turn: number, intervalMilliseconds: number): number {
+  #supply(monotonicMilliseconds: number): PlaceSupply {
     const unreserved = this.#capacity - this.#reserved();
-    const level = findWaterLevel(this.#teams.values(), unreserved);
-    const share = Math.min(unreserved, level * team.weight);
-    const turnsBeyondShare = Math.max(0, turn - Math.max(0, share - team.running));
-    const places = Math.max(1, share, team.running);
-    return (turnsBeyondShare * intervalMilliseconds * this.#capacity) / places;
+    return {
+      capacity: this.#capacity,
+      unreserved,
+      waterLevel: findWaterLevel(this.#teams.values(), unreserved),
+      intervalMilliseconds: this.#rate.intervalMilliseconds(this.#capacity, monotonicMilliseconds),
+    };
   }
 
   /** Why a request that would wait so long is refused, or null. */
@@ -284,15 +271,20 @@
     monotonicMilliseconds: number,
     refusals: Refusal[],
   ): void {
+    if (team.waiting[priority].size === 0) {
+      return;
+    }
+    let supply = this.#supply(monotonicMilliseconds);
     let turn = 1;
     for (const request of team.waiting[priority].values()) {
-      const wait = this.#expectedWait(team, turn, priority, monotonicMilliseconds);
+      const wait = estimateWait(team, this.#teams, turn, priority, supply);
       const kind = this.#objection(team, request, wait / EXPIRY_MARGIN, monotonicMilliseconds);
       if (kind === null) {
         turn += 1;
       } else {
         this.#removeWaiting(team, request.requestId);
         refusals.push(AdmissionQueue.#refuse(request, kind, wait));
+        supply = this.#supply(monotonicMilliseconds);
       }
     }
   }
