Prove zones, spill and the load bound of prefix affinity

The test of the least loaded in one zone is replaced by one that covers two zones, spill and prefixes as well, against the same estimate computed from scratch.

--- a/packages/routing/src/test/ColdStartModel.ts
+++ b/packages/routing/src/test/ColdStartModel.ts
@@ -79,6 +79,32 @@
 
   #gone = new Set<EntryId>();
 
+  readonly #handlers: { [Kind in ModelEvent['kind']]: (event: Extract<ModelEvent, { kind: Kind }>) => void } = {
+    advance: ({ milliseconds }) => this.#advance(milliseconds),
+    phase: ({ vm, phase, restarts }) => this.#changePhase(vm, phase, restarts),
+    warmUp: () => VMS.forEach((_, vm) => this.#changePhase(vm, 'warm', false)),
+    report: () => this.#makeReports(),
+    deliver: ({ pick, to, repeats }) => this.#deliver(pick, to, repeats),
+    catchUp: ({ entry }) => this.#catchUp(entry),
+    startRead: ({ entry }) => this.#startRead(this.#entry(entry)),
+    endRead: ({ pick }) => this.#endRead(pick),
+    cut: ({ entry, isCut }) => {
+      this.#entry(entry).isCut = isCut;
+    },
+    acknowledge: ({ entry }) => this.#acknowledge(this.#entry(entry)),
+    crash: ({ entry }) => this.#crash(this.#entry(entry)),
+    restart: ({ entry }) => this.#restart(this.#entry(entry)),
+    homes: ({ homes }) => {
+      this.#homes = [...new Set(homes)].map((index) => this.#entry(index).id);
+    },
+    plan: () => this.#plan(),
+    takeover: () => {
+      this.#withdrawn = [withdrawnAtTakeover(this.limits, this.#row.grants, this.#now)];
+    },
+    dispatch: ({ entry, burst }) => this.#dispatch(this.#entry(entry), burst),
+    finish: ({ pick, result }) => this.#finish(this.#inFlight[pick % this.#inFlight.length], result),
+  };
+
   constructor(
     readonly limits: GrantPlanInput['limits'],
     entries: number,
@@ -100,61 +126,8 @@
   }
 
   apply(event: ModelEvent): void {
-    switch (event.kind) {
-      case 'advance':
-        this.#advance(event.milliseconds);
-        break;
-      case 'phase':
-        this.#changePhase(event.vm, event.phase, event.restarts);
-        break;
-      case 'warmUp':
-        VMS.forEach((_, vm) => this.#changePhase(vm, 'warm', false));
-        break;
-      case 'report':
-        this.#makeReports();
-        break;
-      case 'deliver':
-        this.#deliver(event.pick, event.to, event.repeats);
-        break;
-      case 'catchUp':
-        this.#catchUp(event.entry);
-        break;
-      case 'startRead':
-        this.#startRead(this.#entry(event.entry));
-        break;
-      case 'endRead':
-        this.#endRead(event.pick);
-        break;
-      case 'cut':
-        this.#entry(event.entry).isCut = event.isCut;
-        break;
-      case 'acknowledge':
-        this.#acknowledge(this.#entry(event.entry));
-        break;
-      case 'crash':
-        this.#crash(this.#entry(event.entry));
-        break;
-      case 'restart':
-        this.#restart(this.#entry(event.entry));
-        break;
-      case 'homes':
-        this.#homes = [...new Set(event.homes)].map((index) => this.#entry(index).id);
-        break;
-      case 'plan':
-        this.#plan();
-        break;
-      case 'takeover':
-        this.#withdrawn = [withdrawnAtTakeover(this.limits, this.#row.grants, this.#now)];
-        break;
-      case 'dispatch':
-        this.#dispatch(this.#entry(event.entry), event.burst);
-        break;
-      case 'finish':
-        this.#finish(this.#inFlight[event.pick % this.#inFlight.length], event.result);
-        break;
-      default:
-        event satisfies never;
-    }
+    const handle = this.#handlers[event.kind] as (event: ModelEvent) => void;
+    handle(event);
     this.#check();
   }
 
--- a/packages/routing/src/test/choice.test.ts
+++ b/packages/routing/src/test/choice.test.ts
@@ -120,29 +120,53 @@
   expect(kinds.size).toBe(8);
 });
 
-test('without prefix and zones the least loaded is chosen', () => {
-  fc.assert(fc.property(fc.array(load, { minLength: 1, maxLength: 8 }), (loads) => {
-    const views = loads.map((each, index): TargetView => ({
-      replica: ReplicaId.parse(`replica-${index}`),
-      availabilityZone: requestOf().availabilityZone,
-      assessment: {
-        kind: 'whole', phase: 'warm', members: [], seenAtMilliseconds: 0, freshUntilMilliseconds: Infinity,
-      },
-      available: 1,
-      load: each,
-      cachedPrefixTokens: 0,
-      health: 'admitted',
-      slowness: 1,
-    }));
-    const naive = loads.map((each) => Math.max(
-      each.reportedTokens * Math.exp((-Math.LN2 * each.reportAgeMilliseconds) / 4_000)
-        + each.ownTokensSinceReport,
-      each.ownTokensInFlight,
-    ));
-    const choice = chooseTarget(requestOf(), views, new SeededRandom(1));
-    const index = choice.kind === 'chosen' ? Number(choice.replica.slice('replica-'.length)) : NaN;
-    expect(naive[index]).toBeCloseTo(Math.min(...naive), 6);
-  }), { seed: SEED, numRuns: 2_000 });
+/** Whole, open views with the given loads, in two zones by turns. */
+function viewsOf(loads: readonly LoadEstimate[]): TargetView[] {
+  return loads.map((each, index) => ({
+    replica: ReplicaId.parse(`replica-${index}`),
+    availabilityZone: ZONES[index % 2] ?? requestOf().availabilityZone,
+    assessment: {
+      kind: 'whole', phase: 'warm', members: [], seenAtMilliseconds: 0, freshUntilMilliseconds: Infinity,
+    },
+    available: 1,
+    load: each,
+    cachedPrefixTokens: index % 3 === 0 ? 400 : 0,
+    health: 'admitted',
+    slowness: 1,
+  }));
+}
+
+test('least loaded near, bounded load for the prefix', () => {
+  const reasons = new Set<string>();
+  fc.assert(fc.property(
+    fc.array(load, { minLength: 2, maxLength: 8 }),
+    fc.option(fc.nat()),
+    (loads, prefixHash) => {
+      const naive = loads.map((each) => 100 + Math.max(
+        each.reportedTokens * Math.exp((-Math.LN2 * each.reportAgeMilliseconds) / 4_000)
+          + each.ownTokensSinceReport,
+        each.ownTokensInFlight,
+      ));
+      const choice = chooseTarget(requestOf({ prefixHash }), viewsOf(loads), new SeededRandom(1));
+      const index = choice.kind === 'chosen' ? Number(choice.replica.slice('replica-'.length)) : NaN;
+      reasons.add(choice.reason);
+      const least = Math.min(...naive);
+      const leastNear = Math.min(...naive.filter((_, position) => position % 2 === 0));
+      const isBehind = leastNear > 1.5 * least + 200;
+      const mean = naive.reduce((sum, tokens) => sum + tokens, 0) / naive.length;
+      const tokens = naive[index] ?? NaN;
+      if (prefixHash === null) {
+        expect(tokens).toBeCloseTo(isBehind ? least : leastNear, 6);
+      } else {
+        expect(tokens).toBeLessThanOrEqual(1.25 * mean + 200 + 1e-6);
+        const isHeld = naive.some((each, position) => position % 3 === 0 && each < 1.25 * mean + 200);
+        expect(choice.reason).toBe(isHeld ? 'prefix-cached' : 'prefix-assigned');
+      }
+    },
+  ), { seed: SEED, numRuns: 3_000 });
+  expect(reasons).toEqual(new Set([
+    'prefix-cached', 'prefix-assigned', 'least-tokens', 'least-tokens-other-zone',
+  ]));
 });
 
 test('own work counts as a sum over requests in flight', () => {
