Measure slopes and work out each role at the size to design for

npm run bench:capacity runs a list of measured items and works out a table of roles; further items join the list.

--- /dev/null
+++ b/packages/capacity/src/lib/workOutEntryData.ts
@@ -0,0 +1,22 @@
+import createLoad from './createLoad.js';
+import DESIGN_SIZE from './DESIGN_SIZE.js';
+import type Figures from './Figures.js';
+import type RoleLoad from './RoleLoad.js';
+
+const ASSESSMENTS_PER_REQUEST = 2;
+
+/** Decisions of one entry's data path. Relaying the bytes is not measured here. */
+export default function workOutEntryData(figures: Figures): RoleLoad {
+  return {
+    role: 'entry, data path (decisions only)',
+    loads: [
+      createLoad('choice of a target', {
+        microsecondsPerSecond: DESIGN_SIZE.requestsPerEntry * figures.of('routing.chooseTarget'),
+      }),
+      createLoad('wholeness, at dispatch and before the last byte', {
+        microsecondsPerSecond:
+          DESIGN_SIZE.requestsPerEntry * ASSESSMENTS_PER_REQUEST * figures.of('routing.assessReplica'),
+      }),
+    ],
+  };
+}
--- /dev/null
+++ b/packages/capacity/src/lib/workOutHolder.ts
@@ -0,0 +1,38 @@
+import createLoad from './createLoad.js';
+import DESIGN_SIZE from './DESIGN_SIZE.js';
+import type Figures from './Figures.js';
+import type RoleLoad from './RoleLoad.js';
+import workOutRelease from './workOutRelease.js';
+import workOutReports from './workOutReports.js';
+
+const SCANS_PER_PLAN = 2;
+const ROWS_PER_PAGE = 1_000;
+const RENEWALS_PER_TERM = 3;
+
+/** The controller that holds a region's lease. */
+export default function workOutHolder(figures: Figures): RoleLoad {
+  const { plansPerSecond, replicasPerRegion, workersPerRegion } = DESIGN_SIZE;
+  const pages = SCANS_PER_PLAN - 1 + Math.ceil(workersPerRegion / ROWS_PER_PAGE);
+  return {
+    role: 'controller, lease holder of one region',
+    loads: [
+      workOutReports(figures, workersPerRegion),
+      createLoad('placement and allocation rows of the region, scanned at each plan', {
+        messagesPerSecond: 2 * pages * plansPerSecond,
+        bytesPerSecond: plansPerSecond * ((replicasPerRegion * figures.of('placementRow.bytes'))
+          + (workersPerRegion * figures.of('allocationRow.bytes'))),
+        microsecondsPerSecond: plansPerSecond * ((replicasPerRegion * figures.of('placementRow.decodeAndCheck'))
+          + (workersPerRegion * figures.of('allocationRow.decodeAndCheck'))),
+        memoryBytes: replicasPerRegion * figures.of('homeTable.perReplica'),
+        storeReadsPerSecond: pages * plansPerSecond,
+      }),
+      createLoad('planner, one round a period', {
+        microsecondsPerSecond: plansPerSecond * figures.of('planner.region'),
+      }),
+      createLoad('lease, renewed three times a term', {
+        storeWritesPerSecond: RENEWALS_PER_TERM / DESIGN_SIZE.leaseTermSeconds,
+      }),
+      workOutRelease(figures),
+    ],
+  };
+}
