Hash each entry once for the choice of homes

Cause: at 3,000 services and 69 entries a region an entry that chooses the homes of all services once a second spends 2.87% of a core on it, above the whole budget; nearly all of the time went into hashing every pair of texts. Ruled out: caching whole choices, which the callers of this pure function can do better. Change: service and entry are hashed once each and their hashes are mixed. An entry should still choose anew only when members or services change.

--- a/packages/membership/src/lib/homes/chooseEntries.ts
+++ b/packages/membership/src/lib/homes/chooseEntries.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZoneId, EntryRecord } from '@dandelionlane/core';
+import { type AvailabilityZoneId, type EntryRecord, hashText } from '@dandelionlane/core';
 import compareScored from './compareScored.js';
 import type ScoredEntry from './ScoredEntry.js';
 import scoreEntry from './scoreEntry.js';
@@ -26,7 +26,8 @@
   entries: readonly EntryRecord[],
   count: number,
 ): readonly EntryRecord[] {
-  const scored = entries.map((entry) => ({ entry, score: scoreEntry(key, entry) }));
+  const keyHash = hashText(key);
+  const scored = entries.map((entry) => ({ entry, score: scoreEntry(keyHash, entry) }));
   const leaders = bestOfZones(scored).slice(0, count);
   if (leaders.length >= count) {
     return leaders.map(({ entry }) => entry);
