Keep members by liveness, so that a tick does not scan the group

Cause: each tick and each probe went over all members, so processor time grew with the group although nothing happened. Ruled out: fewer ticks, which would delay probes. Change: members are grouped by liveness until one changes; the probe order skips members that went instead of being filtered at each probe.

--- a/packages/membership/src/lib/membership/MemberTable.ts
+++ b/packages/membership/src/lib/membership/MemberTable.ts
@@ -1,4 +1,5 @@
 import { type EntryId, ReleaseSequence } from '@dandelionlane/core';
+import Liveness from '../messages/Liveness.js';
 import type MemberUpdate from '../messages/MemberUpdate.js';
 import type MemberEntry from './MemberEntry.js';
 import mergeUpdate from './mergeUpdate.js';
@@ -12,6 +13,9 @@
 
   readonly #members = new Map<EntryId, MemberEntry>();
 
+  /** Members by liveness, made when asked for and dropped at each change of liveness. */
+  #byLiveness: ReadonlyMap<Liveness, readonly MemberEntry[]> | undefined;
+
   constructor(digest: ViewDigest) {
     this.#digest = digest;
   }
@@ -30,7 +34,12 @@
 
   /** Members that are probed: all but the dead. */
   present(): readonly MemberEntry[] {
-    return this.all().filter(({ update }) => update.liveness !== 'dead');
+    return [...this.withLiveness('alive'), ...this.withLiveness('suspect')];
+  }
+
+  withLiveness(liveness: Liveness): readonly MemberEntry[] {
+    this.#byLiveness ??= this.#group();
+    return this.#byLiveness.get(liveness) ?? [];
   }
 
   /** Takes a claim in. Returns the member if the claim changed it. */
@@ -58,8 +67,7 @@
 
   /** Moves the start of every suspicion later, for time in which this process did not run. */
   postponeSuspicions(milliseconds: number): void {
-    this.all()
-      .filter(({ update }) => update.liveness === 'suspect')
+    this.withLiveness('suspect')
       .forEach((member) => this.#put({
         ...member,
         changedAtMilliseconds: member.changedAtMilliseconds + milliseconds,
@@ -68,12 +76,21 @@
 
   forget(entry: EntryId): void {
     this.#digest.replace(this.#members.get(entry)?.update, undefined);
+    this.#byLiveness = undefined;
     this.#members.delete(entry);
   }
 
   #put(member: MemberEntry): MemberEntry {
     this.#digest.replace(this.#members.get(member.update.entry.entry)?.update, member.update);
     this.#members.set(member.update.entry.entry, member);
+    this.#byLiveness = undefined;
     return member;
   }
+
+  #group(): ReadonlyMap<Liveness, readonly MemberEntry[]> {
+    const all = this.all();
+    return new Map(Liveness.options.map((liveness) => (
+      [liveness, all.filter(({ update }) => update.liveness === liveness)]
+    )));
+  }
 }
--- a/packages/membership/src/lib/membership/Membership.ts
+++ b/packages/membership/src/lib/membership/Membership.ts
@@ -159,10 +159,8 @@
       return;
     }
     const timeout = this.#suspicionMilliseconds();
-    this.#view.table.all()
-      .filter(({ update, changedAtMilliseconds }) => (
-        update.liveness === 'suspect' && now - changedAtMilliseconds >= timeout
-      ))
+    this.#view.table.withLiveness('suspect')
+      .filter(({ changedAtMilliseconds }) => now - changedAtMilliseconds >= timeout)
       .forEach(({ update }) => this.#view.apply({ ...update, liveness: 'dead' }, now));
   }
 
@@ -173,11 +171,9 @@
   }
 
   #forgetDead(now: number): void {
-    this.#view.table.all()
-      .filter(({ update, changedAtMilliseconds }) => (
-        update.liveness === 'dead'
-        && now - changedAtMilliseconds >= this.#view.settings.forgetAfterMilliseconds
-      ))
+    const { forgetAfterMilliseconds } = this.#view.settings;
+    this.#view.table.withLiveness('dead')
+      .filter(({ changedAtMilliseconds }) => now - changedAtMilliseconds >= forgetAfterMilliseconds)
       .forEach(({ update }) => this.#view.table.forget(update.entry.entry));
   }
 }
--- a/packages/membership/src/lib/membership/ProbeOrder.ts
+++ b/packages/membership/src/lib/membership/ProbeOrder.ts
@@ -1,6 +1,12 @@
 import type { EntryId, RandomSource } from '@dandelionlane/core';
+import type MemberTable from './MemberTable.js';
 import shuffle from './shuffle.js';
 
+function isPresent(table: MemberTable, entry: EntryId): boolean {
+  const member = table.get(entry);
+  return member !== undefined && member.update.liveness !== 'dead';
+}
+
 /**
  * Order of probing: a random permutation of the members, drawn anew at its end. Every
  * member is probed within two passes, which bounds the time to detection.
@@ -14,13 +20,15 @@
     this.#random = random;
   }
 
-  /** The next member to probe, out of `present`. */
-  next(present: readonly EntryId[]): EntryId | undefined {
-    const current = new Set(present);
-    this.#order = this.#order.filter((entry) => current.has(entry));
-    if (this.#order.length === 0) {
-      this.#order = shuffle(present, this.#random);
+  /** The next member to probe. Members that went are skipped; new ones join the next pass. */
+  next(table: MemberTable): EntryId | undefined {
+    for (let entry = this.#order.pop(); entry !== undefined; entry = this.#order.pop()) {
+      if (isPresent(table, entry)) {
+        return entry;
+      }
     }
+    const present = table.present().map(({ update }) => update.entry.entry);
+    this.#order = shuffle(present, this.#random);
     return this.#order.pop();
   }
 }
--- a/packages/membership/src/lib/membership/Prober.ts
+++ b/packages/membership/src/lib/membership/Prober.ts
@@ -95,8 +95,7 @@
   }
 
   #startProbe(now: number): void {
-    const present = this.#view.table.present().map(({ update }) => update.entry.entry);
-    const target = this.#order.next(present);
+    const target = this.#order.next(this.#view.table);
     this.#nextProbeAt = now + this.#view.settings.probePeriodMilliseconds;
     if (target === undefined) {
       return;
