Let the settling time of the cost measurement be given

A group of 128 entries takes 1659 B/s per entry 150 s after a mass start and 1144 B/s after 400 s; 8 entries take 1124. What remains at 384 (1488 after 700 s) and 750 (1722 after 1100 s) are the joins that the two seeds still pass on.

--- a/packages/membership/src/experiments/measureCost.ts
+++ b/packages/membership/src/experiments/measureCost.ts
@@ -22,6 +22,7 @@
   entries: number,
   regions: number,
   seconds: number,
+  settleMilliseconds = SETTLE_MILLISECONDS[variant],
 ): Cost {
   const records = createRegions(entries, regions);
   const sampled = records.slice(0, SAMPLED_ENTRIES);
@@ -31,7 +32,7 @@
   });
   const processes = startEntries(network, records).slice(0, SAMPLED_ENTRIES);
   meter.start();
-  network.runFor(SETTLE_MILLISECONDS[variant]);
+  network.runFor(settleMilliseconds);
   const readsBefore = network.store.reads;
   meter.start();
   const stepsBefore = totalSteps(processes);
