--- a/packages/membership/src/lib/membership/MembershipSettings.ts
+++ b/packages/membership/src/lib/membership/MembershipSettings.ts
@@ -13,7 +13,7 @@
   /** Members that are asked to probe on behalf of this one. */
   indirectProbes: z.number().int().nonnegative().default(3),
   /** Suspicion lasts this many probe periods times the decimal logarithm of the group's size. */
-  suspicionPeriods: z.number().positive().default(2),
+  suspicionPeriods: z.number().positive().default(4),
   /** An update is sent this many times the binary logarithm of the group's size. */
   retransmissionFactor: z.number().positive().default(3),
   /** Updates carried by one probe message. */
