--- a/packages/capacity/src/lib/workOutHolder.ts
+++ b/packages/capacity/src/lib/workOutHolder.ts
@@ -7,7 +7,6 @@
 
 const SCANS_PER_PLAN = 2;
 const ROWS_PER_PAGE = 1_000;
-const RENEWALS_PER_TERM = 3;
 
 /** The controller that holds a region's lease. */
 export default function workOutHolder(figures: Figures): RoleLoad {
@@ -30,7 +29,8 @@
         microsecondsPerSecond: plansPerSecond * figures.of('planner.region'),
       }),
       createLoad('lease, renewed three times a term', {
-        storeWritesPerSecond: RENEWALS_PER_TERM / DESIGN_SIZE.leaseTermSeconds,
+        storeReadsPerSecond: DESIGN_SIZE.leaseStepsPerSecond,
+        storeWritesPerSecond: DESIGN_SIZE.leaseStepsPerSecond,
       }),
       workOutRelease(figures),
     ],
--- a/packages/capacity/src/lib/workOutStandby.ts
+++ b/packages/capacity/src/lib/workOutStandby.ts
@@ -6,9 +6,9 @@
 export default function workOutStandby(): RoleLoad {
   return {
     role: 'controller, standby',
-    loads: [createLoad('lease row, read once a period', {
-      messagesPerSecond: 2 * DESIGN_SIZE.plansPerSecond,
-      storeReadsPerSecond: DESIGN_SIZE.plansPerSecond,
+    loads: [createLoad('lease row, read three times a term', {
+      messagesPerSecond: 2 * DESIGN_SIZE.leaseStepsPerSecond,
+      storeReadsPerSecond: DESIGN_SIZE.leaseStepsPerSecond,
     })],
   };
 }
