--- a/packages/capacity/src/lib/DESIGN_SIZE.ts
+++ b/packages/capacity/src/lib/DESIGN_SIZE.ts
@@ -30,8 +30,8 @@
   pollsPerSecond: 1,
   plansPerSecond: 1,
   pollersPerRegion: 3,
-  /** A holder renews, and a contender reads, this many times in a term of 6 s. */
-  leaseStepsPerSecond: 3 / 6,
+  /** A holder renews, and a contender reads, this many times a term of 6 s. */
+  leaseStepsPerSecond: 4 / 6,
 } as const;
 
 export default DESIGN_SIZE;
--- a/packages/capacity/src/lib/workOutHolder.ts
+++ b/packages/capacity/src/lib/workOutHolder.ts
@@ -28,7 +28,7 @@
       createLoad('planner, one round a period', {
         microsecondsPerSecond: plansPerSecond * figures.of('planner.region'),
       }),
-      createLoad('lease, renewed three times a term', {
+      createLoad('lease, renewed four times a term', {
         storeReadsPerSecond: DESIGN_SIZE.leaseStepsPerSecond,
         storeWritesPerSecond: DESIGN_SIZE.leaseStepsPerSecond,
       }),
--- a/packages/capacity/src/lib/workOutStandby.ts
+++ b/packages/capacity/src/lib/workOutStandby.ts
@@ -6,7 +6,7 @@
 export default function workOutStandby(): RoleLoad {
   return {
     role: 'controller, standby',
-    loads: [createLoad('lease row, read three times a term', {
+    loads: [createLoad('lease row, read four times a term', {
       messagesPerSecond: 2 * DESIGN_SIZE.leaseStepsPerSecond,
       storeReadsPerSecond: DESIGN_SIZE.leaseStepsPerSecond,
     })],
