--- a/packages/capacity/src/lib/items/membershipItem.ts
+++ b/packages/capacity/src/lib/items/membershipItem.ts
@@ -4,15 +4,25 @@
 
 const SECONDS = 60;
 const TODAY_ENTRIES = 9;
+/** What an entry's settings have by default. */
+const PROBE_PERIOD_MILLISECONDS = 500;
+
+const TODAY = {
+  variant: 'membership',
+  entries: TODAY_ENTRIES,
+  regions: 1,
+  seconds: SECONDS,
+  probePeriodMilliseconds: PROBE_PERIOD_MILLISECONDS,
+} as const;
 
 /** Cost of membership and dissemination at rest, over in-memory links. */
 const membershipItem: MeasuredItem = {
   name: 'Membership',
   async measure() {
     // The first run brings the code to full speed and is not counted.
-    measureCost('membership', TODAY_ENTRIES, 1, SECONDS);
-    const today = measureCost('membership', TODAY_ENTRIES, 1, SECONDS);
-    const fleet = measureCost('membership', DESIGN_SIZE.entries, DESIGN_SIZE.regions, SECONDS);
+    measureCost(TODAY);
+    const today = measureCost(TODAY);
+    const fleet = measureCost({ ...TODAY, entries: DESIGN_SIZE.entries, regions: DESIGN_SIZE.regions });
     return [
       { name: 'membership.today.messages', value: today.messagesPerSecond, unit: '1/s' },
       { name: 'membership.today.bytes', value: today.bytesPerSecond, unit: 'B/s' },
--- a/packages/membership/src/experiments/measureCost.ts
+++ b/packages/membership/src/experiments/measureCost.ts
@@ -1,7 +1,11 @@
+import Membership from '../lib/membership/Membership.js';
+import MembershipSettings from '../lib/membership/MembershipSettings.js';
 import type Cost from './Cost.js';
+import type CostScenario from './CostScenario.js';
 import createRegions from './createRegions.js';
 import createVariantNetwork from './createVariantNetwork.js';
 import type FakeEntry from './FakeEntry.js';
+import type FakeNetworkOptions from './FakeNetworkOptions.js';
 import startEntries from './startEntries.js';
 import type Variant from './Variant.js';
 import WireMeter from './WireMeter.js';
@@ -16,23 +20,30 @@
   return processes.reduce((sum, { stepMilliseconds }) => sum + stepMilliseconds, 0);
 }
 
+/** Another probe period, where one is given. */
+function membershipOptions({ variant, probePeriodMilliseconds }: CostScenario): Partial<FakeNetworkOptions> {
+  if (variant === 'naive' || probePeriodMilliseconds === undefined) {
+    return {};
+  }
+  const settings = MembershipSettings.parse({ probePeriodMilliseconds });
+  return { createMembership: (self, random) => new Membership({ self, random, settings }) };
+}
+
 /** Measures the cost of one entry once the group is settled. */
-export default function measureCost(
-  variant: Variant,
-  entries: number,
-  regions: number,
-  seconds: number,
-  settleMilliseconds = SETTLE_MILLISECONDS[variant],
-): Cost {
+export default function measureCost(scenario: CostScenario): Cost {
+  const {
+    variant, entries, regions, seconds,
+  } = scenario;
   const records = createRegions(entries, regions);
   const sampled = records.slice(0, SAMPLED_ENTRIES);
   const meter = new WireMeter(new Set(sampled.map(({ peerAddress }) => peerAddress)));
   const network = createVariantNetwork(variant, records, {
     carryMessage: (from, to, message) => meter.carry(from, to, message),
+    ...membershipOptions(scenario),
   });
   const processes = startEntries(network, records).slice(0, SAMPLED_ENTRIES);
   meter.start();
-  network.runFor(settleMilliseconds);
+  network.runFor(scenario.settleMilliseconds ?? SETTLE_MILLISECONDS[variant]);
   const readsBefore = network.store.reads;
   meter.start();
   const stepsBefore = totalSteps(processes);
--- a/packages/membership/src/experiments/runExperiments.ts
+++ b/packages/membership/src/experiments/runExperiments.ts
@@ -1,6 +1,7 @@
 import measureCost from './measureCost.js';
 import measureDetection from './measureDetection.js';
 import measureFalseSuspicion from './measureFalseSuspicion.js';
+import measureHealing from './measureHealing.js';
 import measurePropagation from './measurePropagation.js';
 import type Propagation from './Propagation.js';
 
@@ -56,8 +57,12 @@
 
 function measureCosts(): void {
   print('Cost of one entry at rest', [
-    ...SIZES.map((entries) => measureCost('membership', entries, 1, COST_SECONDS)),
-    measureCost('membership', FLEET_ENTRIES, FLEET_REGIONS, COST_SECONDS),
+    ...SIZES.map((entries) => measureCost({
+      variant: 'membership', entries, regions: 1, seconds: COST_SECONDS,
+    })),
+    measureCost({
+      variant: 'membership', entries: FLEET_ENTRIES, regions: FLEET_REGIONS, seconds: COST_SECONDS,
+    }),
   ]);
 }
 
@@ -84,9 +89,26 @@
   print('Time until a change is in force everywhere, seconds', runs);
 }
 
+function measureHealings(): void {
+  const common = { cuts: 5, cutSeconds: 120 };
+  print('Time from the end of a cut until all is as it should be, seconds', [
+    measureHealing({
+      ...common, entries: TODAY_ENTRIES, regions: 1, cut: 'halves',
+    }),
+    measureHealing({
+      ...common, entries: REGION_ENTRIES, regions: 1, cut: 'halves',
+    }),
+    measureHealing({
+      ...common, entries: FLEET_ENTRIES, regions: FLEET_REGIONS, cut: 'region',
+    }),
+  ]);
+}
+
 function measureNaive(): void {
   print('Naive: cost of one entry at rest', SIZES.map((entries) => (
-    measureCost('naive', entries, 1, NAIVE_COST_SECONDS)
+    measureCost({
+      variant: 'naive', entries, regions: 1, seconds: NAIVE_COST_SECONDS,
+    })
   )));
   print('Naive: detection of crashes, seconds', [8, 32, 128].map((entries) => (
     measureDetection('naive', entries, CRASHES)
@@ -104,6 +126,7 @@
   detection: measureDetections,
   suspicion: measureFalseSuspicions,
   propagation: measurePropagations,
+  healing: measureHealings,
   naive: measureNaive,
 };
 
