--- a/packages/membership/src/experiments/FalseSuspicion.ts
+++ b/packages/membership/src/experiments/FalseSuspicion.ts
@@ -8,6 +8,7 @@
   readonly pauseMilliseconds: number;
   readonly pauses: number;
   readonly minutes: number;
+  readonly probePeriodMilliseconds: number;
   /** Changes of one view to `suspect` about an entry that runs. */
   readonly suspicionsOfRunning: number;
   /** Changes of one view to `dead` about an entry that runs. */
--- a/packages/membership/src/experiments/measureCost.ts
+++ b/packages/membership/src/experiments/measureCost.ts
@@ -1,11 +1,9 @@
-import Membership from '../lib/membership/Membership.js';
-import MembershipSettings from '../lib/membership/MembershipSettings.js';
 import type Cost from './Cost.js';
 import type CostScenario from './CostScenario.js';
 import createRegions from './createRegions.js';
 import createVariantNetwork from './createVariantNetwork.js';
 import type FakeEntry from './FakeEntry.js';
-import type FakeNetworkOptions from './FakeNetworkOptions.js';
+import membershipOptions from './membershipOptions.js';
 import startEntries from './startEntries.js';
 import type Variant from './Variant.js';
 import WireMeter from './WireMeter.js';
@@ -20,15 +18,6 @@
   return processes.reduce((sum, { stepMilliseconds }) => sum + stepMilliseconds, 0);
 }
 
-/** Another probe period, where one is given. */
-function membershipOptions({ variant, probePeriodMilliseconds }: CostScenario): Partial<FakeNetworkOptions> {
-  if (variant === 'naive' || probePeriodMilliseconds === undefined) {
-    return {};
-  }
-  const settings = MembershipSettings.parse({ probePeriodMilliseconds });
-  return { createMembership: (self, random) => new Membership({ self, random, settings }) };
-}
-
 /** Measures the cost of one entry once the group is settled. */
 export default function measureCost(scenario: CostScenario): Cost {
   const {
--- a/packages/membership/src/experiments/measureFalseSuspicion.ts
+++ b/packages/membership/src/experiments/measureFalseSuspicion.ts
@@ -4,6 +4,7 @@
 import createVariantNetwork from './createVariantNetwork.js';
 import type FalseSuspicion from './FalseSuspicion.js';
 import type FakeNetwork from './FakeNetwork.js';
+import membershipOptions from './membershipOptions.js';
 import startEntries from './startEntries.js';
 import type Variant from './Variant.js';
 
@@ -22,6 +23,7 @@
   /** 0 for none. */
   readonly pauseMilliseconds: number;
   readonly minutes: number;
+  readonly probePeriodMilliseconds: number;
 }
 
 /** Counts changes of state, told apart by what the subject does. */
@@ -60,7 +62,9 @@
 /** Measures accusations of live entries in a group with loss, delay and pauses. */
 export default function measureFalseSuspicion(variant: Variant, scenario: Scenario): FalseSuspicion {
   const records = createRegions(scenario.entries, 1);
+  const { probePeriodMilliseconds } = scenario;
   const network = createVariantNetwork(variant, records, {
+    ...membershipOptions({ variant, probePeriodMilliseconds }),
     seed: SEED,
     loss: scenario.loss,
     maximumDelayMilliseconds: MAXIMUM_DELAY_MILLISECONDS,
--- /dev/null
+++ b/packages/membership/src/experiments/membershipOptions.ts
@@ -0,0 +1,15 @@
+import Membership from '../lib/membership/Membership.js';
+import MembershipSettings from '../lib/membership/MembershipSettings.js';
+import type CostScenario from './CostScenario.js';
+import type FakeNetworkOptions from './FakeNetworkOptions.js';
+
+/** Another probe period, where one is given. */
+export default function membershipOptions(
+  { variant, probePeriodMilliseconds }: Pick<CostScenario, 'variant' | 'probePeriodMilliseconds'>,
+): Partial<FakeNetworkOptions> {
+  if (variant === 'naive' || probePeriodMilliseconds === undefined) {
+    return {};
+  }
+  const settings = MembershipSettings.parse({ probePeriodMilliseconds });
+  return { createMembership: (self, random) => new Membership({ self, random, settings }) };
+}
--- a/packages/membership/src/experiments/runExperiments.ts
+++ b/packages/membership/src/experiments/runExperiments.ts
@@ -31,27 +31,20 @@
 }
 /* eslint-enable no-console */
 
-const SUSPICION_SCENARIOS = [
-  {
-    entries: TODAY_ENTRIES, loss: 0.05, pauseMilliseconds: 0, minutes: 10,
-  },
-  {
-    entries: REGION_ENTRIES, loss: 0.05, pauseMilliseconds: 0, minutes: 10,
-  },
-  {
-    entries: TODAY_ENTRIES, loss: 0, pauseMilliseconds: 3_000, minutes: 10,
-  },
-  {
-    entries: REGION_ENTRIES, loss: 0, pauseMilliseconds: 3_000, minutes: 10,
-  },
-  {
-    entries: TODAY_ENTRIES, loss: 0.01, pauseMilliseconds: 6_000, minutes: 10,
-  },
-  {
-    entries: REGION_ENTRIES, loss: 0.01, pauseMilliseconds: 6_000, minutes: 10,
-  },
+const SUSPICION_FAULTS = [
+  { loss: 0.05, pauseMilliseconds: 0 },
+  { loss: 0, pauseMilliseconds: 3_000 },
+  { loss: 0.01, pauseMilliseconds: 6_000 },
 ];
 
+const PROBE_PERIODS_MILLISECONDS = [1_000, 500];
+
+const SUSPICION_SCENARIOS = SUSPICION_FAULTS.flatMap((faults) => (
+  [TODAY_ENTRIES, REGION_ENTRIES].flatMap((entries) => (
+    PROBE_PERIODS_MILLISECONDS.map((probePeriodMilliseconds) => ({
+      ...faults, entries, probePeriodMilliseconds, minutes: 10,
+    }))))));
+
 const PROPAGATION = { loss: 0.01, changes: CHANGES, regionsWithoutStore: 0 };
 const PUBLISHED_THROUGH: readonly Propagation['publishedThrough'][] = ['entry', 'store'];
 
@@ -113,9 +106,9 @@
   print('Naive: detection of crashes, seconds', [8, 32, 128].map((entries) => (
     measureDetection('naive', entries, CRASHES)
   )));
-  print('Naive: accusations of live entries', SUSPICION_SCENARIOS.map((scenario) => (
-    measureFalseSuspicion('naive', scenario)
-  )));
+  print('Naive: accusations of live entries', SUSPICION_SCENARIOS
+    .filter(({ probePeriodMilliseconds }) => probePeriodMilliseconds === PROBE_PERIODS_MILLISECONDS[0])
+    .map((scenario) => measureFalseSuspicion('naive', scenario)));
   print('Naive: time until a change is in force everywhere, seconds', [measurePropagation('naive', {
     ...PROPAGATION, entries: REGION_ENTRIES, regions: 1, publishedThrough: 'store',
   })]);
