Keep the time to answer and to refute apart from the probe period

Cause: both were counted in probe periods, and an entry's settings have 500 ms by default, so that indirect probes had no time and a pause of 2 s was deadly at 9 entries. Ruled out: asking for another default, since a setting of the period should not change what is held against others. Change: suspectAfterMilliseconds, suspicionMilliseconds and pauseRecoveryMilliseconds take the place of counts of periods. At a period of 1,000 ms nothing changes.

--- a/packages/membership/src/lib/membership/Membership.ts
+++ b/packages/membership/src/lib/membership/Membership.ts
@@ -165,9 +165,8 @@
   }
 
   #suspicionMilliseconds(): number {
-    const { probePeriodMilliseconds, suspicionPeriods } = this.#view.settings;
     const size = this.#view.table.size + 1;
-    return suspicionPeriods * Math.max(1, Math.log10(size)) * probePeriodMilliseconds;
+    return this.#view.settings.suspicionMilliseconds * Math.max(1, Math.log10(size));
   }
 
   #forgetDead(now: number): void {
--- a/packages/membership/src/lib/membership/MembershipSettings.ts
+++ b/packages/membership/src/lib/membership/MembershipSettings.ts
@@ -12,8 +12,10 @@
   probeTimeoutMilliseconds: milliseconds.default(400),
   /** Members that are asked to probe on behalf of this one. */
   indirectProbes: z.number().int().nonnegative().default(3),
-  /** Suspicion lasts this many probe periods times the decimal logarithm of the group's size. */
-  suspicionPeriods: z.number().positive().default(4),
+  /** Wait for any answer before a suspicion is raised, at least a probe period. */
+  suspectAfterMilliseconds: milliseconds.default(1_000),
+  /** A suspicion lasts this long times the decimal logarithm of the group's size, but at least once. */
+  suspicionMilliseconds: milliseconds.default(4_000),
   /** An update is sent this many times the binary logarithm of the group's size. */
   retransmissionFactor: z.number().positive().default(3),
   /** Updates carried by one probe message. */
@@ -27,8 +29,8 @@
   forgetAfterMilliseconds: milliseconds.default(600_000),
   /** A tick that comes this late shows that the process was paused. */
   pauseThresholdMilliseconds: milliseconds.default(1_000),
-  /** Probe periods without accusations after a pause. */
-  pauseRecoveryPeriods: z.number().int().nonnegative().default(3),
+  /** Time without accusations after a pause. */
+  pauseRecoveryMilliseconds: milliseconds.default(3_000),
 });
 type MembershipSettings = z.infer<typeof MembershipSettings>;
 
--- a/packages/membership/src/lib/membership/Prober.ts
+++ b/packages/membership/src/lib/membership/Prober.ts
@@ -43,10 +43,9 @@
    * Peers may have raised a suspicion meanwhile; it is refuted before it is heard of.
    */
   recoverFromPause(now: number): void {
-    const { pauseRecoveryPeriods, probePeriodMilliseconds } = this.#view.settings;
     this.#probe = undefined;
     this.#relays.clear();
-    this.#accusationsFrom = now + pauseRecoveryPeriods * probePeriodMilliseconds;
+    this.#accusationsFrom = now + this.#view.settings.pauseRecoveryMilliseconds;
     this.#view.refuteAhead();
     this.#view.samplePresent(this.#view.settings.indirectProbes)
       .forEach((peer) => this.#sendPing(peer, this.#nextNumber()));
@@ -112,8 +111,10 @@
       return;
     }
     const { probePeriodMilliseconds, probeTimeoutMilliseconds } = this.#view.settings;
+    const { suspectAfterMilliseconds } = this.#view.settings;
+    const longest = Math.max(probePeriodMilliseconds, suspectAfterMilliseconds) * this.#health.factor;
     const waited = now - this.#probe.startedAtMilliseconds;
-    if (waited >= probePeriodMilliseconds * this.#health.factor) {
+    if (waited >= longest) {
       this.#suspect(this.#probe.target, now);
     } else if (waited >= probeTimeoutMilliseconds && !this.#probe.indirect) {
       this.#probeIndirectly(this.#probe);
@@ -173,9 +174,9 @@
   }
 
   #dropOldRelays(now: number): void {
-    const { probePeriodMilliseconds } = this.#view.settings;
+    const { suspectAfterMilliseconds } = this.#view.settings;
     [...this.#relays]
-      .filter(([, relay]) => now - relay.startedAtMilliseconds > probePeriodMilliseconds)
+      .filter(([, relay]) => now - relay.startedAtMilliseconds > suspectAfterMilliseconds)
       .forEach(([number]) => this.#relays.delete(number));
   }
 
--- a/packages/membership/src/test/membership.test.ts
+++ b/packages/membership/src/test/membership.test.ts
@@ -175,9 +175,9 @@
 }
 
 /** A membership that knows a live member 1 and a suspect member 2, and is probing. */
-function createSuspecting(): Membership {
+function createSuspecting(settings = MembershipSettings.parse({})): Membership {
   const membership = new Membership({
-    self: createEntryRecord(1, 0, 1), random: new SeededRandom(SEED), settings: MembershipSettings.parse({}),
+    self: createEntryRecord(1, 0, 1), random: new SeededRandom(SEED), settings,
   });
   const message = PeerMessage.parse({
     kind: 'release-head',
@@ -235,6 +235,16 @@
     ));
 }
 
+test('short probe period leaves as much time to refute', () => {
+  const membership = createSuspecting(MembershipSettings.parse({ probePeriodMilliseconds: 200 }));
+  for (let now = 200; now < 4_000; now += 200) {
+    membership.step({ kind: 'tick' }, now);
+  }
+  expect(statesOf(membership)).not.toContain('dead');
+  membership.step({ kind: 'tick' }, 4_000);
+  expect(statesOf(membership)).toContain('dead');
+});
+
 test('accused entry is told of the claim', () => {
   const membership = createSuspecting();
   // Uses up the retransmissions, after which others are told no more.
