--- a/packages/membership/src/lib/membership/Membership.ts
+++ b/packages/membership/src/lib/membership/Membership.ts
@@ -159,25 +159,20 @@
       return;
     }
     const timeout = this.#suspicionMilliseconds();
-    this.#view.table.all()
-      .filter(({ update, changedAtMilliseconds }) => (
-        update.liveness === 'suspect' && now - changedAtMilliseconds >= timeout
-      ))
+    this.#view.table.withLiveness('suspect')
+      .filter(({ changedAtMilliseconds }) => now - changedAtMilliseconds >= timeout)
       .forEach(({ update }) => this.#view.apply({ ...update, liveness: 'dead' }, now));
   }
 
   #suspicionMilliseconds(): number {
-    const { probePeriodMilliseconds, suspicionPeriods } = this.#view.settings;
     const size = this.#view.table.size + 1;
-    return suspicionPeriods * Math.max(1, Math.log10(size)) * probePeriodMilliseconds;
+    return this.#view.settings.suspicionMilliseconds * Math.max(1, Math.log10(size));
   }
 
   #forgetDead(now: number): void {
-    this.#view.table.all()
-      .filter(({ update, changedAtMilliseconds }) => (
-        update.liveness === 'dead'
-        && now - changedAtMilliseconds >= this.#view.settings.forgetAfterMilliseconds
-      ))
+    const { forgetAfterMilliseconds } = this.#view.settings;
+    this.#view.table.withLiveness('dead')
+      .filter(({ changedAtMilliseconds }) => now - changedAtMilliseconds >= forgetAfterMilliseconds)
       .forEach(({ update }) => this.#view.table.forget(update.entry.entry));
   }
 }
