Send streamed tokens only once their replica was seen whole

Causes, each found by a proof that failed: - a stream never went on at another replica: the resumed body went out under the length of the caller's body ("Request body length does not match"); - tokens were relayed on sightings up to the freshness bound old, so that tokens of a replica that had lost a member reached the caller and stayed in an answer that was later completed elsewhere; - a member that restarted and took a load of the same replica made it count as whole, though the others were not joined to it: answers read "corrupted"; - a frozen leader held its stream until the request's deadline; - one VM that did not answer held up the round of reports, so that all others became out of date ("no-alternative" while one was there); - an answer to another request, once dropped, ended the entry's process by an unhandled AbortError; - operators' take-outs were left to the controller: with the store down after the take-out, entries went on to send work to the zone. Ruled out: the retry budget (10 in reserve) and the choice of target.

--- a/packages/entry/src/lib/dispatch/RequestDispatcher.ts
+++ b/packages/entry/src/lib/dispatch/RequestDispatcher.ts
@@ -14,6 +14,7 @@
 import type Attempt from './Attempt.js';
 import type AttemptFailure from './AttemptFailure.js';
 import type CompleteAnswer from './CompleteAnswer.js';
+import discardBody from './discardBody.js';
 import isRefusal from './isRefusal.js';
 import mayBeRefusal from './mayBeRefusal.js';
 import readBounded from './readBounded.js';
@@ -187,9 +188,11 @@
 
   async #relayStream(course: RequestCourse, attempt: Attempt, answer: TargetAnswer): Promise<AttemptEnd> {
     const { slot, incarnations } = attempt;
-    const end = await course.relay.relay(answer.body, () => slot.isStill(incarnations));
+    const end = await course.relay.relay(answer.body, async () => (
+      (await this.#options.checker.check(slot, incarnations)).kind === 'valid'
+    ));
     if (end.kind !== 'completed') {
-      answer.body.destroy();
+      discardBody(answer.body);
     }
     switch (end.kind) {
       case 'completed': {
--- a/packages/entry/src/lib/dispatch/sendToTarget.ts
+++ b/packages/entry/src/lib/dispatch/sendToTarget.ts
@@ -7,6 +7,7 @@
 import type CallerRequest from '../requests/CallerRequest.js';
 import targetHeaders from '../requests/targetHeaders.js';
 import type AttemptFailure from './AttemptFailure.js';
+import discardBody from './discardBody.js';
 import type ReplicaSlot from '../targets/ReplicaSlot.js';
 import type TargetAnswer from './TargetAnswer.js';
 
@@ -46,7 +47,7 @@
   const echoed = answer.headers[HEADERS.requestId];
   if (echoed !== undefined && echoed !== request.requestId) {
     // An answer to another request, as after a target mixed up its connections.
-    answer.body.destroy();
+    discardBody(answer.body);
     return err({
       progress: { kind: 'sent' }, cause: 'target-lost', detail: `answer belongs to request ${String(echoed)}`,
     });
--- a/packages/entry/src/lib/requests/targetHeaders.ts
+++ b/packages/entry/src/lib/requests/targetHeaders.ts
@@ -3,13 +3,17 @@
 import type CallerRequest from './CallerRequest.js';
 import withoutConnectionHeaders from './withoutConnectionHeaders.js';
 
+/** Set anew from the body that is sent, which differs from the caller's for a resumed stream. */
+const LENGTH_HEADER = 'content-length';
+
 /** Headers under which a request goes on, to a target or, without a replica, to another entry. */
 export default function targetHeaders(
   request: CallerRequest,
   replica: ReplicaId | null,
 ): IncomingHttpHeaders {
+  const { [LENGTH_HEADER]: length, ...headers } = withoutConnectionHeaders(request.headers);
   return {
-    ...withoutConnectionHeaders(request.headers),
+    ...headers,
     [HEADERS.requestId]: request.requestId,
     ...(replica === null ? {} : { [HEADERS.replica]: replica }),
   };
--- a/packages/entry/src/lib/startEntry.ts
+++ b/packages/entry/src/lib/startEntry.ts
@@ -16,6 +16,7 @@
 import createGrantListener from './peers/createGrantListener.js';
 import EntryGroup from './peers/EntryGroup.js';
 import PeerTransport from './peers/PeerTransport.js';
+import OutOfServiceWatch from './release/OutOfServiceWatch.js';
 import ReleaseHolder from './release/ReleaseHolder.js';
 import AdmissionDesk from './requests/AdmissionDesk.js';
 import RequestServer from './requests/RequestServer.js';
@@ -84,6 +85,7 @@
   const reportAgent = new Agent({ connections: 2 });
   const store = new HTTPTableStore(settings.platformAddress, platformAgent);
   const release = new ReleaseHolder({ store, clock, log: createLog('release', settings.log, clock) });
+  const outOfService = new OutOfServiceWatch(release, clock);
 
   let callerApplication: ReturnType<typeof createCallerApplication> | undefined;
   let leaving = false;
@@ -141,6 +143,7 @@
     dispatcher: reportAgent,
     clock,
     freshnessMilliseconds: settings.timing.freshnessMilliseconds,
+    isOut: (member) => outOfService.isOut(member),
     log,
     changed: (service) => admission.setCapacity(service.service, service.capacity()),
   });
--- /dev/null
+++ b/packages/entry/src/lib/streams/HeldEvents.ts
@@ -0,0 +1,99 @@
+interface HeldEvent {
+  readonly bytes: Buffer;
+  readonly isToken: boolean;
+}
+
+/** What `HeldEvents` needs from outside. */
+interface HeldEventsOptions {
+  /** Whether the replica is still whole, by sightings made after the call. */
+  readonly confirm: () => Promise<boolean>;
+  /** Takes events that go to the caller, and how many of them are tokens. */
+  readonly write: (bytes: Buffer, tokens: number) => void;
+  /** Called once when the replica is no longer whole. */
+  readonly refused: () => void;
+}
+
+/**
+ * Events of one attempt that wait until the replica was seen whole after they came.
+ * One confirmation is under way at a time and covers all events that came before it.
+ *
+ * Invariant: no event is written that a later confirmation does not cover, save by `flush`.
+ */
+export default class HeldEvents {
+  readonly #options: HeldEventsOptions;
+
+  #events: HeldEvent[] = [];
+
+  #bytes = 0;
+
+  #confirming: Promise<void> | null = null;
+
+  #closed = false;
+
+  constructor(options: HeldEventsOptions) {
+    this.#options = options;
+  }
+
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  add(bytes: Buffer, isToken: boolean): void {
+    this.#events.push({ bytes, isToken });
+    this.#bytes += bytes.length;
+  }
+
+  /** Begins a confirmation of what is held, unless one is under way. */
+  release(): void {
+    if (this.#confirming === null && this.#events.length > 0) {
+      this.confirm();
+    }
+  }
+
+  /** Begins a confirmation even if nothing is held, so that a silent target is noticed. */
+  confirm(): void {
+    if (!this.#closed) {
+      this.#confirming ??= this.#confirm(this.#events.length);
+    }
+  }
+
+  /** Resolves when no confirmation is under way. */
+  async settled(): Promise<void> {
+    await this.#confirming;
+  }
+
+  /** Ends confirmations: one that is under way writes nothing any more. */
+  close(): void {
+    this.#closed = true;
+  }
+
+  /** Writes all that is left. To be called only after the replica was checked. */
+  flush(): void {
+    this.#write(this.#events.length);
+  }
+
+  async #confirm(count: number): Promise<void> {
+    const isConfirmed = await this.#options.confirm();
+    this.#confirming = null;
+    if (this.#closed) {
+      return;
+    }
+    if (!isConfirmed) {
+      this.#closed = true;
+      this.#options.refused();
+      return;
+    }
+    this.#write(count);
+    this.release();
+  }
+
+  #write(count: number): void {
+    if (count === 0) {
+      return;
+    }
+    const events = this.#events.splice(0, count);
+    const bytes = Buffer.concat(events.map((event) => event.bytes));
+    this.#bytes -= bytes.length;
+    this.#options.write(bytes, events.filter(({ isToken }) => isToken).length);
+  }
+}
--- a/packages/entry/src/lib/targets/ReplicaSlot.ts
+++ b/packages/entry/src/lib/targets/ReplicaSlot.ts
@@ -1,15 +1,18 @@
 import {
-  type Clock, type Incarnation, type Replica, type ReplicaMember, type RequestId,
+  type Clock, type Replica, type ReplicaMember, type RequestId,
 } from '@dandelionlane/core';
 import {
   assessReplica, ConcurrencyLimiter, OwnWork,
-  type DispatchTicket, type GrantReading, type ReplicaAssessment, type TargetView, type VMSighting,
+  type DispatchTicket, type GrantReading, type MemberIncarnation, type ReplicaAssessment,
+  type TargetView, type VMSighting,
 } from '@dandelionlane/routing';
 
 /** What a `ReplicaSlot` needs from outside. */
 interface ReplicaSlotOptions {
   readonly clock: Clock;
   readonly freshnessMilliseconds: number;
+  /** Whether new work for a VM is over because operators took it or its zone out. */
+  readonly isOut: (member: ReplicaMember) => boolean;
   readonly sightingsOf: (members: readonly ReplicaMember[]) => readonly VMSighting[];
 }
 
@@ -23,6 +26,9 @@
 
   #replica: Replica;
 
+  /** The members' process starts when the replica was first seen whole. */
+  #formedBy: readonly MemberIncarnation[] | undefined;
+
   #assessment: ReplicaAssessment = { kind: 'not-whole', reason: 'member-unseen', vm: null };
 
   constructor(options: ReplicaSlotOptions, replica: Replica, reading: GrantReading) {
@@ -53,11 +59,16 @@
     this.#limiter.updateGrant(reading);
   }
 
-  /** Judges the replica anew from the sightings of its members. */
+  /**
+   * Judges the replica anew from the sightings of its members. A member that comes back
+   * in another incarnation does not make the replica whole again, even if it carries the
+   * replica: the others were not joined to it. A rebuilt replica has an id of its own.
+   */
   assess(): ReplicaAssessment {
-    const now = this.#options.clock.monotonicMilliseconds();
-    const sightings = this.#options.sightingsOf(this.#replica.members);
-    this.#assessment = assessReplica(this.#replica, sightings, now, this.#options.freshnessMilliseconds);
+    this.#assessment = this.#assessMembers();
+    if (this.#assessment.kind === 'whole') {
+      this.#formedBy = this.#assessment.members;
+    }
     this.#limiter.assess(this.#assessment);
     return this.#assessment;
   }
@@ -67,16 +78,6 @@
     return this.#limiter.allowed(this.#options.clock.monotonicMilliseconds());
   }
 
-  /** Whether every member still runs in the incarnation that a request was sent to, as far as was seen. */
-  isStill(incarnations: readonly { readonly vm: string; readonly incarnation: Incarnation }[]): boolean {
-    const sightings = this.#options.sightingsOf(this.#replica.members);
-    const now = this.#options.clock.monotonicMilliseconds();
-    return incarnations.every(({ vm, incarnation }) => sightings.some(({ report, seenAtMilliseconds }) => (
-      report.vm === vm && report.incarnation === incarnation && report.replica === this.#replica.replica
-      && now - seenAtMilliseconds < this.#options.freshnessMilliseconds
-    )));
-  }
-
   dispatched(request: RequestId, tokens: number): DispatchTicket {
     this.#work.dispatched(request, tokens, this.#options.clock.monotonicMilliseconds());
     return this.#limiter.dispatched();
@@ -105,4 +106,17 @@
       slowness,
     };
   }
+
+  #assessMembers(): ReplicaAssessment {
+    const {
+      clock, freshnessMilliseconds, isOut, sightingsOf,
+    } = this.#options;
+    const { members } = this.#replica;
+    const out = members.find((member) => isOut(member));
+    if (out !== undefined) {
+      return { kind: 'not-whole', reason: 'replica-not-serving', vm: out.vm };
+    }
+    const now = clock.monotonicMilliseconds();
+    return assessReplica(this.#replica, sightingsOf(members), now, freshnessMilliseconds, this.#formedBy);
+  }
 }
--- a/packages/entry/src/lib/targets/ServiceTargets.ts
+++ b/packages/entry/src/lib/targets/ServiceTargets.ts
@@ -11,6 +11,7 @@
   readonly entry: EntryId;
   readonly clock: Clock;
   readonly freshnessMilliseconds: number;
+  readonly isOut: (member: ReplicaMember) => boolean;
   readonly sightingsOf: (members: readonly ReplicaMember[]) => readonly VMSighting[];
 }
 
--- a/packages/entry/src/lib/targets/TargetTable.ts
+++ b/packages/entry/src/lib/targets/TargetTable.ts
@@ -8,6 +8,15 @@
 import type { Log } from '@dandelionlane/telemetry';
 import ServiceTargets from './ServiceTargets.js';
 
+/** Longest wait for the reports of one round. Later ones count when they come. */
+const REPORT_ROUND_MILLISECONDS = 100;
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
+
 /** What a `TargetTable` needs from outside. */
 interface TargetTableOptions {
   readonly entry: EntryId;
@@ -16,11 +25,16 @@
   readonly dispatcher: Dispatcher;
   readonly clock: Clock;
   readonly freshnessMilliseconds: number;
+  /** Whether new work for a VM is over because operators took it or its zone out. */
+  readonly isOut: (member: ReplicaMember) => boolean;
   readonly log: Log;
   /** Called after rows or sightings of a service changed what its targets bear. */
   readonly changed: (targets: ServiceTargets) => void;
 }
 
+/** Least time between the beginnings of two requests for a report of one VM. */
+const REPORT_GAP_MILLISECONDS = 25;
+
 /** Live state of the targets of the services that this entry is a home of. */
 export default class TargetTable {
   readonly #options: TargetTableOptions;
@@ -32,6 +46,12 @@
   /** Requests for a report that are under way, one a VM. */
   readonly #asking = new Map<VMId, Promise<void>>();
 
+  /** Requests for a report that have not begun, at most one a VM. */
+  readonly #queued = new Map<VMId, Promise<void>>();
+
+  /** When the last request for a report began. */
+  readonly #askedAt = new Map<VMId, number>();
+
   constructor(options: TargetTableOptions) {
     this.#options = options;
   }
@@ -67,31 +87,27 @@
     this.#forgetSightings();
   }
 
-  /** Asks every VM of the home services for a report. */
+  /** Asks every VM of the home services for a report. VMs that do not answer hold up no others. */
   async readReports(): Promise<void> {
     const services = [...this.#services.values()];
-    await Promise.all(services.flatMap((targets) => targets.members()).map((member) => this.ask(member)));
+    const members = services.flatMap((targets) => targets.members());
+    const asked = Promise.all(members.map((member) => this.ask(member)));
+    await Promise.race([asked, sleep(REPORT_ROUND_MILLISECONDS)]);
     services.forEach((targets) => {
       targets.assess();
       this.#options.changed(targets);
     });
   }
 
-  /** Asks one VM for a report that is made after this call. */
-  async ask(member: ReplicaMember): Promise<void> {
-    const under = this.#asking.get(member.vm);
-    if (under !== undefined) {
-      // The answer under way may have been made before this call.
-      await under;
-    }
-    const again = this.#asking.get(member.vm);
-    if (again !== undefined) {
-      await again;
-      return;
+  /** Asks one VM for a report that is made after this call. Calls that come meanwhile share it. */
+  ask(member: ReplicaMember): Promise<void> {
+    const queued = this.#queued.get(member.vm);
+    if (queued !== undefined) {
+      return queued;
     }
-    const asked = this.#ask(member).finally(() => this.#asking.delete(member.vm));
-    this.#asking.set(member.vm, asked);
-    await asked;
+    const asked = this.#askInTurn(member);
+    this.#queued.set(member.vm, asked);
+    return asked;
   }
 
   sightingsOf(members: readonly ReplicaMember[]): readonly VMSighting[] {
@@ -100,6 +116,22 @@
       .filter((sighting) => sighting !== undefined);
   }
 
+  /** Waits until the request under way has ended and the last one is long enough ago. */
+  async #askInTurn(member: ReplicaMember): Promise<void> {
+    await this.#asking.get(member.vm);
+    const { clock } = this.#options;
+    const askedAt = this.#askedAt.get(member.vm) ?? -Infinity;
+    const wait = askedAt + REPORT_GAP_MILLISECONDS - clock.monotonicMilliseconds();
+    if (wait > 0) {
+      await sleep(wait);
+    }
+    this.#queued.delete(member.vm);
+    this.#askedAt.set(member.vm, clock.monotonicMilliseconds());
+    const asked = this.#ask(member).finally(() => this.#asking.delete(member.vm));
+    this.#asking.set(member.vm, asked);
+    await asked;
+  }
+
   async #ask({ vm, address }: ReplicaMember): Promise<void> {
     const report = await readVMReport(this.#options.dispatcher, vm, address);
     report.map((heard) => {
@@ -118,6 +150,7 @@
       entry: this.#options.entry,
       clock: this.#options.clock,
       freshnessMilliseconds: this.#options.freshnessMilliseconds,
+      isOut: this.#options.isOut,
       sightingsOf: (members) => this.sightingsOf(members),
     });
     this.#services.set(service, targets);
@@ -141,6 +174,7 @@
     this.#sightings.forEach((_, vm) => {
       if (!known.has(vm)) {
         this.#sightings.delete(vm);
+        this.#askedAt.delete(vm);
       }
     });
   }
--- /dev/null
+++ b/packages/entry/src/test/sendToTarget.test.ts
@@ -0,0 +1,61 @@
+import { createServer, type AddressInfo } from 'node:net';
+import { Agent } from 'undici';
+import { expect, test } from 'vitest';
+import {
+  HEADERS, ManualClock, Replica, RequestId,
+} from '@dandelionlane/core';
+import sendToTarget from '../lib/dispatch/sendToTarget.js';
+import type CallerRequest from '../lib/requests/CallerRequest.js';
+import ReplicaSlot from '../lib/targets/ReplicaSlot.js';
+
+/** Answers every request as if it were request `first`. */
+async function answerAsFirst(): Promise<{ readonly address: string; readonly close: () => void }> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => socket.write(
+      `HTTP/1.1 200 OK\r\n${HEADERS.requestId}: first\r\ncontent-length: 2\r\n\r\nhi`,
+    ));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', () => resolve());
+  });
+  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, close: () => server.close() };
+}
+
+test.each([['first', true], ['second', false]] as const)('answer of request first to request %s', async (id, taken) => {
+  const target = await answerAsFirst();
+  const dispatcher = new Agent();
+  const replica = Replica.parse({
+    replica: 'slots-1',
+    service: 'slots',
+    version: '1',
+    state: 'serving',
+    fencing: 1,
+    members: [{
+      vm: 'plain-1', address: target.address, availabilityZone: 'zone-a', fabricDomain: 'fabric',
+    }],
+    grants: [],
+  });
+  const slot = new ReplicaSlot(
+    {
+      clock: new ManualClock(), freshnessMilliseconds: 1_000, isOut: () => false, sightingsOf: () => [],
+    },
+    replica,
+    { grant: { entry: 'entry-1' as never, cold: 1, warm: 1 }, version: 1 as never, readAtMilliseconds: 0 },
+  );
+  const request: Pick<CallerRequest, 'requestId' | 'headers' | 'method' | 'path'> = {
+    requestId: RequestId.parse(id), headers: {}, method: 'GET', path: '/',
+  };
+  const sent = await sendToTarget({
+    dispatcher,
+    request: request as CallerRequest,
+    slot,
+    body: Buffer.alloc(0),
+    remainingMilliseconds: 5_000,
+    signal: new AbortController().signal,
+  });
+  expect(sent.isOk()).toBe(taken);
+  expect(sent.isErr() ? sent.error.cause : 'taken').toBe(taken ? 'taken' : 'target-lost');
+  await dispatcher.destroy();
+  target.close();
+});
--- a/packages/proofs/src/test/SystemOptions.ts
+++ b/packages/proofs/src/test/SystemOptions.ts
@@ -7,7 +7,8 @@
 interface PlacedReplica {
   readonly replica: string;
   readonly vms: readonly string[];
-  readonly cold?: number;
+  /** For every entry, or for each in order of their start; none after the last. */
+  readonly cold?: number | readonly number[];
   readonly warm?: number;
 }
 
--- a/packages/proofs/src/test/TestSystem.ts
+++ b/packages/proofs/src/test/TestSystem.ts
@@ -122,8 +122,10 @@
     });
   }
 
+  /** Runs at all VMs, in the order in which they began. */
   runs(): readonly JournalRun[] {
-    return this.vms.journal().runs;
+    return [...this.vms.journal().runs]
+      .sort((left, right) => left.startedAt.localeCompare(right.startedAt));
   }
 
   /** Runs of calls with a path that begins so. */
@@ -213,7 +215,9 @@
             fabricDomain: settings?.fabricDomain,
           };
         }),
-        grants: Array.from({ length: 6 }, (_, index) => ({ entry: `entry-${index + 1}`, cold, warm })),
+        grants: Array.from({ length: 6 }, (_, index) => ({
+          entry: `entry-${index + 1}`, cold: typeof cold === 'number' ? cold : cold[index] ?? 0, warm,
+        })),
       })),
     });
     const outcome = await this.store.commit({
