--- a/packages/entry/src/lib/streams/HeldEvents.ts
+++ b/packages/entry/src/lib/streams/HeldEvents.ts
@@ -3,6 +3,9 @@
   readonly isToken: boolean;
 }
 
+/** Period at which the replica of a silent stream is looked at. */
+const WATCH_PERIOD_MILLISECONDS = 500;
+
 /** What `HeldEvents` needs from outside. */
 interface HeldEventsOptions {
   /** Whether the replica is still whole, by sightings made after the call. */
@@ -17,6 +20,8 @@
  * Events of one attempt that wait until the replica was seen whole after they came.
  * One confirmation is under way at a time and covers all events that came before it.
  *
+ * To be closed when the attempt ends.
+ *
  * Invariant: no event is written that a later confirmation does not cover, save by `flush`.
  */
 export default class HeldEvents {
@@ -30,8 +35,12 @@
 
   #closed = false;
 
+  readonly #watch: NodeJS.Timeout;
+
   constructor(options: HeldEventsOptions) {
     this.#options = options;
+    this.#watch = setInterval(() => this.#begin(), WATCH_PERIOD_MILLISECONDS);
+    this.#watch.unref();
   }
 
   get bytes(): number {
@@ -46,14 +55,7 @@
   /** Begins a confirmation of what is held, unless one is under way. */
   release(): void {
     if (this.#confirming === null && this.#events.length > 0) {
-      this.confirm();
-    }
-  }
-
-  /** Begins a confirmation even if nothing is held, so that a silent target is noticed. */
-  confirm(): void {
-    if (!this.#closed) {
-      this.#confirming ??= this.#confirm(this.#events.length);
+      this.#begin();
     }
   }
 
@@ -65,6 +67,7 @@
   /** Ends confirmations: one that is under way writes nothing any more. */
   close(): void {
     this.#closed = true;
+    clearInterval(this.#watch);
   }
 
   /** Writes all that is left. To be called only after the replica was checked. */
@@ -72,6 +75,13 @@
     this.#write(this.#events.length);
   }
 
+  /** Begins a confirmation even if nothing is held, so that a silent target is noticed. */
+  #begin(): void {
+    if (!this.#closed) {
+      this.#confirming ??= this.#confirm(this.#events.length);
+    }
+  }
+
   async #confirm(count: number): Promise<void> {
     const isConfirmed = await this.#options.confirm();
     this.#confirming = null;
@@ -79,7 +89,7 @@
       return;
     }
     if (!isConfirmed) {
-      this.#closed = true;
+      this.close();
       this.#options.refused();
       return;
     }
--- a/packages/entry/src/lib/streams/StreamRelay.ts
+++ b/packages/entry/src/lib/streams/StreamRelay.ts
@@ -9,8 +9,7 @@
 /** Bytes held back at which the relay reads no more until they are confirmed. */
 const MAXIMUM_HELD_BYTES = 256 * 1_024;
 
-/** Period at which the replica of a silent stream is looked at. */
-const WATCH_PERIOD_MILLISECONDS = 500;
+const STOPPED: StreamEnd = { kind: 'stopped' };
 
 /** What a `StreamRelay` needs from outside. */
 interface StreamRelayOptions {
@@ -54,29 +53,35 @@
   /**
    * Relays one attempt until its stream ends. `confirm` tells whether the replica is
    * still whole, by sightings made after the call; what came before it then goes out.
+   * Listens to the stream's events: an async iterator costs several promises a token.
    */
-  async relay(body: Readable, confirm: () => Promise<boolean>): Promise<StreamEnd> {
-    let isStopped = false;
+  relay(body: Readable, confirm: () => Promise<boolean>): Promise<StreamEnd> {
+    const splitter = new EventSplitter();
     this.#ending = [];
     this.#receivedTokens = this.#deliveredTokens;
-    const held = new HeldEvents({
-      confirm,
-      write: (bytes, tokens) => this.#write(bytes, tokens),
-      refused: () => {
-        isStopped = true;
-        body.destroy();
-      },
+    return new Promise<StreamEnd>((resolve) => {
+      const held = this.#hold(confirm, () => resolve(STOPPED));
+      body.on('data', (chunk: Buffer) => {
+        const end = this.#takeChunk(splitter, chunk, held);
+        if (end !== null) {
+          resolve(end);
+          return;
+        }
+        held.release();
+        if (this.#options.outgoing.writableNeedDrain || held.bytes > MAXIMUM_HELD_BYTES) {
+          body.pause();
+          void this.#resumeWhenDrained(body, held, resolve);
+        }
+      });
+      body.once('error', (cause) => resolve({ kind: 'broken', cause }));
+      body.once('end', () => resolve({ kind: 'broken', cause: new Error('stream ended before its last event') }));
+      body.once('close', () => resolve({ kind: 'broken', cause: new Error('stream was closed') }));
+    }).then((end) => {
+      this.#held?.close();
+      body.pause();
+      body.removeAllListeners('data');
+      return end;
     });
-    this.#held = held;
-    const watch = setInterval(() => held.confirm(), WATCH_PERIOD_MILLISECONDS);
-    try {
-      return await this.#readEvents(body, held);
-    } catch (cause) {
-      return isStopped ? { kind: 'stopped' } : { kind: 'broken', cause };
-    } finally {
-      clearInterval(watch);
-      held.close();
-    }
   }
 
   /** Sends what is still held back, the end of the answer last. */
@@ -86,24 +91,42 @@
     this.#options.outgoing.end(Buffer.concat(this.#ending));
   }
 
-  async #readEvents(body: Readable, held: HeldEvents): Promise<StreamEnd> {
-    const splitter = new EventSplitter();
-    for await (const chunk of body) {
-      for (const event of splitter.push(chunk as Buffer)) {
+  #hold(confirm: () => Promise<boolean>, refused: () => void): HeldEvents {
+    this.#held = new HeldEvents({
+      confirm, refused, write: (bytes, tokens) => this.#write(bytes, tokens),
+    });
+    return this.#held;
+  }
+
+  async #resumeWhenDrained(
+    body: Readable,
+    held: HeldEvents,
+    resolve: (end: StreamEnd) => void,
+  ): Promise<void> {
+    const { outgoing, slowCallerTimeoutMilliseconds } = this.#options;
+    await held.settled();
+    if (await waitForDrain(outgoing, slowCallerTimeoutMilliseconds)) {
+      body.resume();
+    } else {
+      resolve({ kind: 'caller-gone' });
+    }
+  }
+
+  #takeChunk(splitter: EventSplitter, chunk: Buffer, held: HeldEvents): StreamEnd | null {
+    if (this.#options.outgoing.destroyed) {
+      return { kind: 'caller-gone' };
+    }
+    try {
+      for (const event of splitter.push(chunk)) {
         const end = this.#takeEvent(event, held);
         if (end !== null) {
           return end;
         }
       }
-      held.release();
-      if (held.bytes > MAXIMUM_HELD_BYTES) {
-        await held.settled();
-      }
-      if (!(await waitForDrain(this.#options.outgoing, this.#options.slowCallerTimeoutMilliseconds))) {
-        return { kind: 'caller-gone' };
-      }
+      return null;
+    } catch (cause) {
+      return { kind: 'broken', cause };
     }
-    throw new Error('stream ended before its last event');
   }
 
   #write(bytes: Buffer, tokens: number): void {
--- a/packages/placement/src/lib/chooseDomain.ts
+++ b/packages/placement/src/lib/chooseDomain.ts
@@ -1,33 +1,39 @@
 import compareText from './compareText.js';
+import countBrokenSlots from './countBrokenSlots.js';
 import type DomainPool from './DomainPool.js';
 import type FreePool from './FreePool.js';
+import hasWeights from './hasWeights.js';
 import type ReplicaShape from './ReplicaShape.js';
 import type SpreadCount from './SpreadCount.js';
 
-/** Places for groups of the largest size that the domain loses beyond the one that is used itself. */
-function countBrokenSlots(free: number, groupSize: number, largestGroup: number): number {
-  const before = Math.floor(free / largestGroup);
-  const after = Math.floor((free - groupSize) / largestGroup);
-  return before - after - (groupSize === largestGroup ? 1 : 0);
+/** VMs of the domain that already hold the weights, as far as the replica can use them. */
+function countPreloaded({ free }: DomainPool, shape: ReplicaShape): number {
+  let preloaded = 0;
+  for (const vm of free) {
+    if (hasWeights(vm, shape.service, shape.version)) preloaded += 1;
+  }
+  return Math.min(preloaded, shape.vmsPerReplica);
 }
 
 /**
  * Key of a domain; the smallest is best. Spread over availability zones bounds the
- * loss with a zone. Then no large slot is broken for a small group, the emptier zone is
- * taken, a domain of groups keeps a spare VM for repair, and the tightest domain wins.
+ * loss with a zone. Then no large slot is broken for a small group, weights at hand save
+ * loads, the emptier zone is taken, a domain of groups keeps a spare VM for repair, and
+ * the tightest domain wins.
  */
 function rate(
   domain: DomainPool,
   shape: ReplicaShape,
   spread: SpreadCount,
   pool: FreePool,
-  largestGroup: number,
+  groupSizes: readonly number[],
 ): readonly number[] {
   const free = domain.free.length;
   const leftover = free - shape.vmsPerReplica;
   return [
     spread.inZone(domain.availabilityZone),
-    countBrokenSlots(free, shape.vmsPerReplica, largestGroup),
+    countBrokenSlots(free, shape.vmsPerReplica, groupSizes),
+    -countPreloaded(domain, shape),
     -pool.freeInZone(domain.availabilityZone),
     shape.vmsPerReplica > 1 && leftover === 0 ? 1 : 0,
     spread.inDomain(domain.fabricDomain),
@@ -48,12 +54,13 @@
   pool: FreePool,
   shape: ReplicaShape,
   spread: SpreadCount,
-  largestGroup: number,
+  groupSizes: readonly number[],
+  isAllowed: (domain: DomainPool) => boolean = () => true,
 ): DomainPool | null {
   let best: DomainPool | null = null;
   let bestRating: readonly number[] = [];
-  for (const domain of pool.domainsWithRoom(shape)) {
-    const rating = rate(domain, shape, spread, pool, largestGroup);
+  for (const domain of pool.domainsWithRoom(shape).filter(isAllowed)) {
+    const rating = rate(domain, shape, spread, pool, groupSizes);
     const order = best === null ? -1 : compareRatings(rating, bestRating)
       || compareText(domain.fabricDomain, best.fabricDomain);
     if (order < 0) {
