--- a/packages/entry/src/lib/streams/StreamRelay.ts
+++ b/packages/entry/src/lib/streams/StreamRelay.ts
@@ -2,9 +2,13 @@
 import type { ServerResponse } from 'node:http';
 import classifyChatEvent from './classifyChatEvent.js';
 import EventSplitter from './EventSplitter.js';
+import HeldEvents from './HeldEvents.js';
 import type StreamEnd from './StreamEnd.js';
 import waitForDrain from './waitForDrain.js';
 
+/** Bytes held back at which the relay reads no more until they are confirmed. */
+const MAXIMUM_HELD_BYTES = 256 * 1_024;
+
 const STOPPED: StreamEnd = { kind: 'stopped' };
 
 /** What a `StreamRelay` needs from outside. */
@@ -21,14 +25,21 @@
 /**
  * Relays a chat stream to its caller over one or more attempts.
  *
- * Invariants: tokens go out in order without gap or repeat; the events that end the
- * answer are held back until `finish`, so that a replica can be checked before.
+ * Invariants: tokens go out in order without gap or repeat, and only after the replica
+ * was seen whole since they came; the events that end the answer are held back until
+ * `finish`, so that a replica can be checked before.
  */
 export default class StreamRelay {
   readonly #options: StreamRelayOptions;
 
+  /** Tokens that went to the caller. */
   #deliveredTokens = 0;
 
+  /** Tokens that have come, those held back included. */
+  #receivedTokens = 0;
+
+  #held: HeldEvents | null = null;
+
   #ending: Buffer[] = [];
 
   constructor(options: StreamRelayOptions) {
@@ -40,32 +51,60 @@
   }
 
   /**
-   * Relays one attempt until its stream ends. `mayGoOn` is asked before each write.
+   * Relays one attempt until its stream ends. `confirm` tells whether the replica is
+   * still whole, by sightings made after the call; what came before it then goes out.
    * Listens to the stream's events: an async iterator costs several promises a token.
    */
-  relay(body: Readable, mayGoOn: () => boolean): Promise<StreamEnd> {
+  relay(body: Readable, confirm: () => Promise<boolean>): Promise<StreamEnd> {
     const splitter = new EventSplitter();
     this.#ending = [];
-    return new Promise((resolve) => {
+    this.#receivedTokens = this.#deliveredTokens;
+    return new Promise<StreamEnd>((resolve) => {
+      const held = this.#hold(confirm, () => resolve(STOPPED));
       body.on('data', (chunk: Buffer) => {
-        const end = mayGoOn() ? this.#takeChunk(splitter, chunk) : STOPPED;
+        const end = this.#takeChunk(splitter, chunk, held);
         if (end !== null) {
-          body.pause();
-          body.removeAllListeners('data');
           resolve(end);
-        } else if (this.#options.outgoing.writableNeedDrain) {
+          return;
+        }
+        held.release();
+        if (this.#options.outgoing.writableNeedDrain || held.bytes > MAXIMUM_HELD_BYTES) {
           body.pause();
-          void this.#resumeWhenDrained(body, resolve);
+          void this.#resumeWhenDrained(body, held, resolve);
         }
       });
       body.once('error', (cause) => resolve({ kind: 'broken', cause }));
       body.once('end', () => resolve({ kind: 'broken', cause: new Error('stream ended before its last event') }));
       body.once('close', () => resolve({ kind: 'broken', cause: new Error('stream was closed') }));
+    }).then((end) => {
+      this.#held?.close();
+      body.pause();
+      body.removeAllListeners('data');
+      return end;
     });
   }
 
-  async #resumeWhenDrained(body: Readable, resolve: (end: StreamEnd) => void): Promise<void> {
+  /** Sends what is still held back, the end of the answer last. */
+  finish(): void {
+    this.#held?.flush();
+    this.#options.writeHead();
+    this.#options.outgoing.end(Buffer.concat(this.#ending));
+  }
+
+  #hold(confirm: () => Promise<boolean>, refused: () => void): HeldEvents {
+    this.#held = new HeldEvents({
+      confirm, refused, write: (bytes, tokens) => this.#write(bytes, tokens),
+    });
+    return this.#held;
+  }
+
+  async #resumeWhenDrained(
+    body: Readable,
+    held: HeldEvents,
+    resolve: (end: StreamEnd) => void,
+  ): Promise<void> {
     const { outgoing, slowCallerTimeoutMilliseconds } = this.#options;
+    await held.settled();
     if (await waitForDrain(outgoing, slowCallerTimeoutMilliseconds)) {
       body.resume();
     } else {
@@ -73,45 +112,37 @@
     }
   }
 
-  #takeChunk(splitter: EventSplitter, chunk: Buffer): StreamEnd | null {
+  #takeChunk(splitter: EventSplitter, chunk: Buffer, held: HeldEvents): StreamEnd | null {
     if (this.#options.outgoing.destroyed) {
       return { kind: 'caller-gone' };
     }
     try {
-      return this.#takeEvents(splitter.push(chunk));
+      for (const event of splitter.push(chunk)) {
+        const end = this.#takeEvent(event, held);
+        if (end !== null) {
+          return end;
+        }
+      }
+      return null;
     } catch (cause) {
       return { kind: 'broken', cause };
     }
   }
 
-  /** Sends the held-back end of the answer. */
-  finish(): void {
+  #write(bytes: Buffer, tokens: number): void {
     this.#options.writeHead();
-    this.#options.outgoing.end(Buffer.concat(this.#ending));
-  }
-
-  /** Sends tokens on; returns how the stream ended, if it did. */
-  #takeEvents(events: readonly Buffer[]): StreamEnd | null {
-    const accepted: Buffer[] = [];
-    let end: StreamEnd | null = null;
-    for (const event of events) {
-      end = this.#takeEvent(event, accepted);
-      if (end !== null) {
-        break;
-      }
-    }
-    if (accepted.length > 0) {
-      this.#options.writeHead();
-      this.#options.outgoing.write(accepted.length === 1 ? accepted[0] : Buffer.concat(accepted));
+    this.#options.outgoing.write(bytes);
+    this.#deliveredTokens += tokens;
+    for (let token = 0; token < tokens; token += 1) {
+      this.#options.tokenRelayed();
     }
-    return end;
   }
 
-  #takeEvent(event: Buffer, accepted: Buffer[]): StreamEnd | null {
+  #takeEvent(event: Buffer, held: HeldEvents): StreamEnd | null {
     const chatEvent = classifyChatEvent(event);
     switch (chatEvent.kind) {
       case 'token':
-        return this.#takeToken(event, chatEvent.index, accepted);
+        return this.#takeToken(event, chatEvent.index, held);
       case 'finish':
         // A repeated event changes nothing.
         this.#ending = [event];
@@ -120,23 +151,22 @@
         this.#ending.push(event);
         return { kind: 'completed' };
       case 'other':
-        accepted.push(event);
+        held.add(event, false);
         return null;
       default:
         return chatEvent satisfies never;
     }
   }
 
-  #takeToken(event: Buffer, index: number | null, accepted: Buffer[]): StreamEnd | null {
-    if (index !== null && index < this.#deliveredTokens) {
+  #takeToken(event: Buffer, index: number | null, held: HeldEvents): StreamEnd | null {
+    if (index !== null && index < this.#receivedTokens) {
       return null;
     }
-    if (index !== null && index > this.#deliveredTokens) {
-      return { kind: 'broken', cause: new Error(`token ${this.#deliveredTokens} is missing`) };
+    if (index !== null && index > this.#receivedTokens) {
+      return { kind: 'broken', cause: new Error(`token ${this.#receivedTokens} is missing`) };
     }
-    this.#deliveredTokens += 1;
-    this.#options.tokenRelayed();
-    accepted.push(event);
+    this.#receivedTokens += 1;
+    held.add(event, true);
     return null;
   }
 }
