--- a/packages/membership/src/test/membership.test.ts
+++ b/packages/membership/src/test/membership.test.ts
@@ -270,3 +270,21 @@
   network.runFor(15_000);
   expectAllSeeAll(network);
 });
+
+test('claim about a later start is not refuted', () => {
+  const membership = createSuspecting();
+  const own = claim(0, 'suspect');
+  const later = { ...own, entry: createEntryRecord(1, 0, 2) };
+  const message = PeerMessage.parse({
+    kind: 'ping',
+    sender: claim(1, 'alive'),
+    head: { sequenceInForce: 0, storeReads: 0 },
+    probe: 1,
+    updates: [later],
+    viewDigest: 0,
+  });
+  const refutations = (): readonly number[] => membership
+    .step({ kind: 'message', from: message.sender.entry.entry, message }, 10)
+    .flatMap((command) => (command.kind === 'send' ? [command.message.sender.refutation] : []));
+  expect(Math.max(...refutations())).toBe(0);
+});
