--- a/packages/placement/src/lib/planMoves.ts
+++ b/packages/placement/src/lib/planMoves.ts
@@ -1,10 +1,11 @@
 import chooseDomain from './chooseDomain.js';
 import countByZone from './countByZone.js';
+import countSpread from './countSpread.js';
 import isAtRest from './isAtRest.js';
 import type PlanContext from './PlanContext.js';
+import type ServiceNeed from './ServiceNeed.js';
 import type ServiceView from './ServiceView.js';
 import shapeOf from './shapeOf.js';
-import SpreadCount from './SpreadCount.js';
 import tryPlace from './tryPlace.js';
 
 /** Difference between the fullest zone and the target below which a move gains nothing. */
@@ -17,8 +18,7 @@
   const counts = countByZone(view.serving);
   const fullest = Math.max(0, ...counts.values());
   if (fullest < MINIMUM_GAIN || !budget.allows(shape.vmsPerReplica, fleet.limits.moveLoadShare)) return false;
-  const spread = new SpreadCount();
-  for (const { availabilityZone, fabricDomain } of view.serving) spread.add(availabilityZone, fabricDomain);
+  const spread = countSpread(view.serving);
   const domain = chooseDomain(pool, shape, spread, context.groupSizes);
   if (domain === null || fullest - spread.inZone(domain.availabilityZone) < MINIMUM_GAIN) return false;
   return tryPlace(shape, spread, 'spread', context) === 'added';
@@ -26,10 +26,13 @@
 
 /**
  * Starts at most one move per plan that evens out a service over availability zones. The
- * new replica serves before the surplus one drains.
+ * new replica serves before the surplus one drains. No move starts while a service of the
+ * kind lacks room, since it might take the very VMs that are to become that room.
  */
-export default function planMoves(context: PlanContext): void {
+export default function planMoves(needs: readonly ServiceNeed[], context: PlanContext): void {
+  const shortKinds = new Set(needs.filter(({ hasNoRoom }) => hasNoRoom).map(({ shape }) => shape.kind));
   for (const view of context.services) {
-    if (planMove(view, context)) return;
+    const isShort = view.definition !== null && shortKinds.has(view.definition.kind);
+    if (!isShort && planMove(view, context)) return;
   }
 }
--- a/packages/placement/src/lib/planPlacement.ts
+++ b/packages/placement/src/lib/planPlacement.ts
@@ -50,10 +50,10 @@
   planServes(context);
   const needs = planAdditions(context);
   planDefragmentation(needs, context);
-  planMoves(context);
+  planMoves(needs, context);
   planDrains(needs, context);
+  planAbandons(needs, context);
   planPreemptions(needs, context);
-  planAbandons(context);
   planStops(needs, context);
   planUnloads(input, context);
   return context.draft.commands;
--- a/packages/routing/src/experiments/runExperiments.ts
+++ b/packages/routing/src/experiments/runExperiments.ts
@@ -2,6 +2,8 @@
 import runColdReturn from './runColdReturn.js';
 import runCost from './runCost.js';
 import runFairness from './runFairness.js';
+import runHedging from './runHedging.js';
+import runQueue from './runQueue.js';
 import runRetries from './runRetries.js';
 
 /** Name and code of each experiment. */
@@ -9,7 +11,9 @@
   choice: runChoice,
   fairness: runFairness,
   retries: runRetries,
+  queue: runQueue,
   cold: runColdReturn,
+  hedging: runHedging,
   cost: runCost,
 };
 
