--- /dev/null
+++ b/packages/membership/src/experiments/Churn.ts
@@ -0,0 +1,11 @@
+/** Cost of one entry while many others fail or restart together. */
+export default interface Churn {
+  readonly entries: number;
+  readonly changed: number;
+  readonly event: 'crash' | 'restart';
+  /** Mean over the sampled entries in the worst second. */
+  readonly peakBytesPerSecond: number;
+  /** Mean over the sampled entries and the whole time. */
+  readonly meanBytesPerSecond: number;
+  readonly seconds: number;
+}
--- /dev/null
+++ b/packages/membership/src/experiments/measureChurn.ts
@@ -0,0 +1,52 @@
+import type Churn from './Churn.js';
+import createFakeNetwork from './createFakeNetwork.js';
+import createRegions from './createRegions.js';
+import type FakeNetwork from './FakeNetwork.js';
+import startEntries from './startEntries.js';
+import WireMeter from './WireMeter.js';
+
+const SETTLE_MILLISECONDS = 200_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const SECONDS = 60;
+const SAMPLED_ENTRIES = 8;
+const SEED = 47;
+
+/** Bytes of the sampled entries in each second. */
+function observe(network: FakeNetwork, meter: WireMeter): readonly number[] {
+  return Array.from({ length: SECONDS }, () => {
+    meter.start();
+    network.runFor(MILLISECONDS_PER_SECOND);
+    return meter.bytes / SAMPLED_ENTRIES;
+  });
+}
+
+function summarize(perSecond: readonly number[]): Pick<Churn, 'peakBytesPerSecond' | 'meanBytesPerSecond'> {
+  return {
+    peakBytesPerSecond: Math.max(...perSecond),
+    meanBytesPerSecond: perSecond.reduce((sum, bytes) => sum + bytes, 0) / perSecond.length,
+  };
+}
+
+/** Crashes the last entries of a group together, then restarts them together. */
+export default function measureChurn(entries: number, changed: number): readonly Churn[] {
+  const records = createRegions(entries, 1);
+  const sampled = records.slice(0, SAMPLED_ENTRIES).map(({ peerAddress }) => peerAddress);
+  const meter = new WireMeter(new Set(sampled));
+  const network = createFakeNetwork({
+    seed: SEED, carryMessage: (from, to, message) => meter.carry(from, to, message),
+  });
+  const failing = startEntries(network, records).slice(entries - changed);
+  network.runFor(SETTLE_MILLISECONDS);
+  failing.forEach(({ record }) => network.crash(record.entry));
+  const crash = observe(network, meter);
+  failing.forEach((entry) => network.restart(entry, [{ kind: 'entry', entry: records[0]! }]));
+  const restart = observe(network, meter);
+  return [
+    {
+      entries, changed, event: 'crash', ...summarize(crash), seconds: SECONDS,
+    },
+    {
+      entries, changed, event: 'restart', ...summarize(restart), seconds: SECONDS,
+    },
+  ];
+}
--- a/packages/membership/src/experiments/runExperiments.ts
+++ b/packages/membership/src/experiments/runExperiments.ts
@@ -1,3 +1,4 @@
+import measureChurn from './measureChurn.js';
 import measureCost from './measureCost.js';
 import measureDetection from './measureDetection.js';
 import measureFalseSuspicion from './measureFalseSuspicion.js';
@@ -97,6 +98,14 @@
   ]);
 }
 
+function measureChurns(): void {
+  print('Cost of one entry while others crash, then restart, together', [
+    ...measureChurn(TODAY_ENTRIES, 1),
+    ...measureChurn(REGION_ENTRIES, 8),
+    ...measureChurn(REGION_ENTRIES, 24),
+  ]);
+}
+
 function measureNaive(): void {
   print('Naive: cost of one entry at rest', SIZES.map((entries) => (
     measureCost({
@@ -120,6 +129,7 @@
   suspicion: measureFalseSuspicions,
   propagation: measurePropagations,
   healing: measureHealings,
+  churn: measureChurns,
   naive: measureNaive,
 };
 
