Try to wait a random time before views that differ are exchanged

Cause looked at: when 24 of 68 entries restart together an entry takes 77617 B in the worst second; all members see differences at once and were thought to ask at once. Change: an exchange begins only after a random wait, if the difference lasts.

--- a/packages/membership/src/lib/membership/Exchanger.ts
+++ b/packages/membership/src/lib/membership/Exchanger.ts
@@ -17,7 +17,7 @@
 
   #seeds: readonly PeerTarget[] = [];
 
-  #nextRepairAt = Number.NEGATIVE_INFINITY;
+  #repairAt: number | undefined;
 
   #nextExchangeAt = Number.NEGATIVE_INFINITY;
 
@@ -48,11 +48,17 @@
 
   /** Compares a peer's view with the own one and begins an exchange if they differ. */
   compare(peer: EntryRecord, viewDigest: number, now: number): void {
-    if (viewDigest === this.#view.digest.whole || now < this.#nextRepairAt) {
+    if (viewDigest === this.#view.digest.whole) {
+      this.#repairAt = undefined;
       return;
     }
-    this.#nextRepairAt = now + this.#view.settings.repairIntervalMilliseconds;
-    this.#request({ kind: 'entry', entry: peer });
+    // News on its way by piggyback makes views differ for a moment; waits differ, so that
+    // not all members ask at once.
+    this.#repairAt ??= now + this.#view.random.next() * this.#view.settings.repairIntervalMilliseconds;
+    if (now >= this.#repairAt) {
+      this.#repairAt = undefined;
+      this.#request({ kind: 'entry', entry: peer });
+    }
   }
 
   /** Exchanges spread news by themselves, so what they bring is not piggybacked as well. */
