--- a/packages/membership/src/lib/membership/Exchanger.ts
+++ b/packages/membership/src/lib/membership/Exchanger.ts
@@ -17,7 +17,7 @@
 
   #seeds: readonly PeerTarget[] = [];
 
-  #repairAt: number | undefined;
+  #nextRepairAt = Number.NEGATIVE_INFINITY;
 
   #nextExchangeAt = Number.NEGATIVE_INFINITY;
 
@@ -48,17 +48,11 @@
 
   /** Compares a peer's view with the own one and begins an exchange if they differ. */
   compare(peer: EntryRecord, viewDigest: number, now: number): void {
-    if (viewDigest === this.#view.digest.whole) {
-      this.#repairAt = undefined;
+    if (viewDigest === this.#view.digest.whole || now < this.#nextRepairAt) {
       return;
     }
-    // News on its way by piggyback makes views differ for a moment; waits differ, so that
-    // not all members ask at once.
-    this.#repairAt ??= now + this.#view.random.next() * this.#view.settings.repairIntervalMilliseconds;
-    if (now >= this.#repairAt) {
-      this.#repairAt = undefined;
-      this.#request({ kind: 'entry', entry: peer });
-    }
+    this.#nextRepairAt = now + this.#view.settings.repairIntervalMilliseconds;
+    this.#request({ kind: 'entry', entry: peer });
   }
 
   /** Exchanges spread news by themselves, so what they bring is not piggybacked as well. */
--- a/packages/membership/src/lib/membership/MembershipSettings.ts
+++ b/packages/membership/src/lib/membership/MembershipSettings.ts
@@ -21,7 +21,7 @@
   /** Updates carried by one probe message. */
   maximumUpdates: z.number().int().min(1).max(64)
     .default(6),
-  /** Longest wait from a difference of views to an exchange, if it lasts. */
+  /** Least time between exchanges that an entry begins because views differ. */
   repairIntervalMilliseconds: milliseconds.default(2_000),
   /** Mean time between contacts of dead members and seeds. */
   exchangePeriodMilliseconds: milliseconds.default(30_000),
