Ask seeds for the view once at the start

Cause: an entry asked seeds when it was given them and again at its first tick, so a seed sent the whole view to each joiner twice. Ruled out by a trial: a wait before views that differ are exchanged. Change: the next contact of lost peers is planned when seeds are given.

--- a/packages/membership/src/lib/membership/Exchanger.ts
+++ b/packages/membership/src/lib/membership/Exchanger.ts
@@ -25,7 +25,7 @@
     this.#view = view;
   }
 
-  setSeeds(seeds: readonly PeerTarget[]): void {
+  setSeeds(seeds: readonly PeerTarget[], now: number): void {
     this.#seeds = seeds.filter((seed) => !this.#isSelf(seed));
     seeds.forEach((seed) => {
       if (seed.kind === 'entry') {
@@ -34,6 +34,8 @@
     });
     sample(this.#lostPeers(), SEEDS_AT_ONCE, this.#view.random)
       .forEach((seed) => this.#request(seed));
+    // The next tick must not ask for the whole view a second time.
+    this.#nextExchangeAt = now + this.#wait(this.#view.table.present().length > 0);
   }
 
   /** Now and then contacts a lost peer: a healed partition may have brought it back. */
--- a/packages/membership/src/lib/membership/Membership.ts
+++ b/packages/membership/src/lib/membership/Membership.ts
@@ -64,7 +64,7 @@
         this.#take(event.message, now);
         break;
       case 'seeds':
-        this.#exchanger.setSeeds(event.peers);
+        this.#exchanger.setSeeds(event.peers, now);
         break;
       case 'leave':
         this.#view.leave();
