--- a/packages/membership/src/experiments/measureCost.ts
+++ b/packages/membership/src/experiments/measureCost.ts
@@ -1,7 +1,9 @@
 import type Cost from './Cost.js';
+import type CostScenario from './CostScenario.js';
 import createRegions from './createRegions.js';
 import createVariantNetwork from './createVariantNetwork.js';
 import type FakeEntry from './FakeEntry.js';
+import membershipOptions from './membershipOptions.js';
 import startEntries from './startEntries.js';
 import type Variant from './Variant.js';
 import WireMeter from './WireMeter.js';
@@ -17,21 +19,20 @@
 }
 
 /** Measures the cost of one entry once the group is settled. */
-export default function measureCost(
-  variant: Variant,
-  entries: number,
-  regions: number,
-  seconds: number,
-): Cost {
+export default function measureCost(scenario: CostScenario): Cost {
+  const {
+    variant, entries, regions, seconds,
+  } = scenario;
   const records = createRegions(entries, regions);
   const sampled = records.slice(0, SAMPLED_ENTRIES);
   const meter = new WireMeter(new Set(sampled.map(({ peerAddress }) => peerAddress)));
   const network = createVariantNetwork(variant, records, {
     carryMessage: (from, to, message) => meter.carry(from, to, message),
+    ...membershipOptions(scenario),
   });
   const processes = startEntries(network, records).slice(0, SAMPLED_ENTRIES);
   meter.start();
-  network.runFor(SETTLE_MILLISECONDS[variant]);
+  network.runFor(scenario.settleMilliseconds ?? SETTLE_MILLISECONDS[variant]);
   const readsBefore = network.store.reads;
   meter.start();
   const stepsBefore = totalSteps(processes);
--- a/packages/membership/src/experiments/runExperiments.ts
+++ b/packages/membership/src/experiments/runExperiments.ts
@@ -1,6 +1,7 @@
 import measureCost from './measureCost.js';
 import measureDetection from './measureDetection.js';
 import measureFalseSuspicion from './measureFalseSuspicion.js';
+import measureHealing from './measureHealing.js';
 import measurePropagation from './measurePropagation.js';
 import type Propagation from './Propagation.js';
 
@@ -30,34 +31,31 @@
 }
 /* eslint-enable no-console */
 
-const SUSPICION_SCENARIOS = [
-  {
-    entries: TODAY_ENTRIES, loss: 0.05, pauseMilliseconds: 0, minutes: 10,
-  },
-  {
-    entries: REGION_ENTRIES, loss: 0.05, pauseMilliseconds: 0, minutes: 10,
-  },
-  {
-    entries: TODAY_ENTRIES, loss: 0, pauseMilliseconds: 3_000, minutes: 10,
-  },
-  {
-    entries: REGION_ENTRIES, loss: 0, pauseMilliseconds: 3_000, minutes: 10,
-  },
-  {
-    entries: TODAY_ENTRIES, loss: 0.01, pauseMilliseconds: 6_000, minutes: 10,
-  },
-  {
-    entries: REGION_ENTRIES, loss: 0.01, pauseMilliseconds: 6_000, minutes: 10,
-  },
+const SUSPICION_FAULTS = [
+  { loss: 0.05, pauseMilliseconds: 0 },
+  { loss: 0, pauseMilliseconds: 3_000 },
+  { loss: 0.01, pauseMilliseconds: 6_000 },
 ];
 
+const PROBE_PERIODS_MILLISECONDS = [1_000, 500];
+
+const SUSPICION_SCENARIOS = SUSPICION_FAULTS.flatMap((faults) => (
+  [TODAY_ENTRIES, REGION_ENTRIES].flatMap((entries) => (
+    PROBE_PERIODS_MILLISECONDS.map((probePeriodMilliseconds) => ({
+      ...faults, entries, probePeriodMilliseconds, minutes: 10,
+    }))))));
+
 const PROPAGATION = { loss: 0.01, changes: CHANGES, regionsWithoutStore: 0 };
 const PUBLISHED_THROUGH: readonly Propagation['publishedThrough'][] = ['entry', 'store'];
 
 function measureCosts(): void {
   print('Cost of one entry at rest', [
-    ...SIZES.map((entries) => measureCost('membership', entries, 1, COST_SECONDS)),
-    measureCost('membership', FLEET_ENTRIES, FLEET_REGIONS, COST_SECONDS),
+    ...SIZES.map((entries) => measureCost({
+      variant: 'membership', entries, regions: 1, seconds: COST_SECONDS,
+    })),
+    measureCost({
+      variant: 'membership', entries: FLEET_ENTRIES, regions: FLEET_REGIONS, seconds: COST_SECONDS,
+    }),
   ]);
 }
 
@@ -84,16 +82,33 @@
   print('Time until a change is in force everywhere, seconds', runs);
 }
 
+function measureHealings(): void {
+  const common = { cuts: 5, cutSeconds: 120 };
+  print('Time from the end of a cut until all is as it should be, seconds', [
+    measureHealing({
+      ...common, entries: TODAY_ENTRIES, regions: 1, cut: 'halves',
+    }),
+    measureHealing({
+      ...common, entries: REGION_ENTRIES, regions: 1, cut: 'halves',
+    }),
+    measureHealing({
+      ...common, entries: FLEET_ENTRIES, regions: FLEET_REGIONS, cut: 'region',
+    }),
+  ]);
+}
+
 function measureNaive(): void {
   print('Naive: cost of one entry at rest', SIZES.map((entries) => (
-    measureCost('naive', entries, 1, NAIVE_COST_SECONDS)
+    measureCost({
+      variant: 'naive', entries, regions: 1, seconds: NAIVE_COST_SECONDS,
+    })
   )));
   print('Naive: detection of crashes, seconds', [8, 32, 128].map((entries) => (
     measureDetection('naive', entries, CRASHES)
   )));
-  print('Naive: accusations of live entries', SUSPICION_SCENARIOS.map((scenario) => (
-    measureFalseSuspicion('naive', scenario)
-  )));
+  print('Naive: accusations of live entries', SUSPICION_SCENARIOS
+    .filter(({ probePeriodMilliseconds }) => probePeriodMilliseconds === PROBE_PERIODS_MILLISECONDS[0])
+    .map((scenario) => measureFalseSuspicion('naive', scenario)));
   print('Naive: time until a change is in force everywhere, seconds', [measurePropagation('naive', {
     ...PROPAGATION, entries: REGION_ENTRIES, regions: 1, publishedThrough: 'store',
   })]);
@@ -104,6 +119,7 @@
   detection: measureDetections,
   suspicion: measureFalseSuspicions,
   propagation: measurePropagations,
+  healing: measureHealings,
   naive: measureNaive,
 };
 
