Share one round of questions among the streams of a replica

Cause: tokens are held until every member has been seen since they came, and each stream asked for itself: four shared requests for reports, with their promises, for each stream and round. Change: all that wait for one replica share a round; a replica of one VM confirms itself, at once.

--- a/packages/entry/src/lib/dispatch/AnswerChecker.ts
+++ b/packages/entry/src/lib/dispatch/AnswerChecker.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '@dandelionlane/core';
-import { assessAnswer, type AnswerAssessment, type MemberIncarnation } from '@dandelionlane/routing';
+import {
+  assessAnswer, type AnswerAssessment, type MemberIncarnation, type VMSighting,
+} from '@dandelionlane/routing';
 import type ReplicaSlot from '../targets/ReplicaSlot.js';
 import type TargetTable from '../targets/TargetTable.js';
 
@@ -19,12 +21,20 @@
 
   readonly #freshnessMilliseconds: number;
 
+  /** Rounds of questions that have not begun, one a replica. */
+  readonly #rounds = new WeakMap<ReplicaSlot, Promise<readonly VMSighting[]>>();
+
   constructor(table: TargetTable, clock: Clock, freshnessMilliseconds: number) {
     this.#table = table;
     this.#clock = clock;
     this.#freshnessMilliseconds = freshnessMilliseconds;
   }
 
+  /** Whether the bytes of an answer show by themselves that the replica is whole. */
+  static isSelfEvident(slot: ReplicaSlot): boolean {
+    return slot.replica.members.length === 1;
+  }
+
   /**
    * Asks every member anew, since a sighting from before the answer's end says nothing
    * about the answer. A report that was lost on its way is asked for again; a member
@@ -32,8 +42,7 @@
    * its answer.
    */
   async check(slot: ReplicaSlot, incarnations: readonly MemberIncarnation[]): Promise<AnswerAssessment> {
-    const { members } = slot.replica;
-    if (members.length === 1) {
+    if (AnswerChecker.isSelfEvident(slot)) {
       return { kind: 'valid' };
     }
     let assessment = await this.#checkOnce(slot, incarnations);
@@ -44,12 +53,30 @@
   }
 
   async #checkOnce(slot: ReplicaSlot, incarnations: readonly MemberIncarnation[]): Promise<AnswerAssessment> {
+    const sightings = await this.#nextRound(slot);
+    const now = this.#clock.monotonicMilliseconds();
+    return assessAnswer(slot.replica, sightings, now, this.#freshnessMilliseconds, incarnations);
+  }
+
+  /** Sightings of all members made after this call. All that wait for one replica share a round. */
+  #nextRound(slot: ReplicaSlot): Promise<readonly VMSighting[]> {
+    const waiting = this.#rounds.get(slot);
+    if (waiting !== undefined) {
+      return waiting;
+    }
+    const round = this.#askAll(slot);
+    this.#rounds.set(slot, round);
+    return round;
+  }
+
+  async #askAll(slot: ReplicaSlot): Promise<readonly VMSighting[]> {
     const { members } = slot.replica;
+    const begins = Promise.all(members.map((member) => this.#table.untilTurn(member)));
+    await begins;
+    // From here on the round is under way: who comes later waits for the next one.
+    this.#rounds.delete(slot);
     const askedAt = this.#clock.monotonicMilliseconds();
     await Promise.all(members.map((member) => this.#table.ask(member)));
-    const sightings = this.#table.sightingsOf(members)
-      .filter(({ seenAtMilliseconds }) => seenAtMilliseconds >= askedAt);
-    const now = this.#clock.monotonicMilliseconds();
-    return assessAnswer(slot.replica, sightings, now, this.#freshnessMilliseconds, incarnations);
+    return this.#table.sightingsOf(members).filter(({ seenAtMilliseconds }) => seenAtMilliseconds >= askedAt);
   }
 }
--- a/packages/entry/src/lib/dispatch/RequestDispatcher.ts
+++ b/packages/entry/src/lib/dispatch/RequestDispatcher.ts
@@ -10,7 +10,7 @@
 import type CallerRequest from '../requests/CallerRequest.js';
 import StreamRelay from '../streams/StreamRelay.js';
 import type ServiceTargets from '../targets/ServiceTargets.js';
-import type AnswerChecker from './AnswerChecker.js';
+import AnswerChecker from './AnswerChecker.js';
 import type Attempt from './Attempt.js';
 import type AttemptFailure from './AttemptFailure.js';
 import type CompleteAnswer from './CompleteAnswer.js';
@@ -188,9 +188,10 @@
 
   async #relayStream(course: RequestCourse, attempt: Attempt, answer: TargetAnswer): Promise<AttemptEnd> {
     const { slot, incarnations } = attempt;
-    const end = await course.relay.relay(answer.body, async () => (
+    const confirm = async () => (
       (await this.#options.checker.check(slot, incarnations)).kind === 'valid'
-    ));
+    );
+    const end = await course.relay.relay(answer.body, AnswerChecker.isSelfEvident(slot) ? null : confirm);
     if (end.kind !== 'completed') {
       discardBody(answer.body);
     }
--- a/packages/entry/src/lib/streams/HeldEvents.ts
+++ b/packages/entry/src/lib/streams/HeldEvents.ts
@@ -8,8 +8,8 @@
 
 /** What `HeldEvents` needs from outside. */
 interface HeldEventsOptions {
-  /** Whether the replica is still whole, by sightings made after the call. */
-  readonly confirm: () => Promise<boolean>;
+  /** Whether the replica is still whole, by sightings made after the call. Null: the events show it. */
+  readonly confirm: (() => Promise<boolean>) | null;
   /** Takes events that go to the caller, and how many of them are tokens. */
   readonly write: (bytes: Buffer, tokens: number) => void;
   /** Called once when the replica is no longer whole. */
@@ -77,13 +77,19 @@
 
   /** Begins a confirmation even if nothing is held, so that a silent target is noticed. */
   #begin(): void {
-    if (!this.#closed) {
-      this.#confirming ??= this.#confirm(this.#events.length);
+    const { confirm } = this.#options;
+    if (this.#closed) {
+      return;
+    }
+    if (confirm === null) {
+      this.flush();
+    } else {
+      this.#confirming ??= this.#confirm(confirm, this.#events.length);
     }
   }
 
-  async #confirm(count: number): Promise<void> {
-    const isConfirmed = await this.#options.confirm();
+  async #confirm(confirm: () => Promise<boolean>, count: number): Promise<void> {
+    const isConfirmed = await confirm();
     this.#confirming = null;
     if (this.#closed) {
       return;
@@ -102,7 +108,10 @@
       return;
     }
     const events = this.#events.splice(0, count);
-    const bytes = Buffer.concat(events.map((event) => event.bytes));
+    const [first] = events;
+    const bytes = events.length === 1 && first !== undefined
+      ? first.bytes
+      : Buffer.concat(events.map((event) => event.bytes));
     this.#bytes -= bytes.length;
     this.#options.write(bytes, events.filter(({ isToken }) => isToken).length);
   }
--- a/packages/entry/src/lib/streams/StreamRelay.ts
+++ b/packages/entry/src/lib/streams/StreamRelay.ts
@@ -53,9 +53,10 @@
   /**
    * Relays one attempt until its stream ends. `confirm` tells whether the replica is
    * still whole, by sightings made after the call; what came before it then goes out.
+   * Without `confirm`, events go out as they come.
    * Listens to the stream's events: an async iterator costs several promises a token.
    */
-  relay(body: Readable, confirm: () => Promise<boolean>): Promise<StreamEnd> {
+  relay(body: Readable, confirm: (() => Promise<boolean>) | null): Promise<StreamEnd> {
     const splitter = new EventSplitter();
     this.#ending = [];
     this.#receivedTokens = this.#deliveredTokens;
@@ -91,7 +92,7 @@
     this.#options.outgoing.end(Buffer.concat(this.#ending));
   }
 
-  #hold(confirm: () => Promise<boolean>, refused: () => void): HeldEvents {
+  #hold(confirm: (() => Promise<boolean>) | null, refused: () => void): HeldEvents {
     this.#held = new HeldEvents({
       confirm, refused, write: (bytes, tokens) => this.#write(bytes, tokens),
     });
--- a/packages/entry/src/lib/targets/TargetTable.ts
+++ b/packages/entry/src/lib/targets/TargetTable.ts
@@ -117,16 +117,19 @@
   }
 
   /** Waits until the request under way has ended and the last one is long enough ago. */
-  async #askInTurn(member: ReplicaMember): Promise<void> {
-    await this.#asking.get(member.vm);
-    const { clock } = this.#options;
-    const askedAt = this.#askedAt.get(member.vm) ?? -Infinity;
-    const wait = askedAt + REPORT_GAP_MILLISECONDS - clock.monotonicMilliseconds();
+  async untilTurn({ vm }: ReplicaMember): Promise<void> {
+    await this.#asking.get(vm);
+    const askedAt = this.#askedAt.get(vm) ?? -Infinity;
+    const wait = askedAt + REPORT_GAP_MILLISECONDS - this.#options.clock.monotonicMilliseconds();
     if (wait > 0) {
       await sleep(wait);
     }
+  }
+
+  async #askInTurn(member: ReplicaMember): Promise<void> {
+    await this.untilTurn(member);
     this.#queued.delete(member.vm);
-    this.#askedAt.set(member.vm, clock.monotonicMilliseconds());
+    this.#askedAt.set(member.vm, this.#options.clock.monotonicMilliseconds());
     const asked = this.#ask(member).finally(() => this.#asking.delete(member.vm));
     this.#asking.set(member.vm, asked);
     await asked;
--- a/packages/experiments/src/lib/DataPathPlan.ts
+++ b/packages/experiments/src/lib/DataPathPlan.ts
@@ -9,6 +9,8 @@
   readonly seconds: number;
   /** Processes that play targets, and as many that play callers. */
   readonly peers: number;
+  /** VMs of each replica: the entry asks all of them while it relays. */
+  readonly membersPerReplica: number;
   /** `direct`: callers connect to the targets, which gives the cost of the measurement itself. */
   readonly route: 'entry' | 'direct';
 }
--- a/packages/experiments/src/lib/measureDataPath.ts
+++ b/packages/experiments/src/lib/measureDataPath.ts
@@ -27,7 +27,7 @@
     service: SERVICE,
     team: 'measurement',
     replicas: 1,
-    vmsPerReplica: 1,
+    vmsPerReplica: 4,
     acceleratorsPerVM: 8,
     model: 'measurement',
     version: '1',
@@ -40,25 +40,31 @@
   };
 }
 
-function createPlacement(sources: readonly RunningProcess[]): object {
+function createPlacement(groups: readonly (readonly RunningProcess[])[]): object {
   return {
     service: SERVICE,
-    replicas: sources.map((source, index) => ({
+    replicas: groups.map((group, index) => ({
       replica: `replica-${index}`,
       service: SERVICE,
       version: '1',
       state: 'serving',
       fencing: 1,
-      members: [{
-        vm: `vm-${index}`, address: source.addresses.address, availabilityZone: ZONE, fabricDomain: 'fabric',
-      }],
+      members: group.map((source, position) => ({
+        vm: `vm-${index}-${position}`,
+        address: source.addresses.address,
+        availabilityZone: ZONE,
+        fabricDomain: 'fabric',
+      })),
       grants: [{ entry: ENTRY, cold: MANY, warm: MANY }],
     })),
   };
 }
 
 /** Writes the rows that a release and a controller would have written. */
-async function writeRows(platformAddress: string, sources: readonly RunningProcess[]): Promise<void> {
+async function writeRows(
+  platformAddress: string,
+  groups: readonly (readonly RunningProcess[])[],
+): Promise<void> {
   const note = { writtenAgainst: 0, add: [createDefinition()] };
   await request(`http://${platformAddress}/v1/transactions`, {
     method: 'POST',
@@ -74,7 +80,7 @@
             sequence: 1, nonce: 'measurement', publishedAt: '2026-01-01T00:00:00.000Z', change: { kind: 'note', note },
           },
         },
-        { table: 'placements', key: `${REGION}/${SERVICE}`, value: createPlacement(sources) },
+        { table: 'placements', key: `${REGION}/${SERVICE}`, value: createPlacement(groups) },
       ],
     }),
   });
@@ -115,20 +121,24 @@
     ]);
     const platformAddress = String(platform.addresses.address);
     const program = fileURLToPath(new URL('../runTokenSource.js', import.meta.url));
-    const sources: RunningProcess[] = [];
+    const groups: RunningProcess[][] = [];
     for (let index = 0; index < plan.peers; index += 1) {
-      sources.push(await processes.start(`source-${index}`, program, [
-        `vm-${index}`, `replica-${index}`, SERVICE, String(plan.tokensPerSecond),
-      ]));
+      const group: RunningProcess[] = [];
+      for (let position = 0; position < plan.membersPerReplica; position += 1) {
+        group.push(await processes.start(`source-${index}-${position}`, program, [
+          `vm-${index}-${position}`, `replica-${index}`, SERVICE, String(plan.tokensPerSecond),
+        ]));
+      }
+      groups.push(group);
     }
-    await writeRows(platformAddress, sources);
+    await writeRows(platformAddress, groups);
     const entry = await startEntry(processes, directory, platformAddress);
     await new Promise((resolve) => {
       setTimeout(resolve, SETTLE_MILLISECONDS);
     });
     const addresses = plan.route === 'entry'
       ? [String(entry.addresses.callerAddress)]
-      : sources.map(({ addresses: { address } }) => String(address));
+      : groups.map(([leader]) => String(leader?.addresses.address));
     const processId = entry.child.pid ?? 0;
     const before = await readProcessUsage(processId);
     const startedAt = performance.now();
--- a/packages/experiments/src/runDataPath.ts
+++ b/packages/experiments/src/runDataPath.ts
@@ -15,6 +15,7 @@
   readonly tokens: string | number;
   readonly seconds: string | number;
   readonly peers: string | number;
+  readonly members: string | number;
 }
 
 function worst(readers: readonly ReaderSummary[], pick: (reader: ReaderSummary) => number): string {
@@ -25,7 +26,7 @@
   plan, readers, ...result
 }: DataPathResult): void {
   process.stdout.write([
-    `${plan.route}: ${plan.streams} streams of ${plan.tokensPerSecond} tokens/s`,
+    `${plan.route}: ${plan.streams} streams of ${plan.tokensPerSecond} tokens/s, replicas of ${plan.membersPerReplica} VMs`,
     `  relayed: ${Math.round(result.tokensPerSecond)} tokens/s, ${result.requestsPerSecond.toFixed(1)} requests/s, ${result.failures} failures`,
     `  token delay p50/p95/p99 (worst reader): ${worst(readers, (each) => each.delayP50Milliseconds)} / ${worst(readers, (each) => each.delayP95Milliseconds)} / ${worst(readers, (each) => each.delayP99Milliseconds)} ms`,
     `  first token p50/p95/p99 (worst reader): ${worst(readers, (each) => each.firstTokenP50Milliseconds)} / ${worst(readers, (each) => each.firstTokenP95Milliseconds)} / ${worst(readers, (each) => each.firstTokenP99Milliseconds)} ms`,
@@ -43,6 +44,7 @@
       tokensPerStream: Number(options.tokens),
       seconds: Number(options.seconds),
       peers: Number(options.peers),
+      membersPerReplica: Number(options.members),
       route,
     };
     printResult(await measureDataPath(directory, plan));
@@ -57,5 +59,6 @@
   .option('--tokens', 'Tokens of each stream', 280)
   .option('--seconds', 'Length of the measurement', 10)
   .option('--peers', 'Processes that play targets, and as many callers', 3)
+  .option('--members', 'VMs of each replica', 4)
   .action(run)
   .parse(process.argv);
