Tell requests apart by the entry's own name for them

Cause: places in admission and work at targets were kept under the request id that the caller may choose. Two waiting requests with one id shared an entry of the map, so that the first never got an answer and held its connection (test "queued callers that use one request id": timed out after 20 s). Ruled out: the target; it had answered both. Change: each request gets a `workId` that no other request of the entry has. An answer to another request that carries the same id is still told apart only by its connection.

--- a/packages/entry/src/lib/dispatch/RequestDispatcher.ts
+++ b/packages/entry/src/lib/dispatch/RequestDispatcher.ts
@@ -135,7 +135,7 @@
     }
     return {
       slot,
-      ticket: slot.dispatched(request.requestId, request.estimatedTokens),
+      ticket: slot.dispatched(request.workId, request.estimatedTokens),
       incarnations: assessment.members,
       sentAtMilliseconds: now,
     };
@@ -226,7 +226,7 @@
     const now = this.#options.clock.monotonicMilliseconds();
     const gone = end.kind === 'failed' && request.callerGone.aborted;
     const success = end.kind !== 'failed' || gone;
-    slot.finished(request.requestId, ticket, success ? 'success' : 'failure');
+    slot.finished(request.workId, ticket, success ? 'success' : 'failure');
     const tokens = Math.max(1, relay.deliveredTokens);
     const sample = (now - sentAtMilliseconds) / (request.streaming ? tokens : 1);
     const { replica } = slot.replica;
--- a/packages/entry/src/lib/requests/AdmissionDesk.ts
+++ b/packages/entry/src/lib/requests/AdmissionDesk.ts
@@ -45,7 +45,7 @@
 
   /** Resolves when the request may go on. Errors: the refusals of admission, and `caller-gone`. */
   admit(request: CallerRequest): ResultAsync<void, ServingError> {
-    const { definition, requestId } = request;
+    const { definition, workId: requestId } = request;
     const now = this.#clock.monotonicMilliseconds();
     const decision = this.#queueFor(definition.service).offer({
       requestId,
@@ -67,7 +67,7 @@
     }
   }
 
-  /** Gives a place back. */
+  /** Gives the place of a request back, by its `workId`. */
   release(service: ServiceId, requestId: RequestId): void {
     const next = this.#queueFor(service).release(requestId, this.#clock.monotonicMilliseconds());
     this.#wake(next);
@@ -88,7 +88,7 @@
   }
 
   #wait(request: CallerRequest): ResultAsync<void, ServingError> {
-    const { requestId, callerGone, definition } = request;
+    const { workId: requestId, callerGone, definition } = request;
     return new ResultAsync(new Promise((resolve) => {
       this.#waiting.set(requestId, resolve);
       callerGone.addEventListener('abort', () => {
--- a/packages/entry/src/lib/requests/CallerRequest.ts
+++ b/packages/entry/src/lib/requests/CallerRequest.ts
@@ -6,7 +6,10 @@
 
 /** A request that was received whole and identified. Times are on the monotonic clock, in milliseconds. */
 export default interface CallerRequest {
+  /** The caller's name for the request. Several may carry the same one. */
   readonly requestId: RequestId;
+  /** The entry's own name for the request, unlike that of any other. */
+  readonly workId: RequestId;
   readonly team: TeamId;
   readonly definition: ServiceDefinition;
   readonly method: string;
--- a/packages/entry/src/lib/requests/RequestServer.ts
+++ b/packages/entry/src/lib/requests/RequestServer.ts
@@ -64,6 +64,9 @@
 
   #inFlight = 0;
 
+  /** Requests identified so far, for their `workId`. */
+  #works = 0;
+
   constructor(options: RequestServerOptions) {
     this.#options = options;
     this.#claimedCalls = new ClaimedCalls(options);
@@ -159,7 +162,6 @@
     return ok(definition);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- belongs to the stage that identifies
   #request(
     target: RequestTarget,
     headers: CallerHeaders,
@@ -168,11 +170,13 @@
     definition: ServiceDefinition,
     nature: Pick<CallerRequest, 'streaming' | 'repeatability' | 'prefixHash' | 'estimatedTokens'>,
   ): CallerRequest {
+    this.#works += 1;
     const timeout = Math.min(headers.timeoutMilliseconds, definition.limits.requestTimeoutMilliseconds);
     return {
       ...nature,
       ...arrival,
       requestId: headers.requestId,
+      workId: RequestId.parse(`work-${this.#works}`),
       team: headers.team,
       idempotencyKey: headers.idempotencyKey,
       forwardedBy: headers.forwardedBy,
@@ -211,7 +215,7 @@
     if (admitted.isErr()) {
       return err(admitted.error);
     }
-    const ended = () => this.#options.admission.release(request.definition.service, request.requestId);
+    const ended = () => this.#options.admission.release(request.definition.service, request.workId);
     if (request.repeatability === 'claimed') {
       return this.#claimedCalls.serve(request, () => this.#dispatch(request), ended);
     }
--- a/packages/proofs/src/test/RunningFleet.ts
+++ b/packages/proofs/src/test/RunningFleet.ts
@@ -7,6 +7,7 @@
 import { JournalDocument, type VMFault } from '@dandelionlane/standin';
 import type Answer from './Answer.js';
 import callEntry from './callEntry.js';
+import chatCall from './chatCall.js';
 import services from './services.js';
 import waitUntil from './waitUntil.js';
 
@@ -61,9 +62,10 @@
     if (found.length < 2 || missing) {
       return false;
     }
-    const answers = await Promise.all(this.system.entries.map((_, index) => (
-      this.call(index, { path: '/v1/services/slots/echo' })
-    )));
+    const answers = await Promise.all(this.system.entries.flatMap((_, index) => [
+      this.call(index, { path: '/v1/services/slots/echo' }),
+      this.call(index, chatCall('ready', 1)),
+    ]));
     return answers.every(({ status }) => status === 200);
   }
 
--- a/packages/proofs/src/test/leases.test.ts
+++ b/packages/proofs/src/test/leases.test.ts
@@ -48,7 +48,9 @@
     .flatMap(({ replica, members: found }) => found.map((member) => ({ ...member, replica }))));
   const reports = await Promise.all(members.map(({ vm, address }) => readVMReport(agent, vm, address)));
   return members
-    .filter(({ replica }, index) => reports[index]?.map((report) => report.replica).unwrapOr(null) !== replica)
+    .filter(({ replica }, index) => (
+      reports[index]?.map((report) => report.replica).unwrapOr(null) !== replica
+    ))
     .map(({ vm }) => vm);
 }
 
--- a/packages/proofs/src/test/ownAnswer.test.ts
+++ b/packages/proofs/src/test/ownAnswer.test.ts
@@ -132,3 +132,24 @@
   });
   expect(system.runsOf('/echo').filter(({ method }) => method === 'POST')).toEqual([]);
 });
+
+test('queued callers that use one request id', async () => {
+  await system.close();
+  system = await TestSystem.start({
+    zones: ['zone-a'],
+    vms: createVMs('plain', 1, 'plain'),
+    services: [{
+      definition: services.slots(PATIENT), replicas: [{ replica: 'slots-1', vms: ['plain-1'], warm: 1 }],
+    }],
+  });
+  const headers = { [HEADERS.requestId]: 'same' };
+  const before = system.runs().length;
+  const first = system.call(0, { path: `${ECHO}?call=first&delayMilliseconds=500` });
+  await waitUntil('the place is taken', () => system.runs().length > before);
+  const others = await Promise.all([1, 2, 3].map((call) => (
+    system.call(0, { path: `${ECHO}?call=${call}`, headers })
+  )));
+  expect((await first).status).toBe(200);
+  expect(others.map(({ text }) => (JSON.parse(text) as { query?: { call: string } }).query?.call))
+    .toEqual(['1', '2', '3']);
+});
