Open streams in the shutdown proofs only once the load is borne

Cause: run alone, the test opened its streams while the replicas were in cold start, where a refusal is right; they then never ran (2 of 3 runs alone: waited in vain). It now waits until six calls at once are answered at each entry it uses.

--- a/packages/proofs/src/test/RunningFleet.ts
+++ b/packages/proofs/src/test/RunningFleet.ts
@@ -12,6 +12,7 @@
 import waitUntil from './waitUntil.js';
 
 const START_MILLISECONDS = 40_000;
+const CALLS_AT_ONCE = 6;
 
 /** Entries, controllers and stand-ins as separate processes, with two services placed by the controller. */
 export default class RunningFleet {
@@ -69,6 +70,13 @@
     return answers.every(({ status }) => status === 200);
   }
 
+  /** Whether several calls at once are answered at each of these entries, so that limits have grown. */
+  async bearsLoad(indexes: readonly number[]): Promise<boolean> {
+    const calls = indexes.flatMap((index) => Array.from({ length: CALLS_AT_ONCE }, () => index));
+    const answers = await Promise.all(calls.map((index) => this.call(index, chatCall('load', 20))));
+    return answers.every(({ status }) => status === 200);
+  }
+
   async journal(): Promise<JournalDocument> {
     const answer = await request(`http://${String(this.system.vms.addresses.controlAddress)}/journal`);
     return JournalDocument.parse(await answer.body.json());
--- a/packages/proofs/src/test/processes.test.ts
+++ b/packages/proofs/src/test/processes.test.ts
@@ -24,6 +24,7 @@
 
 /** Opens streams at these entries and resolves once all run. */
 async function openStreams(indexes: readonly number[]) {
+  await waitUntil('the load is borne', () => fleet.bearsLoad([...new Set(indexes)]), LONG_TEST_MILLISECONDS / 2);
   const before = (await fleet.runsOf('/v1/chat')).length;
   const answers = indexes.map((index) => fleet.call(index, chatCall(PROMPT, TOKENS, true)));
   await waitUntil('the streams run', async () => (
