--- a/packages/proofs/src/test/RunningFleet.ts
+++ b/packages/proofs/src/test/RunningFleet.ts
@@ -7,10 +7,12 @@
 import { JournalDocument, type VMFault } from '@dandelionlane/standin';
 import type Answer from './Answer.js';
 import callEntry from './callEntry.js';
+import chatCall from './chatCall.js';
 import services from './services.js';
 import waitUntil from './waitUntil.js';
 
 const START_MILLISECONDS = 40_000;
+const CALLS_AT_ONCE = 6;
 
 /** Entries, controllers and stand-ins as separate processes, with two services placed by the controller. */
 export default class RunningFleet {
@@ -61,9 +63,17 @@
     if (found.length < 2 || missing) {
       return false;
     }
-    const answers = await Promise.all(this.system.entries.map((_, index) => (
-      this.call(index, { path: '/v1/services/slots/echo' })
-    )));
+    const answers = await Promise.all(this.system.entries.flatMap((_, index) => [
+      this.call(index, { path: '/v1/services/slots/echo' }),
+      this.call(index, chatCall('ready', 1)),
+    ]));
+    return answers.every(({ status }) => status === 200);
+  }
+
+  /** Whether several calls at once are answered at each of these entries, so that limits have grown. */
+  async bearsLoad(indexes: readonly number[]): Promise<boolean> {
+    const calls = indexes.flatMap((index) => Array.from({ length: CALLS_AT_ONCE }, () => index));
+    const answers = await Promise.all(calls.map((index) => this.call(index, chatCall('load', 20))));
     return answers.every(({ status }) => status === 200);
   }
 
