--- a/packages/demo/src/test/documentation.test.ts
+++ b/packages/demo/src/test/documentation.test.ts
@@ -1,6 +1,6 @@
 /* eslint-disable n/no-sync -- pages are read once, before the tests */
-import { readdirSync, readFileSync } from 'node:fs';
-import { join } from 'node:path';
+import { existsSync, readdirSync, readFileSync } from 'node:fs';
+import { dirname, join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { expect, test } from 'vitest';
 import { ControllerSettings } from '@dandelionlane/controller';
@@ -14,6 +14,8 @@
 const LOG_CALL = /(?:log|Log)\.(?:debug|info|warn|error)\(\s*'([^']+)'/g;
 const METRIC_ROW = /^\| `dandelionlane\.([^`]+)` \|/gm;
 const LOG_ROW = /^\| `([A-Z][^`]*\.)` \|/gm;
+const MARKDOWN_LINK = /\]\(([^()\s]+)\)/g;
+const ABSOLUTE_LINK = /^(?:[a-z]+:|#)/;
 
 /** All files below a directory that end in one of the endings, as absolute paths. */
 function listFiles(directory: string, ending: string): readonly string[] {
@@ -69,6 +71,14 @@
   expect(keys.filter((key) => !section.includes(`| \`${key}\` |`))).toEqual([]);
 }
 
+function findBrokenLinks(path: string): readonly string[] {
+  return [...readFileSync(path, 'utf8').matchAll(MARKDOWN_LINK)]
+    .map(([, target]) => String(target))
+    .filter((target) => !ABSOLUTE_LINK.test(target))
+    .filter((target) => !existsSync(resolve(dirname(path), target.split('#')[0] ?? '')))
+    .map((target) => `${path.slice(ROOT.length)}: ${target}`);
+}
+
 test('every error kind is described as it is answered', () => {
   const page = readPage('docs/callers.md');
   const missing = ErrorKind.options.filter((kind) => {
@@ -111,3 +121,7 @@
 test('example controller settings are valid', () => {
   expect(readSettings(join(ROOT, 'examples/controller.jsonc'), ControllerSettings).isOk()).toBe(true);
 });
+
+test('relative links resolve', () => {
+  expect(listFiles(ROOT, '.md').flatMap(findBrokenLinks)).toEqual([]);
+});
