--- a/packages/placement/src/test/planPlacement.test.ts
+++ b/packages/placement/src/test/planPlacement.test.ts
@@ -389,3 +389,12 @@
   expect(drains).toMatchObject([{ replica: row?.replica.replica, reason: 'make-room' }]);
   expect([countServing(fleet, 'permits'), countServing(fleet, 'letters')]).toEqual([5, 1]);
 });
+
+test('loads are shared out by what is covered', () => {
+  const limits = { ...DEFAULT_PLACEMENT_LIMITS, concurrentLoads: 8 };
+  const services = [{ name: 'letters', replicas: 4, vms: 2 }, { name: 'permits', replicas: 2, vms: 2 }];
+  const fleet = new FakeFleet(SMALL_FLEET, createRelease(services));
+  const placed = planPlacement(fleet.observe(), limits)
+    .map((command) => (command.kind === 'place' ? command.service : command.kind));
+  expect(placed).toEqual(['letters', 'permits', 'letters', 'letters']);
+});
