Send no more than the cold share between two sightings of a replica

Ruled out: a shorter period of reports, which narrows the gap but leaves it. Change: between two sightings an entry sends at most its share of the cold limit, then asks the replica's members anew; an entry without a cold share sends nothing and passes requests on; only as many homes as the cold limit get grants, and a home that has no share is passed over by the one that forwards.

A test of a dark fabric domain ran into its time limit at first, because the wait for a sighting did not end with the replica's loss.

--- a/packages/controller/src/lib/grants/GrantRound.ts
+++ b/packages/controller/src/lib/grants/GrantRound.ts
@@ -94,7 +94,9 @@
   ): ReadonlyMap<ReplicaId, Replica> {
     const out = release.availabilityZonesOut;
     const inService = entries.filter(({ availabilityZone }) => !out.includes(availabilityZone));
-    const homes = chooseHomes(definition.service, inService, HOME_COUNT);
+    // An entry without a share of the cold limit could send nothing: it gets no warm share either.
+    const holders = Math.min(HOME_COUNT, definition.limits.coldConcurrency);
+    const homes = chooseHomes(definition.service, inService, holders);
     const planned = new Map<ReplicaId, Replica>();
     placement.replicas
       .filter(({ state }) => homes.length > 0 && (state === 'loading' || state === 'serving'))
--- a/packages/demo/src/lib/Demonstration.ts
+++ b/packages/demo/src/lib/Demonstration.ts
@@ -32,7 +32,7 @@
       model: 'letters',
       version: '1',
       targetsCheckFencing: true,
-      limits: { coldConcurrency: 2, warmConcurrency: 32, requestTimeoutMilliseconds: 20_000 },
+      limits: { coldConcurrency: 3, warmConcurrency: 32, requestTimeoutMilliseconds: 20_000 },
     },
     {
       kind: 'plain',
--- a/packages/demo/src/lib/startSystem.ts
+++ b/packages/demo/src/lib/startSystem.ts
@@ -14,7 +14,7 @@
 const MODEL_TIMING = {
   weightLoadMilliseconds: 500,
   coldDurationMilliseconds: 1_000,
-  coldConcurrency: 2,
+  coldConcurrency: 3,
   warmConcurrency: 32,
   decodeMillisecondsPerToken: 10,
 };
--- a/packages/entry/src/lib/callers/createCallerApplication.ts
+++ b/packages/entry/src/lib/callers/createCallerApplication.ts
@@ -66,7 +66,8 @@
     if (state === null) {
       return problemResponse(new ServingError('no release state yet', { kind: 'no-accepted-state' }));
     }
-    if (release.definition(service.data) === undefined) {
+    const definition = release.definition(service.data);
+    if (definition === undefined) {
       return problemResponse(new ServingError(`no service ${service.data}`, { kind: 'unknown-service' }));
     }
     const choices = orderEntriesForCaller({
@@ -74,7 +75,7 @@
       members: group.members(),
       availabilityZonesOut: state.availabilityZonesOut,
       nearZone: zone.success ? zone.data : undefined,
-      homeCount: HOME_COUNT,
+      homeCount: Math.min(HOME_COUNT, definition.limits.coldConcurrency),
       keepSeconds: options.keepMilliseconds / MILLISECONDS_PER_SECOND,
       random,
     });
--- a/packages/entry/src/lib/dispatch/AnswerChecker.ts
+++ b/packages/entry/src/lib/dispatch/AnswerChecker.ts
@@ -58,6 +58,11 @@
     return assessAnswer(slot.replica, sightings, now, this.#freshnessMilliseconds, incarnations);
   }
 
+  /** Resolves when every member has been asked anew. */
+  async see(slot: ReplicaSlot): Promise<void> {
+    await this.#nextRound(slot);
+  }
+
   /** Sightings of all members made after this call. All that wait for one replica share a round. */
   #nextRound(slot: ReplicaSlot): Promise<readonly VMSighting[]> {
     const waiting = this.#rounds.get(slot);
--- a/packages/entry/src/lib/dispatch/RequestDispatcher.ts
+++ b/packages/entry/src/lib/dispatch/RequestDispatcher.ts
@@ -44,6 +44,8 @@
   readonly metrics: Metrics;
 }
 
+type ChosenTarget = Extract<TargetChoice, { kind: 'chosen' }>;
+
 /** How one attempt ended. A stream that was relayed has already been answered. */
 type AttemptEnd = | { readonly kind: 'answered'; readonly answer: CompleteAnswer }
   | { readonly kind: 'relayed' }
@@ -80,7 +82,10 @@
       if (choice.kind === 'none') {
         return err(this.#nothingChosen(course, choice.reason));
       }
-      const attempt = this.#beginAttempt(course, choice.replica);
+      if (!(await this.#mayBegin(course, choice.replica))) {
+        continue;
+      }
+      const attempt = this.#beginAttempt(course, choice);
       if (attempt === null) {
         return err(this.#nothingChosen(course, 'no-whole-replica'));
       }
@@ -121,8 +126,27 @@
     }, targets.views(), this.#options.random);
   }
 
-  #beginAttempt(course: RequestCourse, replica: ReplicaId): Attempt | null {
+  /**
+   * Waits until one more request may be sent to the replica. False when it has to be
+   * chosen anew, because the replica was seen in another state meanwhile.
+   */
+  async #mayBegin(course: RequestCourse, replica: ReplicaId): Promise<boolean> {
+    const slot = course.targets.slot(replica);
+    if (slot === undefined || slot.maySend()) {
+      return true;
+    }
+    while (!slot.maySend() && this.#remaining(course.request) > 0) {
+      await this.#options.checker.see(slot);
+      if (slot.assess().kind !== 'whole') {
+        return false;
+      }
+    }
+    return false;
+  }
+
+  #beginAttempt(course: RequestCourse, choice: ChosenTarget): Attempt | null {
     const { request, targets } = course;
+    const { replica, reason } = choice;
     const slot = targets.slot(replica);
     const assessment = slot?.assess();
     if (slot === undefined || assessment?.kind !== 'whole') {
@@ -135,6 +159,7 @@
     }
     return {
       slot,
+      reason,
       ticket: slot.dispatched(request.workId, request.estimatedTokens),
       incarnations: assessment.members,
       sentAtMilliseconds: now,
@@ -148,6 +173,7 @@
       service: request.definition.service,
       replica: attempt.slot.replica.replica,
       target: attempt.slot.leader?.vm,
+      reason: attempt.reason,
       attempt: course.attempts,
     });
     const sent = await sendToTarget({
@@ -227,7 +253,8 @@
     const now = this.#options.clock.monotonicMilliseconds();
     const gone = end.kind === 'failed' && request.callerGone.aborted;
     const success = end.kind !== 'failed' || gone;
-    slot.finished(request.workId, ticket, success ? 'success' : 'failure');
+    const failure = end.kind === 'failed' && end.failure.cause === 'target-lost' ? 'lost' : 'failure';
+    slot.finished(request.workId, ticket, success ? 'success' : failure);
     const tokens = Math.max(1, relay.deliveredTokens);
     const sample = (now - sentAtMilliseconds) / (request.streaming ? tokens : 1);
     const { replica } = slot.replica;
--- /dev/null
+++ b/packages/entry/src/lib/dispatch/readProblemKind.ts
@@ -0,0 +1,11 @@
+import { Problem, type ErrorKind } from '@dandelionlane/core';
+
+/** Error kind of a problem document; null for a body that is none. */
+export default function readProblemKind(body: Buffer): ErrorKind | null {
+  try {
+    const problem = Problem.safeParse(JSON.parse(body.toString('utf8')));
+    return problem.success ? problem.data.kind : null;
+  } catch {
+    return null;
+  }
+}
--- a/packages/entry/src/lib/forward/RequestForwarder.ts
+++ b/packages/entry/src/lib/forward/RequestForwarder.ts
@@ -7,6 +7,9 @@
 } from '@dandelionlane/core';
 import { isNeverSent } from '@dandelionlane/platform';
 import type { Log } from '@dandelionlane/telemetry';
+import mayBeRefusal from '../dispatch/mayBeRefusal.js';
+import readProblemKind from '../dispatch/readProblemKind.js';
+import type AnswerHead from '../requests/AnswerHead.js';
 import type CallerRequest from '../requests/CallerRequest.js';
 import targetHeaders from '../requests/targetHeaders.js';
 import withoutConnectionHeaders from '../requests/withoutConnectionHeaders.js';
@@ -66,7 +69,11 @@
         headersTimeout: remaining,
         bodyTimeout: remaining,
       });
-      outgoing.writeHead(answer.statusCode, withoutConnectionHeaders(answer.headers));
+      const head = { status: answer.statusCode, headers: answer.headers };
+      if (mayBeRefusal(head)) {
+        return await this.#relayProblem(request, home, head, Buffer.from(await answer.body.arrayBuffer()));
+      }
+      outgoing.writeHead(head.status, withoutConnectionHeaders(head.headers));
       await pipeline(answer.body, outgoing);
       return ok(undefined);
     } catch (cause) {
@@ -74,4 +81,20 @@
       return err(new ServingError(`home entry ${home.entry} was lost`, { kind, cause }));
     }
   }
+
+  /** Passes a refusal on, unless it says that another home has to be tried. */
+  // eslint-disable-next-line class-methods-use-this -- belongs to the relay
+  async #relayProblem(
+    { outgoing }: CallerRequest,
+    home: EntryRecord,
+    { status, headers }: AnswerHead,
+    body: Buffer,
+  ): Promise<Result<void, ServingError>> {
+    if (readProblemKind(body) === 'home-unreachable') {
+      return err(new ServingError(`${home.entry} serves no such request`, { kind: 'home-unreachable' }));
+    }
+    outgoing.writeHead(status, { ...withoutConnectionHeaders(headers), 'content-length': body.length });
+    outgoing.end(body);
+    return ok(undefined);
+  }
 }
--- a/packages/entry/src/lib/requests/RequestServer.ts
+++ b/packages/entry/src/lib/requests/RequestServer.ts
@@ -198,11 +198,15 @@
     const others = homes.filter((home) => home.entry !== entry);
     // A home whose share is in use passes requests on: the others' shares may be free.
     const mustServe = request.forwardedBy !== null || others.length === 0;
-    if (targets !== undefined && (this.#options.admission.hasRoom(service) || mustServe)) {
+    const hasShare = targets?.hasShare() === true;
+    if (targets !== undefined && hasShare && (this.#options.admission.hasRoom(service) || mustServe)) {
       return this.#serveHere(request, targets);
     }
+    if (mustServe && targets?.hasWholeReplica() === false) {
+      return err(new ServingError('no replica has all of its VMs present', { kind: 'no-whole-replica' }));
+    }
     if (mustServe) {
-      return err(new ServingError(`${entry} is not a home of ${service}`, { kind: 'home-unreachable' }));
+      return err(new ServingError(`${entry} has no share of ${service}`, { kind: 'home-unreachable' }));
     }
     return forwarder.forward(request, others);
   }
--- a/packages/entry/src/lib/targets/ReplicaSlot.ts
+++ b/packages/entry/src/lib/targets/ReplicaSlot.ts
@@ -14,6 +14,8 @@
   /** Whether new work for a VM is over because operators took it or its zone out. */
   readonly isOut: (member: ReplicaMember) => boolean;
   readonly sightingsOf: (members: readonly ReplicaMember[]) => readonly VMSighting[];
+  /** When the questions went out whose answers are the present sightings, the earliest of them. */
+  readonly askedAtOf: (members: readonly ReplicaMember[]) => number;
 }
 
 /** One replica as this entry uses it: its row, its limiter and the own work in flight there. */
@@ -29,12 +31,18 @@
   /** The members' process starts when the replica was first seen whole. */
   #formedBy: readonly MemberIncarnation[] | undefined;
 
+  #coldShare: number;
+
+  /** When the requests went out that no sighting covers yet. */
+  #unseenSends: readonly number[] = [];
+
   #assessment: ReplicaAssessment = { kind: 'not-whole', reason: 'member-unseen', vm: null };
 
   constructor(options: ReplicaSlotOptions, replica: Replica, reading: GrantReading) {
     this.#options = options;
     this.#replica = replica;
     this.#limiter = new ConcurrencyLimiter(reading);
+    this.#coldShare = reading.grant.cold;
   }
 
   get replica(): Replica {
@@ -57,6 +65,7 @@
   update(replica: Replica, reading: GrantReading): void {
     this.#replica = replica;
     this.#limiter.updateGrant(reading);
+    this.#coldShare = reading.grant.cold;
   }
 
   /**
@@ -73,17 +82,38 @@
     return this.#assessment;
   }
 
-  /** Requests that may be in flight now, by grant and phase. */
+  /** Whether this entry has a share of what the replica bears in cold start. */
+  get hasShare(): boolean {
+    return this.#coldShare > 0;
+  }
+
+  /**
+   * Requests that may be in flight now, by grant and phase. An entry without a cold
+   * share sends nothing to a warm replica either, since it may have fallen back unseen.
+   */
   allowed(): number {
-    return this.#limiter.allowed(this.#options.clock.monotonicMilliseconds());
+    return this.hasShare ? this.#limiter.allowed(this.#options.clock.monotonicMilliseconds()) : 0;
+  }
+
+  /**
+   * Whether one more request may be sent before the replica is seen again. A fall back
+   * into cold start shows in the next sighting only: until then no more is sent than
+   * the entry's share of what a cold replica bears.
+   */
+  maySend(): boolean {
+    const askedAt = this.#options.askedAtOf(this.#replica.members);
+    this.#unseenSends = this.#unseenSends.filter((sentAt) => sentAt >= askedAt);
+    return this.#unseenSends.length < this.#coldShare;
   }
 
   dispatched(request: RequestId, tokens: number): DispatchTicket {
-    this.#work.dispatched(request, tokens, this.#options.clock.monotonicMilliseconds());
+    const now = this.#options.clock.monotonicMilliseconds();
+    this.#unseenSends = [...this.#unseenSends, now];
+    this.#work.dispatched(request, tokens, now);
     return this.#limiter.dispatched();
   }
 
-  finished(request: RequestId, ticket: DispatchTicket, outcome: 'success' | 'failure'): void {
+  finished(request: RequestId, ticket: DispatchTicket, outcome: 'success' | 'failure' | 'lost'): void {
     this.#work.finished(request);
     this.#limiter.finished(ticket, outcome, this.#options.clock.monotonicMilliseconds());
   }
@@ -95,7 +125,7 @@
       replica: this.#replica.replica,
       availabilityZone: (this.#replica.members[0] as ReplicaMember).availabilityZone,
       assessment: this.assess(),
-      available: this.#limiter.available(now),
+      available: this.hasShare ? this.#limiter.available(now) : 0,
       load: this.#work.estimate(
         leaderSighting?.report.outstandingTokens ?? 0,
         leaderSighting?.seenAtMilliseconds ?? now,
--- a/packages/entry/src/lib/targets/ServiceTargets.ts
+++ b/packages/entry/src/lib/targets/ServiceTargets.ts
@@ -13,6 +13,7 @@
   readonly freshnessMilliseconds: number;
   readonly isOut: (member: ReplicaMember) => boolean;
   readonly sightingsOf: (members: readonly ReplicaMember[]) => readonly VMSighting[];
+  readonly askedAtOf: (members: readonly ReplicaMember[]) => number;
 }
 
 /** The replicas of one service at a home entry. */
@@ -73,6 +74,11 @@
     this.#slots.forEach((slot) => slot.assess());
   }
 
+  /** Whether this entry has a share of any replica. */
+  hasShare(): boolean {
+    return [...this.#slots.values()].some((slot) => slot.hasShare);
+  }
+
   hasWholeReplica(): boolean {
     return [...this.#slots.values()].some((slot) => slot.assess().kind === 'whole');
   }
--- a/packages/entry/src/lib/targets/TargetTable.ts
+++ b/packages/entry/src/lib/targets/TargetTable.ts
@@ -43,6 +43,9 @@
 
   readonly #sightings = new Map<VMId, VMSighting>();
 
+  /** When the question went out whose answer is the present sighting of a VM. */
+  readonly #sightingAskedAt = new Map<VMId, number>();
+
   /** Requests for a report that are under way, one a VM. */
   readonly #asking = new Map<VMId, Promise<void>>();
 
@@ -116,6 +119,10 @@
       .filter((sighting) => sighting !== undefined);
   }
 
+  #askedAtOf(members: readonly ReplicaMember[]): number {
+    return Math.min(...members.map(({ vm }) => this.#sightingAskedAt.get(vm) ?? -Infinity));
+  }
+
   /** Waits until the request under way has ended and the last one is long enough ago. */
   async untilTurn({ vm }: ReplicaMember): Promise<void> {
     await this.#asking.get(vm);
@@ -136,10 +143,15 @@
   }
 
   async #ask({ vm, address }: ReplicaMember): Promise<void> {
+    const askedAt = this.#options.clock.monotonicMilliseconds();
     const report = await readVMReport(this.#options.dispatcher, vm, address);
     report.map((heard) => {
       const now = this.#options.clock.monotonicMilliseconds();
-      this.#sightings.set(vm, mergeSighting(this.#sightings.get(vm), heard, now));
+      const sighting = mergeSighting(this.#sightings.get(vm), heard, now);
+      if (sighting !== this.#sightings.get(vm)) {
+        this.#sightingAskedAt.set(vm, askedAt);
+      }
+      this.#sightings.set(vm, sighting);
       return heard;
     });
   }
@@ -155,6 +167,7 @@
       freshnessMilliseconds: this.#options.freshnessMilliseconds,
       isOut: this.#options.isOut,
       sightingsOf: (members) => this.sightingsOf(members),
+      askedAtOf: (members) => this.#askedAtOf(members),
     });
     this.#services.set(service, targets);
     return targets;
@@ -177,6 +190,7 @@
     this.#sightings.forEach((_, vm) => {
       if (!known.has(vm)) {
         this.#sightings.delete(vm);
+        this.#sightingAskedAt.delete(vm);
         this.#askedAt.delete(vm);
       }
     });
--- a/packages/entry/src/test/sendToTarget.test.ts
+++ b/packages/entry/src/test/sendToTarget.test.ts
@@ -38,7 +38,11 @@
   });
   const slot = new ReplicaSlot(
     {
-      clock: new ManualClock(), freshnessMilliseconds: 1_000, isOut: () => false, sightingsOf: () => [],
+      clock: new ManualClock(),
+      freshnessMilliseconds: 1_000,
+      isOut: () => false,
+      sightingsOf: () => [],
+      askedAtOf: () => 0,
     },
     replica,
     { grant: { entry: 'entry-1' as never, cold: 1, warm: 1 }, version: 1 as never, readAtMilliseconds: 0 },
--- a/packages/proofs/src/test/coldStart.test.ts
+++ b/packages/proofs/src/test/coldStart.test.ts
@@ -88,8 +88,7 @@
   expect(journal.maximumRunningWhileCold).toBeLessThanOrEqual(COLD_CONCURRENCY);
 });
 
-// Listed in KNOWN-RED.txt: an entry sends by its last sighting, which may be from before the fall.
-test.fails('burst right after a fall without warning', async () => {
+test('burst right after a fall without warning', async () => {
   await start([1, 1, 0], 1_500, { reportPeriodMilliseconds: 500, freshnessMilliseconds: 2_000 });
   await system.load();
   await waitUntil('it is warm', async () => (await system.phaseOf('model-1')) === 'warm');
