--- a/packages/controller/src/dandelionlane-controller.ts
+++ b/packages/controller/src/dandelionlane-controller.ts
@@ -1,8 +1,10 @@
 import sade from 'sade';
+import { onShutdownSignal } from '@dandelionlane/core';
 import { readSettings } from '@dandelionlane/settings';
 import startController from './lib/startController.js';
 import ControllerSettings from './lib/settings/ControllerSettings.js';
 
+const EXIT_START = 1;
 const EXIT_SETTINGS = 2;
 const VERSION = '0.1.0';
 
@@ -22,15 +24,16 @@
     process.stdout.write('settings are valid\n');
     return;
   }
-  const controller = await startController(settings.value);
-  process.stdout.write(`ready ${JSON.stringify({ healthAddress: controller.healthAddress })}\n`);
-  const stop = () => {
-    void controller.stop().then(() => {
-      process.exitCode = 0;
-    });
-  };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  try {
+    const controller = await startController(settings.value);
+    process.stdout.write(`ready ${JSON.stringify({ healthAddress: controller.healthAddress })}\n`);
+    onShutdownSignal(process, () => controller.stop());
+  } catch (error) {
+    process.stderr.write(`controller did not start: ${String(error)}\n`);
+    // The rounds that have begun must not hold the process.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(EXIT_START);
+  }
 }
 
 sade('dandelionlane-controller', true)
--- a/packages/controller/src/lib/RegionController.ts
+++ b/packages/controller/src/lib/RegionController.ts
@@ -3,7 +3,7 @@
   EMPTY_RELEASE_STATE,
   type Clock, type RegionId, type ReleaseState, type TableStore,
 } from '@dandelionlane/core';
-import { planPlacement, type PlacementCommand } from '@dandelionlane/placement';
+import { planPlacement, type PlacementCommand, type PlacementLimits } from '@dandelionlane/placement';
 import {
   readVMList, sendEngineOrder, type HeldLease, type LeaseKeeper,
 } from '@dandelionlane/platform';
@@ -24,6 +24,7 @@
 /** What a `RegionController` needs from outside. */
 interface RegionControllerOptions {
   readonly region: RegionId;
+  readonly limits: PlacementLimits;
   readonly platformAddress: string;
   readonly store: TableStore;
   readonly dispatcher: Dispatcher;
@@ -135,7 +136,7 @@
       vms: fleet.observations(),
       replicas: times.observe(rows.replicas()),
       allocations: [...rows.rows.allocations.values()].map(({ allocation }) => allocation),
-    });
+    }, this.#options.limits);
     for (const command of plan) {
       await this.#carryOut(term, command);
     }
--- a/packages/controller/src/lib/startController.ts
+++ b/packages/controller/src/lib/startController.ts
@@ -1,8 +1,9 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Agent } from 'undici';
-import { SystemClock } from '@dandelionlane/core';
-import { HTTPTableStore, LeaseKeeper } from '@dandelionlane/platform';
+import { repeatWork, SystemClock } from '@dandelionlane/core';
+import { DEFAULT_PLACEMENT_LIMITS } from '@dandelionlane/placement';
+import { HTTPTableStore, LeaseKeeper, ORDER_TIMEOUT_MILLISECONDS } from '@dandelionlane/platform';
 import { createLog, createMetrics } from '@dandelionlane/telemetry';
 import LiveEntries from './grants/LiveEntries.js';
 import RegionController from './RegionController.js';
@@ -13,25 +14,18 @@
 const RENEWALS_PER_TERM = 4;
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
 
-/** Repeats work with a pause in between, never two at a time, until stopped. */
-function repeat(work: () => Promise<void>, periodMilliseconds: number): () => Promise<void> {
-  let stopped = false;
-  let timer: NodeJS.Timeout | undefined;
-  let running: Promise<void> = Promise.resolve();
-  function run(): void {
-    running = work().finally(() => {
-      if (!stopped) {
-        timer = setTimeout(run, periodMilliseconds);
-      }
-    });
+/** A controller is ready while it reaches the table service: only then can it take the lease over. */
+function healthStatus(path: string | undefined, storeReachable: boolean): number {
+  switch (path) {
+    case '/healthz':
+      return STATUS_OK;
+    case '/readyz':
+      return storeReachable ? STATUS_OK : STATUS_UNAVAILABLE;
+    default:
+      return STATUS_NOT_FOUND;
   }
-  run();
-  return async () => {
-    stopped = true;
-    clearTimeout(timer);
-    await running;
-  };
 }
 
 /** Starts a controller. `stop` gives its lease up, so that another one takes over at once. */
@@ -54,6 +48,10 @@
   });
   const controller = new RegionController({
     region: settings.region,
+    limits: {
+      ...DEFAULT_PLACEMENT_LIMITS,
+      orderExpiryMilliseconds: timing.leaseTermMilliseconds + ORDER_TIMEOUT_MILLISECONDS,
+    },
     platformAddress: settings.platformAddress,
     store,
     dispatcher,
@@ -70,12 +68,13 @@
       log.error('Round failed.', { detail: error instanceof Error ? error.message : String(error) });
     }
   };
-  const stopLease = repeat(guard(() => lease.step()), timing.leaseTermMilliseconds / RENEWALS_PER_TERM);
-  const stopRounds = repeat(guard(() => controller.step()), timing.planPeriodMilliseconds);
+  const stopLease = repeatWork(guard(() => lease.step()), timing.leaseTermMilliseconds / RENEWALS_PER_TERM);
+  const stopRounds = repeatWork(guard(() => controller.step()), timing.planPeriodMilliseconds);
   const health = createServer((request, response) => {
-    const known = request.url === '/healthz' || request.url === '/readyz';
-    response.writeHead(known ? STATUS_OK : STATUS_NOT_FOUND, { 'content-type': 'application/json' });
-    response.end(JSON.stringify({ controller: settings.controller, holdsLease: lease.held() !== null }));
+    response.writeHead(healthStatus(request.url, lease.isInTouch()), { 'content-type': 'application/json' });
+    response.end(JSON.stringify({
+      controller: settings.controller, holdsLease: lease.held() !== null, storeReachable: lease.isInTouch(),
+    }));
   });
   await new Promise<void>((resolve, reject) => {
     health.once('error', reject);
--- a/packages/controller/src/test/RegionController.test.ts
+++ b/packages/controller/src/test/RegionController.test.ts
@@ -5,6 +5,7 @@
 } from '@dandelionlane/core';
 import { errAsync } from 'neverthrow';
 import { MockAgent } from 'undici';
+import { DEFAULT_PLACEMENT_LIMITS } from '@dandelionlane/placement';
 import { LeaseKeeper } from '@dandelionlane/platform';
 import { createLog, createMetrics } from '@dandelionlane/telemetry';
 import { expect, test, vi } from 'vitest';
@@ -71,6 +72,7 @@
   await lease.step();
   return new RegionController({
     region,
+    limits: DEFAULT_PLACEMENT_LIMITS,
     platformAddress: 'platform:1',
     store,
     dispatcher,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,6 +33,8 @@
 export { default as ServiceId } from './lib/ids/ServiceId.js';
 export { default as TeamId } from './lib/ids/TeamId.js';
 export { default as VMId } from './lib/ids/VMId.js';
+export { default as onShutdownSignal } from './lib/process/onShutdownSignal.js';
+export { default as repeatWork } from './lib/process/repeatWork.js';
 export { default as createNonce } from './lib/random/createNonce.js';
 export { default as hashText } from './lib/random/hashText.js';
 export { type default as RandomSource } from './lib/random/RandomSource.js';
--- /dev/null
+++ b/packages/core/src/lib/process/repeatWork.ts
@@ -0,0 +1,28 @@
+/**
+ * Repeats work with a pause in between, never two runs at a time. Work that rejects
+ * is repeated as well. Returns a function that stops and resolves when the run under
+ * way has ended.
+ *
+ * @param periodMilliseconds Pause between the end of one run and the next.
+ */
+export default function repeatWork(
+  work: () => Promise<void>,
+  periodMilliseconds: number,
+): () => Promise<void> {
+  let stopped = false;
+  let timer: NodeJS.Timeout | undefined;
+  let running: Promise<void> = Promise.resolve();
+  const run = () => {
+    running = work().catch(() => undefined).then(() => {
+      if (!stopped) {
+        timer = setTimeout(run, periodMilliseconds);
+      }
+    });
+  };
+  run();
+  return async () => {
+    stopped = true;
+    clearTimeout(timer);
+    await running;
+  };
+}
--- a/packages/entry/src/dandelionlane-entry.ts
+++ b/packages/entry/src/dandelionlane-entry.ts
@@ -1,4 +1,5 @@
 import sade from 'sade';
+import { onShutdownSignal } from '@dandelionlane/core';
 import { readSettings } from '@dandelionlane/settings';
 import EntrySettings from './lib/settings/EntrySettings.js';
 import startEntry from './lib/startEntry.js';
@@ -27,16 +28,17 @@
     const entry = await startEntry(settings.value);
     const { callerAddress, peerAddress, administrationAddress } = entry;
     process.stdout.write(`ready ${JSON.stringify({ callerAddress, peerAddress, administrationAddress })}\n`);
-    const stop = () => {
+    onShutdownSignal(process, async () => {
+      await entry.stop();
       // Connections that callers keep alive must not hold the process.
       // eslint-disable-next-line n/no-process-exit
-      void entry.stop().then(() => process.exit(0));
-    };
-    process.once('SIGTERM', stop);
-    process.once('SIGINT', stop);
+      process.exit(0);
+    });
   } catch (error) {
     process.stderr.write(`entry did not start: ${String(error)}\n`);
-    process.exitCode = EXIT_START;
+    // Ports that were bound before the failure must not hold the process.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(EXIT_START);
   }
 }
 
--- a/packages/entry/src/lib/peers/createGrantListener.ts
+++ b/packages/entry/src/lib/peers/createGrantListener.ts
@@ -18,13 +18,14 @@
 }
 
 /** Answers controllers on the peer port: which placement rows this entry has read, and its work in flight. */
-export default function createGrantListener(table: () => TargetTable): RequestListener {
+export default function createGrantListener(table: () => TargetTable | undefined): RequestListener {
   return (request, response) => {
-    if (request.method !== 'GET' || request.url !== '/v1/grants') {
+    const present = table();
+    if (present === undefined || request.method !== 'GET' || request.url !== '/v1/grants') {
       response.writeHead(STATUS_NOT_FOUND).end();
       return;
     }
     response.writeHead(STATUS_OK, { 'content-type': 'application/json' });
-    response.end(JSON.stringify(createDocument(table())));
+    response.end(JSON.stringify(createDocument(present)));
   };
 }
--- /dev/null
+++ b/packages/entry/src/lib/startup/CallerPort.ts
@@ -0,0 +1,48 @@
+import type { Server } from 'node:http';
+import { createAdaptorServer } from '@hono/node-server';
+import type createCallerApplication from '../callers/createCallerApplication.js';
+import type EntrySettings from '../settings/EntrySettings.js';
+import closeHTTP from './closeHTTP.js';
+import listenHTTP from './listenHTTP.js';
+
+const STATUS_UNAVAILABLE = 503;
+
+type CallerApplication = ReturnType<typeof createCallerApplication>;
+
+/** The callers' port. The entry's record needs its address, so it is bound before the application exists. */
+export default class CallerPort {
+  readonly #settings: EntrySettings;
+
+  readonly #server: Server;
+
+  #application: CallerApplication | undefined;
+
+  constructor(settings: EntrySettings) {
+    this.#settings = settings;
+    const { maximumHeaderBytes, receiveTimeoutMilliseconds } = settings.limits;
+    this.#server = createAdaptorServer({
+      fetch: (request, environment) => (
+        this.#application?.fetch(request, environment) ?? new Response(null, { status: STATUS_UNAVAILABLE })
+      ),
+      serverOptions: {
+        maxHeaderSize: maximumHeaderBytes,
+        headersTimeout: receiveTimeoutMilliseconds,
+        requestTimeout: receiveTimeoutMilliseconds,
+      },
+    }) as Server;
+  }
+
+  /** Resolves to the bound `host:port`. */
+  listen(): Promise<string> {
+    const { host, port } = this.#settings.callers;
+    return listenHTTP(this.#server, host, port);
+  }
+
+  serve(application: CallerApplication): void {
+    this.#application = application;
+  }
+
+  close(): Promise<void> {
+    return closeHTTP(this.#server);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/startup/createRequestServer.ts
@@ -0,0 +1,44 @@
+import { ClaimStore } from '@dandelionlane/platform';
+import AnswerChecker from '../dispatch/AnswerChecker.js';
+import RequestDispatcher from '../dispatch/RequestDispatcher.js';
+import RequestForwarder from '../forward/RequestForwarder.js';
+import RequestServer from '../requests/RequestServer.js';
+import type EntryParts from './EntryParts.js';
+import type EntryRuntime from './EntryRuntime.js';
+
+/** Creates the path of requests over the parts of an entry. */
+export default function createRequestServer(
+  runtime: EntryRuntime,
+  parts: EntryParts,
+  isClosed: () => boolean,
+): RequestServer {
+  const {
+    settings, clock, random, log, metrics, store, targetAgent,
+  } = runtime;
+  const { entry, availabilityZone, limits } = settings;
+  return new RequestServer({
+    ...parts,
+    entry,
+    clock,
+    claims: new ClaimStore({ store, clock, entry }),
+    dispatcher: new RequestDispatcher({
+      availabilityZone,
+      dispatcher: targetAgent,
+      clock,
+      random,
+      checker: new AnswerChecker(parts.targets, clock, settings.timing.freshnessMilliseconds),
+      maximumAnswerBytes: limits.maximumAnswerBytes,
+      slowCallerTimeoutMilliseconds: limits.slowCallerTimeoutMilliseconds,
+      log,
+      metrics,
+    }),
+    forwarder: new RequestForwarder({
+      entry, availabilityZone, dispatcher: targetAgent, clock, log,
+    }),
+    maximumBodyBytes: limits.maximumBodyBytes,
+    receiveTimeoutMilliseconds: limits.receiveTimeoutMilliseconds,
+    isClosed,
+    log,
+    metrics,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/lib/startup/startRounds.ts
@@ -0,0 +1,30 @@
+import { repeatWork, type ServiceId } from '@dandelionlane/core';
+import type RequestServer from '../requests/RequestServer.js';
+import type EntryParts from './EntryParts.js';
+import type EntryRuntime from './EntryRuntime.js';
+
+/** Starts the periodic reads of rows and reports, and the gauges. Returns a function that stops them. */
+export default function startRounds(
+  { settings, metrics }: EntryRuntime,
+  {
+    release, group, targets, admission,
+  }: EntryParts,
+  server: RequestServer,
+): () => void {
+  const { pollPeriodMilliseconds, reportPeriodMilliseconds } = settings.timing;
+  const homeServices = (): readonly ServiceId[] => [...release.definitions()]
+    .map(({ service }) => service)
+    .filter((service) => group.isHome(service));
+  const stops = [
+    repeatWork(() => targets.readRows(homeServices()), pollPeriodMilliseconds),
+    repeatWork(() => targets.readReports(), reportPeriodMilliseconds),
+    repeatWork(async () => {
+      metrics.gauge('entry.in_flight', server.inFlight);
+      metrics.gauge('entry.queued', admission.queued());
+      metrics.gauge('entry.release_sequence', release.sequence());
+    }, pollPeriodMilliseconds),
+  ];
+  return () => stops.forEach((stop) => {
+    void stop();
+  });
+}
--- a/packages/entry/src/lib/streams/waitForDrain.ts
+++ b/packages/entry/src/lib/streams/waitForDrain.ts
@@ -16,15 +16,16 @@
   }
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined;
-    const onDrain = () => {
+    let onDrain = () => undefined;
+    let onClose = () => undefined;
+    const settle = (drained: boolean): undefined => {
       clearTimeout(timer);
-      outgoing.removeAllListeners('drain');
-      resolve(true);
-    };
-    const onClose = () => {
-      clearTimeout(timer);
-      resolve(false);
+      outgoing.off('drain', onDrain);
+      outgoing.off('close', onClose);
+      resolve(drained);
     };
+    onDrain = () => settle(true);
+    onClose = () => settle(false);
     timer = setTimeout(onClose, timeoutMilliseconds);
     outgoing.once('drain', onDrain);
     outgoing.once('close', onClose);
--- a/packages/platform/src/lib/lease/LeaseKeeper.ts
+++ b/packages/platform/src/lib/lease/LeaseKeeper.ts
@@ -36,6 +36,8 @@
 
   #held: HeldLease | null = null;
 
+  #answeredAt = Number.NEGATIVE_INFINITY;
+
   constructor(options: LeaseKeeperOptions) {
     this.#options = options;
   }
@@ -49,6 +51,12 @@
     return now < this.#held.actUntilMilliseconds ? this.#held : null;
   }
 
+  /** Whether the table service answered within the last term. */
+  isInTouch(): boolean {
+    const { clock, settings } = this.#options;
+    return clock.monotonicMilliseconds() - this.#answeredAt < settings.termMilliseconds;
+  }
+
   /** Condition by which a transaction commits only while the lease row is as this holder wrote it. */
   condition(lease: HeldLease): TableCondition {
     return { table: TABLE_NAMES.leases, key: this.#options.region, version: lease.version };
@@ -66,6 +74,7 @@
       return;
     }
     const now = clock.monotonicMilliseconds();
+    this.#answeredAt = now;
     const observation = observeLease(this.#observation, parseRecord(row), row.version, now);
     this.#observation = observation;
     const mine = this.#held !== null && this.#held.version === observation.version;
