--- a/packages/controller/src/lib/settings/ControllerSettings.ts
+++ b/packages/controller/src/lib/settings/ControllerSettings.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { AvailabilityZoneId, ControllerId, RegionId } from '@dandelionlane/core';
+import { LogSettings, MetricsSettings } from '@dandelionlane/telemetry';
 
 const MAXIMUM_PORT = 65_535;
 
@@ -20,15 +21,8 @@
     administrationAddress: z.string().min(3),
     tokenFile: z.string().min(1),
   }),
-  log: z.strictObject({
-    level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
-    format: z.enum(['text', 'json']).default('text'),
-  }).prefault({}),
-  metrics: z.strictObject({
-    host: z.string().optional(),
-    port: z.number().int().min(1).max(MAXIMUM_PORT)
-      .optional(),
-  }).prefault({}),
+  log: LogSettings.prefault({}),
+  metrics: MetricsSettings.prefault({}),
   timing: z.strictObject({
     /** Period of planning rounds while the lease is held. */
     planPeriodMilliseconds: z.number().int().min(50).max(60_000)
--- a/packages/entry/src/lib/settings/EntrySettings.ts
+++ b/packages/entry/src/lib/settings/EntrySettings.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { AvailabilityZoneId, EntryId, RegionId } from '@dandelionlane/core';
+import { LogSettings, MetricsSettings } from '@dandelionlane/telemetry';
 
 const MAXIMUM_PORT = 65_535;
 const MEBIBYTE = 1_024 * 1_024;
@@ -23,15 +24,8 @@
   platformAddress: z.string().min(3),
   /** Peer addresses to join by. One that answers is enough. */
   seeds: z.array(z.string().min(3)).max(64).default([]),
-  log: z.strictObject({
-    level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
-    format: z.enum(['text', 'json']).default('text'),
-  }).prefault({}),
-  metrics: z.strictObject({
-    host: z.string().optional(),
-    port: z.number().int().min(1).max(MAXIMUM_PORT)
-      .optional(),
-  }).prefault({}),
+  log: LogSettings.prefault({}),
+  metrics: MetricsSettings.prefault({}),
   limits: z.strictObject({
     maximumBodyBytes: z.number().int().min(1).max(256 * MEBIBYTE)
       .default(4 * MEBIBYTE),
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -2,7 +2,7 @@
 export { default as createLog } from './lib/createLog.js';
 export { type default as Log } from './lib/Log.js';
 export { type default as LogFields } from './lib/LogFields.js';
-export { type default as LogSettings } from './lib/LogSettings.js';
+export { default as LogSettings } from './lib/LogSettings.js';
 export { default as createMetrics } from './lib/createMetrics.js';
 export { type default as Metrics } from './lib/Metrics.js';
-export { type default as MetricsSettings } from './lib/MetricsSettings.js';
+export { default as MetricsSettings } from './lib/MetricsSettings.js';
--- a/packages/telemetry/src/lib/LogSettings.ts
+++ b/packages/telemetry/src/lib/LogSettings.ts
@@ -1,7 +1,12 @@
+import { z } from 'zod';
+
 /** How a process writes its log. */
-export default interface LogSettings {
+const LogSettings = z.strictObject({
   /** The least severe level that is written. */
-  readonly level: 'debug' | 'info' | 'warn' | 'error' | 'silent';
+  level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
   /** `text`: one readable line an event. `json`: one JSON object an event. */
-  readonly format: 'text' | 'json';
-}
+  format: z.enum(['text', 'json']).default('text'),
+});
+type LogSettings = z.infer<typeof LogSettings>;
+
+export default LogSettings;
--- a/packages/telemetry/src/lib/MetricsSettings.ts
+++ b/packages/telemetry/src/lib/MetricsSettings.ts
@@ -1,5 +1,13 @@
+import { z } from 'zod';
+
+const MAXIMUM_PORT = 65_535;
+
 /** Where metrics go. Without a host nothing is sent. */
-export default interface MetricsSettings {
-  readonly host?: string | undefined;
-  readonly port?: number | undefined;
-}
+const MetricsSettings = z.strictObject({
+  host: z.string().optional(),
+  port: z.number().int().min(1).max(MAXIMUM_PORT)
+    .optional(),
+});
+type MetricsSettings = z.infer<typeof MetricsSettings>;
+
+export default MetricsSettings;
