--- a/packages/capacity/src/lib/DESIGN_SIZE.ts
+++ b/packages/capacity/src/lib/DESIGN_SIZE.ts
@@ -26,7 +26,13 @@
   requestsPerEntry: 94_000 / ENTRIES,
   tokensPerEntry: 25_000_000 / ENTRIES,
   changesPerSecond: 64_000 / SECONDS_PER_DAY,
+  /** An entry asks each VM of its homes once a second, a holder each VM without changes every 4 s. */
   reportsPerSecond: 1,
+  holderReportsPerSecond: 1 / 4,
+  /** A holder keeps the rows in memory and reads them again every 30 s. */
+  holderRowReadsPerSecond: 1 / 30,
+  /** Rounds of questions to a replica whose tokens are held, at most: they are at least 25 ms apart. */
+  confirmationsPerSecond: 40,
   pollsPerSecond: 1,
   plansPerSecond: 1,
   pollersPerRegion: 3,
--- a/packages/capacity/src/lib/workOutEntryControl.ts
+++ b/packages/capacity/src/lib/workOutEntryControl.ts
@@ -18,7 +18,12 @@
         memoryBytes: DESIGN_SIZE.entriesPerRegion * figures.of('memberTable.perMember'),
         storeReadsPerSecond: figures.of('membership.fleet.storeReads') / DESIGN_SIZE.entries,
       }),
-      workOutReports(figures, DESIGN_SIZE.vmsPerEntry),
+      workOutReports(
+        figures,
+        'reports of VMs, one request a second each',
+        DESIGN_SIZE.vmsPerEntry,
+        DESIGN_SIZE.reportsPerSecond,
+      ),
       createLoad('placement rows of home services, read in one call a poll', {
         messagesPerSecond: 2 * DESIGN_SIZE.pollsPerSecond,
         bytesPerSecond: rowsPerSecond * figures.of('placementRow.bytes'),
--- a/packages/capacity/src/lib/workOutHolder.ts
+++ b/packages/capacity/src/lib/workOutHolder.ts
@@ -10,20 +10,27 @@
 
 /** The controller that holds a region's lease. */
 export default function workOutHolder(figures: Figures): RoleLoad {
-  const { plansPerSecond, replicasPerRegion, workersPerRegion } = DESIGN_SIZE;
+  const {
+    plansPerSecond, holderRowReadsPerSecond, replicasPerRegion, workersPerRegion,
+  } = DESIGN_SIZE;
   const pages = SCANS_PER_PLAN - 1 + Math.ceil(workersPerRegion / ROWS_PER_PAGE);
   return {
     role: 'controller, lease holder of one region',
     loads: [
-      workOutReports(figures, workersPerRegion),
-      createLoad('placement and allocation rows of the region, scanned at each plan', {
-        messagesPerSecond: 2 * pages * plansPerSecond,
-        bytesPerSecond: plansPerSecond * ((replicasPerRegion * figures.of('placementRow.bytes'))
+      workOutReports(
+        figures,
+        'reports of VMs, one request in 4 s each',
+        workersPerRegion,
+        DESIGN_SIZE.holderReportsPerSecond,
+      ),
+      createLoad('placement and allocation rows of the region, read every 30 s', {
+        messagesPerSecond: 2 * pages * holderRowReadsPerSecond,
+        bytesPerSecond: holderRowReadsPerSecond * ((replicasPerRegion * figures.of('placementRow.bytes'))
           + (workersPerRegion * figures.of('allocationRow.bytes'))),
-        microsecondsPerSecond: plansPerSecond * ((replicasPerRegion * figures.of('placementRow.decodeAndCheck'))
+        microsecondsPerSecond: holderRowReadsPerSecond * ((replicasPerRegion * figures.of('placementRow.decodeAndCheck'))
           + (workersPerRegion * figures.of('allocationRow.decodeAndCheck'))),
         memoryBytes: replicasPerRegion * figures.of('homeTable.perReplica'),
-        storeReadsPerSecond: pages * plansPerSecond,
+        storeReadsPerSecond: pages * holderRowReadsPerSecond,
       }),
       createLoad('planner, one round a period', {
         microsecondsPerSecond: plansPerSecond * figures.of('planner.region'),
--- a/packages/capacity/src/test/roles.test.ts
+++ b/packages/capacity/src/test/roles.test.ts
@@ -37,7 +37,7 @@
     { name: 'report.decodeAndCheck', value: 2, unit: 'us' },
     { name: 'homeTable.perVM', value: 300, unit: 'B' },
   ]);
-  expect(workOutReports(figures, 48)).toMatchObject({
+  expect(workOutReports(figures, 'reports', 48, 1)).toMatchObject({
     messagesPerSecond: 96, bytesPerSecond: 24_000, microsecondsPerSecond: 48 * 52, memoryBytes: 14_400,
   });
 });
