Match members by VM, not by their place in the row

Cause: 'target that refuses' failed in one run of the whole suite ('waited in vain: the row is read') and passed in six alone. The row names the members in another order under the same replica; the check that they still run in the incarnations that formed the replica compared by position, so the replica was never whole again when the VMs' incarnations differ, and passed when they were equal. Ruled out: a hang of the rounds of questions, whose waits all end. Change: members are matched by VM, in assessReplica and isSameIncarnations.

--- a/packages/routing/src/lib/presence/assessReplica.ts
+++ b/packages/routing/src/lib/presence/assessReplica.ts
@@ -1,4 +1,4 @@
-import type { Replica } from '@dandelionlane/core';
+import type { Incarnation, Replica, VMId } from '@dandelionlane/core';
 import findPresenceFault from './findPresenceFault.js';
 import findReadinessFault from './findReadinessFault.js';
 import findSighting from './findSighting.js';
@@ -6,6 +6,11 @@
 import type ReplicaAssessment from './ReplicaAssessment.js';
 import type VMSighting from './VMSighting.js';
 
+/** Whether a VM is one of the expected process starts, in whatever order a row names them. */
+function isExpected(expected: readonly MemberIncarnation[], vm: VMId, incarnation: Incarnation): boolean {
+  return expected.some((member) => member.vm === vm && member.incarnation === incarnation);
+}
+
 /**
  * Decides whether a replica may take a new request: it serves, and every member
  * was seen within the freshness bound, on this replica, ready and not leaving.
@@ -24,7 +29,7 @@
   const members: MemberIncarnation[] = [];
   let phase: 'cold' | 'warm' = 'warm';
   let seenAtMilliseconds = Infinity;
-  for (const [index, { vm }] of replica.members.entries()) {
+  for (const { vm } of replica.members) {
     const sighting = findSighting(sightings, vm);
     const absence = findPresenceFault(replica, sighting, monotonicMilliseconds, freshnessMilliseconds);
     if (sighting === undefined || absence !== null) {
@@ -35,7 +40,7 @@
     if (fault !== null) {
       return { kind: 'not-whole', reason: fault, vm };
     }
-    if (expected !== undefined && expected[index]?.incarnation !== report.incarnation) {
+    if (expected !== undefined && !isExpected(expected, vm, report.incarnation)) {
       return { kind: 'not-whole', reason: 'incarnation-changed', vm };
     }
     if (report.phase !== 'warm') {
--- a/packages/routing/src/lib/presence/isSameIncarnations.ts
+++ b/packages/routing/src/lib/presence/isSameIncarnations.ts
@@ -5,8 +5,7 @@
   before: readonly MemberIncarnation[],
   after: readonly MemberIncarnation[],
 ): boolean {
-  return before.length === after.length && before.every((member, index) => {
-    const other = after[index];
-    return other !== undefined && other.vm === member.vm && other.incarnation === member.incarnation;
-  });
+  return before.length === after.length && before.every((member) => (
+    after.some(({ vm, incarnation }) => vm === member.vm && incarnation === member.incarnation)
+  ));
 }
