Admit by what the targets bear now, not at the last round of reports

Ruled out: the targets (the second booking ran at once) and the grants, which had been read. Change: the capacity of the moment goes into each admission.

Before: the new test failed (expected false to be true).

--- a/packages/entry/src/lib/requests/AdmissionDesk.ts
+++ b/packages/entry/src/lib/requests/AdmissionDesk.ts
@@ -43,8 +43,12 @@
     clearInterval(this.#timer);
   }
 
-  /** Resolves when the request may go on. Errors: the refusals of admission, and `caller-gone`. */
-  admit(request: CallerRequest): ResultAsync<void, ServingError> {
+  /**
+   * Resolves when the request may go on. `capacity` is what the targets bear now.
+   * Errors: the refusals of admission, and `caller-gone`.
+   */
+  admit(request: CallerRequest, capacity: number): ResultAsync<void, ServingError> {
+    this.setCapacity(request.definition.service, capacity);
     const { definition, workId: requestId } = request;
     const now = this.#clock.monotonicMilliseconds();
     const decision = this.#queueFor(definition.service).offer({
@@ -79,7 +83,8 @@
   }
 
   /** Whether a request would be admitted without a wait. */
-  hasRoom(service: ServiceId): boolean {
+  hasRoom(service: ServiceId, capacity: number): boolean {
+    this.setCapacity(service, capacity);
     return this.#queueFor(service).hasRoom;
   }
 
--- a/packages/entry/src/lib/requests/RequestServer.ts
+++ b/packages/entry/src/lib/requests/RequestServer.ts
@@ -198,8 +198,9 @@
     const others = homes.filter((home) => home.entry !== entry);
     // A home whose share is in use passes requests on: the others' shares may be free.
     const mustServe = request.forwardedBy !== null || others.length === 0;
-    const hasShare = targets?.hasShare() === true;
-    if (targets !== undefined && hasShare && (this.#options.admission.hasRoom(service) || mustServe)) {
+    const mayServe = targets?.hasShare() === true
+      && (mustServe || this.#options.admission.hasRoom(service, targets.capacity()));
+    if (targets !== undefined && mayServe) {
       return this.#serveHere(request, targets);
     }
     if (mustServe && targets?.hasWholeReplica() === false) {
@@ -215,7 +216,7 @@
     if (!targets.hasWholeReplica()) {
       return err(new ServingError('no replica has all of its VMs present', { kind: 'no-whole-replica' }));
     }
-    const admitted = await this.#options.admission.admit(request);
+    const admitted = await this.#options.admission.admit(request, targets.capacity());
     if (admitted.isErr()) {
       return err(admitted.error);
     }
--- /dev/null
+++ b/packages/entry/src/test/AdmissionDesk.test.ts
@@ -0,0 +1,32 @@
+import {
+  ManualClock, RequestId, ServiceDefinition, TeamId,
+} from '@dandelionlane/core';
+import { expect, test } from 'vitest';
+import AdmissionDesk from '../lib/requests/AdmissionDesk.js';
+import type CallerRequest from '../lib/requests/CallerRequest.js';
+
+const definition = ServiceDefinition.parse({
+  kind: 'plain', service: 'slots', team: 't', replicas: 1, version: '1',
+});
+
+function createRequest(id: string): CallerRequest {
+  const request: Partial<CallerRequest> = {
+    requestId: RequestId.parse(id),
+    workId: RequestId.parse(id),
+    team: TeamId.parse('t'),
+    definition,
+    deadlineMilliseconds: 10_000,
+    callerGone: new AbortController().signal,
+  };
+  return request as CallerRequest;
+}
+
+test('room of the moment counts, not that of the last round', async () => {
+  const desk = new AdmissionDesk(new ManualClock(), () => 1);
+  desk.setCapacity(definition.service, 0);
+  expect(desk.hasRoom(definition.service, 1)).toBe(true);
+  const admitted = await desk.admit(createRequest('a'), 1);
+  expect(admitted.isOk()).toBe(true);
+  expect(desk.hasRoom(definition.service, 1)).toBe(false);
+  desk.stop();
+});
