--- /dev/null
+++ b/packages/core/src/lib/ids/Epoch.ts
@@ -0,0 +1,7 @@
+import { z } from 'zod';
+
+/** Number of a formation of a group; grows with every change of its members. */
+const Epoch = z.number().int().nonnegative().brand<'Epoch'>();
+type Epoch = z.infer<typeof Epoch>;
+
+export default Epoch;
--- a/packages/entry/src/lib/streams/StreamRelay.ts
+++ b/packages/entry/src/lib/streams/StreamRelay.ts
@@ -1,7 +1,7 @@
 import type { Readable } from 'node:stream';
 import type { ServerResponse } from 'node:http';
+import { EventSplitter } from '@dandelionlane/core';
 import classifyChatEvent from './classifyChatEvent.js';
-import EventSplitter from './EventSplitter.js';
 import HeldEvents from './HeldEvents.js';
 import type StreamEnd from './StreamEnd.js';
 import waitForDrain from './waitForDrain.js';
--- a/packages/entry/src/test/malformed.test.ts
+++ b/packages/entry/src/test/malformed.test.ts
@@ -1,12 +1,11 @@
 import fc from 'fast-check';
 import { Packr } from 'msgpackr';
 import { expect, test } from 'vitest';
-import { HEADERS } from '@dandelionlane/core';
+import { EventSplitter, HEADERS } from '@dandelionlane/core';
 import decodeEnvelope from '../lib/peers/decodeEnvelope.js';
 import parseChatBody from '../lib/requests/parseChatBody.js';
 import readCallerHeaders from '../lib/requests/readCallerHeaders.js';
 import classifyChatEvent from '../lib/streams/classifyChatEvent.js';
-import EventSplitter from '../lib/streams/EventSplitter.js';
 
 const PARAMETERS = { seed: 20_261_204, numRuns: 2_000 };
 const packr = new Packr({ useRecords: false });
--- /dev/null
+++ b/packages/fleet-entry/src/index.ts
@@ -0,0 +1,5 @@
+/** Public surface of the package. */
+export { type default as FleetEntryPorts } from './lib/FleetEntryPorts.js';
+export { type default as FleetEntrySettings } from './lib/FleetEntrySettings.js';
+export { type default as ListenAddress } from './lib/ListenAddress.js';
+export { default as startFleetEntry } from './lib/startFleetEntry.js';
--- /dev/null
+++ b/packages/fleet-entry/src/lib/FleetEntryPorts.ts
@@ -0,0 +1,17 @@
+import type { TableFeed, TableStore } from '@dandelionlane/core';
+import type { FleetRows, WorkerPort } from '@dandelionlane/fleet';
+import type { GatewayWire } from '@dandelionlane/gateway';
+
+/** What an entry process needs of the platform it runs on. */
+export default interface FleetEntryPorts {
+  readonly store: TableStore;
+  readonly feed: TableFeed;
+  readonly rows: FleetRows;
+  readonly workers: WorkerPort;
+  readonly wire: GatewayWire;
+  readonly readinessPath: string;
+  readonly directoryPath: string;
+  readonly metricsPath: string;
+  /** Body of a directory answer. */
+  readonly encodeDirectory: (addresses: readonly string[]) => unknown;
+}
--- /dev/null
+++ b/packages/fleet-entry/src/lib/FleetEntrySettings.ts
@@ -0,0 +1,21 @@
+import type { AvailabilityZoneId, EntryId, RegionId } from '@dandelionlane/core';
+import type ListenAddress from './ListenAddress.js';
+
+/** Settings of an entry process. */
+export default interface FleetEntrySettings {
+  readonly entry: EntryId;
+  readonly zone: AvailabilityZoneId;
+  readonly region: RegionId;
+  readonly callers: ListenAddress;
+  readonly directory: ListenAddress | null;
+  readonly readiness: ListenAddress | null;
+  readonly metrics: ListenAddress | null;
+  /** Whether the whole system starts for the first time. */
+  readonly bootstrap: boolean;
+  /** Time between SIGTERM and the end of the process, in ms. */
+  readonly graceMilliseconds: number;
+  /** Repeats at a service, over all entries: a share of its requests, and a number on top. */
+  readonly repeatRatio: number;
+  readonly repeatExtra: number;
+  readonly repeatWindowMilliseconds: number;
+}
--- /dev/null
+++ b/packages/fleet-entry/src/lib/LEASE_SETTINGS.ts
@@ -0,0 +1,12 @@
+import type { LeaseSettings } from '@dandelionlane/platform';
+
+/**
+ * Lease on the group control. The term spans three renewals, so that two slow answers of the
+ * store lose nothing.
+ */
+const LEASE_SETTINGS: LeaseSettings = {
+  termMilliseconds: 2_000,
+  safetyMarginMilliseconds: 300,
+};
+
+export default LEASE_SETTINGS;
--- /dev/null
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -0,0 +1,206 @@
+import { createServer } from 'node:http';
+import {
+  ControllerId, SystemClock, SystemRandom, WakefulClock, onShutdownSignal, repeatWork,
+} from '@dandelionlane/core';
+import {
+  ConfigurationHolder, OperatorSink, TableFollower, WorkerSink, WorkerTable,
+} from '@dandelionlane/fleet';
+import {
+  EntryRegistry, RepeatBudget, RequestServer, StallDetector, TargetConnections, TargetStates,
+  createDirectoryApplication, createMetricsApplication, createReadinessApplication,
+} from '@dandelionlane/gateway';
+import { GroupController } from '@dandelionlane/groups';
+import { LeaseKeeper } from '@dandelionlane/platform';
+import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
+import type FleetEntryPorts from './FleetEntryPorts.js';
+import type FleetEntrySettings from './FleetEntrySettings.js';
+import LEASE_SETTINGS from './LEASE_SETTINGS.js';
+import leaveGracefully from './leaveGracefully.js';
+import listenHono from './listenHono.js';
+
+const STANDARD_OUTPUT = 1;
+
+/** Pause between two answers of the operators' feed, in ms. */
+const OPERATOR_PACE_MILLISECONDS = 100;
+
+/** Pause between two answers of the workers' feed, in ms. */
+const WORKER_PACE_MILLISECONDS = 150;
+
+/** Pause between two steps of the lease, in ms. */
+const LEASE_PERIOD_MILLISECONDS = 600;
+
+/** Pause between two checks for lapsed registrations, in ms. */
+const EXPIRY_PERIOD_MILLISECONDS = 200;
+
+/** Time after the first start of the whole system in which loads of weights are not paced, in ms. */
+const BOOTSTRAP_MILLISECONDS = 9_000;
+
+/** Time for which the lease is left to others after it was given up, in ms. */
+const RESIGNATION_MILLISECONDS = 4_000;
+
+/** Largest head of a request, in bytes: above what configurations allow. */
+const MAXIMUM_HEADER_BYTES = 64 * 1_024;
+
+/** Idle time of a caller's connection before a configuration tells it, in ms. */
+const DEFAULT_IDLE_MILLISECONDS = 15_000;
+
+/** Starts an entry process: callers, directory, readiness, and the contest for the group control. */
+export default function startFleetEntry(settings: FleetEntrySettings, ports: FleetEntryPorts): void {
+  const clock = new SystemClock();
+  const wakefulClock = new WakefulClock(clock);
+  const random = new SystemRandom();
+  const metrics = new MetricsRegistry();
+  const writer = new LineWriter(STANDARD_OUTPUT);
+  const logFor = (part: string) => createLog(part, { level: 'info', format: 'json' }, clock, writer);
+  const log = logFor('entry');
+  const startedAt = clock.monotonicMilliseconds();
+
+  const configuration = new ConfigurationHolder();
+  const workers = new WorkerTable(clock);
+  const states = new TargetStates(clock);
+  const connections = new TargetConnections(() => metrics.count('gateway.connections'));
+  workers.onRemoved((worker) => {
+    states.drop(worker);
+    connections.drop(worker);
+  });
+  const operatorSink = new OperatorSink(ports.rows, configuration, logFor('operators'));
+  const workerSink = new WorkerSink(ports.rows, workers, logFor('workers'));
+  const followers = [
+    new TableFollower({
+      table: ports.rows.operatorTable,
+      feed: ports.feed,
+      sink: operatorSink,
+      clock,
+      log: logFor('store'),
+      paceMilliseconds: OPERATOR_PACE_MILLISECONDS,
+    }),
+    new TableFollower({
+      table: ports.rows.workerTable,
+      feed: ports.feed,
+      sink: workerSink,
+      clock,
+      log: logFor('store'),
+      paceMilliseconds: WORKER_PACE_MILLISECONDS,
+    }),
+  ];
+
+  let leaving = false;
+  const isReady = () => !leaving && configuration.table !== null && workerSink.loaded;
+  const registry = new EntryRegistry({
+    store: ports.store,
+    clock,
+    log: logFor('entries'),
+    entry: settings.entry,
+    zone: settings.zone,
+    callerAddress: `${settings.callers.host}:${settings.callers.port}`,
+    isReady,
+  });
+
+  const lease = new LeaseKeeper({
+    store: ports.store,
+    clock: wakefulClock,
+    controller: ControllerId.parse(settings.entry),
+    region: settings.region,
+    settings: LEASE_SETTINGS,
+  });
+  let resignedAt = Number.NEGATIVE_INFINITY;
+  const resign = () => {
+    resignedAt = clock.monotonicMilliseconds();
+    void lease.release();
+  };
+  const mayContend = () => !leaving && workerSink.loaded
+    && clock.monotonicMilliseconds() - resignedAt > RESIGNATION_MILLISECONDS;
+  const controller = new GroupController({
+    store: ports.store,
+    port: ports.workers,
+    workers,
+    configuration,
+    lease: () => (mayContend() ? lease.held() : null),
+    resign,
+    clock,
+    log: logFor('groups'),
+    metrics,
+    isBootstrapping: () => settings.bootstrap
+      && clock.monotonicMilliseconds() - startedAt < BOOTSTRAP_MILLISECONDS,
+  });
+
+  const requests = new RequestServer({
+    wire: ports.wire,
+    zone: settings.zone,
+    configuration,
+    workers,
+    states,
+    connections,
+    budget: new RepeatBudget(clock, {
+      ratio: settings.repeatRatio,
+      extra: settings.repeatExtra,
+      windowMilliseconds: settings.repeatWindowMilliseconds,
+    }),
+    closedZones: () => operatorSink.closedZones,
+    countEntries: () => registry.count(),
+    clock,
+    random,
+    log: logFor('requests'),
+    metrics,
+  });
+  const server = createServer({
+    maxHeaderSize: MAXIMUM_HEADER_BYTES,
+    keepAliveTimeout: DEFAULT_IDLE_MILLISECONDS,
+    requestTimeout: 0,
+  }, (incoming, outgoing) => {
+    const limits = configuration.table?.configuration.limits;
+    if (limits !== undefined) {
+      server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
+      server.headersTimeout = limits.headerTimeoutMilliseconds;
+    }
+    void requests.handle(incoming, outgoing);
+  });
+  server.listen(settings.callers.port, settings.callers.host);
+  const stalls = new StallDetector(states, clock);
+  const servers = [
+    listenHono(createReadinessApplication(ports.readinessPath, isReady), settings.readiness),
+    listenHono(createDirectoryApplication(registry, {
+      path: ports.directoryPath, encode: ports.encodeDirectory,
+    }), settings.directory),
+    listenHono(createMetricsApplication(ports.metricsPath, () => metrics.render()), settings.metrics),
+  ];
+
+  followers.forEach((follower) => follower.start());
+  registry.start();
+  controller.start();
+  stalls.start();
+  const stopLease = repeatWork(async () => {
+    if (mayContend()) {
+      await lease.step();
+    }
+  }, LEASE_PERIOD_MILLISECONDS);
+  const expiry = setInterval(() => workers.expire(), EXPIRY_PERIOD_MILLISECONDS);
+  log.info('Entry started.', { entry: settings.entry, zone: settings.zone, bootstrap: settings.bootstrap });
+
+  process.on('unhandledRejection', (cause) => {
+    log.error('A promise was rejected without a handler.', { reason: cause instanceof Error ? cause.stack : String(cause) });
+  });
+  process.on('uncaughtException', (cause) => {
+    log.error('An exception was not caught.', { reason: cause.stack });
+  });
+  process.on('SIGHUP', () => log.info('Settings changed; they are read at the next start.'));
+  onShutdownSignal(process, async () => {
+    leaving = true;
+    log.info('Entry is leaving.', { running: requests.running });
+    requests.leave();
+    controller.stop();
+    await Promise.all([lease.release(), registry.announce()]);
+    await stopLease();
+    await leaveGracefully(requests, settings.graceMilliseconds, clock);
+    clearInterval(expiry);
+    stalls.stop();
+    followers.forEach((follower) => follower.stop());
+    await registry.stop();
+    servers.forEach((other) => other?.close());
+    server.close();
+    connections.close();
+    log.info('Entry stopped.', { running: requests.running });
+    await writer.flush();
+    process.exit(0);
+  });
+}
--- /dev/null
+++ b/packages/fleet/src/lib/configuration/FleetConfiguration.ts
@@ -0,0 +1,15 @@
+import type { ServiceId } from '@dandelionlane/core';
+import type CallerLimits from './CallerLimits.js';
+import type Route from './Route.js';
+import type ServiceProfile from './ServiceProfile.js';
+import type Team from './Team.js';
+
+/** One version of the operators' configuration, in full. */
+export default interface FleetConfiguration {
+  /** Grows with every version, not always by one. */
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: ReadonlyMap<ServiceId, ServiceProfile>;
+  readonly teams: readonly Team[];
+  readonly limits: CallerLimits;
+}
--- /dev/null
+++ b/packages/fleet/src/lib/configuration/RoutingTable.ts
@@ -0,0 +1,46 @@
+import type FleetConfiguration from './FleetConfiguration.js';
+import type Route from './Route.js';
+import type RouteMatch from './RouteMatch.js';
+import type Team from './Team.js';
+
+/** Lookup of routes and teams of one configuration. */
+export default class RoutingTable {
+  readonly configuration: FleetConfiguration;
+
+  /** Routes of each host, longest prefix first. */
+  readonly #routesByHost = new Map<string, Route[]>();
+
+  readonly #teamsByKey = new Map<string, Team>();
+
+  constructor(configuration: FleetConfiguration) {
+    this.configuration = configuration;
+    configuration.routes.forEach((route) => {
+      const routes = this.#routesByHost.get(route.host) ?? [];
+      routes.push(route);
+      this.#routesByHost.set(route.host, routes);
+    });
+    this.#routesByHost.forEach((routes) => {
+      routes.sort((left, right) => right.prefix.length - left.prefix.length);
+    });
+    configuration.teams.forEach((team) => {
+      team.apiKeys.forEach((key) => this.#teamsByKey.set(key, team));
+    });
+  }
+
+  /** Whether requests carry API keys at all. */
+  get hasTeams(): boolean {
+    return this.configuration.teams.length > 0;
+  }
+
+  /** The route with the longest prefix that begins the path. A port in the host is ignored. */
+  match(host: string, path: string): RouteMatch {
+    const name = host.toLowerCase().split(':')[0] ?? '';
+    const route = this.#routesByHost.get(name)?.find(({ prefix }) => path.startsWith(prefix));
+    return route === undefined ? { kind: 'unknown' } : { kind: 'matched', route };
+  }
+
+  /** The team that holds an API key. */
+  teamOf(apiKey: string): Team | undefined {
+    return this.#teamsByKey.get(apiKey);
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/lib/feed/FleetRows.ts
@@ -0,0 +1,11 @@
+import type { TableRow } from '@dandelionlane/core';
+import type OperatorRow from './OperatorRow.js';
+import type WorkerRow from './WorkerRow.js';
+
+/** Names and formats of the rows that the platform's operators and workers write. */
+export default interface FleetRows {
+  readonly operatorTable: string;
+  readonly workerTable: string;
+  readOperatorRow(row: TableRow): OperatorRow;
+  readWorkerRow(row: TableRow): WorkerRow;
+}
--- /dev/null
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -0,0 +1,127 @@
+import type {
+  Clock, RowVersion, TableChanges, TableFeed,
+} from '@dandelionlane/core';
+import type { Log } from '@dandelionlane/telemetry';
+import type RowSink from './RowSink.js';
+
+/** Longest wait for a change in one call, in ms. Bounds how long a silent connection goes unnoticed. */
+const FEED_WAIT_MILLISECONDS = 2_000;
+
+/** Pause after a failed call, in ms. */
+const FAILURE_PAUSE_MILLISECONDS = 250;
+
+/** Time without an answer after which the store counts as having been away, in ms. */
+const OUTAGE_MILLISECONDS = 1_000;
+
+/** What a `TableFollower` needs from outside. */
+interface TableFollowerOptions {
+  readonly table: string;
+  readonly feed: TableFeed;
+  readonly sink: RowSink;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Pause between two answers, in ms: each call is priced. */
+  readonly paceMilliseconds: number;
+}
+
+/** Keeps a sink up to date with one table: a snapshot first, then its changes. */
+export default class TableFollower {
+  readonly #options: TableFollowerOptions;
+
+  #version: RowVersion | null = null;
+
+  #failingSince: number | null = null;
+
+  #stopped = false;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: TableFollowerOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    void this.#round();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    clearTimeout(this.#timer);
+  }
+
+  /** Whether the last call failed. */
+  get failing(): boolean {
+    return this.#failingSince !== null;
+  }
+
+  async #round(): Promise<void> {
+    const { paceMilliseconds } = this.#options;
+    const succeeded = this.#version === null ? await this.#readAll() : await this.#readChanges(this.#version);
+    if (!this.#stopped) {
+      const pause = succeeded ? paceMilliseconds : FAILURE_PAUSE_MILLISECONDS;
+      this.#timer = setTimeout(() => void this.#round(), pause);
+    }
+  }
+
+  async #readAll(): Promise<boolean> {
+    const { feed, table, sink } = this.#options;
+    const snapshot = await feed.snapshot(table);
+    if (snapshot.isErr()) {
+      this.#failed(snapshot.error.message);
+      return false;
+    }
+    this.#answered();
+    this.#version = snapshot.value.version;
+    sink.reset(snapshot.value.rows);
+    return true;
+  }
+
+  async #readChanges(after: RowVersion): Promise<boolean> {
+    const { feed, table } = this.#options;
+    const changes = await feed.changes(table, after, FEED_WAIT_MILLISECONDS);
+    if (changes.isErr()) {
+      this.#failed(changes.error.message);
+      return false;
+    }
+    this.#answered();
+    this.#take(changes.value);
+    return true;
+  }
+
+  #take(changes: TableChanges): void {
+    const { table, sink, log } = this.#options;
+    switch (changes.kind) {
+      case 'changes':
+        this.#version = changes.version;
+        sink.change(changes.rows);
+        break;
+      case 'history-lost':
+        log.warn('History of a table is lost, reading it again.', { table });
+        this.#version = null;
+        break;
+      default:
+        changes satisfies never;
+    }
+  }
+
+  #failed(reason: string): void {
+    const { clock, log, table } = this.#options;
+    if (this.#failingSince === null) {
+      this.#failingSince = clock.monotonicMilliseconds();
+      log.warn('Store lost.', { table, reason });
+    }
+  }
+
+  #answered(): void {
+    const { clock, log, table, sink } = this.#options;
+    if (this.#failingSince === null) {
+      return;
+    }
+    const awayMilliseconds = Math.round(clock.monotonicMilliseconds() - this.#failingSince);
+    this.#failingSince = null;
+    log.info('Store regained.', { table, awayMilliseconds });
+    if (awayMilliseconds >= OUTAGE_MILLISECONDS) {
+      sink.storeReturned();
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/lib/feed/WorkerSink.ts
@@ -0,0 +1,73 @@
+import type { TableRow, WorkerId } from '@dandelionlane/core';
+import type { Log } from '@dandelionlane/telemetry';
+import type WorkerTable from '../workers/WorkerTable.js';
+import type FleetRows from './FleetRows.js';
+import type RowSink from './RowSink.js';
+
+/** Takes the registrations of workers. */
+export default class WorkerSink implements RowSink {
+  readonly #rows: FleetRows;
+
+  readonly #table: WorkerTable;
+
+  readonly #log: Log;
+
+  #loaded = false;
+
+  constructor(rows: FleetRows, table: WorkerTable, log: Log) {
+    this.#rows = rows;
+    this.#table = table;
+    this.#log = log;
+  }
+
+  /** Whether the table has been read once. */
+  get loaded(): boolean {
+    return this.#loaded;
+  }
+
+  reset(rows: readonly TableRow[]): void {
+    const present = new Set(rows.flatMap((row): WorkerId[] => this.#take(row) ?? []));
+    this.#table.all()
+      .filter(({ worker }) => !present.has(worker.id))
+      .forEach(({ worker }) => this.#table.remove(worker.id));
+    this.#loaded = true;
+  }
+
+  change(rows: readonly TableRow[]): void {
+    rows.forEach((row) => this.#take(row));
+  }
+
+  storeReturned(): void {
+    this.#table.storeReturned();
+  }
+
+  /** The worker that the row registers, in a list; null when it registers none. */
+  #take(row: TableRow): [WorkerId] | null {
+    const decoded = this.#rows.readWorkerRow(row);
+    switch (decoded.kind) {
+      case 'registered':
+        this.#note(decoded.worker.id, decoded.worker.draining);
+        this.#table.put(decoded.worker);
+        return [decoded.worker.id];
+      case 'gone':
+        this.#log.info('Registration is gone.', { worker: decoded.id, row: row.version });
+        this.#table.remove(decoded.id);
+        return null;
+      case 'invalid':
+        this.#log.warn('Registration is invalid.', { worker: decoded.id, reason: decoded.reason });
+        this.#table.remove(decoded.id);
+        return null;
+      default:
+        return decoded satisfies never;
+    }
+  }
+
+  #note(id: WorkerId, draining: boolean): void {
+    const known = this.#table.get(id);
+    if (known === undefined && this.#loaded) {
+      this.#log.info('Worker registered.', { worker: id });
+    } else if (known !== undefined && draining && !known.worker.draining) {
+      this.#log.info('Worker is leaving.', { worker: id });
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/lib/workers/WorkerTable.ts
@@ -0,0 +1,94 @@
+import type { Clock, ServiceId, WorkerId } from '@dandelionlane/core';
+import type Worker from './Worker.js';
+import type WorkerEntry from './WorkerEntry.js';
+
+/**
+ * After an outage of the store, registrations that lapsed meanwhile return within about two
+ * seconds (platform's contract); until then a vanished worker is kept, in ms.
+ */
+const REGISTRATION_RETURN_MILLISECONDS = 2_200;
+
+/** Workers that are registered, as this process last heard. */
+export default class WorkerTable {
+  readonly #clock: Clock;
+
+  readonly #entries = new Map<WorkerId, WorkerEntry>();
+
+  readonly #byService = new Map<ServiceId, Map<WorkerId, WorkerEntry>>();
+
+  readonly #listeners: ((worker: WorkerId) => void)[] = [];
+
+  #storeReturnedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Calls a listener with each worker that is no longer in the table. */
+  onRemoved(listener: (worker: WorkerId) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  get(id: WorkerId): WorkerEntry | undefined {
+    return this.#entries.get(id);
+  }
+
+  ofService(service: ServiceId): readonly WorkerEntry[] {
+    return [...(this.#byService.get(service)?.values() ?? [])];
+  }
+
+  all(): readonly WorkerEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  /** Notes that the store answers again after an outage. */
+  storeReturned(): void {
+    this.#storeReturnedAt = this.#clock.monotonicMilliseconds();
+  }
+
+  put(worker: Worker): void {
+    const coldUntil = this.#clock.monotonicMilliseconds() + worker.coldMilliseconds;
+    const previous = this.#entries.get(worker.id);
+    if (previous !== undefined && previous.worker.service !== worker.service) {
+      this.#byService.get(previous.worker.service)?.delete(worker.id);
+    }
+    this.#set({ worker, coldUntil, lapsedAt: null });
+  }
+
+  /** The registration is gone. */
+  remove(id: WorkerId): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) {
+      return;
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    const unsteady = now - this.#storeReturnedAt < REGISTRATION_RETURN_MILLISECONDS;
+    if (unsteady && !entry.worker.draining) {
+      this.#set({ ...entry, lapsedAt: entry.lapsedAt ?? now });
+    } else {
+      this.#drop(entry);
+    }
+  }
+
+  /** Drops lapsed workers that have not returned in time. */
+  expire(): void {
+    const now = this.#clock.monotonicMilliseconds();
+    if (now - this.#storeReturnedAt >= REGISTRATION_RETURN_MILLISECONDS) {
+      this.all().filter(({ lapsedAt }) => lapsedAt !== null).forEach((entry) => this.#drop(entry));
+    }
+  }
+
+  #set(entry: WorkerEntry): void {
+    const { id, service } = entry.worker;
+    this.#entries.set(id, entry);
+    const workers = this.#byService.get(service) ?? new Map<WorkerId, WorkerEntry>();
+    workers.set(id, entry);
+    this.#byService.set(service, workers);
+  }
+
+  #drop(entry: WorkerEntry): void {
+    this.#entries.delete(entry.worker.id);
+    this.#byService.get(entry.worker.service)?.delete(entry.worker.id);
+    this.#listeners.forEach((listener) => listener(entry.worker.id));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/entries/EntryRecord.ts
@@ -0,0 +1,17 @@
+import { z } from 'zod';
+import { AvailabilityZoneId, EntryId } from '@dandelionlane/core';
+
+/** Row by which an entry tells the others that it lives. */
+const EntryRecord = z.object({
+  entry: EntryId,
+  zone: AvailabilityZoneId,
+  /** Host and port that callers connect to. */
+  callerAddress: z.string(),
+  /** Whether callers may be sent to it. */
+  ready: z.boolean(),
+  /** Grows with each heartbeat, so that the row changes. */
+  beat: z.number().int(),
+});
+type EntryRecord = z.infer<typeof EntryRecord>;
+
+export default EntryRecord;
--- /dev/null
+++ b/packages/gateway/src/lib/entries/createDirectoryApplication.ts
@@ -0,0 +1,25 @@
+import { Hono } from 'hono';
+import type EntryRegistry from './EntryRegistry.js';
+
+/** Most addresses in one answer (platform's limit). */
+const MAXIMUM_ADDRESSES = 64;
+
+/** Paths and body of the directory. */
+interface DirectoryFormat {
+  readonly path: string;
+  /** Body of an answer that names addresses. */
+  readonly encode: (addresses: readonly string[]) => unknown;
+}
+
+/** Tells callers which entries to connect to. */
+export default function createDirectoryApplication(registry: EntryRegistry, format: DirectoryFormat): Hono {
+  const application = new Hono();
+  application.get(format.path, (context) => {
+    const addresses = registry.readyAddresses().slice(0, MAXIMUM_ADDRESSES);
+    if (addresses.length === 0) {
+      return context.json({ detail: 'no entry is ready' }, 503);
+    }
+    return context.json(format.encode(addresses) as object);
+  });
+  return application;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/relay/RunEnd.ts
@@ -0,0 +1,13 @@
+/**
+ * How one run of a stream ended. `complete`: with its last event. `passed`: the target answered
+ * with a status of its own, which went to the caller. `not-executed`: the target did not run it.
+ * `unsent`: no byte reached the target. `broken`: it may have run, and the rest is missing.
+ */
+type RunEnd =
+  | { readonly kind: 'complete' }
+  | { readonly kind: 'passed' }
+  | { readonly kind: 'not-executed'; readonly reason: string }
+  | { readonly kind: 'unsent'; readonly reason: string }
+  | { readonly kind: 'broken'; readonly reason: string };
+
+export default RunEnd;
--- /dev/null
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -0,0 +1,161 @@
+import { ServingError, type WorkerId } from '@dandelionlane/core';
+import type Candidate from '../choice/Candidate.js';
+import type Choice from '../choice/Choice.js';
+import type Call from '../requests/Call.js';
+import type GatewayParts from '../requests/GatewayParts.js';
+import pickTarget from '../requests/pickTarget.js';
+import refuseChoice from '../requests/refuseChoice.js';
+import writeRefusal from '../requests/writeRefusal.js';
+import EventOrder from './EventOrder.js';
+import type RunEnd from './RunEnd.js';
+import StreamRun from './StreamRun.js';
+
+/** Most targets that are tried without having run the request. */
+const MAXIMUM_REFUSALS = 4;
+
+/**
+ * Serves one stream of events over one or more runs.
+ *
+ * Invariants: each event goes to the caller once and in order, whole; the answer ends as complete
+ * only when a run ended as complete; a stream that may not be resumed is run at most once.
+ */
+export default class StreamCourse {
+  readonly #parts: GatewayParts;
+
+  readonly #call: Call;
+
+  readonly #order: EventOrder;
+
+  readonly #excluded = new Set<WorkerId>();
+
+  #runs = 0;
+
+  #arrivals = 0;
+
+  #refusals = 0;
+
+  constructor(parts: GatewayParts, call: Call) {
+    this.#parts = parts;
+    this.#call = call;
+    this.#order = new EventOrder(call.said.lastEventId);
+  }
+
+  /** Serves the stream to its end. Returns the outcome for the log. */
+  async serve(signal: AbortSignal): Promise<string> {
+    while (!signal.aborted) {
+      if (this.#remaining() <= 0) {
+        return this.#giveUp('deadline passed');
+      }
+      const choice = pickTarget(this.#parts, this.#call, this.#excluded);
+      if (choice.kind === 'none') {
+        return this.#hasBegun() ? this.#giveUp(choice.reason) : this.#refuse(refuseChoice(choice));
+      }
+      if (this.#arrivals > 0 && !this.#parts.budget.tryRepeat(this.#call.service, this.#parts.countEntries())) {
+        return this.#giveUp('no repeat left in the budget');
+      }
+      const end = await this.#run(choice, signal);
+      const outcome = this.#settle(end, choice.candidate);
+      if (outcome !== null) {
+        return signal.aborted ? 'caller-gone' : outcome;
+      }
+    }
+    return 'caller-gone';
+  }
+
+  get #resumable(): boolean {
+    const { request } = this.#call.route;
+    return request.kind === 'stream' && request.resumable;
+  }
+
+  #remaining(): number {
+    return this.#call.deadlineAt - this.#parts.clock.monotonicMilliseconds();
+  }
+
+  /** Whether a target may have run the request. */
+  #hasBegun(): boolean {
+    return this.#runs > 0;
+  }
+
+  async #run(choice: Extract<Choice, { kind: 'chosen' }>, signal: AbortSignal): Promise<RunEnd> {
+    const { candidate } = choice;
+    const startedAt = this.#parts.clock.monotonicMilliseconds();
+    const run = new StreamRun({
+      parts: this.#parts,
+      call: this.#call,
+      candidate,
+      order: this.#order,
+      fresh: !this.#resumable,
+      mayMove: () => this.#mayRunAgain() && this.#hasAlternative(candidate),
+    });
+    const end = await run.serve(this.#remaining(), signal);
+    const took = Math.round(this.#parts.clock.monotonicMilliseconds() - startedAt);
+    const formation = candidate.formation === '' ? '' : `@${candidate.formation}`;
+    this.#call.log.attempt(`${candidate.entry.worker.id}${formation} load=${choice.load.toFixed(1)}/${choice.candidates}`
+      + ` ${end.kind}${'reason' in end ? ` (${end.reason})` : ''} events=${run.events} ${took}ms`);
+    return end;
+  }
+
+  /** Whether one more run is allowed after the one under way. */
+  #mayRunAgain(): boolean {
+    return this.#resumable && this.#runs + 1 < this.#call.route.maximumAttempts;
+  }
+
+  #hasAlternative(candidate: Candidate): boolean {
+    const excluded = new Set([...this.#excluded, candidate.entry.worker.id]);
+    return pickTarget(this.#parts, this.#call, excluded).kind === 'chosen';
+  }
+
+  /** Draws the consequence of a run's end: the outcome, or null to try another target. */
+  #settle(end: RunEnd, candidate: Candidate): string | null {
+    const { state, entry: { worker } } = candidate;
+    this.#excluded.add(worker.id);
+    switch (end.kind) {
+      case 'complete':
+        state.succeeded(0);
+        return 'answered';
+      case 'passed':
+        return 'target-failure';
+      case 'not-executed':
+        this.#arrivals += 1;
+        state.unreachable();
+        return this.#refusedOnce(end.reason);
+      case 'unsent':
+        state.unreachable();
+        return this.#refusedOnce(end.reason);
+      case 'broken': {
+        const again = this.#mayRunAgain();
+        this.#arrivals += 1;
+        this.#runs += 1;
+        state.failed();
+        return again ? null : this.#giveUp(end.reason);
+      }
+      default:
+        return end satisfies never;
+    }
+  }
+
+  #refusedOnce(reason: string): string | null {
+    this.#refusals += 1;
+    return this.#refusals >= MAXIMUM_REFUSALS ? this.#giveUp(reason) : null;
+  }
+
+  #refuse(error: ServingError): string {
+    writeRefusal(this.#call.outgoing, error);
+    return error.kind;
+  }
+
+  /** Ends a stream that cannot go on: cuts one that has begun, refuses another. */
+  #giveUp(reason: string): string {
+    const { outgoing } = this.#call;
+    if (outgoing.headersSent) {
+      outgoing.destroy();
+      return 'stream-cut';
+    }
+    if (!this.#hasBegun()) {
+      return this.#refuse(new ServingError(reason, { kind: 'target-refused', retryAfterSeconds: 0.3 }));
+    }
+    return this.#refuse(new ServingError(reason, {
+      kind: this.#remaining() <= 0 ? 'target-timeout' : 'target-lost',
+    }));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/relay/StreamRun.ts
@@ -0,0 +1,250 @@
+import { EventSplitter } from '@dandelionlane/core';
+import type Candidate from '../choice/Candidate.js';
+import type Call from '../requests/Call.js';
+import type GatewayParts from '../requests/GatewayParts.js';
+import startAttempt from '../requests/startAttempt.js';
+import type RunningStream from '../targets/RunningStream.js';
+import type TargetAttempt from '../targets/TargetAttempt.js';
+import type EventOrder from './EventOrder.js';
+import type RunEnd from './RunEnd.js';
+import judgeAnswer from './judgeAnswer.js';
+import passHeaders from './passHeaders.js';
+import readEventId from './readEventId.js';
+
+/** Status of a stream. */
+const OK = 200;
+
+/** Largest answer other than a stream that is passed on, in bytes. */
+const MAXIMUM_FAILURE_BYTES = 256 * 1_024;
+
+/** What a `StreamRun` needs. */
+interface StreamRunOptions {
+  readonly parts: GatewayParts;
+  readonly call: Call;
+  readonly candidate: Candidate;
+  readonly order: EventOrder;
+  readonly fresh: boolean;
+  /** Whether the stream can go on elsewhere now. */
+  readonly mayMove: () => boolean;
+}
+
+/** One run of a stream at one target: relays its events to the caller. */
+export default class StreamRun implements RunningStream {
+  readonly #options: StreamRunOptions;
+
+  readonly #splitter = new EventSplitter();
+
+  readonly sentAt: number;
+
+  readonly formation: string;
+
+  lastEventAt: number | null = null;
+
+  paused = false;
+
+  /** Events that this run brought. */
+  events = 0;
+
+  #attempt: TargetAttempt | null = null;
+
+  #head: { readonly status: number; readonly headers: Record<string, string | string[]> } | null = null;
+
+  #isStream = false;
+
+  #rejected: RunEnd | null = null;
+
+  readonly #failure: Buffer[] = [];
+
+  #failureBytes = 0;
+
+  #resolve: (end: RunEnd) => void = () => undefined;
+
+  #ended = false;
+
+  constructor(options: StreamRunOptions) {
+    this.#options = options;
+    this.sentAt = options.parts.clock.monotonicMilliseconds();
+    this.formation = options.candidate.formation;
+  }
+
+  /** Runs to an end. `timeoutMilliseconds` is what is left of the request's time. */
+  async serve(timeoutMilliseconds: number, signal: AbortSignal): Promise<RunEnd> {
+    const { candidate: { state } } = this.#options;
+    const end = new Promise<RunEnd>((resolve) => {
+      this.#resolve = resolve;
+    });
+    const timer = setTimeout(() => this.#giveUp('deadline passed'), timeoutMilliseconds);
+    const leave = () => this.#giveUp('caller left');
+    signal.addEventListener('abort', leave);
+    state.outstanding += 1;
+    state.streams.add(this);
+    this.#start();
+    try {
+      return await end;
+    } finally {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', leave);
+      state.outstanding -= 1;
+      state.streams.delete(this);
+    }
+  }
+
+  stalled(): void {
+    if (!this.#ended && this.#options.mayMove()) {
+      this.#giveUp('target stands still');
+    }
+  }
+
+  #start(): void {
+    const {
+      parts, call, candidate, order, fresh,
+    } = this.#options;
+    this.#attempt = startAttempt(parts, call, candidate, { lastEventId: order.last, fresh }, {
+      head: (status, headers) => this.#answered(status, headers),
+      data: (chunk) => this.#received(chunk),
+      ended: () => this.#finished(),
+      failed: (reason) => this.#finish(this.#attempt?.sent === true
+        ? { kind: 'broken', reason } : { kind: 'unsent', reason }),
+    });
+  }
+
+  #giveUp(reason: string): void {
+    if (!this.#ended) {
+      const sent = this.#attempt?.sent === true;
+      this.#attempt?.abandon();
+      this.#finish(sent ? { kind: 'broken', reason } : { kind: 'unsent', reason });
+    }
+  }
+
+  #finish(end: RunEnd): void {
+    if (!this.#ended) {
+      this.#ended = true;
+      this.#resolve(end);
+    }
+  }
+
+  #answered(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+    const { parts, call, candidate: { state } } = this.#options;
+    const head = parts.wire.readAnswer(headers);
+    if (head.load !== null) {
+      state.loadReported(head.load);
+    }
+    const verdict = judgeAnswer(status, head, call.said.requestId);
+    this.#head = { status, headers: passHeaders(headers) };
+    switch (verdict) {
+      case 'own':
+        this.#isStream = status === OK;
+        break;
+      case 'failure':
+        break;
+      case 'not-executed':
+        this.#rejected = { kind: 'not-executed', reason: `status ${status}` };
+        break;
+      case 'foreign':
+        this.#giveUp(`answer cannot be trusted, status ${status}`);
+        break;
+      default:
+        verdict satisfies never;
+    }
+  }
+
+  #received(chunk: Buffer): void {
+    if (this.#ended) {
+      return;
+    }
+    if (!this.#isStream) {
+      this.#failureBytes += chunk.length;
+      if (this.#failureBytes > MAXIMUM_FAILURE_BYTES) {
+        this.#giveUp('answer is too large');
+      } else {
+        this.#failure.push(chunk);
+      }
+      return;
+    }
+    this.#relay(this.#splitter.push(chunk));
+  }
+
+  #relay(events: readonly Buffer[]): void {
+    const { parts, order, candidate: { state } } = this.#options;
+    const delivered: Buffer[] = [];
+    for (const event of events) {
+      const position = order.take(readEventId(event));
+      if (position === 'gap') {
+        this.#write(delivered);
+        this.#giveUp('an event is missing');
+        return;
+      }
+      if (position === 'next') {
+        delivered.push(event);
+      }
+    }
+    if (delivered.length > 0) {
+      this.events += delivered.length;
+      this.lastEventAt = parts.clock.monotonicMilliseconds();
+      state.progressed();
+      this.#write(delivered);
+    }
+  }
+
+  #write(events: readonly Buffer[]): void {
+    const { outgoing, log, receivedAt } = this.#options.call;
+    if (events.length === 0 || outgoing.destroyed) {
+      return;
+    }
+    if (!outgoing.headersSent && this.#head !== null) {
+      outgoing.writeHead(this.#head.status, this.#head.headers);
+      log.set('firstEventMilliseconds', Math.round(this.#options.parts.clock.monotonicMilliseconds() - receivedAt));
+    }
+    const [first, ...rest] = events;
+    const bytes = rest.length === 0 && first !== undefined ? first : Buffer.concat(events);
+    if (!outgoing.write(bytes)) {
+      this.#pauseUntilDrained();
+    }
+  }
+
+  #pauseUntilDrained(): void {
+    if (this.paused) {
+      return;
+    }
+    this.paused = true;
+    this.#attempt?.pause();
+    this.#options.call.outgoing.once('drain', () => {
+      this.paused = false;
+      this.#options.candidate.state.progressed();
+      this.#attempt?.resume();
+    });
+  }
+
+  #finished(): void {
+    const { call: { outgoing, method } } = this.#options;
+    if (this.#ended) {
+      return;
+    }
+    if (this.#rejected !== null) {
+      this.#finish(this.#rejected);
+    } else if (!this.#isStream) {
+      this.#passFailure();
+    } else if (this.#splitter.hasRest) {
+      this.#finish({ kind: 'broken', reason: 'stream ended inside an event' });
+    } else {
+      if (!outgoing.headersSent && this.#head !== null) {
+        outgoing.writeHead(this.#head.status, this.#head.headers);
+      }
+      outgoing.end(method === 'HEAD' ? undefined : '');
+      this.#finish({ kind: 'complete' });
+    }
+  }
+
+  /** Hands an answer that is no stream on, unless events have gone out already. */
+  #passFailure(): void {
+    const { call: { outgoing } } = this.#options;
+    if (outgoing.headersSent || this.#head === null) {
+      this.#finish({ kind: 'broken', reason: `status ${this.#head?.status ?? 0} for a resumed stream` });
+      return;
+    }
+    const body = Buffer.concat(this.#failure);
+    outgoing.writeHead(this.#head.status, { ...this.#head.headers, 'content-length': String(body.length) });
+    outgoing.end(body);
+    this.#finish({ kind: 'passed' });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/relay/exchangePlain.ts
@@ -0,0 +1,89 @@
+import type Candidate from '../choice/Candidate.js';
+import type Call from '../requests/Call.js';
+import type GatewayParts from '../requests/GatewayParts.js';
+import startAttempt from '../requests/startAttempt.js';
+import type AnswerHead from '../wire/AnswerHead.js';
+import type PlainAnswer from './PlainAnswer.js';
+
+/** Largest answer that is held in memory, in bytes. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1_024 * 1_024;
+
+/** How one exchange is bounded. */
+interface ExchangeOptions {
+  readonly fresh: boolean;
+  /** Time after which the attempt is given up, in ms. */
+  readonly timeoutMilliseconds: number;
+  /** Aborted when the caller leaves. */
+  readonly signal: AbortSignal;
+}
+
+/** Sends a request to a target and reads the whole answer. Never rejects. */
+export default function exchangePlain(
+  parts: GatewayParts,
+  call: Call,
+  candidate: Candidate,
+  { fresh, timeoutMilliseconds, signal }: ExchangeOptions,
+): Promise<PlainAnswer> {
+  const { state } = candidate;
+  return new Promise<PlainAnswer>((resolve) => {
+    let status = 0;
+    let headers: Readonly<Record<string, string | string[] | undefined>> = {};
+    let head: AnswerHead | null = null;
+    let size = 0;
+    const chunks: Buffer[] = [];
+    let settled = false;
+    let timer: NodeJS.Timeout | undefined;
+    let giveUp = () => undefined as void;
+    state.outstanding += 1;
+    const settle = (answer: PlainAnswer) => {
+      if (!settled) {
+        settled = true;
+        clearTimeout(timer);
+        signal.removeEventListener('abort', giveUp);
+        state.outstanding -= 1;
+        resolve(answer);
+      }
+    };
+    const attempt = startAttempt(parts, call, candidate, { lastEventId: null, fresh }, {
+      head(answerStatus, answerHeaders) {
+        status = answerStatus;
+        headers = answerHeaders;
+        head = parts.wire.readAnswer(answerHeaders);
+        state.progressed();
+        if (head.load !== null) {
+          state.loadReported(head.load);
+        }
+      },
+      data(chunk) {
+        size += chunk.length;
+        if (size > MAXIMUM_ANSWER_BYTES) {
+          attempt.abandon();
+          settle({ kind: 'failed', sent: true, reason: 'answer is too large' });
+        } else {
+          chunks.push(chunk);
+        }
+      },
+      ended() {
+        settle(head === null
+          ? { kind: 'failed', sent: true, reason: 'answer without a head' }
+          : {
+            kind: 'answered', status, headers, head, body: Buffer.concat(chunks),
+          });
+      },
+      failed(reason) {
+        settle({ kind: 'failed', sent: attempt.sent, reason });
+      },
+    });
+    timer = setTimeout(() => {
+      const { sent } = attempt;
+      attempt.abandon();
+      settle({ kind: 'failed', sent, reason: 'no answer in time' });
+    }, timeoutMilliseconds);
+    giveUp = () => {
+      const { sent } = attempt;
+      attempt.abandon();
+      settle({ kind: 'failed', sent, reason: 'caller left' });
+    };
+    signal.addEventListener('abort', giveUp);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/lib/relay/judgeAnswer.ts
@@ -0,0 +1,25 @@
+import type AnswerHead from '../wire/AnswerHead.js';
+import type AnswerVerdict from './AnswerVerdict.js';
+
+const MISDIRECTED = 421;
+const FIRST_FAILURE = 500;
+
+/** Statuses that promise that a request did not run; only a target that states it may promise. */
+const PROMISES: ReadonlySet<number> = new Set([408, 429, 503]);
+
+/** Judges an answer by its status and head. */
+export default function judgeAnswer(status: number, head: AnswerHead, requestId: string | null): AnswerVerdict {
+  if (head.notExecuted || status === MISDIRECTED) {
+    return 'not-executed';
+  }
+  if (head.encoded || (requestId !== null && head.requestId !== null && head.requestId !== requestId)) {
+    return 'foreign';
+  }
+  if (status < 300 && (!head.signed || head.requestId !== requestId)) {
+    return 'foreign';
+  }
+  if (PROMISES.has(status)) {
+    return 'foreign';
+  }
+  return status >= FIRST_FAILURE ? 'failure' : 'own';
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/Call.ts
@@ -0,0 +1,24 @@
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+import type { ServiceId } from '@dandelionlane/core';
+import type { Route, ServiceProfile, Team } from '@dandelionlane/fleet';
+import type CallHeaders from '../wire/CallHeaders.js';
+import type CallLog from './CallLog.js';
+
+/** A request that has been identified and admitted to its route. */
+export default interface Call {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly said: CallHeaders;
+  readonly body: Buffer;
+  readonly route: Route;
+  readonly service: ServiceId;
+  readonly profile: ServiceProfile;
+  readonly team: Team | null;
+  /** Monotonic time at which its head had been read, in ms. */
+  readonly receivedAt: number;
+  /** Monotonic time by which it must have its final answer, in ms. */
+  readonly deadlineAt: number;
+  readonly outgoing: ServerResponse;
+  readonly log: CallLog;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/CallLog.ts
@@ -0,0 +1,26 @@
+import type { LogFields } from '@dandelionlane/telemetry';
+
+/** Longest list of attempts in one log line, in characters. */
+const MAXIMUM_LENGTH = 600;
+
+/** Collects what decided over one request, for the one line that is written at its end. */
+export default class CallLog {
+  readonly #fields: Record<string, LogFields[string]> = {};
+
+  #attempts = '';
+
+  set(name: string, value: LogFields[string]): void {
+    this.#fields[name] = value;
+  }
+
+  /** Notes a decision over an attempt, such as `w1@g3/7 load=4.2/6`. */
+  attempt(text: string): void {
+    if (this.#attempts.length < MAXIMUM_LENGTH) {
+      this.#attempts += this.#attempts === '' ? text : `; ${text}`;
+    }
+  }
+
+  get fields(): LogFields {
+    return this.#attempts === '' ? this.#fields : { ...this.#fields, attempts: this.#attempts };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -0,0 +1,113 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ServingError } from '@dandelionlane/core';
+import StreamCourse from '../relay/StreamCourse.js';
+import servePlain from '../relay/servePlain.js';
+import type Call from './Call.js';
+import CallLog from './CallLog.js';
+import type GatewayParts from './GatewayParts.js';
+import admitCall from './admitCall.js';
+import readBody from './readBody.js';
+import writeRefusal from './writeRefusal.js';
+
+/** Serves the requests of callers, from the head to the final answer. */
+export default class RequestServer {
+  readonly #parts: GatewayParts;
+
+  #running = 0;
+
+  #leaving = false;
+
+  constructor(parts: GatewayParts) {
+    this.#parts = parts;
+  }
+
+  /** Requests under way. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** From now on each answer asks its caller to use another connection. */
+  leave(): void {
+    this.#leaving = true;
+  }
+
+  /** Handles one request. Never rejects. */
+  async handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const { clock, log, metrics } = this.#parts;
+    const receivedAt = clock.monotonicMilliseconds();
+    const callLog = new CallLog();
+    this.#running += 1;
+    if (this.#leaving) {
+      outgoing.setHeader('connection', 'close');
+    }
+    const outcome = await this.#serve(incoming, outgoing, receivedAt, callLog).catch((cause: unknown) => {
+      const error = new ServingError('request failed inside the gateway', { kind: 'internal', cause });
+      log.error('Request failed inside the gateway.', { reason: cause instanceof Error ? cause.stack : String(cause) });
+      if (outgoing.headersSent) {
+        outgoing.destroy();
+      } else {
+        writeRefusal(outgoing, error);
+      }
+      return 'internal';
+    });
+    this.#running -= 1;
+    const milliseconds = Math.round(clock.monotonicMilliseconds() - receivedAt);
+    metrics.count('gateway.requests', 1, [`outcome:${outcome}`]);
+    metrics.timing('gateway.request', milliseconds);
+    log.info('Request ended.', {
+      request: this.#parts.wire.readCall(incoming.headers).requestId,
+      outcome,
+      status: outgoing.headersSent ? outgoing.statusCode : undefined,
+      milliseconds,
+      configuration: this.#parts.configuration.table?.configuration.version,
+      ...callLog.fields,
+    });
+  }
+
+  async #serve(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    receivedAt: number,
+    log: CallLog,
+  ): Promise<string> {
+    const { table } = this.#parts.configuration;
+    const refuse = (error: ServingError): string => {
+      writeRefusal(outgoing, error);
+      return error.kind;
+    };
+    if (table === null) {
+      return refuse(new ServingError('no configuration is known yet', { kind: 'no-accepted-state', retryAfterSeconds: 0.5 }));
+    }
+    const admitted = admitCall(this.#parts, {
+      incoming, outgoing, table, receivedAt, log,
+    });
+    const read = await readBody(incoming, table.configuration.limits.maximumBodyBytes);
+    if (read.kind === 'cut') {
+      return 'caller-gone';
+    }
+    if (read.kind === 'too-large') {
+      outgoing.setHeader('connection', 'close');
+      return refuse(new ServingError('body is larger than the limit', { kind: 'body-too-large' }));
+    }
+    if (admitted.isErr()) {
+      return refuse(admitted.error);
+    }
+    return this.#dispatch({ ...admitted.value, body: read.body });
+  }
+
+  async #dispatch(call: Call): Promise<string> {
+    const departure = new AbortController();
+    call.outgoing.once('close', () => {
+      if (!call.outgoing.writableFinished) {
+        departure.abort();
+      }
+    });
+    if (call.outgoing.destroyed) {
+      return 'caller-gone';
+    }
+    this.#parts.budget.request(call.service);
+    return call.route.request.kind === 'stream'
+      ? new StreamCourse(this.#parts, call).serve(departure.signal)
+      : servePlain(this.#parts, call, departure.signal);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/admitCall.ts
@@ -0,0 +1,68 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { err, ok, type Result } from 'neverthrow';
+import { ServingError } from '@dandelionlane/core';
+import type { Route, RoutingTable, Team } from '@dandelionlane/fleet';
+import type CallHeaders from '../wire/CallHeaders.js';
+import type Call from './Call.js';
+import type CallLog from './CallLog.js';
+import type GatewayParts from './GatewayParts.js';
+import pickService from './pickService.js';
+
+/** A request whose head has been read. */
+interface ReceivedRequest {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly table: RoutingTable;
+  readonly receivedAt: number;
+  readonly log: CallLog;
+}
+
+function identifyTeam(table: RoutingTable, route: Route, said: CallHeaders): Result<Team | null, ServingError> {
+  const team = said.apiKey === null ? undefined : table.teamOf(said.apiKey);
+  if (team === undefined && table.hasTeams && !route.anonymous) {
+    return err(new ServingError('API key is missing or unknown', { kind: 'unknown-team' }));
+  }
+  return ok(team ?? null);
+}
+
+/** Finds route, team and service of a request by one version of the configuration. */
+export default function admitCall(
+  parts: GatewayParts,
+  {
+    incoming, outgoing, table, receivedAt, log,
+  }: ReceivedRequest,
+): Result<Omit<Call, 'body'>, ServingError> {
+  const path = incoming.url ?? '/';
+  const match = table.match(incoming.headers.host ?? '', path);
+  if (match.kind === 'unknown') {
+    return err(new ServingError('no route for this host and path', { kind: 'unknown-path' }));
+  }
+  const { route } = match;
+  const said = parts.wire.readCall(incoming.headers);
+  return identifyTeam(table, route, said).andThen((team): Result<Omit<Call, 'body'>, ServingError> => {
+    const service = pickService(route, parts.random);
+    const profile = service === null ? undefined : table.configuration.services.get(service);
+    if (service === null || profile === undefined) {
+      return err(new ServingError('the route names no known service', { kind: 'no-whole-replica' }));
+    }
+    log.set('route', route.name);
+    log.set('service', service);
+    log.set('team', team?.id);
+    log.set('model', said.model);
+    const patience = said.deadlineMilliseconds ?? route.timeoutMilliseconds;
+    return ok({
+      method: incoming.method ?? 'GET',
+      path,
+      headers: incoming.headers,
+      said,
+      route,
+      service,
+      profile,
+      team,
+      receivedAt,
+      deadlineAt: receivedAt + Math.min(patience, route.timeoutMilliseconds),
+      outgoing,
+      log,
+    });
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/refuseChoice.ts
@@ -0,0 +1,26 @@
+import { ServingError } from '@dandelionlane/core';
+import type Choice from '../choice/Choice.js';
+
+/** When a place is likely to be free again, in seconds. */
+const PLACE_RETRY_SECONDS = 0.3;
+
+/** When a group that is being formed anew is likely to serve, in seconds. */
+const GROUP_RETRY_SECONDS = 0.8;
+
+/** The refusal for a choice that found no target. The request has not run. */
+export default function refuseChoice(choice: Extract<Choice, { kind: 'none' }>): ServingError {
+  switch (choice.reason) {
+    case 'no-target':
+    case 'all-suspected':
+      return new ServingError(`no target: ${choice.reason}`, {
+        kind: 'no-whole-replica', retryAfterSeconds: GROUP_RETRY_SECONDS,
+      });
+    case 'all-full':
+    case 'all-cold':
+      return new ServingError(`no target: ${choice.reason}`, {
+        kind: 'overloaded', retryAfterSeconds: PLACE_RETRY_SECONDS,
+      });
+    default:
+      return choice.reason satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/startAttempt.ts
@@ -0,0 +1,44 @@
+import type Candidate from '../choice/Candidate.js';
+import type AttemptListener from '../targets/AttemptListener.js';
+import TargetAttempt from '../targets/TargetAttempt.js';
+import type Call from './Call.js';
+import type GatewayParts from './GatewayParts.js';
+
+/** Lowest priority that engines know. */
+const LOWEST_PRIORITY = 9;
+
+/** How one attempt differs from the call itself. */
+interface AttemptOptions {
+  readonly lastEventId: string | null;
+  readonly fresh: boolean;
+}
+
+/** Sends a call to a target. */
+export default function startAttempt(
+  parts: GatewayParts,
+  call: Call,
+  { entry: { worker }, state }: Candidate,
+  { lastEventId, fresh }: AttemptOptions,
+  listener: AttemptListener,
+): TargetAttempt {
+  const now = parts.clock.monotonicMilliseconds();
+  const priority = call.team?.priority ?? call.route.priority;
+  const attempt = new TargetAttempt(parts.connections, {
+    worker: worker.id,
+    address: worker.address,
+    method: call.method,
+    path: call.path,
+    headers: parts.wire.targetHeaders(call.headers, {
+      worker: worker.id,
+      deadlineMilliseconds: Math.max(1, Math.floor(call.deadlineAt - now)),
+      team: call.team?.id ?? null,
+      priority: Math.min(LOWEST_PRIORITY, Math.max(0, priority)),
+      lastEventId,
+    }),
+    body: call.body,
+    fresh,
+  }, listener);
+  state.sending();
+  attempt.start();
+  return attempt;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/requests/writeRefusal.ts
@@ -0,0 +1,17 @@
+import type { ServerResponse } from 'node:http';
+import { ServingError, toProblem } from '@dandelionlane/core';
+
+/** Answers a request with a problem document. Does nothing when the answer has begun or the caller left. */
+export default function writeRefusal(outgoing: ServerResponse, error: ServingError): void {
+  if (outgoing.headersSent || outgoing.destroyed) {
+    return;
+  }
+  const problem = toProblem(error);
+  const body = Buffer.from(JSON.stringify(problem));
+  outgoing.writeHead(problem.status, {
+    'content-type': 'application/problem+json',
+    'content-length': body.length,
+    ...(problem.retryAfterSeconds === undefined ? {} : { 'retry-after': String(problem.retryAfterSeconds) }),
+  });
+  outgoing.end(body);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/targets/TargetConnection.ts
@@ -0,0 +1,86 @@
+import { connect, type Socket } from 'node:net';
+import { Client } from 'undici';
+
+/** Time to establish a connection, in ms: a target in the same region accepts within a few ms. */
+const CONNECT_TIMEOUT_MILLISECONDS = 300;
+
+/** Idle time after which a connection is closed where the target names none, in ms. */
+const IDLE_TIMEOUT_MILLISECONDS = 3_000;
+
+/** Upper bound of the idle time that a target names, in ms. */
+const MAXIMUM_IDLE_MILLISECONDS = 15_000;
+
+class ConnectTimeoutError extends Error {
+  readonly code = 'ETIMEDOUT';
+}
+
+/** One connection to a target, used by one request at a time. */
+export default class TargetConnection {
+  readonly client: Client;
+
+  #socketError: Error | null = null;
+
+  #closed = false;
+
+  readonly #onClosed: (connection: TargetConnection) => void;
+
+  /** @param address Host and port. */
+  constructor(address: string, onClosed: (connection: TargetConnection) => void) {
+    this.#onClosed = onClosed;
+    const [host = '', port = ''] = address.split(':');
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS,
+      keepAliveMaxTimeout: MAXIMUM_IDLE_MILLISECONDS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (_options, callback) => this.#connect(host, Number(port), callback),
+    });
+  }
+
+  /** Error of the socket, if it ended by one: an answer without a length is then incomplete. */
+  get socketError(): Error | null {
+    return this.#socketError;
+  }
+
+  get closed(): boolean {
+    return this.#closed;
+  }
+
+  destroy(): void {
+    if (!this.#closed) {
+      this.#closed = true;
+      this.#onClosed(this);
+      // The error goes to the request that runs on the connection.
+      this.client.destroy().catch(() => undefined);
+    }
+  }
+
+  #connect(host: string, port: number, callback: (...args: [null, Socket] | [Error, null]) => void): void {
+    const socket = connect({
+      host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: CONNECT_TIMEOUT_MILLISECONDS,
+    });
+    let settled = false;
+    const timer = setTimeout(() => {
+      socket.destroy(new ConnectTimeoutError(`no connection within ${CONNECT_TIMEOUT_MILLISECONDS} ms`));
+    }, CONNECT_TIMEOUT_MILLISECONDS);
+    socket.once('connect', () => {
+      settled = true;
+      clearTimeout(timer);
+      callback(null, socket);
+    });
+    socket.on('error', (error) => {
+      this.#socketError = error;
+      clearTimeout(timer);
+      if (!settled) {
+        settled = true;
+        callback(error, null);
+      }
+    });
+    socket.once('close', () => {
+      clearTimeout(timer);
+      // Deferred, so that the request on the connection hears of the end first.
+      setImmediate(() => this.destroy());
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -0,0 +1,131 @@
+import type { Clock } from '@dandelionlane/core';
+import type ReportedLoad from '../wire/ReportedLoad.js';
+import type RunningStream from './RunningStream.js';
+
+/** Age from which a reported load says little, in ms: a stream lasts about a second. */
+const LOAD_AGE_MILLISECONDS = 1_500;
+
+/** Weight of the newest outcome in the failure rate. */
+const FAILURE_WEIGHT = 0.15;
+
+/** Weight of the newest answer in the mean latency. */
+const LATENCY_WEIGHT = 0.2;
+
+/** First time for which a target that refused connections is left out, in ms; doubles with each failure. */
+const FIRST_BACKOFF_MILLISECONDS = 150;
+
+/** Longest such time, in ms. */
+const LONGEST_BACKOFF_MILLISECONDS = 2_000;
+
+/** Window in which requests to a cold target are counted, in ms. */
+const COLD_WINDOW_MILLISECONDS = 1_000;
+
+/** What this process knows of one target from its own requests. */
+export default class TargetState {
+  readonly #clock: Clock;
+
+  /** Own requests that are under way. */
+  outstanding = 0;
+
+  /** Streams of this process that run on the target. */
+  readonly streams = new Set<RunningStream>();
+
+  /** Share of requests that failed at the target, recent ones more. */
+  failureRate = 0;
+
+  /** Mean time to an answer of a plain target, in ms; 0 before the first. */
+  latencyMilliseconds = 0;
+
+  /** Monotonic time of the last sign of life, in ms. */
+  lastProgressAt = Number.NEGATIVE_INFINITY;
+
+  #othersLoad = 0;
+
+  #loadAt = Number.NEGATIVE_INFINITY;
+
+  #unreachableUntil = Number.NEGATIVE_INFINITY;
+
+  #backoff = FIRST_BACKOFF_MILLISECONDS;
+
+  #suspectedUntil = Number.NEGATIVE_INFINITY;
+
+  #suspectedFormation = '';
+
+  #recentSends: number[] = [];
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Takes in the load that came with an answer; it counts the own requests too. */
+  loadReported(load: ReportedLoad): void {
+    this.#othersLoad = Math.max(0, load.running + load.waiting - this.outstanding);
+    this.#loadAt = this.#now();
+  }
+
+  /**
+   * Requests of all entries on the target, estimated.
+   * @param entries Live entries, this one included.
+   */
+  estimateLoad(entries: number): number {
+    const age = this.#now() - this.#loadAt;
+    const freshness = Math.max(0, 1 - age / LOAD_AGE_MILLISECONDS);
+    const guess = this.outstanding * (entries - 1);
+    const others = Number.isFinite(age) ? this.#othersLoad * freshness + guess * (1 - freshness) : guess;
+    return this.outstanding + others;
+  }
+
+  /** The target gave a sign of life. */
+  progressed(): void {
+    this.lastProgressAt = this.#now();
+    this.#backoff = FIRST_BACKOFF_MILLISECONDS;
+  }
+
+  succeeded(latencyMilliseconds: number): void {
+    this.failureRate *= 1 - FAILURE_WEIGHT;
+    this.latencyMilliseconds = this.latencyMilliseconds === 0
+      ? latencyMilliseconds
+      : this.latencyMilliseconds + (latencyMilliseconds - this.latencyMilliseconds) * LATENCY_WEIGHT;
+  }
+
+  failed(): void {
+    this.failureRate += (1 - this.failureRate) * FAILURE_WEIGHT;
+  }
+
+  /** No connection was made, or the target refused work. */
+  unreachable(): void {
+    this.#unreachableUntil = this.#now() + this.#backoff;
+    this.#backoff = Math.min(LONGEST_BACKOFF_MILLISECONDS, this.#backoff * 2);
+  }
+
+  get isUnreachable(): boolean {
+    return this.#now() < this.#unreachableUntil;
+  }
+
+  /** Leaves the target out for a while, unless its group is formed anew. */
+  suspect(formation: string, milliseconds: number): void {
+    this.#suspectedUntil = this.#now() + milliseconds;
+    this.#suspectedFormation = formation;
+  }
+
+  isSuspected(formation: string): boolean {
+    return this.#now() < this.#suspectedUntil && this.#suspectedFormation === formation;
+  }
+
+  /** Notes that a request is sent. */
+  sending(): void {
+    const now = this.#now();
+    this.#recentSends = this.#recentSends.filter((at) => now - at < COLD_WINDOW_MILLISECONDS);
+    this.#recentSends.push(now);
+  }
+
+  /** Requests sent in the last second. */
+  get sentLastSecond(): number {
+    const now = this.#now();
+    return this.#recentSends.filter((at) => now - at < COLD_WINDOW_MILLISECONDS).length;
+  }
+
+  #now(): number {
+    return this.#clock.monotonicMilliseconds();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/wire/CallHeaders.ts
@@ -0,0 +1,16 @@
+import type { ModelName } from '@dandelionlane/core';
+
+/** What the headers of a request say, decoded. Null: not said, or not readable. */
+export default interface CallHeaders {
+  /** Identifies this attempt of the caller. */
+  readonly requestId: string | null;
+  /** How long the caller will wait, in ms. */
+  readonly deadlineMilliseconds: number | null;
+  readonly apiKey: string | null;
+  readonly model: ModelName | null;
+  readonly promptTokens: number;
+  /** Upper bound of the tokens that the request may generate. */
+  readonly maximumOutputTokens: number;
+  /** Last event that the caller has of a stream that it resumes. */
+  readonly lastEventId: string | null;
+}
--- /dev/null
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -0,0 +1,253 @@
+import type {
+  Clock, FencingNumber, GroupName, ServiceId, TableStore, WorkerId,
+} from '@dandelionlane/core';
+import type {
+  ConfigurationHolder, EngineProfile, Worker, WorkerPort, WorkerTable,
+} from '@dandelionlane/fleet';
+import type { HeldLease } from '@dandelionlane/platform';
+import type { Log, Metrics } from '@dandelionlane/telemetry';
+import MISSES_UNTIL_SILENT from '../observation/MISSES_UNTIL_SILENT.js';
+import WorkerObserver from '../observation/WorkerObserver.js';
+import planGroups from '../plan/planGroups.js';
+import type GroupRecord from '../plan/GroupRecord.js';
+import type GroupStep from '../plan/GroupStep.js';
+import type MemberReference from '../plan/MemberReference.js';
+import GroupStore from './GroupStore.js';
+import LoadPacer from './LoadPacer.js';
+
+/** Period of the control loop, in ms. */
+const PERIOD_MILLISECONDS = 40;
+
+/** Time after which an order counts as unanswered, in ms. */
+const ORDER_TIMEOUT_MILLISECONDS = 400;
+
+/** Share of silent workers from which this process takes itself to be the one that is cut off. */
+const CUT_OFF_SHARE = 0.6;
+
+/** Rows of one transaction (platform's limit). */
+const MAXIMUM_ROWS = 100;
+
+type OrderStep = Extract<GroupStep, { kind: 'order' }>;
+
+/** What a `GroupController` needs from outside. */
+interface GroupControllerOptions {
+  readonly store: TableStore;
+  readonly port: WorkerPort;
+  readonly workers: WorkerTable;
+  readonly configuration: ConfigurationHolder;
+  /** The lease, while this process may act on it. */
+  readonly lease: () => HeldLease | null;
+  /** Gives the lease up, for others to take. */
+  readonly resign: () => void;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Whether weights may be loaded without a limit: before the first traffic loads are cheap. */
+  readonly isBootstrapping: () => boolean;
+}
+
+function toWorker(reference: MemberReference, service: ServiceId): Worker {
+  return {
+    ...reference,
+    service,
+    slots: 0,
+    draining: true,
+    coldMilliseconds: 0,
+    models: [],
+    stagedModels: [],
+    group: null,
+  };
+}
+
+/** Brings the groups of all model services about while this process holds the lease. */
+export default class GroupController {
+  readonly #options: GroupControllerOptions;
+
+  readonly #store: GroupStore;
+
+  readonly #observer: WorkerObserver;
+
+  readonly #pacer = new LoadPacer();
+
+  #fencing: FencingNumber | null = null;
+
+  #committing = false;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: GroupControllerOptions) {
+    this.#options = options;
+    this.#store = new GroupStore(options.store, options.log);
+    this.#observer = new WorkerObserver({
+      port: options.port, clock: options.clock, log: options.log, changed: () => undefined,
+    });
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => void this.#round(), PERIOD_MILLISECONDS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  async #round(): Promise<void> {
+    const lease = this.#options.lease();
+    if (lease === null) {
+      if (this.#fencing !== null) {
+        this.#options.log.info('Term ended.', { fencing: this.#fencing });
+        this.#fencing = null;
+        this.#observer.clear();
+      }
+      return;
+    }
+    if (this.#committing) {
+      this.#observer.round();
+      return;
+    }
+    if (this.#fencing !== lease.fencing && !await this.#beginTerm(lease)) {
+      return;
+    }
+    this.#follow();
+    this.#observer.round();
+    if (!this.#resignIfCutOff()) {
+      await this.#plan(lease);
+    }
+  }
+
+  async #beginTerm(lease: HeldLease): Promise<boolean> {
+    this.#committing = true;
+    const loaded = await this.#store.load();
+    this.#committing = false;
+    if (loaded.isErr()) {
+      this.#options.log.warn('Group records were not read.', { reason: loaded.error.message });
+      return false;
+    }
+    this.#observer.clear();
+    this.#fencing = lease.fencing;
+    this.#options.log.info('Term began.', { fencing: lease.fencing, groups: this.#store.records.length });
+    return true;
+  }
+
+  /** Model services with their engines. */
+  #engines(): readonly (readonly [ServiceId, EngineProfile])[] {
+    const services = this.#options.configuration.table?.configuration.services;
+    return [...(services?.values() ?? [])]
+      .flatMap(({ id, engine }) => (engine === null || engine.models.length === 0 ? [] : [[id, engine] as const]));
+  }
+
+  #follow(): void {
+    const { workers } = this.#options;
+    const registered = this.#engines().flatMap(([service]) => workers.ofService(service));
+    const unregistered = this.#store.records.flatMap(({ service, members, formerHeads }) => (
+      [...members, ...formerHeads.map(({ head }) => head)].map((reference) => toWorker(reference, service))
+    ));
+    this.#observer.follow(registered, unregistered);
+  }
+
+  #resignIfCutOff(): boolean {
+    const { workers } = this.#observer.observation();
+    const silent = [...workers.values()].filter(({ misses, registered }) => registered && misses >= MISSES_UNTIL_SILENT);
+    const registered = [...workers.values()].filter((worker) => worker.registered);
+    if (registered.length === 0 || silent.length < registered.length * CUT_OFF_SHARE) {
+      return false;
+    }
+    this.#options.log.warn('Most workers are silent, giving the lease up.', {
+      silent: silent.length, workers: registered.length,
+    });
+    this.#options.resign();
+    return true;
+  }
+
+  async #plan(lease: HeldLease): Promise<void> {
+    const observation = this.#observer.observation();
+    const steps = this.#engines().flatMap(([service, engine]) => planGroups({
+      service,
+      engine,
+      records: this.#store.records,
+      observation,
+      candidates: this.#options.workers.ofService(service).map(({ worker }) => worker.id),
+      demand: new Map(),
+    }));
+    const writes = steps.flatMap((step) => (step.kind === 'write' ? [step] : [])).slice(0, MAXIMUM_ROWS / 2);
+    const deletions = steps.flatMap((step) => (step.kind === 'delete' ? [step] : [])).slice(0, MAXIMUM_ROWS / 2);
+    if (writes.length + deletions.length > 0) {
+      await this.#commit(writes.map(({ record }) => record), deletions.map(({ name }) => name));
+      writes.forEach(({ record, reason }) => this.#logRecord(record, reason));
+      deletions.forEach(({ name, reason }) => this.#options.log.info('Group dissolved.', { group: name, reason }));
+    }
+    steps.forEach((step) => {
+      if (step.kind === 'order') {
+        this.#send(step, lease, observation.workers.get(step.worker)?.report?.orderSequence ?? 0);
+      }
+    });
+  }
+
+  #logRecord(record: GroupRecord, reason: string): void {
+    this.#options.log.info('Group planned.', {
+      group: record.name,
+      epoch: record.epoch,
+      model: record.model,
+      members: record.members.map(({ id }) => id).join(','),
+      reason,
+    });
+    this.#options.metrics.count('groups.planned', 1, [`reason:${reason}`]);
+  }
+
+  async #commit(writes: readonly GroupRecord[], deletions: readonly GroupName[]): Promise<void> {
+    this.#committing = true;
+    const committed = await this.#store.commit(writes, deletions);
+    this.#committing = false;
+    if (committed.isErr()) {
+      this.#options.log.warn('Group records were not written.', {
+        kind: committed.error.kind, reason: committed.error.message,
+      });
+      // What the rows hold now is read at the start of the next round.
+      this.#fencing = null;
+    }
+  }
+
+  #send(step: OrderStep, lease: HeldLease, expectedSequence: number): void {
+    const {
+      clock, workers, configuration, isBootstrapping,
+    } = this.#options;
+    const entry = workers.get(step.worker);
+    const observed = this.#observer.observation().workers.get(step.worker);
+    const worker = entry?.worker ?? observed?.worker;
+    if (worker === undefined || this.#fencing === null || this.#options.lease()?.fencing !== lease.fencing) {
+      return;
+    }
+    const limit = configuration.table?.configuration.services.get(worker.service)?.engine?.loadsPerSecond ?? 1;
+    if (step.loads && !isBootstrapping() && !this.#pacer.tryStart(clock.monotonicMilliseconds(), limit)) {
+      return;
+    }
+    this.#observer.orderSent(step.worker);
+    void this.#carryOut(step, worker, { fencing: lease.fencing, expectedSequence });
+  }
+
+  async #carryOut(
+    { worker: id, order }: OrderStep,
+    worker: Worker,
+    stamp: { readonly fencing: FencingNumber; readonly expectedSequence: number },
+  ): Promise<void> {
+    const { port, log, metrics } = this.#options;
+    const outcome = await port.order(worker, order, stamp, ORDER_TIMEOUT_MILLISECONDS);
+    this.#observer.orderEnded(id);
+    const result = outcome.isOk() ? outcome.value : 'unanswered';
+    metrics.count('groups.orders', 1, [`kind:${order.kind}`, `outcome:${result}`]);
+    log.info('Order sent.', {
+      worker: id,
+      order: order.kind,
+      group: order.kind === 'stage' ? undefined : order.group,
+      epoch: order.kind === 'stage' ? undefined : order.epoch,
+      expectedSequence: stamp.expectedSequence,
+      fencing: stamp.fencing,
+      outcome: result,
+    });
+    if (result === 'fenced') {
+      log.warn('A worker has seen a later term, giving the lease up.', { worker: id });
+      this.#fencing = null;
+      this.#options.resign();
+    }
+  }
+}
--- /dev/null
+++ b/packages/groups/src/lib/observation/ObservedWorker.ts
@@ -0,0 +1,18 @@
+import type { Worker, WorkerReport } from '@dandelionlane/fleet';
+
+/** What the holder of the lease knows of one worker. */
+export default interface ObservedWorker {
+  readonly worker: Worker;
+  /** Whether its registration stands in the store. */
+  readonly registered: boolean;
+  /** Last answer of this life, or null. */
+  readonly report: WorkerReport | null;
+  /** Questions in a row that went unanswered. */
+  readonly misses: number;
+  /** Time since its last answer, or since it was first asked, in ms. */
+  readonly silentMilliseconds: number;
+  /** Time since its reported group or its state changed, in ms. */
+  readonly groupStateMilliseconds: number;
+  /** Whether an order is under way, or its answer was lost and no report has come since. */
+  readonly ordering: boolean;
+}
--- /dev/null
+++ b/packages/groups/src/lib/plan/WorkerPool.ts
@@ -0,0 +1,50 @@
+import type { FabricDomainId, ModelName, WorkerId } from '@dandelionlane/core';
+import type FleetObservation from '../observation/FleetObservation.js';
+import type ObservedWorker from '../observation/ObservedWorker.js';
+import assessLiveness from '../observation/assessLiveness.js';
+import STRAGGLER_SLOWDOWN from './STRAGGLER_SLOWDOWN.js';
+import type GroupRecord from './GroupRecord.js';
+
+/** Workers of one service that belong to no group and can be given to one. */
+export default class WorkerPool {
+  readonly #free: Set<ObservedWorker>;
+
+  constructor(observation: FleetObservation, records: readonly GroupRecord[], candidates: readonly WorkerId[]) {
+    const taken = new Set(records.flatMap(({ members }) => members
+      .filter((member) => observation.find(member) !== undefined)
+      .map(({ id }) => id)));
+    this.#free = new Set(candidates
+      .map((id) => observation.workers.get(id))
+      .filter((observed) => observed !== undefined)
+      .filter((observed) => assessLiveness(observed) === 'alive' && !taken.has(observed.worker.id))
+      .filter(({ report }) => report !== null && report.group === null && report.slowdown < STRAGGLER_SLOWDOWN));
+  }
+
+  /** Free workers of a domain. */
+  inDomain(domain: FabricDomainId | null): readonly ObservedWorker[] {
+    return [...this.#free].filter(({ worker }) => worker.domain === domain);
+  }
+
+  /** Domains that have free workers. */
+  domains(): readonly (FabricDomainId | null)[] {
+    return [...new Set([...this.#free].map(({ worker }) => worker.domain))];
+  }
+
+  /** Takes workers of a domain out, those that have the model's weights first; null when too few are left. */
+  take(domain: FabricDomainId | null, model: ModelName, count: number): readonly ObservedWorker[] | null {
+    const workers = this.inDomain(domain);
+    if (workers.length < count) {
+      return null;
+    }
+    const staged = workers.filter((observed) => WorkerPool.isStaged(observed, model));
+    const others = workers.filter((observed) => !WorkerPool.isStaged(observed, model));
+    const chosen = [...staged, ...others].slice(0, count);
+    chosen.forEach((observed) => this.#free.delete(observed));
+    return chosen;
+  }
+
+  /** Whether the worker's host has the weights of a model. */
+  static isStaged({ report }: ObservedWorker, model: ModelName): boolean {
+    return report?.stagedModels.includes(model) ?? false;
+  }
+}
--- /dev/null
+++ b/packages/groups/src/lib/plan/findStragglers.ts
@@ -0,0 +1,15 @@
+import type FleetObservation from '../observation/FleetObservation.js';
+import STRAGGLER_SLOWDOWN from './STRAGGLER_SLOWDOWN.js';
+import type GroupRecord from './GroupRecord.js';
+import type MemberReference from './MemberReference.js';
+
+/** Members that hold the whole group up. */
+export default function findStragglers(
+  record: GroupRecord,
+  observation: FleetObservation,
+): readonly MemberReference[] {
+  return record.members.filter((member) => {
+    const observed = observation.find(member);
+    return (observed?.report?.slowdown ?? 1) >= STRAGGLER_SLOWDOWN;
+  });
+}
--- /dev/null
+++ b/packages/groups/src/lib/plan/planFormation.ts
@@ -0,0 +1,90 @@
+import type FleetObservation from '../observation/FleetObservation.js';
+import type ObservedWorker from '../observation/ObservedWorker.js';
+import isMemberOf from './isMemberOf.js';
+import mayJoin from './mayJoin.js';
+import planRelease from './planRelease.js';
+import WorkerPool from './WorkerPool.js';
+import type GroupRecord from './GroupRecord.js';
+import type GroupStep from './GroupStep.js';
+
+function planJoin(record: GroupRecord, observed: ObservedWorker): GroupStep {
+  return {
+    kind: 'order',
+    worker: observed.worker.id,
+    order: {
+      kind: 'join',
+      group: record.name,
+      epoch: record.epoch,
+      model: record.model,
+      members: record.members.map(({ id }) => id),
+    },
+    loads: !WorkerPool.isStaged(observed, record.model),
+  };
+}
+
+/** A worker that sits in a group which is not the record's leaves it first. */
+function planLeave(record: GroupRecord, observed: ObservedWorker): readonly GroupStep[] {
+  const group = observed.report?.group ?? null;
+  const isStray = group !== null && group.name !== record.name && group.state !== 'open';
+  return isStray
+    ? [{
+      kind: 'order',
+      worker: observed.worker.id,
+      order: { kind: 'leave', group: group.name, epoch: group.epoch },
+      loads: false,
+    }]
+    : [];
+}
+
+function planHead(
+  record: GroupRecord,
+  head: ObservedWorker,
+  observation: FleetObservation,
+): readonly GroupStep[] {
+  if (isMemberOf(record, head)) {
+    const members = record.members.map((member) => observation.findAnswering(member));
+    const allReady = members.every((member) => isMemberOf(record, member)
+      && member?.report?.group?.state === 'ready');
+    return allReady
+      ? [{
+        kind: 'order',
+        worker: head.worker.id,
+        order: { kind: 'open', group: record.name, epoch: record.epoch },
+        loads: false,
+      }]
+      : [];
+  }
+  if (mayJoin(record, head, observation)) {
+    return [planJoin(record, head)];
+  }
+  const former = record.formerHeads.find(({ head: { id }, epoch }) => (
+    id === head.worker.id && epoch === head.report?.group?.epoch
+  ));
+  return former === undefined ? planLeave(record, head) : planRelease(record, former, observation);
+}
+
+/**
+ * Orders that bring a formation forward. The head moves first: once it is in the new formation,
+ * the old one can never open again. Workers that are in no group may join at any time.
+ */
+export default function planFormation(
+  record: GroupRecord,
+  observation: FleetObservation,
+): readonly GroupStep[] {
+  const [headReference, ...others] = record.members;
+  const head = headReference === undefined ? undefined : observation.findAnswering(headReference);
+  const headSteps = head === undefined || head.ordering || head.report === null
+    ? [] : planHead(record, head, observation);
+  const headHasJoined = isMemberOf(record, head);
+  const memberSteps = others.flatMap((reference) => {
+    const observed = observation.findAnswering(reference);
+    if (observed === undefined || observed.ordering || observed.report === null || isMemberOf(record, observed)) {
+      return [];
+    }
+    if (observed.report.group === null || (headHasJoined && mayJoin(record, observed, observation))) {
+      return [planJoin(record, observed)];
+    }
+    return planLeave(record, observed);
+  });
+  return [...headSteps, ...memberSteps];
+}
--- /dev/null
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -0,0 +1,68 @@
+import type { FabricDomainId, ServiceId, WorkerId } from '@dandelionlane/core';
+import type { EngineProfile } from '@dandelionlane/fleet';
+import type FleetObservation from '../observation/FleetObservation.js';
+import EpochSource from './EpochSource.js';
+import type GroupRecord from './GroupRecord.js';
+import type GroupStep from './GroupStep.js';
+import planDissolution from './planDissolution.js';
+import planFormation from './planFormation.js';
+import planNewGroups from './planNewGroups.js';
+import planReform from './planReform.js';
+import planStaging from './planStaging.js';
+import planStrays from './planStrays.js';
+import WorkerPool from './WorkerPool.js';
+
+/** Time without a new worker after which groups are formed, in ms: a start registers all within seconds. */
+const SETTLE_MILLISECONDS = 600;
+
+/** What `planGroups` decides with. */
+interface GroupPlanInput {
+  readonly service: ServiceId;
+  readonly engine: EngineProfile;
+  readonly records: readonly GroupRecord[];
+  readonly observation: FleetObservation;
+  /** Workers of the service. */
+  readonly candidates: readonly WorkerId[];
+  /** Relative demand of each model. */
+  readonly demand: ReadonlyMap<string, number>;
+}
+
+function countByDomain(
+  observation: FleetObservation,
+  candidates: readonly WorkerId[],
+): ReadonlyMap<FabricDomainId | null, number> {
+  const sizes = new Map<FabricDomainId | null, number>();
+  candidates.forEach((id) => {
+    const domain = observation.workers.get(id)?.worker.domain ?? null;
+    sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
+  });
+  return sizes;
+}
+
+/**
+ * Steps towards groups that serve: repairs first, then new groups, then weights for spares.
+ * Compares records with reports and keeps no state, so a new holder of the lease goes on where
+ * the last one stopped.
+ */
+export default function planGroups(input: GroupPlanInput): readonly GroupStep[] {
+  const {
+    service, engine, observation, candidates, demand,
+  } = input;
+  const records = input.records.filter((record) => record.service === service);
+  const pool = new WorkerPool(observation, records, candidates);
+  const epochs = new EpochSource(observation, input.records);
+  const repairs = records.flatMap((record) => {
+    const reform = planReform({
+      record, observation, pool, epochs,
+    });
+    const others = planDissolution(record, observation);
+    return reform.length > 0 ? [...reform, ...others] : [...planFormation(record, observation), ...others];
+  });
+  // Groups that are formed while workers still register would be the small ones.
+  const created = observation.steadyMilliseconds < SETTLE_MILLISECONDS ? [] : planNewGroups({
+    service, engine, records, pool, epochs, demand, domainSizes: countByDomain(observation, candidates),
+  });
+  const all = [...records, ...created.flatMap((step) => (step.kind === 'write' ? [step.record] : []))];
+  const staging = pool.domains().flatMap((domain) => planStaging(domain, all, pool));
+  return [...repairs, ...created, ...planStrays(observation, records, candidates), ...staging];
+}
--- /dev/null
+++ b/packages/groups/src/lib/plan/planReform.ts
@@ -0,0 +1,98 @@
+import type FleetObservation from '../observation/FleetObservation.js';
+import type EpochSource from './EpochSource.js';
+import type GroupRecord from './GroupRecord.js';
+import type GroupStep from './GroupStep.js';
+import type MemberReference from './MemberReference.js';
+import WorkerPool from './WorkerPool.js';
+import findFaultyMembers from './findFaultyMembers.js';
+import findStragglers from './findStragglers.js';
+import isMemberOf from './isMemberOf.js';
+import toReference from './toReference.js';
+
+/** Earlier heads that a record keeps. Members return from older formations only after a long cut. */
+const MAXIMUM_FORMER_HEADS = 8;
+
+/** What `planReform` decides with. */
+interface ReformInput {
+  readonly record: GroupRecord;
+  readonly observation: FleetObservation;
+  readonly pool: WorkerPool;
+  readonly epochs: EpochSource;
+}
+
+function isBroken(record: GroupRecord, observation: FleetObservation): boolean {
+  return record.members.some((member) => {
+    const observed = observation.find(member);
+    return isMemberOf(record, observed) && observed?.report?.group?.state === 'broken';
+  });
+}
+
+/** Ends the service of a group that stands still and for which there is no replacement yet. */
+function planCut(record: GroupRecord, observation: FleetObservation): readonly GroupStep[] {
+  const [head] = record.members;
+  const observed = head === undefined ? undefined : observation.findAnswering(head);
+  const state = observed?.report?.group?.state;
+  if (observed === undefined || observed.ordering || !isMemberOf(record, observed)
+    || (state !== 'open' && state !== 'closing')) {
+    return [];
+  }
+  return [{
+    kind: 'order',
+    worker: observed.worker.id,
+    order: {
+      kind: 'close', group: record.name, epoch: record.epoch, strategy: 'cut',
+    },
+    loads: false,
+  }];
+}
+
+function reform(
+  { record, observation, pool, epochs }: ReformInput,
+  removed: readonly MemberReference[],
+  reason: string,
+): readonly GroupStep[] {
+  const survivors = record.members.filter((member) => !removed.includes(member));
+  const [head] = record.members;
+  const domain = (survivors[0] ?? head)?.domain ?? null;
+  const stalled = removed.some((member) => observation.livenessOf(member) !== 'leaving'
+    && observation.livenessOf(member) !== 'alive');
+  const newcomers = pool.take(domain, record.model, record.members.length - survivors.length);
+  if (newcomers === null || head === undefined) {
+    return stalled ? planCut(record, observation) : [];
+  }
+  return [{
+    kind: 'write',
+    record: {
+      ...record,
+      epoch: epochs.next(),
+      members: [...survivors, ...newcomers.map(toReference)],
+      formerHeads: [{ epoch: record.epoch, head, stalled }, ...record.formerHeads].slice(0, MAXIMUM_FORMER_HEADS),
+    },
+    reason,
+  }];
+}
+
+/**
+ * A new formation of a group that lost members, or none. A head that does not answer and may be
+ * alive holds its members: they cannot be moved before it is known to have ended.
+ */
+export default function planReform(input: ReformInput): readonly GroupStep[] {
+  const { record, observation, pool } = input;
+  const faulty = findFaultyMembers(record, observation);
+  const [head] = record.members;
+  if (head === undefined || observation.livenessOf(head) === 'silent' || observation.livenessOf(head) === 'unknown') {
+    return [];
+  }
+  if (faulty.length > 0) {
+    return reform(input, faulty, 'members-lost');
+  }
+  if (isBroken(record, observation)) {
+    return reform(input, [], 'group-broken');
+  }
+  const stragglers = findStragglers(record, observation);
+  const spares = pool.inDomain(head.domain).filter((spare) => WorkerPool.isStaged(spare, record.model));
+  const isOpen = observation.find(head)?.report?.group?.state === 'open';
+  return isOpen && stragglers.length > 0 && stragglers.length <= spares.length
+    ? reform(input, stragglers, 'stragglers')
+    : [];
+}
--- /dev/null
+++ b/packages/groups/src/lib/plan/planRelease.ts
@@ -0,0 +1,43 @@
+import type FleetObservation from '../observation/FleetObservation.js';
+import type FormerHead from './FormerHead.js';
+import type GroupRecord from './GroupRecord.js';
+import type GroupStep from './GroupStep.js';
+
+/** Longest time that a head may finish its running requests before they are cut, in ms. */
+const FINISH_MILLISECONDS = 2_500;
+
+/** Next order that takes a former head out of its formation; none when it is out or does not answer. */
+export default function planRelease(
+  record: GroupRecord,
+  former: FormerHead,
+  observation: FleetObservation,
+): readonly GroupStep[] {
+  const observed = observation.findAnswering(former.head);
+  const group = observed?.report?.group ?? null;
+  if (observed === undefined || observed.ordering || group === null
+    || group.name !== record.name || group.epoch !== former.epoch) {
+    return [];
+  }
+  const order = (step: 'finish' | 'cut' | 'leave'): readonly GroupStep[] => [{
+    kind: 'order',
+    worker: former.head.id,
+    order: step === 'leave'
+      ? { kind: 'leave', group: record.name, epoch: former.epoch }
+      : {
+        kind: 'close', group: record.name, epoch: former.epoch, strategy: step,
+      },
+    loads: false,
+  }];
+  switch (group.state) {
+    case 'open':
+      return order(former.stalled ? 'cut' : 'finish');
+    case 'closing':
+      return former.stalled || observed.groupStateMilliseconds > FINISH_MILLISECONDS ? order('cut') : [];
+    case 'joining':
+    case 'ready':
+    case 'broken':
+      return order('leave');
+    default:
+      return group.state satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/groups/src/lib/plan/planStrays.ts
@@ -0,0 +1,39 @@
+import type { WorkerId } from '@dandelionlane/core';
+import type FleetObservation from '../observation/FleetObservation.js';
+import assessLiveness from '../observation/assessLiveness.js';
+import type GroupRecord from './GroupRecord.js';
+import type GroupStep from './GroupStep.js';
+
+/** Takes workers out of groups that have no record, a late order for instance. */
+export default function planStrays(
+  observation: FleetObservation,
+  records: readonly GroupRecord[],
+  candidates: readonly WorkerId[],
+): readonly GroupStep[] {
+  const named = new Map(records.map((record) => [record.name, record]));
+  return candidates.flatMap((id): readonly GroupStep[] => {
+    const observed = observation.workers.get(id);
+    const group = observed?.report?.group ?? null;
+    if (observed === undefined || group === null || observed.ordering) {
+      return [];
+    }
+    const liveness = assessLiveness(observed);
+    const record = named.get(group.name);
+    const isKnown = record !== undefined && (record.members.some((member) => member.id === id)
+      || record.formerHeads.some(({ head }) => head.id === id));
+    if (isKnown || (liveness !== 'alive' && liveness !== 'leaving')) {
+      return [];
+    }
+    const isServing = group.state === 'open' || group.state === 'closing';
+    return [{
+      kind: 'order',
+      worker: id,
+      order: isServing
+        ? {
+          kind: 'close', group: group.name, epoch: group.epoch, strategy: 'cut',
+        }
+        : { kind: 'leave', group: group.name, epoch: group.epoch },
+      loads: false,
+    }];
+  });
+}
--- /dev/null
+++ b/packages/groups/src/lib/plan/toReference.ts
@@ -0,0 +1,13 @@
+import type ObservedWorker from '../observation/ObservedWorker.js';
+import type MemberReference from './MemberReference.js';
+
+/** Reference to the present life of a worker. */
+export default function toReference({ worker, report }: ObservedWorker): MemberReference {
+  return {
+    id: worker.id,
+    bornAt: report?.bornAt ?? worker.bornAt,
+    address: worker.address,
+    zone: worker.zone,
+    domain: report?.domain ?? worker.domain,
+  };
+}
--- a/packages/platform/src/lib/http/JSONRequest.ts
+++ b/packages/platform/src/lib/http/JSONRequest.ts
@@ -5,5 +5,6 @@
   readonly origin: string;
   readonly path: string;
   readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMilliseconds: number;
 }
--- a/packages/platform/src/lib/http/sendJSON.ts
+++ b/packages/platform/src/lib/http/sendJSON.ts
@@ -15,10 +15,11 @@
     headersTimeout: request.timeoutMilliseconds,
     bodyTimeout: request.timeoutMilliseconds,
     signal: AbortSignal.timeout(request.timeoutMilliseconds),
-    ...(request.body === undefined ? {} : {
-      body: JSON.stringify(request.body),
-      headers: { 'content-type': 'application/json' },
-    }),
+    headers: {
+      ...request.headers,
+      ...(request.body === undefined ? {} : { 'content-type': 'application/json' }),
+    },
+    ...(request.body === undefined ? {} : { body: JSON.stringify(request.body) }),
   });
   const length = Number(answer.headers['content-length'] ?? 0);
   if (length > MAXIMUM_ANSWER_BYTES) {
@@ -26,7 +27,8 @@
     throw new Error(`answer of ${length} bytes is too large`);
   }
   const text = await answer.body.text();
-  const data: unknown = text === '' ? null : JSON.parse(text);
+  const isJSON = String(answer.headers['content-type'] ?? '').includes('json');
+  const data: unknown = text === '' || !isJSON ? null : JSON.parse(text);
   return { status: answer.statusCode, data };
 }
 
--- /dev/null
+++ b/packages/telemetry/src/lib/MetricsRegistry.ts
@@ -0,0 +1,72 @@
+import type Metrics from './Metrics.js';
+
+/** Upper bounds of the latency buckets, in ms. */
+const BUCKETS = [5, 10, 25, 50, 100, 150, 250, 400, 600, 1_000, 2_000, 4_000, 8_000] as const;
+
+/** Counts of one histogram; the last bucket has no bound. */
+interface Histogram {
+  readonly counts: number[];
+  sum: number;
+}
+
+function toLabels(tags: readonly string[], extra: readonly string[] = []): string {
+  const labels = [...tags.map((tag) => {
+    const colon = tag.indexOf(':');
+    return `${tag.slice(0, colon)}="${tag.slice(colon + 1)}"`;
+  }), ...extra];
+  return labels.length === 0 ? '' : `{${labels.join(',')}}`;
+}
+
+function toName(name: string): string {
+  return `dandelionlane_${name.replaceAll(/[^A-Za-z0-9]/g, '_')}`;
+}
+
+/** Metrics that are kept in memory and served as text, in the exposition format of Prometheus. */
+export default class MetricsRegistry implements Metrics {
+  readonly #counters = new Map<string, number>();
+
+  readonly #gauges = new Map<string, number>();
+
+  readonly #histograms = new Map<string, { readonly name: string; readonly tags: readonly string[]; readonly histogram: Histogram }>();
+
+  count(name: string, amount = 1, tags: readonly string[] = []): void {
+    const key = `${toName(name)}_total${toLabels(tags)}`;
+    this.#counters.set(key, (this.#counters.get(key) ?? 0) + amount);
+  }
+
+  gauge(name: string, value: number, tags: readonly string[] = []): void {
+    this.#gauges.set(`${toName(name)}${toLabels(tags)}`, value);
+  }
+
+  timing(name: string, milliseconds: number, tags: readonly string[] = []): void {
+    const key = `${name}${toLabels(tags)}`;
+    const known = this.#histograms.get(key)
+      ?? { name: toName(name), tags, histogram: { counts: Array<number>(BUCKETS.length + 1).fill(0), sum: 0 } };
+    this.#histograms.set(key, known);
+    const bucket = BUCKETS.findIndex((bound) => milliseconds <= bound);
+    const index = bucket === -1 ? BUCKETS.length : bucket;
+    known.histogram.counts[index] = (known.histogram.counts[index] ?? 0) + 1;
+    known.histogram.sum += milliseconds;
+  }
+
+  /** All metrics as text. */
+  render(): string {
+    const lines = [...this.#counters, ...this.#gauges].map(([key, value]) => `${key} ${value}`);
+    this.#histograms.forEach(({ name, tags, histogram }) => {
+      let total = 0;
+      histogram.counts.forEach((count, index) => {
+        total += count;
+        const bound = BUCKETS[index]?.toString() ?? '+Inf';
+        lines.push(`${name}_milliseconds_bucket${toLabels(tags, [`le="${bound}"`])} ${total}`);
+      });
+      lines.push(`${name}_milliseconds_sum${toLabels(tags)} ${Math.round(histogram.sum)}`);
+      lines.push(`${name}_milliseconds_count${toLabels(tags)} ${total}`);
+    });
+    return `${lines.join('\n')}\n`;
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- implements an interface
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- a/packages/telemetry/src/lib/createLog.ts
+++ b/packages/telemetry/src/lib/createLog.ts
@@ -2,18 +2,24 @@
 import type { Clock } from '@dandelionlane/core';
 import formatFields from './formatFields.js';
 import type Log from './Log.js';
+import type LineWriter from './LineWriter.js';
 import type LogFields from './LogFields.js';
 import type LogSettings from './LogSettings.js';
 
 /**
  * A log for one part of a process.
  *
+ * With a writer, lines go there and never block; otherwise to the console.
+ *
  * @example
  * const log = createLog('routing', { level: 'info', format: 'text' }, new SystemClock());
  * log.info('Target chosen.', { replica: 'proofs-1', reason: 'fewest-tokens' });
  */
-export default function createLog(prefix: string, settings: LogSettings, clock: Clock): Log {
+export default function createLog(prefix: string, settings: LogSettings, clock: Clock, writer?: LineWriter): Log {
   const logger = loglevel.getLogger(prefix);
+  if (writer !== undefined) {
+    logger.methodFactory = () => (text: string) => writer.line(text);
+  }
   logger.setLevel(settings.level, false);
 
   function line(level: string, message: string, fields: LogFields): string {
