Count accepted orders, and take group states from registrations as they change

An accepted order now counts at once, a registration's group goes before an older report, and an order ends only with a report that shows it. Smaller groups go to the domain with the fewest free workers, and the last spare holds the weights of the model with the most members.

--- a/packages/fleet/src/lib/configuration/EngineProfile.ts
+++ b/packages/fleet/src/lib/configuration/EngineProfile.ts
@@ -17,4 +17,6 @@
   readonly stepMillisecondsPerRequest: number;
   /** Token steps of one pass of the engine; a stream gets its tokens once a pass. */
   readonly stepsPerPass: number;
+  /** Age of the figures in a worker's report, in ms. */
+  readonly reportLagMilliseconds: number;
 }
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -80,6 +80,7 @@
     this.#store = new GroupStore(options.store, options.log);
     this.#observer = new WorkerObserver({
       port: options.port, clock: options.clock, log: options.log, changed: () => undefined,
+      reportLagMilliseconds: () => Math.max(0, ...this.#engines().map(([, engine]) => engine.reportLagMilliseconds)),
     });
   }
 
@@ -232,8 +233,8 @@
   ): Promise<void> {
     const { port, log, metrics } = this.#options;
     const outcome = await port.order(worker, order, stamp, ORDER_TIMEOUT_MILLISECONDS);
-    this.#observer.orderEnded(id);
     const result = outcome.isOk() ? outcome.value : 'unanswered';
+    this.#observer.orderEnded(id, result === 'begun' ? stamp.expectedSequence + 1 : null);
     metrics.count('groups.orders', 1, [`kind:${order.kind}`, `outcome:${result}`]);
     log.info('Order sent.', {
       worker: id,
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -22,6 +22,9 @@
 /** Time between two questions to a worker that has been silent for long, in ms. */
 const SILENT_INTERVAL_MILLISECONDS = 700;
 
+/** Time after which an accepted order that no report counts is taken to be lost, in ms. */
+const ORDER_EFFECT_MILLISECONDS = 1_000;
+
 /** Loop delay above which unanswered questions are put down to this process, in ms. */
 const LOOP_DELAY_MILLISECONDS = 120;
 
@@ -36,13 +39,17 @@
   asking: boolean;
   groupKey: string;
   groupChangedAt: number;
-  ordering: boolean;
-  /** Number of the last order; an answer to a question asked before it tells nothing of it. */
-  orders: number;
+  /** `ended`: the order's call is over, and no report has shown its effect yet. */
+  order: 'none' | 'under-way' | 'ended';
+  /** Monotonic time at which the last order's call ended, in ms. */
+  orderEndedAt: number;
+  /** Orders that the worker has accepted, by its reports and its answers. */
+  orderSequence: number;
+  /** Monotonic time of the last change of its registration's group, in ms. */
+  registeredGroupAt: number;
 }
 
-function describeGroup(report: WorkerReport): string {
-  const { group } = report;
+function describeGroup({ group }: Pick<Worker, 'group'>): string {
   return group === null ? '' : `${group.name}/${group.epoch}/${group.state}`;
 }
 
@@ -53,6 +60,8 @@
   readonly log: Log;
   /** Called when a worker has answered or has become silent. */
   readonly changed: () => void;
+  /** Age of what a report says, in ms. */
+  readonly reportLagMilliseconds: () => number;
 }
 
 /** Asks model workers for their state, more often the more hangs on the answer. */
@@ -107,16 +116,21 @@
   orderSent(id: WorkerId): void {
     const sighting = this.#sightings.get(id);
     if (sighting !== undefined) {
-      sighting.ordering = true;
-      sighting.orders += 1;
+      sighting.order = 'under-way';
     }
   }
 
-  /** The order's call has ended: its effect shows in the next report. */
-  orderEnded(id: WorkerId): void {
+  /**
+   * The order's call has ended. Its effect shows in a report that counts it or, where it has begun
+   * nothing, in one that was made later.
+   * @param acceptedSequence Orders accepted with this one, where it has begun something.
+   */
+  orderEnded(id: WorkerId, acceptedSequence: number | null): void {
     const sighting = this.#sightings.get(id);
     if (sighting !== undefined) {
-      sighting.askedAt = Number.NEGATIVE_INFINITY;
+      sighting.order = 'ended';
+      sighting.orderEndedAt = this.#now();
+      sighting.orderSequence = Math.max(sighting.orderSequence, acceptedSequence ?? 0);
     }
   }
 
@@ -125,11 +139,11 @@
     const workers = new Map([...this.#sightings].map(([id, sighting]): [WorkerId, ObservedWorker] => [id, {
       worker: sighting.worker,
       registered: sighting.registered,
-      report: sighting.report,
+      report: sighting.report === null ? null : { ...sighting.report, orderSequence: sighting.orderSequence },
       misses: sighting.misses,
       silentMilliseconds: now - sighting.answeredAt,
       groupStateMilliseconds: now - sighting.groupChangedAt,
-      ordering: sighting.ordering,
+      ordering: sighting.order !== 'none',
     }]));
     return new FleetObservation(workers, now - this.#newestAt);
   }
@@ -143,6 +157,7 @@
     const isSameLife = sighting !== undefined && sighting.worker.bornAt === worker.bornAt
       && sighting.worker.address === worker.address;
     if (isSameLife) {
+      this.#noteRegisteredGroup(sighting, worker, now);
       sighting.worker = worker;
       sighting.registered = registered;
       return;
@@ -158,11 +173,35 @@
       asking: false,
       groupKey: '',
       groupChangedAt: now,
-      ordering: false,
-      orders: 0,
+      order: 'none',
+      orderEndedAt: Number.NEGATIVE_INFINITY,
+      orderSequence: 0,
+      registeredGroupAt: Number.NEGATIVE_INFINITY,
     });
   }
 
+  /** Registrations change at once with the group, whereas reports lag behind. */
+  #noteRegisteredGroup(noted: Sighting, worker: Worker, now: number): void {
+    const sighting = noted;
+    if (worker.group === sighting.worker.group || describeGroup(worker) === describeGroup(sighting.worker)) {
+      return;
+    }
+    sighting.registeredGroupAt = now;
+    if (sighting.report !== null) {
+      this.#takeReport(sighting, { ...sighting.report, group: worker.group, stagedModels: worker.stagedModels }, now);
+    }
+  }
+
+  #takeReport(taken: Sighting, report: WorkerReport, now: number): void {
+    const sighting = taken;
+    if (describeGroup(report) !== sighting.groupKey) {
+      sighting.groupKey = describeGroup(report);
+      sighting.groupChangedAt = now;
+    }
+    sighting.report = report;
+    this.#options.changed();
+  }
+
   static #interval(sighting: Sighting): number {
     if (sighting.misses >= MISSES_UNTIL_SILENT) {
       return SILENT_INTERVAL_MILLISECONDS;
@@ -171,7 +210,7 @@
       return 0;
     }
     const { group, busy } = sighting.report;
-    if (sighting.ordering || group?.state === 'joining' || group?.state === 'closing') {
+    if (sighting.order !== 'none' || group?.state === 'joining' || group?.state === 'closing') {
       return CHANGING_INTERVAL_MILLISECONDS;
     }
     return group === null && !busy ? SPARE_INTERVAL_MILLISECONDS : MEMBER_INTERVAL_MILLISECONDS;
@@ -179,41 +218,43 @@
 
   async #ask(asked: Sighting, now: number, delayed: boolean): Promise<void> {
     const sighting = asked;
-    const { orders } = sighting;
+    const asksAfterOrder = sighting.order === 'ended';
     sighting.asking = true;
     sighting.askedAt = now;
     const answer = await this.#options.port.report(sighting.worker, REPORT_TIMEOUT_MILLISECONDS);
     sighting.asking = false;
     if (answer.isErr()) {
-      this.#missed(sighting, delayed, answer.error.message);
+      this.#missed(sighting, asksAfterOrder, delayed, answer.error.message);
       return;
     }
-    const report = answer.value;
     const answeredAt = this.#now();
-    if (describeGroup(report) !== sighting.groupKey) {
-      sighting.groupKey = describeGroup(report);
-      sighting.groupChangedAt = answeredAt;
-    }
-    sighting.report = report;
+    const madeAt = answeredAt - this.#options.reportLagMilliseconds();
+    const { group, stagedModels } = sighting.report ?? answer.value;
+    const report = madeAt < sighting.registeredGroupAt ? { ...answer.value, group, stagedModels } : answer.value;
+    this.#takeReport(sighting, report, answeredAt);
     sighting.answeredAt = answeredAt;
     if (sighting.misses >= MISSES_UNTIL_SILENT) {
       this.#options.log.info('Worker answers again.', { worker: sighting.worker.id });
     }
     sighting.misses = 0;
-    if (sighting.ordering && sighting.orders === orders && sighting.askedAt !== Number.NEGATIVE_INFINITY) {
-      sighting.ordering = false;
+    const showsOrder = report.orderSequence >= sighting.orderSequence || madeAt > sighting.orderEndedAt + ORDER_EFFECT_MILLISECONDS;
+    if (asksAfterOrder && sighting.order === 'ended' && showsOrder && madeAt > sighting.orderEndedAt) {
+      sighting.order = 'none';
+      sighting.orderSequence = report.orderSequence;
     }
-    this.#options.changed();
+    sighting.orderSequence = Math.max(sighting.orderSequence, report.orderSequence);
   }
 
-  #missed(missing: Sighting, delayed: boolean, reason: string): void {
+  #missed(missing: Sighting, asksAfterOrder: boolean, delayed: boolean, reason: string): void {
     const sighting = missing;
+    if (asksAfterOrder && sighting.order === 'ended') {
+      sighting.order = 'none';
+    }
     const loopDelay = this.#lastRoundAt === null ? 0 : this.#now() - this.#lastRoundAt;
     if (delayed || loopDelay > LOOP_DELAY_MILLISECONDS) {
       return;
     }
     sighting.misses += 1;
-    sighting.ordering = false;
     if (sighting.misses === MISSES_UNTIL_SILENT) {
       const { group } = sighting.report ?? { group: null };
       this.#options.log.warn('Worker is silent.', {
--- a/packages/groups/src/lib/plan/planNewGroups.ts
+++ b/packages/groups/src/lib/plan/planNewGroups.ts
@@ -32,7 +32,10 @@
   return [...models].sort((left, right) => need(left) - need(right) || right.groupSize - left.groupSize);
 }
 
-/** Forms groups of the workers that are free, each within one domain, and keeps spares. */
+/**
+ * Forms groups of the workers that are free, each within one domain, and keeps spares. Takes the
+ * domain with the fewest free workers that fits, so that larger groups find room in the others.
+ */
 export default function planNewGroups(input: NewGroupsInput): readonly GroupStep[] {
   const {
     service, engine, records, pool, epochs, domainSizes, demand,
@@ -43,7 +46,7 @@
   const steps: GroupStep[] = [];
   const placeOne = (): boolean => byNeed(engine.models, counts, demand).some((model) => (
     [...pool.domains()]
-      .sort((left, right) => pool.inDomain(right).length - pool.inDomain(left).length)
+      .sort((left, right) => pool.inDomain(left).length - pool.inDomain(right).length)
       .some((domain) => {
         const reserve = Math.floor((domainSizes.get(domain) ?? 0) / WORKERS_PER_SPARE);
         if (pool.inDomain(domain).length < model.groupSize + reserve) {
--- a/packages/groups/src/lib/plan/planStaging.ts
+++ b/packages/groups/src/lib/plan/planStaging.ts
@@ -5,7 +5,8 @@
 
 /**
  * Has the spares of a domain hold the weights that its groups would miss: at least one spare for
- * each model in use, further ones by the number of workers that run the model.
+ * each model in use, further ones by the number of workers that run the model. The last spare
+ * goes to the model with the most members, as that is the one to lose a member next.
  */
 export default function planStaging(
   domain: FabricDomainId | null,
@@ -41,10 +42,11 @@
     }
   });
   const missing = models.find((model) => countStaged(model) === 0);
-  const surplus = models.find((model) => countStaged(model) > 1);
-  if (missing !== undefined && surplus !== undefined) {
-    const spare = spares.find((candidate) => WorkerPool.isStaged(candidate, surplus)
-      && !WorkerPool.isStaged(candidate, missing));
+  const isDispensable = (model: ModelName) => countStaged(model) > 1
+    || (members.get(model) ?? 0) < (members.get(missing ?? model) ?? 0);
+  if (missing !== undefined) {
+    const spare = spares.find((candidate) => models.some((model) => model !== missing
+      && WorkerPool.isStaged(candidate, model) && isDispensable(model)));
     if (spare !== undefined) {
       stage(spare, missing);
     }
--- a/packages/platform/src/lib/http/sendJSON.ts
+++ b/packages/platform/src/lib/http/sendJSON.ts
@@ -7,14 +7,25 @@
 
 const MAXIMUM_ANSWER_BYTES = 64 * 1_024 * 1_024;
 
-async function exchange(dispatcher: Dispatcher, request: JSONRequest): Promise<JSONAnswer> {
+/** Rejects when the signal is aborted: the client itself notices that only once it is connected. */
+function rejectOnAbort(signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    signal.addEventListener('abort', () => reject(signal.reason as Error), { once: true });
+  });
+}
+
+async function exchange(
+  dispatcher: Dispatcher,
+  request: JSONRequest,
+  signal: AbortSignal,
+): Promise<JSONAnswer> {
   const answer = await dispatcher.request({
     origin: request.origin,
     path: request.path,
     method: request.method,
     headersTimeout: request.timeoutMilliseconds,
     bodyTimeout: request.timeoutMilliseconds,
-    signal: AbortSignal.timeout(request.timeoutMilliseconds),
+    signal,
     headers: {
       ...request.headers,
       ...(request.body === undefined ? {} : { 'content-type': 'application/json' }),
@@ -40,7 +51,9 @@
   dispatcher: Dispatcher,
   request: JSONRequest,
 ): ResultAsync<JSONAnswer, ServingError> {
-  return ResultAsync.fromPromise(exchange(dispatcher, request), (cause) => new ServingError(
+  const signal = AbortSignal.timeout(request.timeoutMilliseconds);
+  const exchanged = Promise.race([exchange(dispatcher, request, signal), rejectOnAbort(signal)]);
+  return ResultAsync.fromPromise(exchanged, (cause) => new ServingError(
     `${request.method} ${request.origin}${request.path} failed`,
     { kind: isNeverSent(cause) ? 'store-unavailable' : 'store-outcome-unknown', cause },
   ));
