--- /dev/null
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -0,0 +1,211 @@
+import type { Clock, EntryId } from '@dandelionlane/core';
+import type { RowCache, TableFollower } from '@dandelionlane/fleet';
+import type { EntryRegistry, KnownEntry, TargetStates } from '@dandelionlane/gateway';
+import type { GroupController } from '@dandelionlane/groups';
+import {
+  LinkClient, LinkServer, findStalled, sumLoads, type EntryStatus, type FleetState,
+} from '@dandelionlane/links';
+import type { LeaseKeeper } from '@dandelionlane/platform';
+import type { Log } from '@dandelionlane/telemetry';
+import type FleetEntrySettings from './FleetEntrySettings.js';
+
+/** Time between two messages on a link, in ms. */
+const PERIOD_MILLISECONDS = 120;
+
+/** Age of the holder's view of the workers from which an entry reads the store itself, in ms. */
+const STALE_MILLISECONDS = 3_500;
+
+/** Time after the last status of an entry from which its link counts as ended, in ms. */
+const ENTRY_SILENCE_MILLISECONDS = 1_000;
+
+/** Longest silence that is told, in ms. */
+const LONGEST_SILENCE_MILLISECONDS = 60_000;
+
+/** Time for which a formation that stands still is left out after it was last told, in ms. */
+const SUSPICION_MILLISECONDS = 500;
+
+/** What a `Coordinator` needs from outside. */
+interface CoordinatorOptions {
+  readonly settings: FleetEntrySettings;
+  readonly registry: EntryRegistry;
+  readonly states: TargetStates;
+  readonly workerRows: RowCache;
+  readonly workerFollower: TableFollower;
+  readonly lease: LeaseKeeper;
+  readonly controller: GroupController;
+  readonly isReady: () => boolean;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/**
+ * Shares what entries know by way of the holder of the lease: the holder reads the workers'
+ * registrations for all, sums up loads, and finds formations that stand still. Nothing rests on
+ * the links: an entry without one reads the store itself and goes by its own streams.
+ */
+export default class Coordinator {
+  readonly #options: CoordinatorOptions;
+
+  readonly #server: LinkServer;
+
+  readonly #client: LinkClient;
+
+  #linkedEntries: readonly KnownEntry[] | null = null;
+
+  /** Entries whose link worked in the last round of the holder. */
+  #linked = new Set<EntryId>();
+
+  #leading = false;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: CoordinatorOptions) {
+    this.#options = options;
+    const now = () => options.clock.monotonicMilliseconds();
+    this.#server = new LinkServer({
+      ...options.settings.links, log: options.log, now, receive: () => undefined,
+    });
+    this.#client = new LinkClient({
+      log: options.log, now, receive: (state) => this.#takeState(state), lost: () => this.#unlinked(),
+    });
+  }
+
+  start(): void {
+    void this.#server.listen();
+    this.#timer = setInterval(() => this.#round(), PERIOD_MILLISECONDS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#client.close();
+    this.#server.close();
+  }
+
+  /** Live entries as the holder of the lease knows them; null while there is no link to it. */
+  linkedEntries(): readonly KnownEntry[] | null {
+    return this.#leading ? null : this.#linkedEntries;
+  }
+
+  #round(): void {
+    const { lease, settings, registry } = this.#options;
+    const isLeading = lease.held() !== null;
+    if (this.#leading && !isLeading) {
+      this.#server.disconnect();
+    }
+    this.#leading = isLeading;
+    if (isLeading) {
+      this.#client.maintain(null);
+      this.#options.workerFollower.resume();
+      this.#lead();
+      return;
+    }
+    // Only a holder passes changes on.
+    this.#options.workerRows.takeChanges();
+    const holder = lease.holder();
+    const isOther = holder !== null && String(holder) !== String(settings.entry);
+    const address = isOther ? registry.linkAddressOf(String(holder) as EntryId) : undefined;
+    this.#client.maintain(address ?? null);
+    if (!this.#client.working) {
+      this.#unlinked();
+    }
+    this.#client.send(this.#ownStatus());
+  }
+
+  #ownStatus(): EntryStatus {
+    const {
+      settings, states, isReady, clock,
+    } = this.#options;
+    const now = clock.monotonicMilliseconds();
+    const targets = [...states.entries()].filter(([, { streams }]) => streams.size > 0)
+      .map(([worker, state]) => {
+        state.told();
+        const streams = [...state.streams];
+        const started = streams.filter(({ lastEventAt, paused }) => lastEventAt !== null && !paused);
+        return {
+          worker,
+          formation: streams[0]?.formation ?? '',
+          outstanding: state.outstanding,
+          started: started.length,
+          // Before the first event the silence has no beginning.
+          silentMilliseconds: Math.round(Math.min(now - state.lastProgressAt, LONGEST_SILENCE_MILLISECONDS)),
+        };
+      });
+    return {
+      kind: 'status',
+      entry: settings.entry,
+      ready: isReady(),
+      callerAddress: `${settings.callers.host}:${settings.callers.port}`,
+      targets,
+    };
+  }
+
+  #lead(): void {
+    const {
+      settings, registry, workerRows, workerFollower, controller,
+    } = this.#options;
+    const others = this.#server.statuses()
+      .filter(({ ageMilliseconds }) => ageMilliseconds < ENTRY_SILENCE_MILLISECONDS);
+    const statuses = [{ status: this.#ownStatus(), ageMilliseconds: 0 }, ...others];
+    const linked = new Map(statuses.map(({ status }) => [status.entry, status]));
+    this.#linked.forEach((entry) => {
+      if (!linked.has(entry)) {
+        registry.linkLost(entry);
+      }
+    });
+    this.#linked = new Set(linked.keys());
+    const entries = [
+      ...[...linked.values()].map(({ entry, ready, callerAddress }) => ({ entry, ready, callerAddress })),
+      ...registry.live().filter(({ entry }) => !linked.has(entry)),
+    ];
+    const state: FleetState = {
+      kind: 'state',
+      holder: settings.entry,
+      ageMilliseconds: Math.round(workerFollower.ageMilliseconds),
+      entries,
+      loads: sumLoads(statuses.map(({ status }) => status)),
+      stalled: findStalled(statuses),
+      rows: [...workerRows.takeChanges()],
+      whole: false,
+      returned: workerRows.takeReturned(),
+      version: workerRows.version,
+    };
+    this.#server.broadcast(state, () => [...workerRows.all()]);
+    state.stalled.forEach(({ formation }) => controller.formationStalled(formation));
+    this.#applyTargets(state);
+  }
+
+  #takeState(state: FleetState): void {
+    const { workerRows, workerFollower } = this.#options;
+    if (state.returned) {
+      workerRows.storeReturned();
+    }
+    if (state.whole) {
+      workerRows.reset(state.rows.filter(({ value }) => value !== null), state.version);
+    } else {
+      workerRows.change(state.rows);
+    }
+    if (state.ageMilliseconds < STALE_MILLISECONDS) {
+      workerFollower.pause();
+    } else {
+      workerFollower.resume();
+    }
+    this.#linkedEntries = state.entries;
+    this.#applyTargets(state);
+  }
+
+  #applyTargets({ loads, stalled }: FleetState): void {
+    const { states } = this.#options;
+    loads.forEach(({ worker, outstanding }) => states.of(worker).loadShared(outstanding));
+    stalled.forEach(({ worker, formation }) => {
+      const target = states.of(worker);
+      target.suspect(formation, SUSPICION_MILLISECONDS);
+      [...target.streams].filter((stream) => stream.formation === formation)
+        .forEach((stream) => stream.stalled());
+    });
+  }
+
+  #unlinked(): void {
+    this.#linkedEntries = null;
+    this.#options.workerFollower.resume();
+  }
+}
--- a/packages/fleet-entry/src/lib/FleetEntrySettings.ts
+++ b/packages/fleet-entry/src/lib/FleetEntrySettings.ts
@@ -10,6 +10,8 @@
   readonly directory: ListenAddress | null;
   readonly readiness: ListenAddress | null;
   readonly metrics: ListenAddress | null;
+  /** Where other entries connect to. */
+  readonly links: ListenAddress;
   /** Whether the whole system starts for the first time. */
   readonly bootstrap: boolean;
   /** Time between SIGTERM and the end of the process, in ms. */
--- a/packages/fleet-entry/src/lib/LEASE_SETTINGS.ts
+++ b/packages/fleet-entry/src/lib/LEASE_SETTINGS.ts
@@ -5,8 +5,8 @@
  * store lose nothing.
  */
 const LEASE_SETTINGS: LeaseSettings = {
-  termMilliseconds: 2_000,
-  safetyMarginMilliseconds: 300,
+  termMilliseconds: 1_600,
+  safetyMarginMilliseconds: 250,
 };
 
 export default LEASE_SETTINGS;
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -3,7 +3,7 @@
   ControllerId, SystemClock, SystemRandom, WakefulClock, onShutdownSignal, repeatWork,
 } from '@dandelionlane/core';
 import {
-  ConfigurationHolder, OperatorSink, TableFollower, WorkerSink, WorkerTable,
+  ConfigurationHolder, OperatorSink, RowCache, TableFollower, WorkerSink, WorkerTable,
 } from '@dandelionlane/fleet';
 import {
   EntryRegistry, RepeatBudget, RequestServer, StallDetector, TargetConnections, TargetStates,
@@ -12,6 +12,7 @@
 import { GroupController } from '@dandelionlane/groups';
 import { LeaseKeeper } from '@dandelionlane/platform';
 import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
+import Coordinator from './Coordinator.js';
 import type FleetEntryPorts from './FleetEntryPorts.js';
 import type FleetEntrySettings from './FleetEntrySettings.js';
 import LEASE_SETTINGS from './LEASE_SETTINGS.js';
@@ -27,7 +28,10 @@
 const WORKER_PACE_MILLISECONDS = 150;
 
 /** Pause between two steps of the lease, in ms. */
-const LEASE_PERIOD_MILLISECONDS = 600;
+const LEASE_PERIOD_MILLISECONDS = 450;
+
+/** Such pauses between two steps while the holder is known to live by the link to it. */
+const LINKED_LEASE_ROUNDS = 4;
 
 /** Pause between two checks for lapsed registrations, in ms. */
 const EXPIRY_PERIOD_MILLISECONDS = 200;
@@ -65,26 +69,27 @@
   });
   const operatorSink = new OperatorSink(ports.rows, configuration, logFor('operators'));
   const workerSink = new WorkerSink(ports.rows, workers, logFor('workers'));
-  const followers = [
-    new TableFollower({
-      table: ports.rows.operatorTable,
-      feed: ports.feed,
-      sink: operatorSink,
-      clock,
-      log: logFor('store'),
-      paceMilliseconds: OPERATOR_PACE_MILLISECONDS,
-    }),
-    new TableFollower({
-      table: ports.rows.workerTable,
-      feed: ports.feed,
-      sink: workerSink,
-      clock,
-      log: logFor('store'),
-      paceMilliseconds: WORKER_PACE_MILLISECONDS,
-    }),
-  ];
+  const workerRows = new RowCache(workerSink);
+  const operatorFollower = new TableFollower({
+    table: ports.rows.operatorTable,
+    feed: ports.feed,
+    sink: operatorSink,
+    clock,
+    log: logFor('store'),
+    paceMilliseconds: OPERATOR_PACE_MILLISECONDS,
+  });
+  const workerFollower = new TableFollower({
+    table: ports.rows.workerTable,
+    feed: ports.feed,
+    sink: workerRows,
+    clock,
+    log: logFor('store'),
+    paceMilliseconds: WORKER_PACE_MILLISECONDS,
+  });
 
   let leaving = false;
+  // eslint-disable-next-line prefer-const -- the registry and the coordinator know each other
+  let coordinator: Coordinator;
   const isReady = () => !leaving && configuration.table !== null && workerSink.loaded;
   const registry = new EntryRegistry({
     store: ports.store,
@@ -93,7 +98,9 @@
     entry: settings.entry,
     zone: settings.zone,
     callerAddress: `${settings.callers.host}:${settings.callers.port}`,
+    linkAddress: `${settings.links.host}:${settings.links.port}`,
     isReady,
+    linked: () => coordinator.linkedEntries(),
   });
 
   const lease = new LeaseKeeper({
@@ -157,6 +164,9 @@
   });
   server.listen(settings.callers.port, settings.callers.host);
   const stalls = new StallDetector(states, clock);
+  coordinator = new Coordinator({
+    settings, registry, states, workerRows, workerFollower, lease, controller, isReady, clock, log: logFor('links'),
+  });
   const servers = [
     listenHono(createReadinessApplication(ports.readinessPath, isReady), settings.readiness),
     listenHono(createDirectoryApplication(registry, {
@@ -165,12 +175,17 @@
     listenHono(createMetricsApplication(ports.metricsPath, () => metrics.render()), settings.metrics),
   ];
 
-  followers.forEach((follower) => follower.start());
+  operatorFollower.start();
+  workerFollower.start();
+  coordinator.start();
   registry.start();
   controller.start();
   stalls.start();
+  let leaseRounds = 0;
   const stopLease = repeatWork(async () => {
-    if (mayContend()) {
+    leaseRounds += 1;
+    const isDue = coordinator.linkedEntries() === null || leaseRounds % LINKED_LEASE_ROUNDS === 0;
+    if (mayContend() && (isDue || lease.held() !== null)) {
       await lease.step();
     }
   }, LEASE_PERIOD_MILLISECONDS);
@@ -194,7 +209,9 @@
     await leaveGracefully(requests, settings.graceMilliseconds, clock);
     clearInterval(expiry);
     stalls.stop();
-    followers.forEach((follower) => follower.stop());
+    operatorFollower.stop();
+    workerFollower.stop();
+    coordinator.stop();
     await registry.stop();
     servers.forEach((other) => other?.close());
     server.close();
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -14,6 +14,7 @@
 export { type default as FleetRows } from './lib/feed/FleetRows.js';
 export { type default as OperatorRow } from './lib/feed/OperatorRow.js';
 export { default as OperatorSink } from './lib/feed/OperatorSink.js';
+export { default as RowCache } from './lib/feed/RowCache.js';
 export { type default as RowSink } from './lib/feed/RowSink.js';
 export { default as TableFollower } from './lib/feed/TableFollower.js';
 export { type default as WorkerRow } from './lib/feed/WorkerRow.js';
--- a/packages/fleet/src/lib/feed/RowSink.ts
+++ b/packages/fleet/src/lib/feed/RowSink.ts
@@ -1,9 +1,9 @@
-import type { TableRow } from '@dandelionlane/core';
+import type { RowVersion, TableRow } from '@dandelionlane/core';
 
 /** Receives what a `TableFollower` reads. */
 export default interface RowSink {
-  /** All rows of the table; what is not among them is gone. */
-  reset(rows: readonly TableRow[]): void;
+  /** All rows of the table as of a version; older rows that are not among them are gone. */
+  reset(rows: readonly TableRow[], version: RowVersion): void;
   /** Rows that changed, in order; value null for a deleted one. */
   change(rows: readonly TableRow[]): void;
   /** The store answers again after an outage. Called before the rows that it brings. */
--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -34,6 +34,13 @@
 
   #stopped = false;
 
+  #paused = false;
+
+  /** Whether a pause has ended the rounds. */
+  #idle = false;
+
+  #answeredAt = Number.NEGATIVE_INFINITY;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: TableFollowerOptions) {
@@ -49,6 +56,28 @@
     clearTimeout(this.#timer);
   }
 
+  /** Stops reading while another source serves the sink. */
+  pause(): void {
+    this.#paused = true;
+  }
+
+  /** Reads again, from the whole table on. */
+  resume(): void {
+    if (this.#paused) {
+      this.#paused = false;
+      this.#version = null;
+      if (this.#idle) {
+        this.#idle = false;
+        void this.#round();
+      }
+    }
+  }
+
+  /** Time since the store last answered, in ms. */
+  get ageMilliseconds(): number {
+    return this.#options.clock.monotonicMilliseconds() - this.#answeredAt;
+  }
+
   /** Whether the last call failed. */
   get failing(): boolean {
     return this.#failingSince !== null;
@@ -63,6 +92,10 @@
       this.#failed(String(cause));
       return false;
     });
+    if (this.#paused) {
+      this.#idle = true;
+      return;
+    }
     if (!this.#stopped) {
       const pause = succeeded ? paceMilliseconds : FAILURE_PAUSE_MILLISECONDS;
       this.#timer = setTimeout(() => void this.#round(), pause);
@@ -78,7 +111,7 @@
     }
     this.#answered();
     this.#version = snapshot.value.version;
-    sink.reset(snapshot.value.rows);
+    sink.reset(snapshot.value.rows, snapshot.value.version);
     return true;
   }
 
@@ -124,6 +157,7 @@
     const {
       clock, log, table, sink,
     } = this.#options;
+    this.#answeredAt = clock.monotonicMilliseconds();
     if (this.#failingSince === null) {
       return;
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** Public surface of the package. */
 export { default as RepeatBudget } from './lib/choice/RepeatBudget.js';
 export { default as EntryRegistry } from './lib/entries/EntryRegistry.js';
+export { type default as KnownEntry } from './lib/entries/KnownEntry.js';
 export { default as createDirectoryApplication } from './lib/entries/createDirectoryApplication.js';
 export { default as createMetricsApplication } from './lib/entries/createMetricsApplication.js';
 export { default as createReadinessApplication } from './lib/entries/createReadinessApplication.js';
--- a/packages/gateway/src/lib/choice/chooseTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseTarget.ts
@@ -47,6 +47,13 @@
   return (load + 1 + noise) * (1 + FAILURE_FACTOR * state.failureRate ** 2) * slowness - zone;
 }
 
+/** Two of the items by chance: loads are some hundred ms old, and entries must not all choose alike. */
+function sample<Item>(items: readonly Item[], random: RandomSource): readonly Item[] {
+  const rest = [...items];
+  const draw = () => rest.splice(Math.floor(random.next() * rest.length), 1);
+  return rest.length <= 2 ? rest : [...draw(), ...draw()];
+}
+
 /** The target with the least load among those that are whole, reachable, warm enough and not full. */
 export default function chooseTarget(input: ChoiceInput): Choice {
   if (input.candidates.length === 0) {
@@ -69,7 +76,8 @@
   if (first === undefined) {
     return { kind: 'none', reason: 'all-full' };
   }
-  const best = rest.reduce((least, item) => (item.score < least.score ? item : least), first);
+  const pool = input.isModel ? sample([first, ...rest], input.random) : [first, ...rest];
+  const best = pool.reduce((least, item) => (item.score < least.score ? item : least));
   return {
     kind: 'chosen', candidate: best.candidate, load: best.load, candidates: scored.length,
   };
--- a/packages/gateway/src/lib/entries/EntryRecord.ts
+++ b/packages/gateway/src/lib/entries/EntryRecord.ts
@@ -7,6 +7,8 @@
   zone: AvailabilityZoneId,
   /** Host and port that callers connect to. */
   callerAddress: z.string(),
+  /** Host and port that other entries connect to. */
+  linkAddress: z.string(),
   /** Whether callers may be sent to it. */
   ready: z.boolean(),
   /** Grows with each heartbeat, so that the row changes. */
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -3,14 +3,18 @@
 } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import EntryRecord from './EntryRecord.js';
+import type KnownEntry from './KnownEntry.js';
 
 const TABLE = 'entries';
 
 /** Time between two heartbeats, in ms. */
 const HEARTBEAT_MILLISECONDS = 1_000;
 
-/** Silence after which an entry counts as ended, in ms: three heartbeats may be lost. */
-const SILENCE_MILLISECONDS = 3_200;
+/** Rounds of which one writes a heartbeat while the holder of the lease hears of this entry by its link. */
+const LINKED_ROUNDS = 3;
+
+/** Silence after which an entry counts as ended, in ms: above the longest time between two heartbeats. */
+const SILENCE_MILLISECONDS = 4_200;
 
 /** An entry as this process last saw its row. */
 interface SeenEntry {
@@ -28,7 +32,10 @@
   readonly entry: EntryId;
   readonly zone: AvailabilityZoneId;
   readonly callerAddress: string;
+  readonly linkAddress: string;
   readonly isReady: () => boolean;
+  /** Entries by the link to the holder of the lease; null while there is none. */
+  readonly linked: () => readonly KnownEntry[] | null;
 }
 
 /** Heartbeats of all entries in the platform's store, and which of them live. */
@@ -37,6 +44,10 @@
 
   #seen = new Map<EntryId, SeenEntry>();
 
+  readonly #lostAt = new Map<EntryId, number>();
+
+  #rounds = 0;
+
   #beat = 0;
 
   /** Monotonic time at which reading began to succeed again; silence counts from there. */
@@ -66,11 +77,11 @@
   /** Writes the own row at once, after a change of readiness. */
   async announce(): Promise<void> {
     const {
-      store, entry, zone, callerAddress, isReady, log,
+      store, entry, zone, callerAddress, linkAddress, isReady, log,
     } = this.#options;
     this.#beat += 1;
     const record: EntryRecord = {
-      entry, zone, callerAddress, ready: isReady(), beat: this.#beat,
+      entry, zone, callerAddress, linkAddress, ready: isReady(), beat: this.#beat,
     };
     const write = { table: TABLE, key: entry, value: record };
     const outcome = await store.commit({ conditions: [], writes: [write] });
@@ -81,15 +92,32 @@
 
   /** Live entries, this one included; at least 1. */
   count(): number {
-    return Math.max(1, this.#live().length);
+    return Math.max(1, this.#options.linked()?.length ?? this.#live().length);
+  }
+
+  /** Live entries by their rows, without the entries whose link has ended since their last heartbeat. */
+  live(): readonly KnownEntry[] {
+    return this.#live()
+      .filter(({ record, seenAt }) => (this.#lostAt.get(record.entry) ?? Number.NEGATIVE_INFINITY) < seenAt)
+      .map(({ record: { entry, ready, callerAddress } }) => ({ entry, ready, callerAddress }));
+  }
+
+  /** Where an entry listens for links; undefined for one that has no row. */
+  linkAddressOf(entry: EntryId): string | undefined {
+    return this.#seen.get(entry)?.record.linkAddress;
+  }
+
+  /** The link to an entry has ended: it counts as ended until its next heartbeat. */
+  linkLost(entry: EntryId): void {
+    this.#lostAt.set(entry, this.#options.clock.monotonicMilliseconds());
   }
 
   /** Addresses of the entries that callers may be sent to. */
   readyAddresses(): readonly string[] {
     const { callerAddress, isReady, entry } = this.#options;
-    const others = this.#live()
-      .filter(({ record }) => record.entry !== entry && record.ready)
-      .map(({ record }) => record.callerAddress);
+    const others = (this.#options.linked() ?? this.live())
+      .filter((other) => other.entry !== entry && other.ready)
+      .map((other) => other.callerAddress);
     return isReady() ? [callerAddress, ...others] : others;
   }
 
@@ -102,7 +130,17 @@
   }
 
   async #round(): Promise<void> {
-    const { store, clock, log } = this.#options;
+    const {
+      store, clock, log, linked,
+    } = this.#options;
+    this.#rounds += 1;
+    if (linked() !== null) {
+      this.#readableSince = null;
+      if (this.#rounds % LINKED_ROUNDS === 0) {
+        await this.announce();
+      }
+      return;
+    }
     const [, rows] = await Promise.all([this.announce(), store.scan(TABLE, '')]);
     if (rows.isErr()) {
       this.#readableSince = null;
--- /dev/null
+++ b/packages/gateway/src/lib/entries/KnownEntry.ts
@@ -0,0 +1,10 @@
+import type { EntryId } from '@dandelionlane/core';
+
+/** A live entry. */
+export default interface KnownEntry {
+  readonly entry: EntryId;
+  /** Whether callers may be sent to it. */
+  readonly ready: boolean;
+  /** Host and port that callers connect to. */
+  readonly callerAddress: string;
+}
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -5,6 +5,9 @@
 /** Age from which a reported load says little, in ms: a stream lasts about a second. */
 const LOAD_AGE_MILLISECONDS = 1_500;
 
+/** Age up to which the load that entries share goes before a reported one, in ms. */
+const SHARED_AGE_MILLISECONDS = 600;
+
 /** Weight of the newest outcome in the failure rate. */
 const FAILURE_WEIGHT = 0.15;
 
@@ -41,6 +44,13 @@
 
   #othersLoad = 0;
 
+  #sharedOthers = 0;
+
+  #sharedAt = Number.NEGATIVE_INFINITY;
+
+  /** Own requests when they were last told to the other entries. */
+  #toldOutstanding = 0;
+
   #loadAt = Number.NEGATIVE_INFINITY;
 
   #unreachableUntil = Number.NEGATIVE_INFINITY;
@@ -63,11 +73,25 @@
     this.#loadAt = this.#now();
   }
 
+  /** Notes that the own requests are told to the other entries. */
+  told(): void {
+    this.#toldOutstanding = this.outstanding;
+  }
+
+  /** Takes in the requests of all entries, the own ones included. */
+  loadShared(outstanding: number): void {
+    this.#sharedOthers = Math.max(0, outstanding - this.#toldOutstanding);
+    this.#sharedAt = this.#now();
+  }
+
   /**
    * Requests of all entries on the target, estimated.
    * @param entries Live entries, this one included.
    */
   estimateLoad(entries: number): number {
+    if (this.#now() - this.#sharedAt < SHARED_AGE_MILLISECONDS) {
+      return this.outstanding + this.#sharedOthers;
+    }
     const age = this.#now() - this.#loadAt;
     const freshness = Math.max(0, 1 - age / LOAD_AGE_MILLISECONDS);
     const guess = this.outstanding * (entries - 1);
--- a/packages/gateway/src/lib/targets/TargetStates.ts
+++ b/packages/gateway/src/lib/targets/TargetStates.ts
@@ -25,6 +25,11 @@
     return this.#states.values();
   }
 
+  /** States with the targets that they belong to. */
+  entries(): Iterable<[WorkerId, TargetState]> {
+    return this.#states.entries();
+  }
+
   drop(worker: WorkerId): void {
     this.#states.delete(worker);
   }
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -100,6 +100,11 @@
     return Math.max(0, ...this.#engines().map(([, engine]) => engine.reportLagMilliseconds));
   }
 
+  /** A formation seems to stand still: its members are asked at once. */
+  formationStalled(formation: string): void {
+    this.#observer.expedite(formation);
+  }
+
   async #round(): Promise<void> {
     const lease = this.#options.lease();
     if (lease === null) {
--- a/packages/groups/src/lib/observation/MISSES_UNTIL_SILENT.ts
+++ b/packages/groups/src/lib/observation/MISSES_UNTIL_SILENT.ts
@@ -1,4 +1,4 @@
-/** Unanswered questions in a row after which a worker counts as silent: one may be lost on the way. */
-const MISSES_UNTIL_SILENT = 2;
+/** Unanswered questions in a row after which a worker counts as silent: packets get lost on the way. */
+const MISSES_UNTIL_SILENT = 3;
 
 export default MISSES_UNTIL_SILENT;
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -11,7 +11,7 @@
 const REPORT_TIMEOUT_MILLISECONDS = 250;
 
 /** Time between two questions to a worker of a group, in ms. */
-const MEMBER_INTERVAL_MILLISECONDS = 300;
+const MEMBER_INTERVAL_MILLISECONDS = 500;
 
 /** Time between two questions to a spare, in ms. */
 const SPARE_INTERVAL_MILLISECONDS = 1_000;
@@ -25,6 +25,9 @@
 /** Time after which an accepted order that no report counts is taken to be lost, in ms. */
 const ORDER_EFFECT_MILLISECONDS = 1_000;
 
+/** What an unanswered question counts when streams of the group have fallen silent too. */
+const EXPEDITED_MISSES = 2;
+
 /** Loop delay above which unanswered questions are put down to this process, in ms. */
 const LOOP_DELAY_MILLISECONDS = 120;
 
@@ -45,6 +48,8 @@
   orderEndedAt: number;
   /** Orders that the worker has accepted, by its reports and its answers. */
   orderSequence: number;
+  /** Whether it was asked out of turn since its last answer. */
+  expedited: boolean;
   /** Monotonic time of the last change of its registration's group, in ms. */
   registeredGroupAt: number;
 }
@@ -94,6 +99,16 @@
     [...this.#sightings.keys()].filter((id) => !wanted.has(id)).forEach((id) => this.#sightings.delete(id));
   }
 
+  /** Asks the members of a formation at once: it seems to stand still. */
+  expedite(formation: string): void {
+    this.#sightings.forEach((sighting) => {
+      const group = sighting.report?.group ?? null;
+      if (group !== null && `${group.name}/${group.epoch}` === formation && !sighting.expedited) {
+        Object.assign(sighting, { askedAt: Number.NEGATIVE_INFINITY, expedited: true });
+      }
+    });
+  }
+
   /** Forgets everything, before a new term. */
   clear(): void {
     this.#sightings.clear();
@@ -176,6 +191,7 @@
       order: 'none',
       orderEndedAt: Number.NEGATIVE_INFINITY,
       orderSequence: 0,
+      expedited: false,
       registeredGroupAt: Number.NEGATIVE_INFINITY,
     });
   }
@@ -239,6 +255,7 @@
       this.#options.log.info('Worker answers again.', { worker: sighting.worker.id });
     }
     sighting.misses = 0;
+    sighting.expedited = false;
     const showsOrder = report.orderSequence >= sighting.orderSequence
       || madeAt > sighting.orderEndedAt + ORDER_EFFECT_MILLISECONDS;
     if (asksAfterOrder && sighting.order === 'ended' && showsOrder && madeAt > sighting.orderEndedAt) {
@@ -253,12 +270,13 @@
     if (asksAfterOrder && sighting.order === 'ended') {
       sighting.order = 'none';
     }
+    const wasSilent = sighting.misses >= MISSES_UNTIL_SILENT;
     const loopDelay = this.#lastRoundAt === null ? 0 : this.#now() - this.#lastRoundAt;
     if (delayed || loopDelay > LOOP_DELAY_MILLISECONDS) {
       return;
     }
-    sighting.misses += 1;
-    if (sighting.misses === MISSES_UNTIL_SILENT) {
+    sighting.misses += sighting.expedited ? EXPEDITED_MISSES : 1;
+    if (!wasSilent && sighting.misses >= MISSES_UNTIL_SILENT) {
       const { group } = sighting.report ?? { group: null };
       this.#options.log.warn('Worker is silent.', {
         worker: sighting.worker.id,
--- /dev/null
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -0,0 +1,24 @@
+import { z } from 'zod';
+import { EntryId, WorkerId } from '@dandelionlane/core';
+
+/** What an entry tells the holder of the lease, several times a second. */
+const EntryStatus = z.object({
+  kind: z.literal('status'),
+  entry: EntryId,
+  /** Whether callers may be sent to it. */
+  ready: z.boolean(),
+  callerAddress: z.string(),
+  /** Model targets that it has requests at. */
+  targets: z.array(z.object({
+    worker: WorkerId,
+    formation: z.string(),
+    outstanding: z.number(),
+    /** Streams that have brought an event. */
+    started: z.number(),
+    /** Time since any of its streams there brought an event, in ms. */
+    silentMilliseconds: z.number(),
+  })),
+});
+type EntryStatus = z.infer<typeof EntryStatus>;
+
+export default EntryStatus;
--- /dev/null
+++ b/packages/links/src/lib/FleetState.ts
@@ -0,0 +1,28 @@
+import { z } from 'zod';
+import {
+  EntryId, RowVersion, TableRow, WorkerId,
+} from '@dandelionlane/core';
+
+/** What the holder of the lease tells the entries, several times a second. */
+const FleetState = z.object({
+  kind: z.literal('state'),
+  holder: EntryId,
+  /** Time since the holder last heard of the workers from the store, in ms. */
+  ageMilliseconds: z.number(),
+  /** Entries that are linked to the holder, itself included. */
+  entries: z.array(z.object({ entry: EntryId, ready: z.boolean(), callerAddress: z.string() })),
+  /** Requests of all entries at model targets. */
+  loads: z.array(z.object({ worker: WorkerId, outstanding: z.number() })),
+  /** Formations that stand still, by what all entries see. */
+  stalled: z.array(z.object({ worker: WorkerId, formation: z.string() })),
+  /** Registrations that changed. With `whole`, all registrations. */
+  rows: z.array(TableRow),
+  whole: z.boolean(),
+  /** Whether the store has returned from an outage just now. */
+  returned: z.boolean(),
+  /** Newest version among the registrations that the holder knows. */
+  version: RowVersion,
+});
+type FleetState = z.infer<typeof FleetState>;
+
+export default FleetState;
--- /dev/null
+++ b/packages/links/src/lib/LinkServer.ts
@@ -0,0 +1,123 @@
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { Packr } from 'msgpackr';
+import { WebSocket, WebSocketServer } from 'ws';
+import type { Log } from '@dandelionlane/telemetry';
+import EntryStatus from './EntryStatus.js';
+import type FleetState from './FleetState.js';
+import decodeMessage from './decodeMessage.js';
+
+const MAXIMUM_FRAME_BYTES = 4 * 1_024 * 1_024;
+
+/** Unsent bytes at which a link is taken to be dead. */
+const MAXIMUM_BUFFERED_BYTES = 2 * 1_024 * 1_024;
+
+/** What a `LinkServer` needs from outside. */
+interface LinkServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly log: Log;
+  /** Called with each status. `isFirst` on the first one of a link. */
+  readonly receive: (status: EntryStatus, isFirst: boolean) => void;
+  readonly now: () => number;
+}
+
+/** A link with the entry at its other end. */
+interface Link {
+  readonly socket: WebSocket;
+  status: EntryStatus | null;
+  heardAt: number;
+  /** Whether it has been sent all registrations. */
+  initialised: boolean;
+}
+
+/** The holder's ends of the links. Each entry listens, as each may come to hold the lease. */
+export default class LinkServer {
+  readonly #options: LinkServerOptions;
+
+  readonly #packr = new Packr({ useRecords: false });
+
+  readonly #http: Server = createServer();
+
+  readonly #links = new Set<Link>();
+
+  constructor(options: LinkServerOptions) {
+    this.#options = options;
+    const server = new WebSocketServer({ server: this.#http, maxPayload: MAXIMUM_FRAME_BYTES });
+    server.on('connection', (socket) => this.#attach(socket));
+    server.on('error', (error) => options.log.error('Link server failed.', { reason: error.message }));
+  }
+
+  /** Starts to listen and resolves to the bound port. */
+  listen(): Promise<number> {
+    return new Promise((resolve) => {
+      this.#http.listen(this.#options.port, this.#options.host, () => {
+        resolve((this.#http.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Last status of each linked entry, with the time since it came in ms. */
+  statuses(): readonly { readonly status: EntryStatus; readonly ageMilliseconds: number }[] {
+    const now = this.#options.now();
+    return [...this.#links].flatMap(({ status, heardAt }) => (
+      status === null ? [] : [{ status, ageMilliseconds: now - heardAt }]
+    ));
+  }
+
+  /**
+   * Sends the state to all links. A new link gets all registrations in place of the changes.
+   * @param allRows Called once at most, for new links.
+   */
+  broadcast(state: FleetState, allRows: () => FleetState['rows']): void {
+    const frame = this.#packr.pack(state);
+    let wholeFrame: Buffer | null = null;
+    this.#links.forEach((link) => {
+      if (link.socket.bufferedAmount > MAXIMUM_BUFFERED_BYTES) {
+        link.socket.terminate();
+        return;
+      }
+      if (link.initialised) {
+        link.socket.send(frame);
+        return;
+      }
+      wholeFrame ??= this.#packr.pack({ ...state, rows: allRows(), whole: true });
+      link.socket.send(wholeFrame);
+      Object.assign(link, { initialised: true });
+    });
+  }
+
+  /** Ends all links, when the lease is lost. */
+  disconnect(): void {
+    this.#links.forEach(({ socket }) => socket.terminate());
+  }
+
+  close(): void {
+    this.disconnect();
+    this.#http.close();
+  }
+
+  #attach(socket: WebSocket): void {
+    const link: Link = {
+      socket, status: null, heardAt: this.#options.now(), initialised: false,
+    };
+    this.#links.add(link);
+    socket.on('close', () => this.#links.delete(link));
+    socket.on('error', (error) => this.#options.log.debug('Link failed.', { reason: error.message }));
+    socket.on('message', (frame: Buffer) => this.#receive(link, frame));
+  }
+
+  #receive(receiving: Link, frame: Buffer): void {
+    const link = receiving;
+    const decoded = decodeMessage(EntryStatus, frame);
+    if (decoded.isErr()) {
+      this.#options.log.warn('Link message is invalid.', { reason: decoded.error.message });
+      link.socket.terminate();
+      return;
+    }
+    const isFirst = link.status === null;
+    link.status = decoded.value;
+    link.heardAt = this.#options.now();
+    this.#options.receive(decoded.value, isFirst);
+  }
+}
--- a/packages/platform/src/lib/lease/LeaseKeeper.ts
+++ b/packages/platform/src/lib/lease/LeaseKeeper.ts
@@ -51,6 +51,11 @@
     return now < this.#held.actUntilMilliseconds ? this.#held : null;
   }
 
+  /** The process that last renewed the lease, as far as this one has read. */
+  holder(): ControllerId | null {
+    return this.#observation?.record?.holder ?? null;
+  }
+
   /** Whether the table service answered within the last term. */
   isInTouch(): boolean {
     const { clock, settings } = this.#options;
