Pass answers without a length on without one

It now ends with the caller's connection too, a stream that has a frame already is not ended by such a run, and answers are cut by a reset.

--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -8,6 +8,7 @@
 import writeRefusal from '../requests/writeRefusal.js';
 import EventOrder from './EventOrder.js';
 import type RunEnd from './RunEnd.js';
+import cutAnswer from './cutAnswer.js';
 import StreamRun from './StreamRun.js';
 
 /** Most targets that are tried without having run the request. */
@@ -152,7 +153,7 @@
   #giveUp(reason: string): string {
     const { outgoing } = this.#call;
     if (outgoing.headersSent) {
-      outgoing.destroy();
+      cutAnswer(outgoing);
       return 'stream-cut';
     }
     if (!this.#hasBegun()) {
--- a/packages/gateway/src/lib/relay/StreamRun.ts
+++ b/packages/gateway/src/lib/relay/StreamRun.ts
@@ -7,6 +7,7 @@
 import type TargetAttempt from '../targets/TargetAttempt.js';
 import type EventOrder from './EventOrder.js';
 import type RunEnd from './RunEnd.js';
+import beginAnswer from './beginAnswer.js';
 import judgeAnswer from './judgeAnswer.js';
 import passHeaders from './passHeaders.js';
 import readEventId from './readEventId.js';
@@ -17,6 +18,13 @@
 /** Largest answer other than a stream that is passed on, in bytes. */
 const MAXIMUM_FAILURE_BYTES = 256 * 1_024;
 
+/** Head of a run's answer, as it goes to the caller. */
+interface RunHead {
+  readonly status: number;
+  readonly headers: Record<string, string | string[]>;
+  readonly framed: boolean;
+}
+
 /** What a `StreamRun` needs. */
 interface StreamRunOptions {
   readonly parts: GatewayParts;
@@ -47,7 +55,7 @@
 
   #attempt: TargetAttempt | null = null;
 
-  #head: { readonly status: number; readonly headers: Record<string, string | string[]> } | null = null;
+  #head: RunHead | null = null;
 
   #isStream = false;
 
@@ -130,7 +138,7 @@
       state.loadReported(head.load);
     }
     const verdict = judgeAnswer(status, head, call.said.requestId);
-    this.#head = { status, headers: passHeaders(headers) };
+    this.#head = { status, headers: passHeaders(headers), framed: head.framed };
     switch (verdict) {
       case 'own':
         this.#isStream = status === OK;
@@ -192,7 +200,7 @@
       return;
     }
     if (!outgoing.headersSent && this.#head !== null) {
-      outgoing.writeHead(this.#head.status, this.#head.headers);
+      this.#begin(this.#head);
       log.set('firstEventMilliseconds', Math.round(this.#options.parts.clock.monotonicMilliseconds() - receivedAt));
     }
     const [first, ...rest] = events;
@@ -226,15 +234,22 @@
       this.#passFailure();
     } else if (this.#splitter.hasRest) {
       this.#finish({ kind: 'broken', reason: 'stream ended inside an event' });
+    } else if (this.#head?.framed === false && outgoing.headersSent && outgoing.useChunkedEncodingByDefault) {
+      // The caller's answer has a frame that would call the stream complete.
+      this.#finish({ kind: 'broken', reason: 'the end of a stream without a length is uncertain' });
     } else {
       if (!outgoing.headersSent && this.#head !== null) {
-        outgoing.writeHead(this.#head.status, this.#head.headers);
+        this.#begin(this.#head);
       }
       outgoing.end(method === 'HEAD' ? undefined : '');
       this.#finish({ kind: 'complete' });
     }
   }
 
+  #begin({ status, headers, framed }: RunHead): void {
+    beginAnswer(this.#options.call.outgoing, status, headers, framed);
+  }
+
   /** Hands an answer that is no stream on, unless events have gone out already. */
   #passFailure(): void {
     const { call: { outgoing } } = this.#options;
--- a/packages/gateway/src/lib/relay/servePlain.ts
+++ b/packages/gateway/src/lib/relay/servePlain.ts
@@ -4,6 +4,7 @@
 import pickTarget from '../requests/pickTarget.js';
 import refuseChoice from '../requests/refuseChoice.js';
 import writeRefusal from '../requests/writeRefusal.js';
+import beginAnswer from './beginAnswer.js';
 import exchangePlain from './exchangePlain.js';
 import judgeAnswer from './judgeAnswer.js';
 import passHeaders from './passHeaders.js';
@@ -17,12 +18,14 @@
 
 type Answered = Extract<PlainAnswer, { kind: 'answered' }>;
 
-function writeAnswer(call: Call, { status, headers, body }: Answered): void {
+function writeAnswer(call: Call, {
+  status, headers, body, head,
+}: Answered): void {
   const passed = passHeaders(headers);
-  if (call.method !== 'HEAD') {
+  if (call.method !== 'HEAD' && head.framed) {
     passed['content-length'] = String(body.length);
   }
-  call.outgoing.writeHead(status, passed);
+  beginAnswer(call.outgoing, status, passed, head.framed);
   call.outgoing.end(body);
 }
 
@@ -81,7 +84,8 @@
     const took = parts.clock.monotonicMilliseconds() - startedAt;
     const verdict = answer.kind === 'answered'
       ? judgeAnswer(answer.status, answer.head, call.said.requestId) : null;
-    const told = answer.kind === 'answered' ? `${answer.status} ${String(verdict)}` : answer.reason;
+    const told = answer.kind === 'answered'
+      ? `${answer.status} ${String(verdict)}${answer.head.framed ? '' : ' without a length'}` : answer.reason;
     call.log.attempt(`${id} load=${choice.load.toFixed(1)}/${choice.candidates} ${told} ${Math.round(took)}ms`);
     excluded.add(id);
     if (answer.kind === 'answered' && verdict === 'own') {
--- a/packages/gateway/src/lib/requests/RequestServer.ts
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ServingError } from '@dandelionlane/core';
 import StreamCourse from '../relay/StreamCourse.js';
+import cutAnswer from '../relay/cutAnswer.js';
 import servePlain from '../relay/servePlain.js';
 import type Call from './Call.js';
 import CallLog from './CallLog.js';
@@ -44,7 +45,7 @@
       const error = new ServingError('request failed inside the gateway', { kind: 'internal', cause });
       log.error('Request failed inside the gateway.', { reason: cause instanceof Error ? cause.stack : String(cause) });
       if (outgoing.headersSent) {
-        outgoing.destroy();
+        cutAnswer(outgoing);
       } else {
         writeRefusal(outgoing, error);
       }
