--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -12,8 +12,12 @@
 /** Time between two messages on a link, in ms. */
 const PERIOD_MILLISECONDS = 120;
 
-/** Age of the holder's view of the workers from which an entry reads the store itself, in ms. */
-const STALE_MILLISECONDS = 3_500;
+/**
+ * Age of the holder's view of the workers from which an entry reads the store itself, in ms. Above
+ * the time between two answers of the feed, and well below the time in which work has to stop
+ * going to a worker that leaves.
+ */
+const STALE_MILLISECONDS = 1_100;
 
 /** Time after the last status of an entry from which its link counts as ended, in ms. */
 const ENTRY_SILENCE_MILLISECONDS = 1_000;
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -24,6 +24,12 @@
 /** Pause between two answers of the operators' feed, in ms. */
 const OPERATOR_PACE_MILLISECONDS = 100;
 
+/** Longest wait for a change of the operators, in ms. */
+const OPERATOR_WAIT_MILLISECONDS = 2_000;
+
+/** Longest wait for a change of the workers, in ms: the age of the holder's view is judged by it. */
+const WORKER_WAIT_MILLISECONDS = 500;
+
 /** Pause between two answers of the workers' feed, in ms. */
 const WORKER_PACE_MILLISECONDS = 150;
 
@@ -77,6 +83,7 @@
     clock,
     log: logFor('store'),
     paceMilliseconds: OPERATOR_PACE_MILLISECONDS,
+    waitMilliseconds: OPERATOR_WAIT_MILLISECONDS,
   });
   const workerFollower = new TableFollower({
     table: ports.rows.workerTable,
@@ -85,6 +92,7 @@
     clock,
     log: logFor('store'),
     paceMilliseconds: WORKER_PACE_MILLISECONDS,
+    waitMilliseconds: WORKER_WAIT_MILLISECONDS,
   });
 
   let leaving = false;
--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -4,9 +4,6 @@
 import type { Log } from '@dandelionlane/telemetry';
 import type RowSink from './RowSink.js';
 
-/** Longest wait for a change in one call, in ms. Bounds how long a silent connection goes unnoticed. */
-const FEED_WAIT_MILLISECONDS = 2_000;
-
 /** Pause after a failed call, in ms. */
 const FAILURE_PAUSE_MILLISECONDS = 250;
 
@@ -22,6 +19,8 @@
   readonly log: Log;
   /** Pause between two answers, in ms: each call is priced. */
   readonly paceMilliseconds: number;
+  /** Longest wait for a change in one call, in ms. Bounds how long a silent connection goes unnoticed. */
+  readonly waitMilliseconds: number;
 }
 
 /** Keeps a sink up to date with one table: a snapshot first, then its changes. */
@@ -116,8 +115,8 @@
   }
 
   async #readChanges(after: RowVersion): Promise<boolean> {
-    const { feed, table } = this.#options;
-    const changes = await feed.changes(table, after, FEED_WAIT_MILLISECONDS);
+    const { feed, table, waitMilliseconds } = this.#options;
+    const changes = await feed.changes(table, after, waitMilliseconds);
     if (changes.isErr()) {
       this.#failed(changes.error.message);
       return false;
--- a/packages/fleet/src/test/TableFollower.test.ts
+++ b/packages/fleet/src/test/TableFollower.test.ts
@@ -50,6 +50,7 @@
     clock: new ManualClock(),
     log: LOG,
     paceMilliseconds: 0,
+    waitMilliseconds: 10,
   });
   follower.start();
   await vi.waitFor(() => expect(feed.asked.length).toBeGreaterThanOrEqual(questions));
--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -10,6 +10,7 @@
 import type RunEnd from './RunEnd.js';
 import cutAnswer from './cutAnswer.js';
 import StreamRun from './StreamRun.js';
+import StreamTiming from './StreamTiming.js';
 
 /** Most targets that are tried without having run the request. */
 const MAXIMUM_REFUSALS = 4;
@@ -27,6 +28,8 @@
 
   readonly #order: EventOrder;
 
+  readonly #timing = new StreamTiming();
+
   readonly #excluded = new Set<WorkerId>();
 
   #runs = 0;
@@ -43,6 +46,16 @@
 
   /** Serves the stream to its end. Returns the outcome for the log. */
   async serve(signal: AbortSignal): Promise<string> {
+    const outcome = await this.#serveRuns(signal);
+    const { first, longestPause } = this.#timing;
+    if (first !== null) {
+      this.#call.log.set('firstEventMilliseconds', Math.round(first - this.#call.receivedAt));
+      this.#call.log.set('longestPauseMilliseconds', Math.round(longestPause));
+    }
+    return outcome;
+  }
+
+  async #serveRuns(signal: AbortSignal): Promise<string> {
     while (!signal.aborted) {
       if (this.#remaining() <= 0) {
         return this.#giveUp('deadline passed');
@@ -89,6 +102,7 @@
       call: this.#call,
       candidate,
       order: this.#order,
+      timing: this.#timing,
       fresh: !this.#resumable,
       mayMove: () => this.#mayRunAgain() && this.#hasAlternative(candidate),
     });
--- a/packages/gateway/src/lib/relay/StreamRun.ts
+++ b/packages/gateway/src/lib/relay/StreamRun.ts
@@ -11,6 +11,7 @@
 import judgeAnswer from './judgeAnswer.js';
 import passHeaders from './passHeaders.js';
 import readEventId from './readEventId.js';
+import type StreamTiming from './StreamTiming.js';
 
 /** Status of a stream. */
 const OK = 200;
@@ -31,6 +32,7 @@
   readonly call: Call;
   readonly candidate: Candidate;
   readonly order: EventOrder;
+  readonly timing: StreamTiming;
   readonly fresh: boolean;
   /** Whether the stream can go on elsewhere now. */
   readonly mayMove: () => boolean;
@@ -195,14 +197,14 @@
   }
 
   #write(events: readonly Buffer[]): void {
-    const { outgoing, log, receivedAt } = this.#options.call;
+    const { call: { outgoing }, timing, parts } = this.#options;
     if (events.length === 0 || outgoing.destroyed) {
       return;
     }
     if (!outgoing.headersSent && this.#head !== null) {
       this.#begin(this.#head);
-      log.set('firstEventMilliseconds', Math.round(this.#options.parts.clock.monotonicMilliseconds() - receivedAt));
     }
+    timing.delivered(parts.clock.monotonicMilliseconds());
     const [first, ...rest] = events;
     const bytes = rest.length === 0 && first !== undefined ? first : Buffer.concat(events);
     if (!outgoing.write(bytes)) {
--- /dev/null
+++ b/packages/groups/src/test/allotSpares.test.ts
@@ -0,0 +1,25 @@
+import { expect, test } from 'vitest';
+import { ModelName } from '@dandelionlane/core';
+import allotSpares from '../lib/plan/allotSpares.js';
+
+const LARGE = ModelName.parse('large');
+const SMALL = ModelName.parse('small');
+
+function allot(large: number, small: number, spares: number): readonly (number | undefined)[] {
+  const allotted = allotSpares(new Map([[SMALL, small], [LARGE, large]]), spares);
+  return [allotted.get(LARGE), allotted.get(SMALL)];
+}
+
+test('the first spares go to the model with the most workers', () => {
+  expect(allot(6, 3, 1)).toEqual([1, 0]);
+  expect(allot(6, 3, 2)).toEqual([2, 0]);
+});
+
+test('further spares go to the others', () => {
+  expect(allot(6, 3, 3)).toEqual([2, 1]);
+  expect(allot(12, 12, 3)).toEqual([1, 2]);
+});
+
+test('no group needs no spare', () => {
+  expect([...allotSpares(new Map(), 3)]).toEqual([]);
+});
