Judge the silence of a group by its pace and the prompts it has to read

A fixed limit of 250 ms (new requests) and 450 ms (moves) was too long for a group that writes, and too short for one that reads several long prompts.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -1,4 +1,4 @@
-import type { Clock, EntryId } from '@dandelionlane/core';
+import type { Clock, EntryId, WorkerId } from '@dandelionlane/core';
 import type { RowCache, TableFollower } from '@dandelionlane/fleet';
 import type { EntryRegistry, KnownEntry, TargetStates } from '@dandelionlane/gateway';
 import type { GroupController } from '@dandelionlane/groups';
@@ -38,6 +38,8 @@
   readonly lease: LeaseKeeper;
   readonly controller: GroupController;
   readonly isReady: () => boolean;
+  /** Longest usual silence of a model target, in ms. */
+  readonly quietLimit: (worker: WorkerId, unreadTokens: number) => number;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -130,6 +132,7 @@
           formation: streams[0]?.formation ?? '',
           outstanding: state.outstanding,
           started: started.length,
+          unreadTokens: state.unreadTokens,
           // Before the first event the silence has no beginning.
           silentMilliseconds: Math.round(Math.min(now - state.lastProgressAt, LONGEST_SILENCE_MILLISECONDS)),
         };
@@ -145,7 +148,7 @@
 
   #lead(): void {
     const {
-      settings, registry, workerRows, workerFollower, controller,
+      settings, registry, workerRows, workerFollower, controller, quietLimit,
     } = this.#options;
     const others = this.#server.statuses()
       .filter(({ ageMilliseconds }) => ageMilliseconds < ENTRY_SILENCE_MILLISECONDS);
@@ -167,7 +170,7 @@
       ageMilliseconds: Math.round(workerFollower.ageMilliseconds),
       entries,
       loads: sumLoads(statuses.map(({ status }) => status)),
-      stalled: findStalled(statuses),
+      stalled: findStalled(statuses, (worker, unread) => quietLimit(worker, unread)),
       rows: [...workerRows.takeChanges()],
       whole: false,
       returned: workerRows.takeReturned(),
@@ -199,7 +202,9 @@
 
   #applyTargets({ loads, stalled }: FleetState): void {
     const { states } = this.#options;
-    loads.forEach(({ worker, outstanding }) => states.of(worker).loadShared(outstanding));
+    loads.forEach(({ worker, outstanding, unreadTokens }) => {
+      states.of(worker).loadShared(outstanding, unreadTokens);
+    });
     stalled.forEach(({ worker, formation }) => {
       const target = states.of(worker);
       target.suspect(formation, SUSPICION_MILLISECONDS);
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -1,9 +1,9 @@
 import { createServer } from 'node:http';
 import {
-  ControllerId, SystemClock, SystemRandom, WakefulClock, onShutdownSignal, repeatWork,
+  ControllerId, SystemClock, SystemRandom, WakefulClock, onShutdownSignal, repeatWork, type WorkerId,
 } from '@dandelionlane/core';
 import {
-  ConfigurationHolder, OperatorSink, RowCache, TableFollower, WorkerSink, WorkerTable,
+  ConfigurationHolder, OperatorSink, RowCache, TableFollower, WorkerSink, WorkerTable, quietLimitMilliseconds,
 } from '@dandelionlane/fleet';
 import {
   EntryRegistry, RepeatBudget, RequestServer, StallDetector, TargetConnections, TargetStates,
@@ -171,9 +171,17 @@
     void requests.handle(incoming, outgoing);
   });
   server.listen(settings.callers.port, settings.callers.host);
-  const stalls = new StallDetector(states, clock);
+  const quietLimit = (worker: WorkerId, unreadTokens: number): number => {
+    const entry = workers.get(worker);
+    const service = entry === undefined
+      ? undefined : configuration.table?.configuration.services.get(entry.worker.service);
+    return entry === undefined || service === undefined || service.engine === null
+      ? Number.POSITIVE_INFINITY
+      : quietLimitMilliseconds(service.engine, entry.worker.models[0] ?? null, unreadTokens);
+  };
+  const stalls = new StallDetector({ states, clock, quietLimit });
   coordinator = new Coordinator({
-    settings, registry, states, workerRows, workerFollower, lease, controller, isReady, clock, log: logFor('links'),
+    settings, registry, states, workerRows, workerFollower, lease, controller, isReady, quietLimit, clock, log: logFor('links'),
   });
   const servers = [
     listenHono(createReadinessApplication(ports.readinessPath, isReady), settings.readiness),
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -11,6 +11,7 @@
 export { type default as ServiceProfile } from './lib/configuration/ServiceProfile.js';
 export { type default as Team } from './lib/configuration/Team.js';
 export { type default as WeightedService } from './lib/configuration/WeightedService.js';
+export { default as quietLimitMilliseconds } from './lib/engine/quietLimitMilliseconds.js';
 export { type default as FleetRows } from './lib/feed/FleetRows.js';
 export { type default as OperatorRow } from './lib/feed/OperatorRow.js';
 export { default as OperatorSink } from './lib/feed/OperatorSink.js';
--- a/packages/gateway/src/lib/relay/StreamRun.ts
+++ b/packages/gateway/src/lib/relay/StreamRun.ts
@@ -1,4 +1,4 @@
-import { EventSplitter } from '@dandelionlane/core';
+import { EventSplitter, type ModelName } from '@dandelionlane/core';
 import type Candidate from '../choice/Candidate.js';
 import type Call from '../requests/Call.js';
 import type GatewayParts from '../requests/GatewayParts.js';
@@ -48,6 +48,10 @@
 
   readonly formation: string;
 
+  readonly promptTokens: number;
+
+  readonly model: ModelName | null;
+
   lastEventAt: number | null = null;
 
   paused = false;
@@ -75,6 +79,8 @@
     this.#options = options;
     this.sentAt = options.parts.clock.monotonicMilliseconds();
     this.formation = options.candidate.formation;
+    this.promptTokens = options.call.said.promptTokens;
+    this.model = options.call.said.model;
   }
 
   /** Runs to an end. `timeoutMilliseconds` is what is left of the request's time. */
--- a/packages/gateway/src/lib/targets/StallDetector.ts
+++ b/packages/gateway/src/lib/targets/StallDetector.ts
@@ -1,33 +1,39 @@
-import type { Clock } from '@dandelionlane/core';
+import type { Clock, WorkerId } from '@dandelionlane/core';
 import type TargetState from './TargetState.js';
 import type TargetStates from './TargetStates.js';
 
 /** Period of the check, in ms. */
 const PERIOD_MILLISECONDS = 40;
 
-/** Silence of all started streams of a target from which no new request is sent to it, in ms. */
-const SUSPECT_SILENCE_MILLISECONDS = 250;
-
-/** Silence of all started streams of a target from which they go on elsewhere, in ms. */
-const MOVE_SILENCE_MILLISECONDS = 450;
+/**
+ * Time beyond the usual silence after which started streams go on elsewhere, in ms. They lose
+ * more by a move than streams that have not begun, which go at once.
+ */
+const STARTED_PATIENCE_MILLISECONDS = 100;
 
 /** Wait for the first event from which a target that shows no progress at all is left out, in ms. */
 const UNSTARTED_SILENCE_MILLISECONDS = 900;
 
 /** Time for which a suspected target is left out, in ms; a new formation of its group ends it. */
-const SUSPICION_MILLISECONDS = 1_500;
+const SUSPICION_MILLISECONDS = 400;
 
 /** Delay of a check above which this process itself stood still, in ms. */
 const OWN_DELAY_MILLISECONDS = 120;
 
+/** What a `StallDetector` needs from outside. */
+interface StallDetectorOptions {
+  readonly states: TargetStates;
+  readonly clock: Clock;
+  /** Longest usual silence of a target with so many unread prompt tokens, in ms. */
+  readonly quietLimit: (worker: WorkerId, unreadTokens: number) => number;
+}
+
 /**
  * Finds targets that accept requests and produce nothing. A target generates for all its streams
- * in one batch, so the silence of one stream says little, and that of all of them much.
+ * in one batch: a started stream hears from it with every pass.
  */
 export default class StallDetector {
-  readonly #states: TargetStates;
-
-  readonly #clock: Clock;
+  readonly #options: StallDetectorOptions;
 
   #lastCheckAt: number;
 
@@ -35,10 +41,9 @@
 
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(states: TargetStates, clock: Clock) {
-    this.#states = states;
-    this.#clock = clock;
-    this.#lastCheckAt = clock.monotonicMilliseconds();
+  constructor(options: StallDetectorOptions) {
+    this.#options = options;
+    this.#lastCheckAt = options.clock.monotonicMilliseconds();
   }
 
   start(): void {
@@ -50,38 +55,37 @@
   }
 
   check(): void {
-    const now = this.#clock.monotonicMilliseconds();
+    const now = this.#options.clock.monotonicMilliseconds();
     if (now - this.#lastCheckAt > OWN_DELAY_MILLISECONDS) {
       // What came in meanwhile has not been read yet.
       this.#ownDelayUntil = now + PERIOD_MILLISECONDS;
     }
     this.#lastCheckAt = now;
     if (now >= this.#ownDelayUntil) {
-      [...this.#states.all()].forEach((state) => StallDetector.#checkTarget(state, now));
+      [...this.#options.states.entries()]
+        .filter(([, { streams }]) => streams.size > 0)
+        .forEach(([worker, state]) => this.#checkTarget(worker, state, now));
     }
   }
 
-  static #checkTarget(state: TargetState, now: number): void {
+  #checkTarget(worker: WorkerId, state: TargetState, now: number): void {
     const streams = [...state.streams].filter(({ paused }) => !paused);
     const started = streams.filter(({ lastEventAt }) => lastEventAt !== null);
-    const silence = now - state.lastProgressAt;
     const [first] = streams;
     if (first === undefined) {
       return;
     }
-    if (started.length > 0) {
-      if (silence > SUSPECT_SILENCE_MILLISECONDS) {
-        state.suspect(first.formation, SUSPICION_MILLISECONDS);
-      }
-      if (silence > MOVE_SILENCE_MILLISECONDS) {
-        streams.forEach((stream) => stream.stalled());
-      }
-      return;
-    }
     const oldest = Math.min(...streams.map(({ sentAt }) => sentAt));
-    if (now - Math.max(oldest, state.lastProgressAt) > UNSTARTED_SILENCE_MILLISECONDS) {
-      state.suspect(first.formation, SUSPICION_MILLISECONDS);
-      streams.forEach((stream) => stream.stalled());
+    const silence = now - Math.max(oldest, state.lastProgressAt);
+    const limit = started.length === 0
+      ? UNSTARTED_SILENCE_MILLISECONDS
+      : this.#options.quietLimit(worker, state.estimateUnreadTokens());
+    if (silence <= limit) {
+      return;
     }
+    state.suspect(first.formation, SUSPICION_MILLISECONDS);
+    const isCertain = silence > limit + STARTED_PATIENCE_MILLISECONDS;
+    streams.filter(({ lastEventAt }) => isCertain || lastEventAt === null)
+      .forEach((stream) => stream.stalled());
   }
 }
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -51,6 +51,10 @@
   /** Own requests when they were last told to the other entries. */
   #toldOutstanding = 0;
 
+  #sharedUnread = 0;
+
+  #toldUnread = 0;
+
   #loadAt = Number.NEGATIVE_INFINITY;
 
   #unreachableUntil = Number.NEGATIVE_INFINITY;
@@ -73,14 +77,28 @@
     this.#loadAt = this.#now();
   }
 
+  /** Prompt tokens of own requests that have not brought an event. */
+  get unreadTokens(): number {
+    return [...this.streams].filter(({ lastEventAt }) => lastEventAt === null)
+      .reduce((sum, { promptTokens }) => sum + promptTokens, 0);
+  }
+
+  /** Prompt tokens that the target may still have to read, for all entries. */
+  estimateUnreadTokens(): number {
+    const isShared = this.#now() - this.#sharedAt < SHARED_AGE_MILLISECONDS;
+    return this.unreadTokens + (isShared ? this.#sharedUnread : 0);
+  }
+
   /** Notes that the own requests are told to the other entries. */
   told(): void {
     this.#toldOutstanding = this.outstanding;
+    this.#toldUnread = this.unreadTokens;
   }
 
   /** Takes in the requests of all entries, the own ones included. */
-  loadShared(outstanding: number): void {
+  loadShared(outstanding: number, unreadTokens: number): void {
     this.#sharedOthers = Math.max(0, outstanding - this.#toldOutstanding);
+    this.#sharedUnread = Math.max(0, unreadTokens - this.#toldUnread);
     this.#sharedAt = this.#now();
   }
 
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -15,6 +15,8 @@
     outstanding: z.number(),
     /** Streams that have brought an event. */
     started: z.number(),
+    /** Prompt tokens of its requests that have not brought an event. */
+    unreadTokens: z.number(),
     /** Time since any of its streams there brought an event, in ms. */
     silentMilliseconds: z.number(),
   })),
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -12,7 +12,7 @@
   /** Entries that are linked to the holder, itself included. */
   entries: z.array(z.object({ entry: EntryId, ready: z.boolean(), callerAddress: z.string() })),
   /** Requests of all entries at model targets. */
-  loads: z.array(z.object({ worker: WorkerId, outstanding: z.number() })),
+  loads: z.array(z.object({ worker: WorkerId, outstanding: z.number(), unreadTokens: z.number() })),
   /** Formations that stand still, by what all entries see. */
   stalled: z.array(z.object({ worker: WorkerId, formation: z.string() })),
   /** Registrations that changed. With `whole`, all registrations. */
--- a/packages/links/src/lib/findStalled.ts
+++ b/packages/links/src/lib/findStalled.ts
@@ -1,13 +1,7 @@
+import type { WorkerId } from '@dandelionlane/core';
 import type EntryStatus from './EntryStatus.js';
 import type FleetState from './FleetState.js';
 
-/**
- * Silence of all started streams of a formation, over all entries, from which it counts as
- * standing still, in ms. A pass of the engine brings an event to each stream; one that also reads
- * several long prompts takes about 200 ms.
- */
-const STALL_SILENCE_MILLISECONDS = 260;
-
 /** Age from which a status says nothing of the present, in ms. */
 const STATUS_AGE_MILLISECONDS = 400;
 
@@ -17,21 +11,39 @@
   readonly ageMilliseconds: number;
 }
 
-/** Formations that run streams and have brought no event to any entry for a while. */
-export default function findStalled(statuses: readonly AgedStatus[]): FleetState['stalled'] {
-  const silences = new Map<string, { readonly worker: string; readonly formation: string; silence: number }>();
-  const fresh = statuses.filter(({ ageMilliseconds }) => ageMilliseconds < STATUS_AGE_MILLISECONDS);
-  fresh.forEach(({ status, ageMilliseconds }) => {
-    status.targets.filter(({ started }) => started > 0)
-      .forEach(({ worker, formation, silentMilliseconds }) => {
-        const key = `${worker} ${formation}`;
-        // A status that is some ms old may miss an event since: its age does not count as silence.
-        const silence = Math.max(0, silentMilliseconds - ageMilliseconds);
-        const known = silences.get(key)?.silence ?? Number.POSITIVE_INFINITY;
-        silences.set(key, { worker, formation, silence: Math.min(known, silence) });
-      });
-  });
-  return [...silences.values()]
-    .filter(({ silence }) => silence >= STALL_SILENCE_MILLISECONDS)
-    .map(({ worker, formation }) => ({ worker, formation } as FleetState['stalled'][number]));
+/** What all entries see of one formation. */
+interface SeenFormation {
+  readonly worker: WorkerId;
+  readonly formation: string;
+  silence: number;
+  unreadTokens: number;
+}
+
+/**
+ * Formations that run streams and have brought no event to any entry for longer than usual.
+ * @param quietLimit Longest usual silence of a target with so many unread tokens, in ms.
+ */
+export default function findStalled(
+  statuses: readonly AgedStatus[],
+  quietLimit: (worker: WorkerId, unreadTokens: number) => number,
+): FleetState['stalled'] {
+  const seen = new Map<string, SeenFormation>();
+  statuses.filter(({ ageMilliseconds }) => ageMilliseconds < STATUS_AGE_MILLISECONDS)
+    .forEach(({ status, ageMilliseconds }) => status.targets.forEach((target) => {
+      const { worker, formation, unreadTokens } = target;
+      const key = `${worker} ${formation}`;
+      const known = seen.get(key) ?? {
+        worker, formation, silence: Number.POSITIVE_INFINITY, unreadTokens: 0,
+      };
+      // A status that is some ms old may miss an event since: its age does not count as silence.
+      const silence = target.started === 0
+        ? Number.POSITIVE_INFINITY : Math.max(0, target.silentMilliseconds - ageMilliseconds);
+      known.silence = Math.min(known.silence, silence);
+      known.unreadTokens += unreadTokens;
+      seen.set(key, known);
+    }));
+  return [...seen.values()]
+    .filter(({ silence }) => Number.isFinite(silence))
+    .filter(({ worker, silence, unreadTokens }) => silence >= quietLimit(worker, unreadTokens))
+    .map(({ worker, formation }) => ({ worker, formation }));
 }
