Repair groups while the store is away

A holder that cannot reach the store acts on: epochs belong to its term alone, orders name the sequence they expect, workers refuse a holder once they have heard of a later term, and a holder that finds formations without a record takes their heads in first. Records are saved when the store answers again. The holder passes groups on that workers report and registrations do not show.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -1,5 +1,5 @@
 import type { Clock, EntryId, WorkerId } from '@dandelionlane/core';
-import type { RowCache, TableFollower } from '@dandelionlane/fleet';
+import type { RowCache, TableFollower, WorkerTable } from '@dandelionlane/fleet';
 import type { EntryRegistry, KnownEntry, TargetStates } from '@dandelionlane/gateway';
 import type { GroupController } from '@dandelionlane/groups';
 import {
@@ -8,6 +8,7 @@
 import type { LeaseKeeper } from '@dandelionlane/platform';
 import type { Log } from '@dandelionlane/telemetry';
 import type FleetEntrySettings from './FleetEntrySettings.js';
+import type Leadership from './Leadership.js';
 
 /** Time between two messages on a link, in ms. */
 const PERIOD_MILLISECONDS = 120;
@@ -33,9 +34,11 @@
   readonly settings: FleetEntrySettings;
   readonly registry: EntryRegistry;
   readonly states: TargetStates;
+  readonly workers: WorkerTable;
   readonly workerRows: RowCache;
   readonly workerFollower: TableFollower;
   readonly lease: LeaseKeeper;
+  readonly leadership: Leadership;
   readonly controller: GroupController;
   readonly isReady: () => boolean;
   /** Longest usual silence of a model target, in ms. */
@@ -93,8 +96,10 @@
   }
 
   #round(): void {
-    const { lease, settings, registry } = this.#options;
-    const isLeading = lease.held() !== null;
+    const {
+      lease, leadership, settings, registry,
+    } = this.#options;
+    const isLeading = leadership.acting() !== null;
     if (this.#leading && !isLeading) {
       this.#server.disconnect();
     }
@@ -171,6 +176,7 @@
       entries,
       loads: sumLoads(statuses.map(({ status }) => status)),
       stalled: findStalled(statuses, (worker, unread) => quietLimit(worker, unread)),
+      groups: [...controller.unregisteredGroups()],
       rows: [...workerRows.takeChanges()],
       whole: false,
       returned: workerRows.takeReturned(),
@@ -200,8 +206,9 @@
     this.#applyTargets(state);
   }
 
-  #applyTargets({ loads, stalled }: FleetState): void {
-    const { states } = this.#options;
+  #applyTargets({ loads, stalled, groups }: FleetState): void {
+    const { states, workers } = this.#options;
+    groups.forEach(({ worker, group, model }) => workers.noteGroup(worker, group, model));
     loads.forEach(({ worker, outstanding, unreadTokens }) => {
       states.of(worker).loadShared(outstanding, unreadTokens);
     });
--- /dev/null
+++ b/packages/fleet-entry/src/lib/Leadership.ts
@@ -0,0 +1,59 @@
+import type { Clock } from '@dandelionlane/core';
+import type { HeldLease, LeaseKeeper } from '@dandelionlane/platform';
+
+/** Time for which the lease is left to others after it was given up, in ms. */
+const RESIGNATION_MILLISECONDS = 4_000;
+
+/** What a `Leadership` needs from outside. */
+interface LeadershipOptions {
+  readonly lease: LeaseKeeper;
+  /** Clock that goes on while the process is stopped. */
+  readonly clock: Clock;
+  /** Whether this process may hold the lease at all. */
+  readonly isEligible: () => boolean;
+}
+
+/**
+ * Tells whether this process acts as the holder of the lease.
+ *
+ * A holder that cannot reach the store acts on: workers refuse it once they have heard of a later
+ * term, each of its orders names the state that it expects, and its epochs belong to its term
+ * alone. So nothing that it does can collide with a holder that has followed it unseen.
+ */
+export default class Leadership {
+  readonly #options: LeadershipOptions;
+
+  #lastHeld: HeldLease | null = null;
+
+  #resignedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: LeadershipOptions) {
+    this.#options = options;
+  }
+
+  /** Whether this process may contend for the lease. */
+  get mayContend(): boolean {
+    const { clock, isEligible } = this.#options;
+    return isEligible() && clock.monotonicMilliseconds() - this.#resignedAt > RESIGNATION_MILLISECONDS;
+  }
+
+  /** The lease under which this process acts, or null. */
+  acting(): HeldLease | null {
+    const { lease } = this.#options;
+    if (!this.mayContend) {
+      return null;
+    }
+    const held = lease.held();
+    if (held !== null || lease.isInTouch()) {
+      this.#lastHeld = held;
+    }
+    return this.#lastHeld;
+  }
+
+  /** Gives the lease up, for others to take. */
+  resign(): void {
+    this.#resignedAt = this.#options.clock.monotonicMilliseconds();
+    this.#lastHeld = null;
+    void this.#options.lease.release();
+  }
+}
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -16,6 +16,7 @@
 import type FleetEntryPorts from './FleetEntryPorts.js';
 import type FleetEntrySettings from './FleetEntrySettings.js';
 import LEASE_SETTINGS from './LEASE_SETTINGS.js';
+import Leadership from './Leadership.js';
 import leaveGracefully from './leaveGracefully.js';
 import listenHono from './listenHono.js';
 
@@ -45,9 +46,6 @@
 /** Time after the first start of the whole system in which loads of weights are not paced, in ms. */
 const BOOTSTRAP_MILLISECONDS = 9_000;
 
-/** Time for which the lease is left to others after it was given up, in ms. */
-const RESIGNATION_MILLISECONDS = 4_000;
-
 /** Largest head of a request, in bytes: above what configurations allow. */
 const MAXIMUM_HEADER_BYTES = 64 * 1_024;
 
@@ -118,21 +116,18 @@
     region: settings.region,
     settings: LEASE_SETTINGS,
   });
-  let resignedAt = Number.NEGATIVE_INFINITY;
-  const resign = () => {
-    resignedAt = clock.monotonicMilliseconds();
-    void lease.release();
-  };
-  const mayContend = () => !leaving && workerSink.loaded
-    && clock.monotonicMilliseconds() - resignedAt > RESIGNATION_MILLISECONDS;
+  const leadership = new Leadership({
+    lease, clock: wakefulClock, isEligible: () => workerSink.loaded && (!leaving || !lease.isInTouch()),
+  });
   const controller = new GroupController({
     store: ports.store,
     port: ports.workers,
     workers,
     configuration,
-    lease: () => (mayContend() ? lease.held() : null),
-    resign,
-    clock,
+    lease: () => leadership.acting(),
+    isStoreInTouch: () => lease.isInTouch(),
+    resign: () => leadership.resign(),
+    clock: wakefulClock,
     log: logFor('groups'),
     metrics,
     isBootstrapping: () => settings.bootstrap
@@ -177,11 +172,11 @@
       ? undefined : configuration.table?.configuration.services.get(entry.worker.service);
     return entry === undefined || service === undefined || service.engine === null
       ? Number.POSITIVE_INFINITY
-      : quietLimitMilliseconds(service.engine, entry.worker.models[0] ?? null, unreadTokens);
+      : quietLimitMilliseconds(service.engine, entry.models[0] ?? null, unreadTokens);
   };
   const stalls = new StallDetector({ states, clock, quietLimit });
   coordinator = new Coordinator({
-    settings, registry, states, workerRows, workerFollower, lease, controller, isReady, quietLimit, clock, log: logFor('links'),
+    settings, registry, states, workers, workerRows, workerFollower, lease, leadership, controller, isReady, quietLimit, clock, log: logFor('links'),
   });
   const servers = [
     listenHono(createReadinessApplication(ports.readinessPath, isReady), settings.readiness),
@@ -201,7 +196,7 @@
   const stopLease = repeatWork(async () => {
     leaseRounds += 1;
     const isDue = coordinator.linkedEntries() === null || leaseRounds % LINKED_LEASE_ROUNDS === 0;
-    if (mayContend() && (isDue || lease.held() !== null)) {
+    if (!leaving && leadership.mayContend && (isDue || leadership.acting() !== null)) {
       await lease.step();
     }
   }, LEASE_PERIOD_MILLISECONDS);
@@ -219,10 +214,10 @@
     leaving = true;
     log.info('Entry is leaving.', { running: requests.running });
     requests.leave();
-    controller.stop();
     await Promise.all([lease.release(), registry.announce()]);
     await stopLease();
     await leaveGracefully(requests, settings.graceMilliseconds, clock);
+    controller.stop();
     clearInterval(expiry);
     stalls.stop();
     operatorFollower.stop();
--- a/packages/fleet/src/lib/workers/WorkerTable.ts
+++ b/packages/fleet/src/lib/workers/WorkerTable.ts
@@ -1,4 +1,7 @@
-import type { Clock, ServiceId, WorkerId } from '@dandelionlane/core';
+import type {
+  Clock, ModelName, ServiceId, WorkerId,
+} from '@dandelionlane/core';
+import type GroupMembership from './GroupMembership.js';
 import type Worker from './Worker.js';
 import type WorkerEntry from './WorkerEntry.js';
 
@@ -52,7 +55,17 @@
     if (previous !== undefined && previous.worker.service !== worker.service) {
       this.#byService.get(previous.worker.service)?.delete(worker.id);
     }
-    this.#set({ worker, coldUntil, lapsedAt: null });
+    this.#set({
+      worker, group: worker.group, models: worker.models, coldUntil, lapsedAt: null,
+    });
+  }
+
+  /** Takes a worker's group over from its own report, ahead of its registration. */
+  noteGroup(id: WorkerId, group: GroupMembership | null, model: ModelName | null): void {
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) {
+      this.#set({ ...entry, group, models: model === null ? entry.worker.models : [model] });
+    }
   }
 
   /** The registration is gone. */
--- a/packages/gateway/src/lib/choice/listCandidates.ts
+++ b/packages/gateway/src/lib/choice/listCandidates.ts
@@ -15,7 +15,7 @@
   readonly excluded: ReadonlySet<WorkerId>;
 }
 
-function formationOf({ worker: { group } }: WorkerEntry): string {
+function formationOf({ group }: WorkerEntry): string {
   return group === null ? '' : `${group.name}/${group.epoch}`;
 }
 
@@ -45,8 +45,8 @@
   const profile = engine.models.find(({ name }) => name === model);
   const counts = countByFormation(entries);
   return usable
-    .filter(({ worker }) => worker.group?.rank === 0 && worker.group.state === 'open')
-    .filter(({ worker }) => model === null || worker.models.includes(model))
+    .filter(({ group }) => group?.rank === 0 && group.state === 'open')
+    .filter(({ models }) => model === null || models.includes(model))
     .map((entry) => {
       const formation = formationOf(entry);
       return {
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -1,5 +1,5 @@
 import type {
-  Clock, FencingNumber, GroupName, ServiceId, TableStore,
+  Clock, FencingNumber, ModelName, ServiceId, TableStore,
 } from '@dandelionlane/core';
 import type {
   ConfigurationHolder, EngineProfile, Worker, WorkerPort, WorkerTable,
@@ -7,6 +7,7 @@
 import type { HeldLease } from '@dandelionlane/platform';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
 import MISSES_UNTIL_SILENT from '../observation/MISSES_UNTIL_SILENT.js';
+import type ReportedGroup from '../observation/ReportedGroup.js';
 import WorkerObserver from '../observation/WorkerObserver.js';
 import planGroups from '../plan/planGroups.js';
 import type GroupRecord from '../plan/GroupRecord.js';
@@ -24,8 +25,11 @@
 /** Share of silent workers from which this process takes itself to be the one that is cut off. */
 const CUT_OFF_SHARE = 0.6;
 
-/** Rows of one transaction (platform's limit). */
-const MAXIMUM_ROWS = 100;
+/** Pause after records could not be written or read, in ms: each call is priced. */
+const SAVE_PAUSE_MILLISECONDS = 300;
+
+/** Time between two rounds above which what is known of the workers is out of date, in ms. */
+const STALE_ROUND_MILLISECONDS = 800;
 
 type OrderStep = Extract<GroupStep, { kind: 'order' }>;
 
@@ -37,8 +41,11 @@
   readonly configuration: ConfigurationHolder;
   /** The lease, while this process may act on it. */
   readonly lease: () => HeldLease | null;
+  /** Whether the store answers this process. Without it orders go out before their records. */
+  readonly isStoreInTouch: () => boolean;
   /** Gives the lease up, for others to take. */
   readonly resign: () => void;
+  /** Clock that goes on while the process is stopped. */
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -73,6 +80,12 @@
 
   #committing = false;
 
+  /** Monotonic time of the last save that failed, in ms. */
+  #savingAt = Number.NEGATIVE_INFINITY;
+
+  /** Monotonic time of the last round, in ms. */
+  #roundAt = Number.NEGATIVE_INFINITY;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: GroupControllerOptions) {
@@ -100,6 +113,15 @@
     return Math.max(0, ...this.#engines().map(([, engine]) => engine.reportLagMilliseconds));
   }
 
+  /** Groups that workers report and their registrations do not show yet, with their models. */
+  unregisteredGroups(): readonly (ReportedGroup & { readonly model: ModelName | null })[] {
+    const models = new Map(this.#store.records.map(({ name, model }) => [name, model]));
+    return this.#observer.unregisteredGroups().map((reported) => ({
+      ...reported,
+      model: reported.group === null ? null : models.get(reported.group.name) ?? null,
+    }));
+  }
+
   /** A formation seems to stand still: its members are asked at once. */
   formationStalled(formation: string): void {
     this.#observer.expedite(formation);
@@ -115,6 +137,7 @@
       }
       return;
     }
+    this.#forgetWhenStale();
     if (this.#committing) {
       this.#observer.round();
       return;
@@ -129,11 +152,25 @@
     }
   }
 
+  /** After this process stood still, workers are asked again before anything is planned. */
+  #forgetWhenStale(): void {
+    const now = this.#options.clock.monotonicMilliseconds();
+    if (now - this.#roundAt > STALE_ROUND_MILLISECONDS) {
+      this.#observer.clear();
+    }
+    this.#roundAt = now;
+  }
+
   async #beginTerm(lease: HeldLease): Promise<boolean> {
+    const now = this.#options.clock.monotonicMilliseconds();
+    if (now - this.#savingAt < SAVE_PAUSE_MILLISECONDS) {
+      return false;
+    }
     this.#committing = true;
     const loaded = await this.#store.load();
     this.#committing = false;
     if (loaded.isErr()) {
+      this.#savingAt = now;
       this.#options.log.warn('Group records were not read.', { reason: loaded.error.message });
       return false;
     }
@@ -179,18 +216,23 @@
     const observation = this.#observer.observation();
     const steps = this.#engines().flatMap(([service, engine]) => planGroups({
       service,
+      fencing: lease.fencing,
       engine,
       records: this.#store.records,
       observation,
       candidates: this.#options.workers.ofService(service).map(({ worker }) => worker.id),
       demand: new Map(),
     }));
-    const writes = steps.flatMap((step) => (step.kind === 'write' ? [step] : [])).slice(0, MAXIMUM_ROWS / 2);
-    const deletions = steps.flatMap((step) => (step.kind === 'delete' ? [step] : [])).slice(0, MAXIMUM_ROWS / 2);
-    if (writes.length + deletions.length > 0) {
-      await this.#commit(writes.map(({ record }) => record), deletions.map(({ name }) => name));
-      writes.forEach(({ record, reason }) => this.#logRecord(record, reason));
-      deletions.forEach(({ name, reason }) => this.#options.log.info('Group dissolved.', { group: name, reason }));
+    const writes = steps.flatMap((step) => (step.kind === 'write' ? [step] : []));
+    const deletions = steps.flatMap((step) => (step.kind === 'delete' ? [step] : []));
+    writes.forEach(({ record, reason }) => this.#logRecord(record, reason));
+    deletions.forEach(({ name, reason }) => this.#options.log.info('Group dissolved.', { group: name, reason }));
+    this.#store.change(writes.map(({ record }) => record), deletions.map(({ name }) => name));
+    if (!this.#store.saved) {
+      await this.#save();
+    }
+    if (!this.#store.saved && this.#options.isStoreInTouch()) {
+      return;
     }
     steps.forEach((step) => {
       if (step.kind === 'order') {
@@ -210,14 +252,21 @@
     this.#options.metrics.count('groups.planned', 1, [`reason:${reason}`]);
   }
 
-  async #commit(writes: readonly GroupRecord[], deletions: readonly GroupName[]): Promise<void> {
+  async #save(): Promise<void> {
+    const now = this.#options.clock.monotonicMilliseconds();
+    if (now - this.#savingAt < SAVE_PAUSE_MILLISECONDS) {
+      return;
+    }
     this.#committing = true;
-    const committed = await this.#store.commit(writes, deletions);
+    const saved = await this.#store.save();
     this.#committing = false;
-    if (committed.isErr()) {
-      this.#options.log.warn('Group records were not written.', {
-        kind: committed.error.kind, reason: committed.error.message,
-      });
+    if (saved.isOk()) {
+      return;
+    }
+    const { kind, message } = saved.error;
+    this.#options.log.warn('Group records were not written.', { kind, reason: message });
+    this.#savingAt = now;
+    if (kind === 'lease-lost') {
       // What the rows hold now is read at the start of the next round.
       this.#fencing = null;
     }
--- a/packages/groups/src/lib/control/GroupStore.ts
+++ b/packages/groups/src/lib/control/GroupStore.ts
@@ -1,4 +1,4 @@
-import { type Result, err, ok } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import {
   RowVersion, ServingError, type GroupName, type TableStore, type TableTransaction,
 } from '@dandelionlane/core';
@@ -7,19 +7,26 @@
 
 const TABLE = 'groups';
 
-/** A record with the version of its row. */
-interface StoredRecord {
-  readonly record: GroupRecord;
+/** Rows of one transaction (platform's limit). */
+const MAXIMUM_ROWS = 100;
+
+/** A record with the version of its row. A record of null is to be deleted. */
+interface HeldRecord {
+  readonly record: GroupRecord | null;
   readonly version: RowVersion;
+  readonly saved: boolean;
 }
 
-/** Records of groups, each written only over the version that this process has seen. */
+/**
+ * Records of groups. Changes count at once and are saved as soon as the store can be reached,
+ * each only over the version that this process has seen.
+ */
 export default class GroupStore {
   readonly #store: TableStore;
 
   readonly #log: Log;
 
-  #records = new Map<GroupName, StoredRecord>();
+  #records = new Map<GroupName, HeldRecord>();
 
   constructor(store: TableStore, log: Log) {
     this.#store = store;
@@ -27,10 +34,15 @@
   }
 
   get records(): readonly GroupRecord[] {
-    return [...this.#records.values()].map(({ record }) => record);
+    return [...this.#records.values()].flatMap(({ record }) => (record === null ? [] : [record]));
+  }
+
+  /** Whether all changes are in the store. */
+  get saved(): boolean {
+    return [...this.#records.values()].every(({ saved }) => saved);
   }
 
-  /** Reads all records. Errors: those of the table service. */
+  /** Reads all records and forgets unsaved changes. Errors: those of the table service. */
   async load(): Promise<Result<void, ServingError>> {
     const rows = await this.#store.scan(TABLE, '');
     if (rows.isErr()) {
@@ -40,7 +52,7 @@
     rows.value.forEach((row) => {
       const parsed = GroupRecord.safeParse(row.value);
       if (parsed.success) {
-        this.#records.set(parsed.data.name, { record: parsed.data, version: row.version });
+        this.#records.set(parsed.data.name, { record: parsed.data, version: row.version, saved: true });
       } else {
         this.#log.error('Group record is invalid.', { key: row.key });
       }
@@ -48,33 +60,69 @@
     return ok(undefined);
   }
 
+  /** Takes changes over; `save` writes them. */
+  change(writes: readonly GroupRecord[], deletions: readonly GroupName[]): void {
+    const versionOf = (name: GroupName) => this.#records.get(name)?.version ?? RowVersion.parse(0);
+    writes.forEach((record) => {
+      this.#records.set(record.name, { record, version: versionOf(record.name), saved: false });
+    });
+    deletions.forEach((name) => {
+      this.#records.set(name, { record: null, version: versionOf(name), saved: false });
+    });
+  }
+
   /**
-   * Writes and deletes records in one transaction. Errors: `lease-lost` when another process
-   * has written one of them; `store-outcome-unknown` when `load` has to tell what became of it.
+   * Writes unsaved changes in one transaction. Errors: `lease-lost` when another process has
+   * written one of the records; those of the table service, when a later `save` tries again.
    */
-  async commit(
-    writes: readonly GroupRecord[],
-    deletions: readonly GroupName[],
-  ): Promise<Result<void, ServingError>> {
-    const versionOf = (name: GroupName) => this.#records.get(name)?.version ?? RowVersion.parse(0);
+  async save(): Promise<Result<void, ServingError>> {
+    const unsaved = [...this.#records].filter(([, { saved }]) => !saved).slice(0, MAXIMUM_ROWS);
+    if (unsaved.length === 0) {
+      return ok(undefined);
+    }
     const transaction: TableTransaction = {
-      conditions: [...writes.map(({ name }) => name), ...deletions]
-        .map((name) => ({ table: TABLE, key: name, version: versionOf(name) })),
-      writes: [
-        ...writes.map((record) => ({ table: TABLE, key: record.name, value: record })),
-        ...deletions.map((name) => ({ table: TABLE, key: name, value: null })),
-      ],
+      conditions: unsaved.map(([name, { version }]) => ({ table: TABLE, key: name, version })),
+      writes: unsaved.map(([name, { record }]) => ({ table: TABLE, key: name, value: record })),
     };
     const outcome = await this.#store.commit(transaction);
     if (outcome.isErr()) {
       return err(outcome.error);
     }
     if (outcome.value.kind === 'conflict') {
-      return err(new ServingError('another process has written a group record', { kind: 'lease-lost' }));
+      return this.#settle();
     }
     const { version } = outcome.value;
-    writes.forEach((record) => this.#records.set(record.name, { record, version }));
-    deletions.forEach((name) => this.#records.delete(name));
+    unsaved.forEach(([name, { record }]) => this.#keep(name, record, version));
     return ok(undefined);
   }
+
+  /** After a conflict: an earlier write of this process, whose answer was lost, may have been done. */
+  async #settle(): Promise<Result<void, ServingError>> {
+    const rows = await this.#store.scan(TABLE, '');
+    if (rows.isErr()) {
+      return err(rows.error);
+    }
+    const found = new Map(rows.value.map((row) => [row.key, row]));
+    const unsaved = [...this.#records].filter(([, { saved }]) => !saved);
+    const isOwn = unsaved.every(([name, { record, version }]) => {
+      const row = found.get(name);
+      const parsed = GroupRecord.safeParse(row?.value);
+      const isUntouched = (row?.version ?? 0) === version;
+      const isWritten = record === null ? row === undefined : parsed.success && parsed.data.epoch === record.epoch;
+      if (isWritten) {
+        this.#keep(name, record, row?.version ?? RowVersion.parse(0));
+      }
+      return isUntouched || isWritten;
+    });
+    return isOwn ? ok(undefined)
+      : err(new ServingError('another process has written a group record', { kind: 'lease-lost' }));
+  }
+
+  #keep(name: GroupName, record: GroupRecord | null, version: RowVersion): void {
+    if (record === null) {
+      this.#records.delete(name);
+    } else {
+      this.#records.set(name, { record, version, saved: true });
+    }
+  }
 }
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -6,6 +6,7 @@
 import FleetObservation from './FleetObservation.js';
 import MISSES_UNTIL_SILENT from './MISSES_UNTIL_SILENT.js';
 import type ObservedWorker from './ObservedWorker.js';
+import type ReportedGroup from './ReportedGroup.js';
 
 /** Time after which a question counts as unanswered, in ms: a report needs no place and takes about 2 ms. */
 const REPORT_TIMEOUT_MILLISECONDS = 250;
@@ -163,6 +164,14 @@
     return new FleetObservation(workers, now - this.#newestAt);
   }
 
+  /** Workers whose reports name another group than their registrations. */
+  unregisteredGroups(): readonly ReportedGroup[] {
+    return [...this.#sightings.values()].flatMap(({ worker, report, misses }) => (
+      report !== null && misses === 0 && describeGroup(report) !== describeGroup(worker)
+        ? [{ worker: worker.id, group: report.group }] : []
+    ));
+  }
+
   #now(): number {
     return this.#options.clock.monotonicMilliseconds();
   }
--- a/packages/groups/src/lib/plan/EpochSource.ts
+++ b/packages/groups/src/lib/plan/EpochSource.ts
@@ -1,16 +1,20 @@
-import { Epoch } from '@dandelionlane/core';
+import { Epoch, type FencingNumber } from '@dandelionlane/core';
 import type FleetObservation from '../observation/FleetObservation.js';
 import type GroupRecord from './GroupRecord.js';
 
+/** Epochs that one term may hand out. */
+const EPOCHS_OF_A_TERM = 1_000_000;
+
 /**
  * Hands out epochs above all that are known. Workers refuse a join with a lower epoch than one
- * of another group that they have seen, so epochs are ordered over all groups.
+ * of another group that they have seen, so epochs are ordered over all groups. Terms have ranges
+ * of their own: two holders that do not know of each other never give one epoch to two lists.
  */
 export default class EpochSource {
   #highest: number;
 
-  constructor(observation: FleetObservation, records: readonly GroupRecord[]) {
-    this.#highest = 0;
+  constructor(fencing: FencingNumber, observation: FleetObservation, records: readonly GroupRecord[]) {
+    this.#highest = fencing * EPOCHS_OF_A_TERM;
     observation.workers.forEach(({ report, worker }) => {
       this.#highest = Math.max(this.#highest, report?.group?.epoch ?? 0, worker.group?.epoch ?? 0);
     });
--- a/packages/groups/src/lib/plan/allotSpares.ts
+++ b/packages/groups/src/lib/plan/allotSpares.ts
@@ -1,18 +1,19 @@
 import type { ModelName } from '@dandelionlane/core';
 
 /**
- * How many of the spares should hold the weights of each model: in proportion to the workers that
- * run it, as each of them may be the next one lost (method of D'Hondt, ties to the larger model).
+ * How many of the spares should hold the weights of each model: one for each model, larger ones
+ * first, and further ones in proportion to the workers that run it (method of D'Hondt), as each of
+ * them may be the next one lost.
  */
 export default function allotSpares(
   members: ReadonlyMap<ModelName, number>,
   spares: number,
 ): ReadonlyMap<ModelName, number> {
-  const allotted = new Map<ModelName, number>([...members.keys()].map((model) => [model, 0]));
+  const models = [...members.keys()].sort((left, right) => (members.get(right) ?? 0) - (members.get(left) ?? 0));
+  const allotted = new Map<ModelName, number>(models.map((model, index) => [model, index < spares ? 1 : 0]));
   const exposure = (model: ModelName) => (members.get(model) ?? 0) / ((allotted.get(model) ?? 0) + 1);
-  for (let index = 0; index < spares; index += 1) {
-    const [next] = [...members.keys()].sort((left, right) => exposure(right) - exposure(left)
-      || (members.get(right) ?? 0) - (members.get(left) ?? 0));
+  for (let index = models.length; index < spares; index += 1) {
+    const [next] = [...models].sort((left, right) => exposure(right) - exposure(left));
     if (next !== undefined) {
       allotted.set(next, (allotted.get(next) ?? 0) + 1);
     }
--- /dev/null
+++ b/packages/groups/src/lib/plan/findHead.ts
@@ -0,0 +1,17 @@
+import type { GroupMembership } from '@dandelionlane/fleet';
+import type FleetObservation from '../observation/FleetObservation.js';
+import type ObservedWorker from '../observation/ObservedWorker.js';
+import assessLiveness from '../observation/assessLiveness.js';
+
+/** The worker that answers and reports to be the head of a formation. */
+export default function findHead(
+  { name, epoch }: GroupMembership,
+  observation: FleetObservation,
+): ObservedWorker | undefined {
+  return [...observation.workers.values()].find((observed) => {
+    const group = observed.report?.group ?? null;
+    const liveness = assessLiveness(observed);
+    return group !== null && group.rank === 0 && group.name === name && group.epoch === epoch
+      && (liveness === 'alive' || liveness === 'leaving');
+  });
+}
--- /dev/null
+++ b/packages/groups/src/lib/plan/findUnrecorded.ts
@@ -0,0 +1,28 @@
+import type FleetObservation from '../observation/FleetObservation.js';
+import type FormerHead from './FormerHead.js';
+import type GroupRecord from './GroupRecord.js';
+import findHead from './findHead.js';
+import toReference from './toReference.js';
+
+/**
+ * Formations of a group that workers report and the record does not tell of: a holder that could
+ * not reach the store has formed them. Only those whose head answers.
+ */
+export default function findUnrecorded(
+  record: GroupRecord,
+  observation: FleetObservation,
+): readonly FormerHead[] {
+  const known = new Set<number>([record.epoch, ...record.formerHeads.map(({ epoch }) => epoch)]);
+  const found = new Map<number, FormerHead>();
+  observation.workers.forEach(({ report }) => {
+    const group = report?.group ?? null;
+    if (group === null || group.name !== record.name || known.has(group.epoch)) {
+      return;
+    }
+    const head = findHead(group, observation);
+    if (head !== undefined) {
+      found.set(group.epoch, { epoch: group.epoch, head: toReference(head), stalled: false });
+    }
+  });
+  return [...found.values()].sort((left, right) => right.epoch - left.epoch);
+}
--- a/packages/groups/src/lib/plan/planFormation.ts
+++ b/packages/groups/src/lib/plan/planFormation.ts
@@ -2,6 +2,7 @@
 import type ObservedWorker from '../observation/ObservedWorker.js';
 import isMemberOf from './isMemberOf.js';
 import mayJoin from './mayJoin.js';
+import mayLeave from './mayLeave.js';
 import planRelease from './planRelease.js';
 import WorkerPool from './WorkerPool.js';
 import type GroupRecord from './GroupRecord.js';
@@ -22,11 +23,16 @@
   };
 }
 
-/** A worker that sits in a group which is not the record's leaves it first. */
-function planLeave(record: GroupRecord, observed: ObservedWorker): readonly GroupStep[] {
+/** A worker that sits in a formation of which the record does not tell leaves it first. */
+function planLeave(
+  record: GroupRecord,
+  observed: ObservedWorker,
+  observation: FleetObservation,
+): readonly GroupStep[] {
   const group = observed.report?.group ?? null;
-  const isStray = group !== null && group.name !== record.name && group.state !== 'open';
-  return isStray
+  const isRecorded = group !== null && group.name === record.name
+    && record.formerHeads.some(({ epoch }) => epoch === group.epoch);
+  return group !== null && !isRecorded && mayLeave(group, observed.worker.domain, observation)
     ? [{
       kind: 'order',
       worker: observed.worker.id,
@@ -60,7 +66,7 @@
   const former = record.formerHeads.find(({ head: { id }, epoch }) => (
     id === head.worker.id && epoch === head.report?.group?.epoch
   ));
-  return former === undefined ? planLeave(record, head) : planRelease(record, former, observation);
+  return former === undefined ? planLeave(record, head, observation) : planRelease(record, former, observation);
 }
 
 /**
@@ -85,7 +91,7 @@
     if (observed.report.group === null || (headHasJoined && mayJoin(record, observed, observation))) {
       return [planJoin(record, observed)];
     }
-    return planLeave(record, observed);
+    return planLeave(record, observed, observation);
   });
   return [...headSteps, ...memberSteps];
 }
--- a/packages/groups/src/lib/plan/planGroups.ts
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -1,4 +1,6 @@
-import type { FabricDomainId, ServiceId, WorkerId } from '@dandelionlane/core';
+import type {
+  FabricDomainId, FencingNumber, ServiceId, WorkerId,
+} from '@dandelionlane/core';
 import type { EngineProfile } from '@dandelionlane/fleet';
 import type FleetObservation from '../observation/FleetObservation.js';
 import EpochSource from './EpochSource.js';
@@ -18,6 +20,7 @@
 /** What `planGroups` decides with. */
 interface GroupPlanInput {
   readonly service: ServiceId;
+  readonly fencing: FencingNumber;
   readonly engine: EngineProfile;
   readonly records: readonly GroupRecord[];
   readonly observation: FleetObservation;
@@ -50,7 +53,7 @@
   } = input;
   const records = input.records.filter((record) => record.service === service);
   const pool = new WorkerPool(observation, records, candidates);
-  const epochs = new EpochSource(observation, input.records);
+  const epochs = new EpochSource(input.fencing, observation, input.records);
   const repairs = records.flatMap((record) => {
     const reform = planReform({
       record, observation, pool, epochs,
--- a/packages/groups/src/lib/plan/planReform.ts
+++ b/packages/groups/src/lib/plan/planReform.ts
@@ -6,6 +6,7 @@
 import WorkerPool from './WorkerPool.js';
 import findFaultyMembers from './findFaultyMembers.js';
 import findStragglers from './findStragglers.js';
+import findUnrecorded from './findUnrecorded.js';
 import isMemberOf from './isMemberOf.js';
 import toReference from './toReference.js';
 
@@ -68,8 +69,11 @@
       ...record,
       epoch: epochs.next(),
       members: [...survivors, ...newcomers.map(toReference)],
-      formerHeads: [{ epoch: record.epoch, head, stalled }, ...record.formerHeads]
-        .slice(0, MAXIMUM_FORMER_HEADS),
+      formerHeads: [
+        ...findUnrecorded(record, observation),
+        { epoch: record.epoch, head, stalled },
+        ...record.formerHeads,
+      ].slice(0, MAXIMUM_FORMER_HEADS),
     },
     reason,
   }];
@@ -90,6 +94,9 @@
   if (faulty.length > 0) {
     return reform(input, faulty, 'members-lost');
   }
+  if (findUnrecorded(record, observation).length > 0) {
+    return reform(input, [], 'formation-unrecorded');
+  }
   if (isBroken(record, observation)) {
     return reform(input, [], 'group-broken');
   }
--- a/packages/groups/src/lib/plan/planStrays.ts
+++ b/packages/groups/src/lib/plan/planStrays.ts
@@ -3,6 +3,7 @@
 import assessLiveness from '../observation/assessLiveness.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
+import mayLeave from './mayLeave.js';
 
 /** Takes workers out of groups that have no record, a late order for instance. */
 export default function planStrays(
@@ -25,6 +26,9 @@
       return [];
     }
     const isServing = group.state === 'open' || group.state === 'closing';
+    if (!isServing && !mayLeave(group, observed.worker.domain, observation)) {
+      return [];
+    }
     return [{
       kind: 'order',
       worker: id,
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import {
-  EntryId, RowVersion, TableRow, WorkerId,
+  EntryId, Epoch, GroupName, ModelName, RowVersion, TableRow, WorkerId,
 } from '@dandelionlane/core';
 
 /** What the holder of the lease tells the entries, several times a second. */
@@ -15,6 +15,17 @@
   loads: z.array(z.object({ worker: WorkerId, outstanding: z.number(), unreadTokens: z.number() })),
   /** Formations that stand still, by what all entries see. */
   stalled: z.array(z.object({ worker: WorkerId, formation: z.string() })),
+  /** Groups of workers by their reports, where their registrations say otherwise: the store may be away. */
+  groups: z.array(z.object({
+    worker: WorkerId,
+    model: ModelName.nullable(),
+    group: z.object({
+      name: GroupName,
+      epoch: Epoch,
+      rank: z.number(),
+      state: z.enum(['joining', 'ready', 'open', 'closing', 'broken']),
+    }).nullable(),
+  })),
   /** Registrations that changed. With `whole`, all registrations. */
   rows: z.array(TableRow),
   whole: z.boolean(),
