--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -22,6 +22,8 @@
   readonly version: RowVersion;
   /** Monotonic time at which this version was first seen, in ms. */
   readonly seenAt: number;
+  /** Whether it was seen to change: a row may be all that is left of an entry that ended long ago. */
+  readonly confirmed: boolean;
 }
 
 /** What an `EntryRegistry` needs from outside. */
@@ -98,6 +100,7 @@
   /** Live entries by their rows, without the entries whose link has ended since their last heartbeat. */
   live(): readonly KnownEntry[] {
     return this.#live()
+      .filter(({ confirmed }) => confirmed)
       .filter(({ record, seenAt }) => (this.#lostAt.get(record.entry) ?? Number.NEGATIVE_INFINITY) < seenAt)
       .map(({ record: { entry, ready, callerAddress } }) => ({ entry, ready, callerAddress }));
   }
@@ -157,7 +160,9 @@
       }
       const previous = this.#seen.get(parsed.data.entry);
       const unchanged = previous !== undefined && previous.version === row.version;
-      const fresh = { record: parsed.data, version: row.version, seenAt: now };
+      const fresh = {
+        record: parsed.data, version: row.version, seenAt: now, confirmed: previous !== undefined,
+      };
       seen.set(parsed.data.entry, unchanged ? previous : fresh);
     });
     this.#seen = seen;
--- /dev/null
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -0,0 +1,84 @@
+import { afterEach, expect, test, vi } from 'vitest';
+import {
+  AvailabilityZoneId, EntryId, ManualClock, MemoryTableStore,
+} from '@dandelionlane/core';
+import type { Log } from '@dandelionlane/telemetry';
+import EntryRegistry from '../lib/entries/EntryRegistry.js';
+
+const LOG: Log = {
+  debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
+};
+
+const ROUND_MILLISECONDS = 1_000;
+
+let running: EntryRegistry[] = [];
+
+afterEach(async () => {
+  await Promise.all(running.map((registry) => registry.stop()));
+  running = [];
+  vi.useRealTimers();
+});
+
+function create(name: string, store: MemoryTableStore, clock: ManualClock): EntryRegistry {
+  const registry = new EntryRegistry({
+    store,
+    clock,
+    log: LOG,
+    entry: EntryId.parse(name),
+    zone: AvailabilityZoneId.parse('zone'),
+    callerAddress: `${name}:1`,
+    linkAddress: `${name}:2`,
+    isReady: () => true,
+    linked: () => null,
+  });
+  running.push(registry);
+  return registry;
+}
+
+async function rounds(count: number, clock: ManualClock): Promise<void> {
+  for (let index = 0; index < count; index += 1) {
+    clock.advance(ROUND_MILLISECONDS);
+    await vi.advanceTimersByTimeAsync(ROUND_MILLISECONDS);
+  }
+}
+
+test('entries that send heartbeats are named', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const one = create('one', store, clock);
+  create('two', store, clock).start();
+  one.start();
+  await rounds(3, clock);
+  expect(one.readyAddresses()).toEqual(['one:1', 'two:1']);
+  expect(one.count()).toBe(2);
+});
+
+test('a fresh entry does not name one whose row is only a remainder', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  await create('gone', store, clock).announce();
+  const fresh = create('fresh', store, clock);
+  fresh.start();
+  await vi.advanceTimersByTimeAsync(0);
+  expect(fresh.readyAddresses()).toEqual(['fresh:1']);
+  await rounds(6, clock);
+  expect(fresh.readyAddresses()).toEqual(['fresh:1']);
+});
+
+test('an entry that falls silent is left out', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const one = create('one', store, clock);
+  const two = create('two', store, clock);
+  one.start();
+  two.start();
+  await rounds(3, clock);
+  running = running.filter((registry) => registry !== two);
+  await two.stop();
+  await two.announce();
+  await rounds(6, clock);
+  expect(one.readyAddresses()).toEqual(['one:1']);
+});
