--- a/packages/gateway/src/lib/choice/chooseTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseTarget.ts
@@ -6,7 +6,7 @@
 const QUEUE_ALLOWANCE = 4;
 
 /** Advantage of a target in the own zone, in requests: bytes between zones are priced. */
-const OWN_ZONE_BONUS = 0.6;
+const OWN_ZONE_BONUS = 2;
 
 /** Handicap of a group of which not all workers are registered, in requests. */
 const NOT_WHOLE_HANDICAP = 6;
@@ -47,11 +47,21 @@
   return (load + 1 + noise) * (1 + FAILURE_FACTOR * state.failureRate ** 2) * slowness - zone;
 }
 
-/** Two of the items by chance: loads are some hundred ms old, and entries must not all choose alike. */
-function sample<Item>(items: readonly Item[], random: RandomSource): readonly Item[] {
-  const rest = [...items];
-  const draw = () => rest.splice(Math.floor(random.next() * rest.length), 1);
-  return rest.length <= 2 ? rest : [...draw(), ...draw()];
+/**
+ * Two of the targets by chance, one of them in the own zone where there is one: loads are some
+ * hundred ms old, and entries must not all choose alike.
+ */
+function sample<Item extends { readonly candidate: Candidate }>(
+  items: readonly Item[],
+  { zone, random }: ChoiceInput,
+): readonly Item[] {
+  const draw = (from: readonly Item[]): readonly Item[] => {
+    const item = from[Math.floor(random.next() * from.length)];
+    return item === undefined ? [] : [item];
+  };
+  const near = draw(items.filter(({ candidate }) => candidate.entry.worker.zone === zone));
+  const first = near.length > 0 ? near : draw(items);
+  return [...first, ...draw(items.filter((item) => !first.includes(item)))];
 }
 
 /** The target with the least load among those that are whole, reachable, warm enough and not full. */
@@ -76,7 +86,7 @@
   if (first === undefined) {
     return { kind: 'none', reason: 'all-full' };
   }
-  const pool = input.isModel ? sample([first, ...rest], input.random) : [first, ...rest];
+  const pool = input.isModel ? sample([first, ...rest], input) : [first, ...rest];
   const best = pool.reduce((least, item) => (item.score < least.score ? item : least));
   return {
     kind: 'chosen', candidate: best.candidate, load: best.load, candidates: scored.length,
