Give each epoch once, and know a worker by its birth

A group whose members had all ended was formed anew and deleted in one round, so its epoch was given again to other lists. A worker that came back under another id at its old address answered for the old id as well and was counted twice.

--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -9,6 +9,7 @@
 import MISSES_UNTIL_SILENT from '../observation/MISSES_UNTIL_SILENT.js';
 import type ReportedGroup from '../observation/ReportedGroup.js';
 import WorkerObserver from '../observation/WorkerObserver.js';
+import EpochSource from '../plan/EpochSource.js';
 import planGroups from '../plan/planGroups.js';
 import type GroupRecord from '../plan/GroupRecord.js';
 import type GroupStep from '../plan/GroupStep.js';
@@ -78,6 +79,8 @@
 
   #fencing: FencingNumber | null = null;
 
+  #epochs: { readonly fencing: FencingNumber; readonly source: EpochSource } | null = null;
+
   #committing = false;
 
   /** Monotonic time of the last save that failed, in ms. */
@@ -212,11 +215,19 @@
     return true;
   }
 
+  /** The source of epochs of a term, which lasts as long as this process. */
+  #epochsOf(fencing: FencingNumber): EpochSource {
+    const epochs = this.#epochs?.fencing === fencing ? this.#epochs.source : new EpochSource(fencing);
+    this.#epochs = { fencing, source: epochs };
+    return epochs;
+  }
+
   async #plan(lease: HeldLease): Promise<void> {
+    const epochs = this.#epochsOf(lease.fencing);
     const observation = this.#observer.observation();
     const steps = this.#engines().flatMap(([service, engine]) => planGroups({
       service,
-      fencing: lease.fencing,
+      epochs,
       engine,
       records: this.#store.records,
       observation,
--- a/packages/groups/src/lib/observation/FleetObservation.ts
+++ b/packages/groups/src/lib/observation/FleetObservation.ts
@@ -39,7 +39,7 @@
   }
 
   static #isOtherLife(reference: MemberReference, observed: ObservedWorker): boolean {
-    const bornAt = observed.report?.bornAt ?? observed.worker.bornAt;
+    const bornAt = observed.worker.bornAt ?? observed.report?.bornAt ?? null;
     return bornAt !== null && reference.bornAt !== null && bornAt > reference.bornAt;
   }
 }
--- a/packages/groups/src/lib/observation/ObservedWorker.ts
+++ b/packages/groups/src/lib/observation/ObservedWorker.ts
@@ -7,6 +7,8 @@
   readonly registered: boolean;
   /** Last answer of this life, or null. */
   readonly report: WorkerReport | null;
+  /** Whether this life has surely ended: another answers at its address. */
+  readonly ended: boolean;
   /** Questions in a row that went unanswered. */
   readonly misses: number;
   /** Time since its last answer, or since it was first asked, in ms. */
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -37,6 +37,7 @@
   worker: Worker;
   registered: boolean;
   report: WorkerReport | null;
+  ended: boolean;
   misses: number;
   answeredAt: number;
   askedAt: number;
@@ -156,6 +157,7 @@
       worker: sighting.worker,
       registered: sighting.registered,
       report: sighting.report === null ? null : { ...sighting.report, orderSequence: sighting.orderSequence },
+      ended: sighting.ended,
       misses: sighting.misses,
       silentMilliseconds: now - sighting.answeredAt,
       groupStateMilliseconds: now - sighting.groupChangedAt,
@@ -191,6 +193,7 @@
       worker,
       registered,
       report: null,
+      ended: false,
       misses: 0,
       answeredAt: now,
       askedAt: Number.NEGATIVE_INFINITY,
@@ -205,6 +208,11 @@
     });
   }
 
+  /** Addresses are used again: an answer may come from another life than the registered one. */
+  static #isOtherLife(worker: Worker, report: WorkerReport): boolean {
+    return worker.bornAt !== null && report.bornAt !== null && worker.bornAt !== report.bornAt;
+  }
+
   /** Registrations change at once with the group, whereas reports lag behind. */
   #noteRegisteredGroup(noted: Sighting, worker: Worker, now: number): void {
     const sighting = noted;
@@ -253,6 +261,13 @@
       this.#missed(sighting, asksAfterOrder, delayed, answer.error.message);
       return;
     }
+    if (WorkerObserver.#isOtherLife(sighting.worker, answer.value)) {
+      if (!sighting.ended) {
+        this.#options.log.info('Another worker answers at the address.', { worker: sighting.worker.id });
+      }
+      sighting.ended = true;
+      return;
+    }
     const answeredAt = this.#now();
     const madeAt = answeredAt - this.#options.reportLagMilliseconds();
     const { group, stagedModels } = sighting.report ?? answer.value;
--- a/packages/groups/src/lib/observation/assessLiveness.ts
+++ b/packages/groups/src/lib/observation/assessLiveness.ts
@@ -13,6 +13,9 @@
   if (observed === undefined) {
     return 'unknown';
   }
+  if (observed.ended) {
+    return 'gone';
+  }
   if (observed.misses >= MISSES_UNTIL_SILENT) {
     return !observed.registered && observed.silentMilliseconds >= GONE_SILENCE_MILLISECONDS ? 'gone' : 'silent';
   }
--- a/packages/groups/src/lib/plan/EpochSource.ts
+++ b/packages/groups/src/lib/plan/EpochSource.ts
@@ -6,15 +6,19 @@
 const EPOCHS_OF_A_TERM = 1_000_000;
 
 /**
- * Hands out epochs above all that are known. Workers refuse a join with a lower epoch than one
- * of another group that they have seen, so epochs are ordered over all groups. Terms have ranges
- * of their own: two holders that do not know of each other never give one epoch to two lists.
+ * Hands out epochs above all that are known, each once. Workers refuse a join with a lower epoch
+ * than one of another group that they have seen, so epochs are ordered over all groups. Terms have
+ * ranges of their own: two holders that do not know of each other never give one epoch to two lists.
  */
 export default class EpochSource {
   #highest: number;
 
-  constructor(fencing: FencingNumber, observation: FleetObservation, records: readonly GroupRecord[]) {
+  constructor(fencing: FencingNumber) {
     this.#highest = fencing * EPOCHS_OF_A_TERM;
+  }
+
+  /** Takes in the epochs that workers and records name. */
+  observe(observation: FleetObservation, records: readonly GroupRecord[]): void {
     observation.workers.forEach(({ report, worker }) => {
       this.#highest = Math.max(this.#highest, report?.group?.epoch ?? 0, worker.group?.epoch ?? 0);
     });
--- a/packages/groups/src/lib/plan/planDissolution.ts
+++ b/packages/groups/src/lib/plan/planDissolution.ts
@@ -1,24 +1,17 @@
 import type FleetObservation from '../observation/FleetObservation.js';
-import planRelease from './planRelease.js';
-import type FormerHead from './FormerHead.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
+import isReleased from './isReleased.js';
+import planReleases from './planReleases.js';
 
-/** Whether no member of a group is left. */
-function isAbandoned(record: GroupRecord, observation: FleetObservation): boolean {
-  return record.members.every((member) => observation.livenessOf(member) === 'gone');
-}
-
-/** Deletes the record of a group whose members have all ended, and releases its former heads. */
+/** Deletes the record of a group whose members have all ended, once its former heads are released. */
 export default function planDissolution(
   record: GroupRecord,
   observation: FleetObservation,
 ): readonly GroupStep[] {
-  const heads: readonly FormerHead[] = record.formerHeads;
-  const releases = heads
-    .filter(({ head }) => !record.members.some(({ id }) => id === head.id))
-    .flatMap((former) => planRelease(record, former, observation));
-  const deletion: readonly GroupStep[] = isAbandoned(record, observation)
-    ? [{ kind: 'delete', name: record.name, reason: 'members-gone' }] : [];
-  return [...releases, ...deletion];
+  const released = record.formerHeads.every((former) => isReleased(record, former, observation)
+    || observation.livenessOf(former.head) === 'unknown');
+  return released
+    ? [{ kind: 'delete', name: record.name, reason: 'members-gone' }]
+    : planReleases(record, observation);
 }
--- a/packages/groups/src/lib/plan/planGroups.ts
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -1,15 +1,15 @@
-import type {
-  FabricDomainId, FencingNumber, ServiceId, WorkerId,
-} from '@dandelionlane/core';
+import type { FabricDomainId, ServiceId, WorkerId } from '@dandelionlane/core';
 import type { EngineProfile } from '@dandelionlane/fleet';
 import type FleetObservation from '../observation/FleetObservation.js';
-import EpochSource from './EpochSource.js';
+import type EpochSource from './EpochSource.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
+import isAbandoned from './isAbandoned.js';
 import planDissolution from './planDissolution.js';
 import planFormation from './planFormation.js';
 import planNewGroups from './planNewGroups.js';
 import planReform from './planReform.js';
+import planReleases from './planReleases.js';
 import planStaging from './planStaging.js';
 import planStrays from './planStrays.js';
 import WorkerPool from './WorkerPool.js';
@@ -20,7 +20,8 @@
 /** What `planGroups` decides with. */
 interface GroupPlanInput {
   readonly service: ServiceId;
-  readonly fencing: FencingNumber;
+  /** Epochs of the present term. */
+  readonly epochs: EpochSource;
   readonly engine: EngineProfile;
   readonly records: readonly GroupRecord[];
   readonly observation: FleetObservation;
@@ -49,17 +50,20 @@
  */
 export default function planGroups(input: GroupPlanInput): readonly GroupStep[] {
   const {
-    service, engine, observation, candidates, demand,
+    service, engine, observation, candidates, demand, epochs,
   } = input;
   const records = input.records.filter((record) => record.service === service);
   const pool = new WorkerPool(observation, records, candidates);
-  const epochs = new EpochSource(input.fencing, observation, input.records);
+  epochs.observe(observation, input.records);
   const repairs = records.flatMap((record) => {
+    if (isAbandoned(record, observation)) {
+      return planDissolution(record, observation);
+    }
     const reform = planReform({
       record, observation, pool, epochs,
     });
-    const others = planDissolution(record, observation);
-    return reform.length > 0 ? [...reform, ...others] : [...planFormation(record, observation), ...others];
+    const releases = planReleases(record, observation);
+    return [...(reform.length > 0 ? reform : planFormation(record, observation)), ...releases];
   });
   // Groups that are formed while workers still register would be the small ones.
   const created = observation.steadyMilliseconds < SETTLE_MILLISECONDS ? [] : planNewGroups({
--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -6,6 +6,7 @@
 } from '@dandelionlane/fleet';
 import FleetObservation from '../lib/observation/FleetObservation.js';
 import type ObservedWorker from '../lib/observation/ObservedWorker.js';
+import EpochSource from '../lib/plan/EpochSource.js';
 import planGroups from '../lib/plan/planGroups.js';
 import type GroupRecord from '../lib/plan/GroupRecord.js';
 import type FakeGroupWorker from './FakeGroupWorker.js';
@@ -40,6 +41,8 @@
 export default class FakeHolder {
   readonly fencing: FencingNumber;
 
+  readonly #epochs: EpochSource;
+
   readonly #rows: GroupRows;
 
   readonly #known: Map<GroupName, number>;
@@ -56,6 +59,7 @@
 
   constructor(fencing: number, rows: GroupRows) {
     this.fencing = FencingNumber.parse(fencing);
+    this.#epochs = new EpochSource(this.fencing);
     this.#rows = rows;
     this.#known = new Map([...rows].map(([name, { version }]) => [name, version]));
     this.#records = new Map([...rows].map(([name, { record }]) => [name, record]));
@@ -94,6 +98,7 @@
         worker: worker.worker(),
         registered: registered.has(worker.id),
         report: this.#reports.get(worker.id) ?? null,
+        ended: false,
         misses,
         silentMilliseconds: misses * 1_000,
         groupStateMilliseconds: 0,
@@ -102,7 +107,7 @@
     }));
     const steps = planGroups({
       service: ServiceId.parse('model'),
-      fencing: this.fencing,
+      epochs: this.#epochs,
       engine: ENGINE,
       records: [...this.#records.values()],
       observation: new FleetObservation(observed, 10_000),
--- /dev/null
+++ b/packages/groups/src/test/WorkerObserver.test.ts
@@ -0,0 +1,65 @@
+import { okAsync } from 'neverthrow';
+import { expect, test } from 'vitest';
+import { FencingNumber, ManualClock } from '@dandelionlane/core';
+import type { Worker, WorkerPort, WorkerReport } from '@dandelionlane/fleet';
+import assessLiveness from '../lib/observation/assessLiveness.js';
+import WorkerObserver from '../lib/observation/WorkerObserver.js';
+import FakeGroupWorker from './FakeGroupWorker.js';
+
+const LOG = {
+  debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
+};
+
+/** Observes one worker whose address answers with the given report. */
+async function observe(worker: Worker, answer: () => WorkerReport) {
+  const clock = new ManualClock(1_000);
+  const port: WorkerPort = {
+    report: () => okAsync(answer()),
+    order: () => okAsync('done' as const),
+  };
+  const observer = new WorkerObserver({
+    port, clock, log: LOG, changed: () => undefined, reportLagMilliseconds: () => 0,
+  });
+  const round = async () => {
+    observer.follow([{
+      worker, group: worker.group, models: [], coldUntil: 0, lapsedAt: null,
+    }], []);
+    observer.round();
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    clock.advance(2_000);
+    return observer.observation().workers.get(worker.id);
+  };
+  return { observer, round, clock };
+}
+
+test('a worker that answers is alive', async () => {
+  const worker = new FakeGroupWorker('w', 5);
+  const { round } = await observe(worker.worker(), () => worker.report());
+  expect(assessLiveness(await round())).toBe('alive');
+});
+
+test('an answer of another life means that the worker is gone', async () => {
+  const worker = new FakeGroupWorker('w', 5);
+  const registered = worker.worker();
+  const { round } = await observe(registered, () => ({ ...worker.report(), bornAt: 9 }));
+  expect(assessLiveness(await round())).toBe('gone');
+});
+
+test('an accepted order counts before a report shows it', async () => {
+  const worker = new FakeGroupWorker('w', 5);
+  const { observer, round } = await observe(worker.worker(), () => worker.report());
+  await round();
+  observer.orderSent(worker.id);
+  expect(observer.observation().workers.get(worker.id)?.ordering).toBe(true);
+  observer.orderEnded(worker.id, 1);
+  const before = await round();
+  expect(before?.report?.orderSequence).toBe(1);
+  worker.take({ kind: 'stage', model: worker.staged[0] ?? ('m' as never) }, {
+    fencing: FencingNumber.parse(1), expectedSequence: 0,
+  });
+  const after = await round();
+  expect(after?.ordering).toBe(false);
+  expect(after?.report?.orderSequence).toBe(1);
+});
--- a/packages/groups/src/test/handOver.test.ts
+++ b/packages/groups/src/test/handOver.test.ts
@@ -66,6 +66,8 @@
 
   opened = 0;
 
+  readonly #lists = new Map<number, string>();
+
   #births = 1;
 
   #terms = 1;
@@ -130,7 +132,18 @@
       return;
     }
     this.workers.forEach((each, index) => holder.ask(each, !silent.includes(index)));
-    this.underWay.push(...holder.plan(this.workers, this.registered, reachesStore));
+    const sent = holder.plan(this.workers, this.registered, reachesStore);
+    sent.forEach(({ order }) => this.#checkEpoch(order));
+    this.underWay.push(...sent);
+  }
+
+  /** An epoch belongs to one list of members of one group. */
+  #checkEpoch(order: WorkerOrder): void {
+    if (order.kind === 'join') {
+      const list = `${order.group} ${order.members.join()}`;
+      expect(this.#lists.get(order.epoch) ?? list, `epoch ${order.epoch} given twice`).toBe(list);
+      this.#lists.set(order.epoch, list);
+    }
   }
 
   #noteReady(each: FakeGroupWorker): void {
