Take an own lease over at once after a restart; keep groups open while members drain

After the loss of all processes the lease waited a full term although its holder had ended. A restarted holder knows that its former life has ended, as node names are unique.

--- a/packages/groups/src/lib/plan/planReform.ts
+++ b/packages/groups/src/lib/plan/planReform.ts
@@ -47,6 +47,22 @@
   }];
 }
 
+/** Spares of the record's domain that have its weights. */
+function countStagedSpares({ record, pool }: ReformInput): number {
+  return pool.inDomain(record.members[0]?.domain ?? null)
+    .filter((spare) => WorkerPool.isStaged(spare, record.model)).length;
+}
+
+/**
+ * Whether a group serves longer as it is: members that are about to leave serve on for seconds,
+ * and their replacements would have to load the weights first.
+ */
+function isWorthWaiting(input: ReformInput, faulty: readonly MemberReference[]): boolean {
+  const { record, observation } = input;
+  return faulty.every((member) => member !== record.members[0] && observation.livenessOf(member) === 'leaving')
+    && countStagedSpares(input) < faulty.length;
+}
+
 function reform(
   {
     record, observation, pool, epochs,
@@ -84,7 +100,7 @@
  * alive holds its members: they cannot be moved before it is known to have ended.
  */
 export default function planReform(input: ReformInput): readonly GroupStep[] {
-  const { record, observation, pool } = input;
+  const { record, observation } = input;
   const faulty = findFaultyMembers(record, observation);
   const [head] = record.members;
   const headLiveness = head === undefined ? 'unknown' : observation.livenessOf(head);
@@ -92,7 +108,7 @@
     return [];
   }
   if (faulty.length > 0) {
-    return reform(input, faulty, 'members-lost');
+    return isWorthWaiting(input, faulty) ? [] : reform(input, faulty, 'members-lost');
   }
   if (findUnrecorded(record, observation).length > 0) {
     return reform(input, [], 'formation-unrecorded');
@@ -101,9 +117,8 @@
     return reform(input, [], 'group-broken');
   }
   const stragglers = findStragglers(record, observation);
-  const spares = pool.inDomain(head.domain).filter((spare) => WorkerPool.isStaged(spare, record.model));
   const isOpen = observation.find(head)?.report?.group?.state === 'open';
-  return isOpen && stragglers.length > 0 && stragglers.length <= spares.length
+  return isOpen && stragglers.length > 0 && stragglers.length <= countStagedSpares(input)
     ? reform(input, stragglers, 'stragglers')
     : [];
 }
--- a/packages/platform/src/lib/lease/LeaseKeeper.ts
+++ b/packages/platform/src/lib/lease/LeaseKeeper.ts
@@ -69,7 +69,9 @@
 
   /** One round: reads the row, then renews or acquires where that is allowed. */
   async step(): Promise<void> {
-    const { store, clock, region } = this.#options;
+    const {
+      store, clock, region, settings, controller,
+    } = this.#options;
     const rows = await store.read([{ table: TABLE_NAMES.leases, key: region }]);
     if (rows.isErr()) {
       return;
@@ -88,7 +90,8 @@
       return;
     }
     this.#held = null;
-    if (isLeaseFree(observation, now)) {
+    const isOwn = settings.reclaimsOwn === true && observation.record?.holder === controller;
+    if (isOwn || isLeaseFree(observation, now)) {
       const previous = observation.record?.fencing ?? 0;
       await this.#write(observation, FencingNumber.parse(previous + 1), false);
     }
--- a/packages/platform/src/lib/lease/LeaseSettings.ts
+++ b/packages/platform/src/lib/lease/LeaseSettings.ts
@@ -4,4 +4,9 @@
   readonly termMilliseconds: number;
   /** The holder stops acting this long before its term ends. */
   readonly safetyMarginMilliseconds: number;
+  /**
+   * Whether a lease under this process's own id may be taken over at once. Only where no two
+   * processes ever run under one id: then the life that held it has ended.
+   */
+  readonly reclaimsOwn?: boolean;
 }
--- a/packages/platform/src/test/LeaseKeeper.test.ts
+++ b/packages/platform/src/test/LeaseKeeper.test.ts
@@ -7,9 +7,14 @@
 const region = RegionId.parse('port-of-spain');
 const settings = { termMilliseconds: 6_000, safetyMarginMilliseconds: 2_000 };
 
-function createKeeper(store: MemoryTableStore, clock: ManualClock, name: string): LeaseKeeper {
+function createKeeper(
+  store: MemoryTableStore,
+  clock: ManualClock,
+  name: string,
+  reclaimsOwn = false,
+): LeaseKeeper {
   return new LeaseKeeper({
-    store, clock, region, settings, controller: ControllerId.parse(name),
+    store, clock, region, settings: { ...settings, reclaimsOwn }, controller: ControllerId.parse(name),
   });
 }
 
@@ -135,3 +140,18 @@
   // The contender saw a row unchanged for a term, but its write is conditioned on that row.
   expect(second.held()).toBeNull();
 });
+
+test('a restarted holder takes its own lease over at once, where ids are unique', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  await createKeeper(store, clock, 'a').step();
+  const other = createKeeper(store, clock, 'b', true);
+  await other.step();
+  expect(other.held()).toBeNull();
+  const waiting = createKeeper(store, clock, 'a');
+  await waiting.step();
+  expect(waiting.held()).toBeNull();
+  const restarted = createKeeper(store, clock, 'a', true);
+  await restarted.step();
+  expect(restarted.held()?.fencing).toBe(2);
+});
