Split the start of an entry, and remove what nothing uses

Gone: the demand of models, which was never measured, callbacks without effect, and configuration fields that nothing decides with.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -1,14 +1,12 @@
 import type { Clock, EntryId, WorkerId } from '@dandelionlane/core';
-import type { RowCache, TableFollower, WorkerTable } from '@dandelionlane/fleet';
 import type { EntryRegistry, KnownEntry, TargetStates } from '@dandelionlane/gateway';
-import type { GroupController } from '@dandelionlane/groups';
 import {
   LinkClient, LinkServer, findStalled, sumLoads, type EntryStatus, type FleetState,
 } from '@dandelionlane/links';
-import type { LeaseKeeper } from '@dandelionlane/platform';
 import type { Log } from '@dandelionlane/telemetry';
 import type FleetEntrySettings from './FleetEntrySettings.js';
-import type Leadership from './Leadership.js';
+import type FleetView from './FleetView.js';
+import type GroupControl from './GroupControl.js';
 
 /** Time between two messages on a link, in ms. */
 const PERIOD_MILLISECONDS = 120;
@@ -34,12 +32,8 @@
   readonly settings: FleetEntrySettings;
   readonly registry: EntryRegistry;
   readonly states: TargetStates;
-  readonly workers: WorkerTable;
-  readonly workerRows: RowCache;
-  readonly workerFollower: TableFollower;
-  readonly lease: LeaseKeeper;
-  readonly leadership: Leadership;
-  readonly controller: GroupController;
+  readonly view: FleetView;
+  readonly control: GroupControl;
   readonly isReady: () => boolean;
   /** Longest usual silence of a model target, in ms. */
   readonly quietLimit: (worker: WorkerId, unreadTokens: number) => number;
@@ -72,7 +66,7 @@
     this.#options = options;
     const now = () => options.clock.monotonicMilliseconds();
     this.#server = new LinkServer({
-      ...options.settings.links, log: options.log, now, receive: () => undefined,
+      ...options.settings.links, log: options.log, now,
     });
     this.#client = new LinkClient({
       log: options.log, now, receive: (state) => this.#takeState(state), lost: () => this.#unlinked(),
@@ -97,22 +91,22 @@
 
   #round(): void {
     const {
-      lease, leadership, settings, registry,
+      control, view, settings, registry,
     } = this.#options;
-    const isLeading = leadership.acting() !== null;
+    const isLeading = control.leadership.acting() !== null;
     if (this.#leading && !isLeading) {
       this.#server.disconnect();
     }
     this.#leading = isLeading;
     if (isLeading) {
       this.#client.maintain(null);
-      this.#options.workerFollower.resume();
+      view.workerFollower.resume();
       this.#lead();
       return;
     }
     // Only a holder passes changes on.
-    this.#options.workerRows.takeChanges();
-    const holder = lease.holder();
+    view.workerRows.takeChanges();
+    const holder = control.lease.holder();
     const isOther = holder !== null && String(holder) !== String(settings.entry);
     const address = isOther ? registry.linkAddressOf(String(holder) as EntryId) : undefined;
     this.#client.maintain(address ?? null);
@@ -153,7 +147,7 @@
 
   #lead(): void {
     const {
-      settings, registry, workerRows, workerFollower, controller, quietLimit,
+      settings, registry, view: { workerRows, workerFollower }, control: { controller }, quietLimit,
     } = this.#options;
     const others = this.#server.statuses()
       .filter(({ ageMilliseconds }) => ageMilliseconds < ENTRY_SILENCE_MILLISECONDS);
@@ -188,7 +182,7 @@
   }
 
   #takeState(state: FleetState): void {
-    const { workerRows, workerFollower } = this.#options;
+    const { workerRows, workerFollower } = this.#options.view;
     if (state.returned) {
       workerRows.storeReturned();
     }
@@ -207,7 +201,7 @@
   }
 
   #applyTargets({ loads, stalled, groups }: FleetState): void {
-    const { states, workers } = this.#options;
+    const { states, view: { workers } } = this.#options;
     groups.forEach(({ worker, group, model }) => workers.noteGroup(worker, group, model));
     loads.forEach(({ worker, outstanding, unreadTokens }) => {
       states.of(worker).loadShared(outstanding, unreadTokens);
@@ -222,6 +216,6 @@
 
   #unlinked(): void {
     this.#linkedEntries = null;
-    this.#options.workerFollower.resume();
+    this.#options.view.workerFollower.resume();
   }
 }
--- /dev/null
+++ b/packages/fleet-entry/src/lib/EntryRuntime.ts
@@ -0,0 +1,16 @@
+import type { Clock } from '@dandelionlane/core';
+import type { Log, MetricsRegistry } from '@dandelionlane/telemetry';
+import type FleetEntryPorts from './FleetEntryPorts.js';
+import type FleetEntrySettings from './FleetEntrySettings.js';
+
+/** What all parts of an entry process share. */
+export default interface EntryRuntime {
+  readonly settings: FleetEntrySettings;
+  readonly ports: FleetEntryPorts;
+  readonly clock: Clock;
+  /** Clock that goes on while the process is stopped. */
+  readonly wakefulClock: Clock;
+  readonly metrics: MetricsRegistry;
+  /** Log of one part of the process. */
+  readonly logFor: (part: string) => Log;
+}
--- /dev/null
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -0,0 +1,100 @@
+import { ControllerId, repeatWork } from '@dandelionlane/core';
+import { GroupController } from '@dandelionlane/groups';
+import { LeaseKeeper } from '@dandelionlane/platform';
+import type EntryRuntime from './EntryRuntime.js';
+import type FleetView from './FleetView.js';
+import LEASE_SETTINGS from './LEASE_SETTINGS.js';
+import Leadership from './Leadership.js';
+
+/** Pause between two steps of the lease, in ms. */
+const LEASE_PERIOD_MILLISECONDS = 450;
+
+/** Such pauses between two steps while the holder is known to live by the link to it. */
+const LINKED_LEASE_ROUNDS = 4;
+
+/** Time after the first start of the whole system in which loads of weights are not paced, in ms. */
+const BOOTSTRAP_MILLISECONDS = 9_000;
+
+/** What `GroupControl` needs besides the runtime. */
+interface GroupControlOptions {
+  readonly view: FleetView;
+  readonly isLeaving: () => boolean;
+  /** Whether the holder of the lease is known to live. */
+  readonly isLinked: () => boolean;
+}
+
+/** Contends for the lease on the group control, and controls the groups while it is held. */
+export default class GroupControl {
+  readonly lease: LeaseKeeper;
+
+  readonly leadership: Leadership;
+
+  readonly controller: GroupController;
+
+  readonly #options: GroupControlOptions;
+
+  #rounds = 0;
+
+  #stopLease: (() => Promise<void>) | null = null;
+
+  constructor(runtime: EntryRuntime, options: GroupControlOptions) {
+    const {
+      settings, ports, clock, wakefulClock, metrics, logFor,
+    } = runtime;
+    const { view, isLeaving } = options;
+    const startedAt = clock.monotonicMilliseconds();
+    this.#options = options;
+    this.lease = new LeaseKeeper({
+      store: ports.store,
+      clock: wakefulClock,
+      controller: ControllerId.parse(settings.entry),
+      region: settings.region,
+      settings: LEASE_SETTINGS,
+    });
+    this.leadership = new Leadership({
+      lease: this.lease,
+      clock: wakefulClock,
+      // Without the store nobody can follow a holder that leaves.
+      isEligible: () => view.workerSink.loaded && (!isLeaving() || !this.lease.isInTouch()),
+    });
+    this.controller = new GroupController({
+      store: ports.store,
+      port: ports.workers,
+      workers: view.workers,
+      configuration: view.configuration,
+      lease: () => this.leadership.acting(),
+      isStoreInTouch: () => this.lease.isInTouch(),
+      resign: () => this.leadership.resign(),
+      clock: wakefulClock,
+      log: logFor('groups'),
+      metrics,
+      isBootstrapping: () => settings.bootstrap
+        && clock.monotonicMilliseconds() - startedAt < BOOTSTRAP_MILLISECONDS,
+    });
+  }
+
+  start(): void {
+    this.controller.start();
+    this.#stopLease = repeatWork(() => this.#keepLease(), LEASE_PERIOD_MILLISECONDS);
+  }
+
+  /** Leaves the lease to others. */
+  async release(): Promise<void> {
+    await this.lease.release();
+    await this.#stopLease?.();
+  }
+
+  stop(): void {
+    this.controller.stop();
+  }
+
+  async #keepLease(): Promise<void> {
+    const { isLeaving, isLinked } = this.#options;
+    this.#rounds += 1;
+    const isDue = !isLinked() || this.#rounds % LINKED_LEASE_ROUNDS === 0;
+    const isActing = this.leadership.acting() !== null;
+    if (!isLeaving() && this.leadership.mayContend && (isDue || isActing)) {
+      await this.lease.step();
+    }
+  }
+}
--- a/packages/fleet/src/lib/configuration/EngineProfile.ts
+++ b/packages/fleet/src/lib/configuration/EngineProfile.ts
@@ -4,8 +4,6 @@
 export default interface EngineProfile {
   /** Requests that one replica runs at once. */
   readonly slots: number;
-  /** Tokens that fit into the memory of one replica. */
-  readonly memoryTokens: number;
   readonly models: readonly ModelProfile[];
   /** Loads from the shared store that may start a second. */
   readonly loadsPerSecond: number;
--- a/packages/fleet/src/lib/configuration/Route.ts
+++ b/packages/fleet/src/lib/configuration/Route.ts
@@ -12,8 +12,6 @@
   readonly timeoutMilliseconds: number;
   /** Time within which an answer, or the first event of a stream, is on time, in ms. */
   readonly targetLatencyMilliseconds: number;
-  /** Longest pause between two events of a stream that is on time, in ms; 0 when none is stated. */
-  readonly targetGapMilliseconds: number;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Workers that one request may be run on. */
--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -77,11 +77,6 @@
     return this.#options.clock.monotonicMilliseconds() - this.#answeredAt;
   }
 
-  /** Whether the last call failed. */
-  get failing(): boolean {
-    return this.#failingSince !== null;
-  }
-
   async #round(): Promise<void> {
     const { paceMilliseconds } = this.#options;
     const work = this.#version === null ? this.#readAll() : this.#readChanges(this.#version);
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -98,7 +98,6 @@
       port: options.port,
       clock: options.clock,
       log: options.log,
-      changed: () => undefined,
       reportLagMilliseconds: () => this.#reportLag(),
     });
   }
@@ -232,7 +231,6 @@
       records: this.#store.records,
       observation,
       candidates: this.#options.workers.ofService(service).map(({ worker }) => worker.id),
-      demand: new Map(),
     }));
     const writes = steps.flatMap((step) => (step.kind === 'write' ? [step] : []));
     const deletions = steps.flatMap((step) => (step.kind === 'delete' ? [step] : []));
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -65,8 +65,6 @@
   readonly port: WorkerPort;
   readonly clock: Clock;
   readonly log: Log;
-  /** Called when a worker has answered or has become silent. */
-  readonly changed: () => void;
   /** Age of what a report says, in ms. */
   readonly reportLagMilliseconds: () => number;
 }
@@ -233,7 +231,6 @@
       sighting.groupChangedAt = now;
     }
     sighting.report = report;
-    this.#options.changed();
   }
 
   static #interval(sighting: Sighting): number {
@@ -309,7 +306,6 @@
         epoch: group?.epoch,
         reason,
       });
-      this.#options.changed();
-    }
+      }
   }
 }
--- a/packages/groups/src/lib/plan/planGroups.ts
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -27,8 +27,6 @@
   readonly observation: FleetObservation;
   /** Workers of the service. */
   readonly candidates: readonly WorkerId[];
-  /** Relative demand of each model. */
-  readonly demand: ReadonlyMap<string, number>;
 }
 
 function countByDomain(
@@ -50,7 +48,7 @@
  */
 export default function planGroups(input: GroupPlanInput): readonly GroupStep[] {
   const {
-    service, engine, observation, candidates, demand, epochs,
+    service, engine, observation, candidates, epochs,
   } = input;
   const records = input.records.filter((record) => record.service === service);
   const pool = new WorkerPool(observation, records, candidates);
@@ -67,7 +65,7 @@
   });
   // Groups that are formed while workers still register would be the small ones.
   const created = observation.steadyMilliseconds < SETTLE_MILLISECONDS ? [] : planNewGroups({
-    service, engine, records, pool, epochs, demand, domainSizes: countByDomain(observation, candidates),
+    service, engine, records, pool, epochs, domainSizes: countByDomain(observation, candidates),
   });
   const all = [...records, ...created.flatMap((step) => (step.kind === 'write' ? [step.record] : []))];
   const staging = pool.domains().flatMap((domain) => planStaging(domain, all, pool));
--- a/packages/groups/src/lib/plan/planNewGroups.ts
+++ b/packages/groups/src/lib/plan/planNewGroups.ts
@@ -18,18 +18,16 @@
   readonly epochs: EpochSource;
   /** Workers in each domain, in groups or free. */
   readonly domainSizes: ReadonlyMap<FabricDomainId | null, number>;
-  /** Relative demand of each model; a model without an entry counts as 1. */
-  readonly demand: ReadonlyMap<string, number>;
 }
 
-/** Models by groups for their demand, fewest first; of equals the larger one, as it is harder to fit. */
-function byNeed(
+/** Models by their groups, fewest first; of equals the larger one, as it is harder to fit. */
+function byCount(
   models: readonly ModelProfile[],
   counts: ReadonlyMap<string, number>,
-  demand: ReadonlyMap<string, number>,
 ): readonly ModelProfile[] {
-  const need = ({ name }: ModelProfile) => (counts.get(name) ?? 0) / (demand.get(name) ?? 1);
-  return [...models].sort((left, right) => need(left) - need(right) || right.groupSize - left.groupSize);
+  const countOf = ({ name }: ModelProfile) => counts.get(name) ?? 0;
+  return [...models].sort((left, right) => countOf(left) - countOf(right)
+    || right.groupSize - left.groupSize);
 }
 
 /**
@@ -38,13 +36,13 @@
  */
 export default function planNewGroups(input: NewGroupsInput): readonly GroupStep[] {
   const {
-    service, engine, records, pool, epochs, domainSizes, demand,
+    service, engine, records, pool, epochs, domainSizes,
   } = input;
   const counts = new Map<string, number>();
   records.filter((record) => record.service === service)
     .forEach(({ model }) => counts.set(model, (counts.get(model) ?? 0) + 1));
   const steps: GroupStep[] = [];
-  const placeOne = (): boolean => byNeed(engine.models, counts, demand).some((model) => (
+  const placeOne = (): boolean => byCount(engine.models, counts).some((model) => (
     [...pool.domains()]
       .sort((left, right) => pool.inDomain(left).length - pool.inDomain(right).length)
       .some((domain) => {
--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -13,11 +13,10 @@
 
 const ENGINE: EngineProfile = {
   slots: 4,
-  memoryTokens: 1_000,
   models: [{
-    name: ModelName.parse('large'), groupSize: 3, workShare: 1, pace: 1, loadMilliseconds: 10, warmLoadMilliseconds: 1,
+    name: ModelName.parse('large'), groupSize: 3, pace: 1,
   }, {
-    name: ModelName.parse('small'), groupSize: 2, workShare: 1, pace: 1, loadMilliseconds: 10, warmLoadMilliseconds: 1,
+    name: ModelName.parse('small'), groupSize: 2, pace: 1,
   }],
   loadsPerSecond: 100,
   promptTokensPerSecond: 1,
@@ -112,7 +111,6 @@
       records: [...this.#records.values()],
       observation: new FleetObservation(observed, 10_000),
       candidates: [...registered],
-      demand: new Map(),
     });
     steps.forEach((step) => {
       switch (step.kind) {
--- a/packages/groups/src/test/WorkerObserver.test.ts
+++ b/packages/groups/src/test/WorkerObserver.test.ts
@@ -18,7 +18,7 @@
     order: () => okAsync('done' as const),
   };
   const observer = new WorkerObserver({
-    port, clock, log: LOG, changed: () => undefined, reportLagMilliseconds: () => 0,
+    port, clock, log: LOG, reportLagMilliseconds: () => 0,
   });
   const round = async () => {
     observer.follow([{
--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -17,8 +17,6 @@
   readonly host: string;
   readonly port: number;
   readonly log: Log;
-  /** Called with each status. `isFirst` on the first one of a link. */
-  readonly receive: (status: EntryStatus, isFirst: boolean) => void;
   readonly now: () => number;
 }
 
@@ -115,9 +113,7 @@
       link.socket.terminate();
       return;
     }
-    const isFirst = link.status === null;
     link.status = decoded.value;
     link.heardAt = this.#options.now();
-    this.#options.receive(decoded.value, isFirst);
   }
 }
