--- /dev/null
+++ b/packages/gateway/src/test/StreamCourse.test.ts
@@ -0,0 +1,104 @@
+import type { ServerResponse } from 'node:http';
+import { afterEach, expect, test } from 'vitest';
+import TestGateway, { type TargetScript } from './TestGateway.js';
+
+const RESUMABLE = { kind: 'stream', resumable: true } as const;
+const EVENTS = 6;
+
+let gateway: TestGateway | undefined;
+
+afterEach(() => gateway?.stop());
+
+function event(id: number): string {
+  return `id: ${id}\ndata: e${id}\n\n`;
+}
+
+function all(from = 1): string {
+  return Array.from({ length: EVENTS - from + 1 }, (_, index) => event(from + index)).join('');
+}
+
+function begin(outgoing: ServerResponse): void {
+  outgoing.writeHead(200, { 'x-id': 'r1', 'x-signed': '1', 'content-type': 'text/event-stream' });
+}
+
+/** Writes the events after the one that the request names. */
+const whole: TargetScript = (incoming, outgoing) => {
+  begin(outgoing);
+  outgoing.end(all(Number(incoming.headers['last-event-id'] ?? 0) + 1));
+};
+
+/** Breaks off inside the event after the given one. */
+function breakAfter(id: number): TargetScript {
+  return (_incoming, outgoing) => {
+    begin(outgoing);
+    outgoing.write(`${Array.from({ length: id }, (_, index) => event(index + 1)).join('')}id: ${id + 1}\nda`);
+    setTimeout(() => outgoing.socket?.resetAndDestroy(), 20);
+  };
+}
+
+/** Makes the gateway choose the first target first. */
+function preferFirst(started: TestGateway): TestGateway {
+  Object.assign(started.states.of('w1' as never), { outstanding: 2 });
+  return started;
+}
+
+test('a stream goes through whole', async () => {
+  gateway = await TestGateway.start(RESUMABLE, [whole]);
+  expect(await gateway.call()).toMatchObject({ status: 200, body: all(), cut: false });
+});
+
+test('a broken stream goes on elsewhere without gap or repeat', async () => {
+  gateway = preferFirst(await TestGateway.start(RESUMABLE, [breakAfter(3), whole]));
+  expect(await gateway.call()).toMatchObject({ status: 200, body: all(), cut: false });
+  expect(gateway.received).toEqual([1, 1]);
+});
+
+test('a stream that breaks before its first event is run again', async () => {
+  gateway = preferFirst(await TestGateway.start(RESUMABLE, [breakAfter(0), whole]));
+  expect(await gateway.call()).toMatchObject({ status: 200, body: all(), cut: false });
+});
+
+test('events that the caller has are not sent again', async () => {
+  gateway = await TestGateway.start(RESUMABLE, [(_incoming, outgoing) => {
+    begin(outgoing);
+    outgoing.end(all());
+  }]);
+  expect((await gateway.call({ 'last-event-id': '4' })).body).toBe(all(5));
+});
+
+test('a stream with a missing event is cut', async () => {
+  gateway = await TestGateway.start(RESUMABLE, [(_incoming, outgoing) => {
+    begin(outgoing);
+    outgoing.end(event(1) + event(3));
+  }]);
+  expect(await gateway.call()).toMatchObject({ body: event(1), cut: true });
+});
+
+test('a broken stream that may not be resumed is cut and not run again', async () => {
+  gateway = preferFirst(await TestGateway.start({ kind: 'stream', resumable: false }, [breakAfter(2), whole]));
+  expect(await gateway.call()).toMatchObject({ body: event(1) + event(2), cut: true });
+  expect(gateway.received).toEqual([1, 0]);
+});
+
+test('no more targets are tried than the route allows', async () => {
+  gateway = preferFirst(await TestGateway.start(RESUMABLE, [breakAfter(1), breakAfter(1), whole], 1));
+  expect((await gateway.call()).cut).toBe(true);
+  expect(gateway.received.reduce((sum, count) => sum + count, 0)).toBe(1);
+});
+
+test('a target that did not run the stream costs no attempt', async () => {
+  gateway = preferFirst(await TestGateway.start(RESUMABLE, [(_incoming, outgoing) => {
+    outgoing.writeHead(503, { 'x-not-executed': '1' });
+    outgoing.end();
+  }, whole], 1));
+  expect(await gateway.call()).toMatchObject({ status: 200, body: all() });
+});
+
+test('the end of a stream without a length does not look complete after a move', async () => {
+  gateway = preferFirst(await TestGateway.start(RESUMABLE, [breakAfter(2), (_incoming, outgoing) => {
+    Object.assign(outgoing, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
+    begin(outgoing);
+    outgoing.end(event(3));
+  }]));
+  expect((await gateway.call()).cut).toBe(true);
+});
--- /dev/null
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -0,0 +1,222 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { request as sendRequest } from 'undici';
+import {
+  AvailabilityZoneId, Epoch, FabricDomainId, GroupName, ManualClock, ModelName, SeededRandom, ServiceId, SystemClock,
+  WorkerId, type Clock,
+} from '@dandelionlane/core';
+import {
+  ConfigurationHolder, WorkerTable, type FleetConfiguration, type RequestKind, type Worker,
+} from '@dandelionlane/fleet';
+import { MetricsRegistry, type Log } from '@dandelionlane/telemetry';
+import RepeatBudget from '../lib/choice/RepeatBudget.js';
+import RequestServer from '../lib/requests/RequestServer.js';
+import TargetConnections from '../lib/targets/TargetConnections.js';
+import TargetStates from '../lib/targets/TargetStates.js';
+import type GatewayWire from '../lib/wire/GatewayWire.js';
+
+const SERVICE = ServiceId.parse('model');
+const MODEL = ModelName.parse('m');
+const ZONE = AvailabilityZoneId.parse('zone');
+
+const LOG: Log = {
+  debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
+};
+
+/** A wire with plain names, as the platform's adapter would give one. */
+const WIRE: GatewayWire = {
+  readCall: (headers) => ({
+    requestId: String(headers['x-id'] ?? ''),
+    deadlineMilliseconds: Number(headers['x-deadline'] ?? 2_000),
+    apiKey: null,
+    model: null,
+    promptTokens: 10,
+    maximumOutputTokens: 10,
+    lastEventId: typeof headers['last-event-id'] === 'string' ? headers['last-event-id'] : null,
+  }),
+  targetHeaders: (headers, call) => ({
+    'x-id': String(headers['x-id'] ?? ''),
+    ...(call.lastEventId === null ? {} : { 'last-event-id': call.lastEventId }),
+  }),
+  readAnswer: (headers) => ({
+    requestId: typeof headers['x-id'] === 'string' ? headers['x-id'] : null,
+    signed: headers['x-signed'] !== undefined,
+    notExecuted: headers['x-not-executed'] !== undefined,
+    load: null,
+    encoded: false,
+    framed: headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined,
+  }),
+};
+
+/** Behaviour of one target. */
+export type TargetScript = (incoming: IncomingMessage, outgoing: ServerResponse) => void;
+
+/** Answer that a caller got. `cut` when it did not end as complete. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly body: string;
+  readonly cut: boolean;
+  readonly retryAfter: string | null;
+}
+
+function listen(handler: TargetScript): Promise<Server> {
+  return new Promise((resolve) => {
+    const server = createServer(handler);
+    server.listen(0, '127.0.0.1', () => resolve(server));
+  });
+}
+
+function addressOf(server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** A gateway in front of scripted targets, all over real connections. */
+export default class TestGateway {
+  readonly states: TargetStates;
+
+  /** Requests that each target has received. */
+  readonly received: number[];
+
+  readonly #servers: Server[] = [];
+
+  readonly #connections = new TargetConnections(() => undefined);
+
+  readonly #configuration = new ConfigurationHolder();
+
+  readonly #workers: WorkerTable;
+
+  readonly #clock: Clock = new SystemClock();
+
+  #address = '';
+
+  constructor(targets: number) {
+    this.states = new TargetStates(this.#clock);
+    this.#workers = new WorkerTable(this.#clock);
+    this.received = Array<number>(targets).fill(0);
+  }
+
+  static async start(
+    kind: RequestKind,
+    scripts: readonly TargetScript[],
+    maximumAttempts = 2,
+  ): Promise<TestGateway> {
+    const gateway = new TestGateway(scripts.length);
+    await gateway.#start(kind, scripts, maximumAttempts);
+    return gateway;
+  }
+
+  async call(headers: Record<string, string> = {}, body = 'body'): Promise<CallerAnswer> {
+    const answer = await sendRequest(`http://${this.#address}/a/b`, {
+      method: 'POST', headers: { host: 'h', 'x-id': 'r1', ...headers }, body,
+    });
+    let received = '';
+    try {
+      for await (const chunk of answer.body) {
+        received += String(chunk);
+      }
+    } catch {
+      return {
+        status: answer.statusCode, body: received, cut: true, retryAfter: null,
+      };
+    }
+    const retryAfter = answer.headers['retry-after'];
+    return {
+      status: answer.statusCode,
+      body: received,
+      cut: false,
+      retryAfter: typeof retryAfter === 'string' ? retryAfter : null,
+    };
+  }
+
+  stop(): void {
+    this.#connections.close();
+    this.#servers.forEach((server) => {
+      server.closeAllConnections();
+      server.close();
+    });
+  }
+
+  async #start(kind: RequestKind, scripts: readonly TargetScript[], maximumAttempts: number): Promise<void> {
+    for (const [index, script] of scripts.entries()) {
+      const server = await listen((incoming, outgoing) => {
+        this.received[index] = (this.received[index] ?? 0) + 1;
+        script(incoming, outgoing);
+      });
+      this.#servers.push(server);
+      this.#workers.put(TestGateway.#worker(index, addressOf(server), kind.kind === 'stream'));
+    }
+    this.#configuration.accept(TestGateway.#configure(kind, maximumAttempts));
+    const requests = new RequestServer({
+      wire: WIRE,
+      zone: ZONE,
+      configuration: this.#configuration,
+      workers: this.#workers,
+      states: this.states,
+      connections: this.#connections,
+      budget: new RepeatBudget(new ManualClock(), { ratio: 1, extra: 100, windowMilliseconds: 10_000 }),
+      closedZones: () => new Set(),
+      countEntries: () => 1,
+      clock: this.#clock,
+      random: new SeededRandom(1),
+      log: LOG,
+      metrics: new MetricsRegistry(),
+    });
+    const front = await listen((incoming, outgoing) => void requests.handle(incoming, outgoing));
+    this.#servers.push(front);
+    this.#address = addressOf(front);
+  }
+
+  static #worker(index: number, address: string, isModel: boolean): Worker {
+    return {
+      id: WorkerId.parse(`w${index}`),
+      service: SERVICE,
+      address,
+      zone: ZONE,
+      domain: FabricDomainId.parse('domain'),
+      slots: 4,
+      draining: false,
+      coldMilliseconds: 0,
+      bornAt: 1,
+      models: [MODEL],
+      stagedModels: [],
+      group: isModel ? {
+        name: GroupName.parse(`g${index}`), epoch: Epoch.parse(index + 1), rank: 0, state: 'open',
+      } : null,
+    };
+  }
+
+  static #configure(kind: RequestKind, maximumAttempts: number): FleetConfiguration {
+    return {
+      version: 1,
+      routes: [{
+        name: 'r',
+        host: 'h',
+        prefix: '/a/',
+        request: kind,
+        timeoutMilliseconds: 2_000,
+        targetLatencyMilliseconds: 100,
+        priority: 1,
+        maximumAttempts,
+        services: [{ service: SERVICE, weight: 1 }],
+        anonymous: true,
+      }],
+      services: new Map([[SERVICE, {
+        id: SERVICE,
+        maximumConnections: 10,
+        coldRequestsPerSecond: 0,
+        engine: kind.kind !== 'stream' ? null : {
+          slots: 4,
+          models: [{ name: MODEL, groupSize: 1, pace: 1 }],
+          loadsPerSecond: 1,
+          promptTokensPerSecond: 1_000,
+          stepMilliseconds: 1,
+          stepMillisecondsPerRequest: 0,
+          stepsPerPass: 1,
+          reportLagMilliseconds: 0,
+        },
+      }]]),
+      teams: [],
+      limits: { maximumBodyBytes: 1_000, headerTimeoutMilliseconds: 1_000, idleTimeoutMilliseconds: 1_000 },
+    };
+  }
+}
