Forget entries that ended during a link

While linked, an entry does not read the entries table. Entries that the holder does not name are now forgotten, and an ended holder is named for 4 s at most. Both tests fail without the change.

--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -11,10 +11,13 @@
 const HEARTBEAT_MILLISECONDS = 1_000;
 
 /** Rounds of which one writes a heartbeat while the holder of the lease hears of this entry by its link. */
-const LINKED_ROUNDS = 3;
+const LINKED_ROUNDS = 2;
 
-/** Silence after which an entry counts as ended, in ms: above the longest time between two heartbeats. */
-const SILENCE_MILLISECONDS = 4_200;
+/**
+ * Silence after which an entry counts as ended, in ms: above the longest time between two heartbeats.
+ * With the silence of a link and a round before it, an entry that ended is named for 5 s at most.
+ */
+const SILENCE_MILLISECONDS = 2_600;
 
 /** An entry as this process last saw its row. */
 interface SeenEntry {
@@ -132,13 +135,21 @@
     ));
   }
 
+  /** Forgets entries that the holder does not name: they count again once their rows are seen to change. */
+  #forgetUnnamed(known: readonly KnownEntry[]): void {
+    const names = new Set(known.map(({ entry }) => entry));
+    [...this.#seen.keys()].filter((entry) => !names.has(entry)).forEach((entry) => this.#seen.delete(entry));
+  }
+
   async #round(): Promise<void> {
     const {
       store, clock, log, linked,
     } = this.#options;
     this.#rounds += 1;
-    if (linked() !== null) {
+    const known = linked();
+    if (known !== null) {
       this.#readableSince = null;
+      this.#forgetUnnamed(known);
       if (this.#rounds % LINKED_ROUNDS === 0) {
         await this.announce();
       }
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -1,9 +1,12 @@
-import { afterEach, expect, test, vi } from 'vitest';
+import {
+  afterEach, expect, test, vi,
+} from 'vitest';
 import {
   AvailabilityZoneId, EntryId, ManualClock, MemoryTableStore,
 } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import EntryRegistry from '../lib/entries/EntryRegistry.js';
+import type KnownEntry from '../lib/entries/KnownEntry.js';
 
 const LOG: Log = {
   debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
@@ -19,7 +22,12 @@
   vi.useRealTimers();
 });
 
-function create(name: string, store: MemoryTableStore, clock: ManualClock): EntryRegistry {
+function create(
+  name: string,
+  store: MemoryTableStore,
+  clock: ManualClock,
+  linked: () => readonly KnownEntry[] | null = () => null,
+): EntryRegistry {
   const registry = new EntryRegistry({
     store,
     clock,
@@ -29,7 +37,7 @@
     callerAddress: `${name}:1`,
     linkAddress: `${name}:2`,
     isReady: () => true,
-    linked: () => null,
+    linked,
   });
   running.push(registry);
   return registry;
@@ -82,3 +90,49 @@
   await rounds(6, clock);
   expect(one.readyAddresses()).toEqual(['one:1']);
 });
+
+test('a holder that ended with its links is named for 4 s at most', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const holder = create('holder', store, clock);
+  const entries: readonly KnownEntry[] = ['one', 'holder'].map((name) => ({
+    entry: EntryId.parse(name), ready: true, callerAddress: `${name}:1`,
+  }));
+  let linked: readonly KnownEntry[] | null = null;
+  const one = create('one', store, clock, () => linked);
+  holder.start();
+  one.start();
+  await rounds(3, clock);
+  linked = entries;
+  await rounds(6, clock);
+  expect(one.readyAddresses()).toEqual(['one:1', 'holder:1']);
+  running = running.filter((registry) => registry !== holder);
+  await holder.stop();
+  await holder.announce();
+  linked = null;
+  await rounds(4, clock);
+  expect(one.readyAddresses()).toEqual(['one:1']);
+});
+
+test('an entry that ended during a link is not named after it', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const ended = create('ended', store, clock);
+  let linked: readonly KnownEntry[] | null = null;
+  const one = create('one', store, clock, () => linked);
+  ended.start();
+  one.start();
+  await rounds(3, clock);
+  expect(one.readyAddresses()).toEqual(['one:1', 'ended:1']);
+  running = running.filter((registry) => registry !== ended);
+  await ended.stop();
+  await ended.announce();
+  linked = [{ entry: EntryId.parse('one'), ready: true, callerAddress: 'one:1' }];
+  await rounds(6, clock);
+  linked = null;
+  expect(one.readyAddresses()).toEqual(['one:1']);
+  await rounds(1, clock);
+  expect(one.readyAddresses()).toEqual(['one:1']);
+});
--- a/packages/gateway/src/test/TargetAttempt.test.ts
+++ b/packages/gateway/src/test/TargetAttempt.test.ts
@@ -102,7 +102,13 @@
   const connections = new TargetConnections(() => undefined);
   const sent = await new Promise<boolean>((resolve) => {
     const attempt: TargetAttempt = new TargetAttempt(connections, {
-      worker: WORKER, address: '127.0.0.1:1', method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0), fresh: true,
+      worker: WORKER,
+      address: '127.0.0.1:1',
+      method: 'GET',
+      path: '/',
+      headers: {},
+      body: Buffer.alloc(0),
+      fresh: true,
     }, {
       head: () => undefined, data: () => undefined, ended: () => resolve(true), failed: () => resolve(attempt.sent),
     });
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -1,9 +1,11 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+  createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { request as sendRequest } from 'undici';
 import {
-  AvailabilityZoneId, Epoch, FabricDomainId, GroupName, ManualClock, ModelName, SeededRandom, ServiceId, SystemClock,
-  WorkerId, type Clock,
+  AvailabilityZoneId, Epoch, FabricDomainId, GroupName, ManualClock, ModelName, SeededRandom, ServiceId,
+  SystemClock, WorkerId, type Clock,
 } from '@dandelionlane/core';
 import {
   ConfigurationHolder, WorkerTable, type FleetConfiguration, type RequestKind, type Worker,
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -21,7 +21,9 @@
 test('entries together keep the shared bound on repeats in any window', () => {
   fc.assert(fc.property(
     fc.integer({ min: 1, max: 12 }),
-    fc.array(fc.record({ entry: fc.nat(11), repeat: fc.boolean(), pause: fc.nat(120) }), { maxLength: 1_500 }),
+    fc.array(fc.record({
+      entry: fc.nat(11), repeat: fc.boolean(), pause: fc.nat(120),
+    }), { maxLength: 1_500 }),
     (entries, events) => {
       const clock = new ManualClock();
       const settings = { ratio: RATIO, extra: EXTRA, windowMilliseconds: WINDOW_MILLISECONDS };
