--- a/packages/fleet/src/lib/feed/RowCache.ts
+++ b/packages/fleet/src/lib/feed/RowCache.ts
@@ -74,11 +74,14 @@
 
   /** Takes rows over that are newer than what is known. */
   #keepNewer(rows: readonly TableRow[]): readonly TableRow[] {
-    const newer = rows.filter(({ key, version }) => version > (this.#rows.get(key)?.version ?? -1));
-    newer.forEach((row) => {
-      this.#rows.delete(row.key);
-      this.#rows.set(row.key, row);
-      this.#note(row.version);
+    const newer = rows.filter((row) => {
+      const isNewer = row.version > (this.#rows.get(row.key)?.version ?? -1);
+      if (isNewer) {
+        this.#rows.delete(row.key);
+        this.#rows.set(row.key, row);
+        this.#note(row.version);
+      }
+      return isNewer;
     });
     this.#forgetDropped();
     return newer;
--- /dev/null
+++ b/packages/fleet/src/test/RowCache.test.ts
@@ -0,0 +1,73 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { RowVersion, type TableRow } from '@dandelionlane/core';
+import RowCache from '../lib/feed/RowCache.js';
+import type RowSink from '../lib/feed/RowSink.js';
+
+const PARAMETERS = { seed: 20_261_204, numRuns: 300 };
+
+function row(key: string, version: number, value: unknown = version): TableRow {
+  return {
+    table: 't', key, version: RowVersion.parse(version), value,
+  };
+}
+
+/** Keeps the rows as a consumer of the cache would. */
+class Recorder implements RowSink {
+  readonly rows = new Map<string, TableRow>();
+
+  wentBack = false;
+
+  reset(rows: readonly TableRow[]): void {
+    this.rows.clear();
+    rows.forEach((each) => this.rows.set(each.key, each));
+  }
+
+  change(rows: readonly TableRow[]): void {
+    rows.forEach((each) => {
+      this.wentBack ||= each.version < (this.rows.get(each.key)?.version ?? 0);
+      this.rows.set(each.key, each);
+    });
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- nothing to record
+  storeReturned(): void {}
+}
+
+test('an older source changes nothing', () => {
+  const recorder = new Recorder();
+  const cache = new RowCache(recorder);
+  cache.change([row('a', 5)]);
+  cache.change([row('a', 3)]);
+  cache.reset([row('a', 2)], RowVersion.parse(4));
+  expect(recorder.rows.get('a')?.version).toBe(5);
+});
+
+test('a dropped row does not come back from an older source', () => {
+  const recorder = new Recorder();
+  const cache = new RowCache(recorder);
+  cache.change([row('a', 1)]);
+  cache.change([row('a', 4, null)]);
+  cache.reset([row('a', 1)], RowVersion.parse(3));
+  expect(recorder.rows.get('a')?.value ?? null).toBeNull();
+});
+
+test('a whole table drops what it no longer holds, but not what is newer', () => {
+  const recorder = new Recorder();
+  const cache = new RowCache(recorder);
+  cache.change([row('old', 1), row('new', 9)]);
+  cache.reset([], RowVersion.parse(5));
+  expect([...recorder.rows.keys()]).toEqual(['new']);
+});
+
+test('rows never go back, whatever the order of the sources', () => {
+  const change = fc.array(fc.record({ key: fc.constantFrom('a', 'b', 'c'), version: fc.integer({ min: 1, max: 30 }) }), { maxLength: 5 });
+  fc.assert(fc.property(fc.array(change, { maxLength: 20 }), (changes) => {
+    const recorder = new Recorder();
+    const cache = new RowCache(recorder);
+    changes.forEach((rows) => cache.change(rows.map(({ key, version }) => row(key, version))));
+    expect(recorder.wentBack).toBe(false);
+    const newest = (key: string) => Math.max(0, ...changes.flat().filter((each) => each.key === key).map(({ version }) => version));
+    ['a', 'b', 'c'].forEach((key) => expect(recorder.rows.get(key)?.version ?? 0).toBe(newest(key)));
+  }), PARAMETERS);
+});
