--- a/packages/controller/src/lib/fleet/FleetView.ts
+++ b/packages/controller/src/lib/fleet/FleetView.ts
@@ -1,8 +1,8 @@
-import type {
-  Clock, ReleaseState, Replica, ReplicaMember, VMId, VMRecord, VMReport,
+import {
+  isNewerReport, type Clock, type ReleaseState, type Replica, type ReplicaMember, type VMId, type VMRecord,
+  type VMReport,
 } from '@dandelionlane/core';
 import type { VMObservation } from '@dandelionlane/placement';
-import isNewerReport from './isNewerReport.js';
 import type KnownVM from './KnownVM.js';
 
 function createKnown(record: VMRecord, now: number): KnownVM {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,6 +51,7 @@
 export { default as EntryRecord } from './lib/records/EntryRecord.js';
 export { default as Grant } from './lib/records/Grant.js';
 export { default as LeaseRecord } from './lib/records/LeaseRecord.js';
+export { default as isNewerReport } from './lib/records/isNewerReport.js';
 export { default as OutOfService } from './lib/records/OutOfService.js';
 export { default as Priority } from './lib/records/Priority.js';
 export { default as ReleaseChange } from './lib/records/ReleaseChange.js';
--- a/packages/controller/src/lib/fleet/isNewerReport.ts
+++ b/packages/core/src/lib/records/isNewerReport.ts
@@ -1,4 +1,4 @@
-import type { VMReport } from '@dandelionlane/core';
+import type VMReport from './VMReport.js';
 
 /** Whether a report was made after the last one. A repeated one is no sign of life. */
 export default function isNewerReport(report: VMReport, previous: VMReport | null): boolean {
--- a/packages/fleet/src/test/RowCache.test.ts
+++ b/packages/fleet/src/test/RowCache.test.ts
@@ -67,7 +67,9 @@
     const cache = new RowCache(recorder);
     changes.forEach((rows) => cache.change(rows.map(({ key, version }) => row(key, version))));
     expect(recorder.wentBack).toBe(false);
-    const newest = (key: string) => Math.max(0, ...changes.flat().filter((each) => each.key === key).map(({ version }) => version));
+    const versionsOf = (key: string) => changes.flat().filter((each) => each.key === key)
+      .map(({ version }) => version);
+    const newest = (key: string) => Math.max(0, ...versionsOf(key));
     ['a', 'b', 'c'].forEach((key) => expect(recorder.rows.get(key)?.version ?? 0).toBe(newest(key)));
   }), PARAMETERS);
 });
--- a/packages/fleet/src/test/TableFollower.test.ts
+++ b/packages/fleet/src/test/TableFollower.test.ts
@@ -1,7 +1,8 @@
 import { okAsync, type ResultAsync } from 'neverthrow';
 import { expect, test, vi } from 'vitest';
 import {
-  ManualClock, RowVersion, type ServingError, type TableChanges, type TableFeed, type TableRow, type TableSnapshot,
+  ManualClock, RowVersion, type ServingError, type TableChanges, type TableFeed, type TableRow,
+  type TableSnapshot,
 } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import TableFollower from '../lib/feed/TableFollower.js';
