--- a/packages/groups/src/test/handOver.test.ts
+++ b/packages/groups/src/test/handOver.test.ts
@@ -185,6 +185,17 @@
   }
 }
 
+/** Rounds in which every order arrives and is carried out. */
+function calmRounds(model: Model, count: number): void {
+  for (let index = 0; index < count; index += 1) {
+    model.apply({
+      kind: 'round', holder: 'new', silent: [], reachesStore: true,
+    });
+    model.apply({ kind: 'deliver', pick: 0, count: 20 });
+    model.apply({ kind: 'settle' });
+  }
+}
+
 test('no worker changes group under a serving head, and no group opens in part', () => {
   let opened = 0;
   fc.assert(fc.property(fc.array(EVENT, { minLength: 40, maxLength: 160 }), (events) => {
@@ -198,34 +209,20 @@
 
 test('a calm fleet comes to serve and stays', () => {
   const model = new Model();
-  const step = () => {
-    model.apply({
-      kind: 'round', holder: 'new', silent: [], reachesStore: true,
-    });
-    model.apply({ kind: 'deliver', pick: 0, count: 20 });
-    model.apply({ kind: 'settle' });
-  };
-  Array.from({ length: 6 }).forEach(step);
+  calmRounds(model, 6);
   const serving = model.workers.filter(({ isServing }) => isServing).length;
   expect(serving).toBe(3);
-  Array.from({ length: 4 }).forEach(step);
+  calmRounds(model, 4);
   expect(model.workers.filter(({ isServing }) => isServing).length).toBe(serving);
   expect(model.underWay).toEqual([]);
 });
 
 test('a lost member is replaced by a spare', () => {
   const model = new Model();
-  const step = () => {
-    model.apply({
-      kind: 'round', holder: 'new', silent: [], reachesStore: true,
-    });
-    model.apply({ kind: 'deliver', pick: 0, count: 20 });
-    model.apply({ kind: 'settle' });
-  };
-  Array.from({ length: 6 }).forEach(step);
+  calmRounds(model, 6);
   const lost = model.workers.find(({ group }) => group !== null && group.rank === 1);
   expect(lost).toBeDefined();
   model.apply({ kind: 'crash', worker: model.workers.findIndex((each) => each === lost) });
-  Array.from({ length: 8 }).forEach(step);
+  calmRounds(model, 8);
   expect(model.workers.filter(({ isServing }) => isServing).length).toBe(3);
 });
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -3,5 +3,6 @@
 export { default as FleetState } from './lib/FleetState.js';
 export { default as LinkClient } from './lib/LinkClient.js';
 export { default as LinkServer } from './lib/LinkServer.js';
+export { default as decodeMessage } from './lib/decodeMessage.js';
 export { default as findStalled } from './lib/findStalled.js';
 export { default as sumLoads } from './lib/sumLoads.js';
