Give a rebuilt replica an id of its own in the test of a freed key

Cause: the test restarted both VMs and loaded them again under the replica ids of before. An entry that has seen a replica whole never counts it as whole again with other process starts (a design rule that wholeReplica.test.ts proves), so the call could succeed only if the entry had by chance not seen one of the two replicas whole before. Ruled out: the claim (the row read 'released') and lost load orders (none failed, both VMs reported 'warm'). The test now rebuilds as a controller does, under new ids. What it checks is unchanged.

--- a/packages/proofs/src/test/TestSystem.ts
+++ b/packages/proofs/src/test/TestSystem.ts
@@ -150,9 +150,9 @@
     return this.vms.vms.find((each) => each.vm === vm)?.address ?? '';
   }
 
-  /** Loads every replica's VMs, and waits until they have begun to serve. */
-  async load(): Promise<void> {
-    for (const { definition, replicas } of this.#options.services) {
+  /** Orders every replica's VMs to load it. */
+  async load(services = this.#options.services): Promise<void> {
+    for (const { definition, replicas } of services) {
       for (const { replica, vms } of replicas) {
         const order = EngineOrder.parse({
           kind: 'load',
@@ -227,6 +227,16 @@
     outcome._unsafeUnwrap();
   }
 
+  /**
+   * Replaces the replicas of a service and loads the new ones, as a controller does after VMs
+   * were restarted. The new replicas need ids of their own: an entry that has seen a replica whole
+   * never counts it as whole again with other process starts.
+   */
+  async rebuild(service: SystemOptions['services'][number]): Promise<void> {
+    await this.place(service);
+    await this.load([service]);
+  }
+
   async #prepare(): Promise<void> {
     const change = ReleaseChange.parse({
       kind: 'note',
--- a/packages/proofs/src/test/atMostOnce.test.ts
+++ b/packages/proofs/src/test/atMostOnce.test.ts
@@ -150,7 +150,10 @@
   expect(refused.problem?.outcome).toBe('not-run');
   expect(system.runsOf('/slots')).toHaveLength(0);
   await Promise.all(['plain-1', 'plain-2'].map((vm) => system.fault(vm, { kind: 'restart' })));
-  await system.load();
+  await system.rebuild({
+    definition: services.slots({ requestTimeoutMilliseconds: 10_000 }),
+    replicas: [{ replica: 'slots-3', vms: ['plain-1'] }, { replica: 'slots-4', vms: ['plain-2'] }],
+  });
   await waitUntil('the key is free', async () => (
     (await system.call(1, { path: SLOTS, body, key: 'free' })).status === 201
   ));
