Count the grace period from the signal, whatever the store does

Cause: after SIGTERM the process waited for the lease's release and a last heartbeat, up to 0.9 s each and twice after a lost answer, before it began to count the grace period, and for the deletion of its row after it. Ruled out: requests that outlast the period (they are left 0.7 s before its end). Now the announcement runs beside the wait, and the last call is waited for 0.3 s at most.

--- a/packages/fleet-entry/src/lib/leaveGracefully.ts
+++ b/packages/fleet-entry/src/lib/leaveGracefully.ts
@@ -1,5 +1,4 @@
 import type { Clock } from '@dandelionlane/core';
-import type { RequestServer } from '@dandelionlane/gateway';
 
 /**
  * Time for which a leaving entry serves on although it is idle, in ms: callers keep the answer
@@ -7,26 +6,48 @@
  */
 const SHORTEST_LEAVE_MILLISECONDS = 4_000;
 
-/** Time before the end of the grace period at which the process ends by itself, in ms. */
-const GRACE_MARGIN_MILLISECONDS = 500;
+/** Time before the end of the grace period at which the process stops waiting for requests, in ms. */
+const GRACE_MARGIN_MILLISECONDS = 700;
+
+/** Longest wait for the last call to the store, in ms; what is left of the margin is for the end. */
+const WITHDRAWAL_MILLISECONDS = 300;
 
 const PERIOD_MILLISECONDS = 50;
 
-/** Waits until the requests under way have ended, or the grace period is nearly over. */
-export default function leaveGracefully(
-  requests: RequestServer,
-  graceMilliseconds: number,
-  clock: Clock,
-): Promise<void> {
-  const startedAt = clock.monotonicMilliseconds();
+/** How an entry leaves. */
+interface LeaveOptions {
+  readonly clock: Clock;
+  /** Time from the signal until the process is killed, in ms. */
+  readonly graceMilliseconds: number;
+  /** Requests under way. */
+  readonly running: () => number;
+  /** Tells others that this entry leaves. May take long: the store may be away. */
+  readonly announce: () => Promise<unknown>;
+  /** Removes what others know of this entry. May take long. */
+  readonly withdraw: () => Promise<unknown>;
+}
+
+function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => {
-    const timer = setInterval(() => {
-      const elapsed = clock.monotonicMilliseconds() - startedAt;
-      const idle = requests.running === 0 && elapsed >= SHORTEST_LEAVE_MILLISECONDS;
-      if (idle || elapsed >= graceMilliseconds - GRACE_MARGIN_MILLISECONDS) {
-        clearInterval(timer);
-        resolve();
-      }
-    }, PERIOD_MILLISECONDS);
+    setTimeout(resolve, milliseconds);
   });
 }
+
+/**
+ * Leaves within the grace period: waits until the requests under way have ended, or the period is
+ * nearly over. Nothing waits for the store longer than the period allows. Never rejects for
+ * reasons of the store: `announce` and `withdraw` report their own failures.
+ */
+export default async function leaveGracefully({
+  clock, graceMilliseconds, running, announce, withdraw,
+}: LeaveOptions): Promise<void> {
+  const startedAt = clock.monotonicMilliseconds();
+  const elapsed = () => clock.monotonicMilliseconds() - startedAt;
+  const isOver = () => (running() === 0 && elapsed() >= SHORTEST_LEAVE_MILLISECONDS)
+    || elapsed() >= graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
+  const announced = announce();
+  while (!isOver()) {
+    await sleep(PERIOD_MILLISECONDS);
+  }
+  await Promise.race([announced.then(withdraw), sleep(WITHDRAWAL_MILLISECONDS)]);
+}
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -122,15 +122,19 @@
     leaving = true;
     log.info('Entry is leaving.', { running: requests.running });
     requests.leave();
-    await Promise.all([control.release(), registry.announce()]);
-    await leaveGracefully(requests, settings.graceMilliseconds, clock);
+    await leaveGracefully({
+      clock,
+      graceMilliseconds: settings.graceMilliseconds,
+      running: () => requests.running,
+      announce: () => Promise.all([control.release(), registry.announce()]),
+      withdraw: () => registry.stop(),
+    });
     control.stop();
     clearInterval(expiry);
     stalls.stop();
     view.operatorFollower.stop();
     view.workerFollower.stop();
     coordinator.stop();
-    await registry.stop();
     servers.forEach((server) => server?.close());
     callers.close();
     connections.close();
