Count the silence of entries from the last round that read no rows

A reader that is turned away by the store keeps all names; once it reads again, silence counted from its first answer, and a heartbeat that had been written during the gap counted as written just then: up to 1 s of pause + 2.6 s, on top of the outage. Now silence counts from the last round that failed, and a row that changed during the gap may have changed at its beginning. The budgets that entries share are split by a longer silence, so that they stay on the safe side.

Test: an entry that ended during an outage is named 2.7 s after the last failure at most; failed before.

--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -19,6 +19,9 @@
  */
 const SILENCE_MILLISECONDS = 2_600;
 
+/** Silence after which an entry no longer counts for what all entries share, in ms. */
+const ENDED_MILLISECONDS = 2 * SILENCE_MILLISECONDS;
+
 /** An entry as this process last saw its row. */
 interface SeenEntry {
   readonly record: EntryRecord;
@@ -55,8 +58,11 @@
 
   #beat = 0;
 
-  /** Monotonic time at which reading began to succeed again; silence counts from there. */
-  #readableSince: number | null = null;
+  /** Whether the last round read the rows. */
+  #reading = false;
+
+  /** Monotonic time of the last round that did not read the rows, or null; silence counts from there. */
+  #unreadAt: number | null = null;
 
   #stop: (() => Promise<void>) | null = null;
 
@@ -95,14 +101,14 @@
     }
   }
 
-  /** Live entries, this one included; at least 1. */
+  /** Entries that may live, this one included; at least 1. What all share is split by it. */
   count(): number {
-    return Math.max(1, this.#options.linked()?.length ?? this.#live().length);
+    return Math.max(1, this.#options.linked()?.length ?? this.#live(ENDED_MILLISECONDS).length);
   }
 
   /** Live entries by their rows, without the entries whose link has ended since their last heartbeat. */
   live(): readonly KnownEntry[] {
-    return this.#live()
+    return this.#live(SILENCE_MILLISECONDS)
       .filter(({ confirmed }) => confirmed)
       .filter(({ record, seenAt }) => (this.#lostAt.get(record.entry) ?? Number.NEGATIVE_INFINITY) < seenAt)
       .map(({ record: { entry, ready, callerAddress } }) => ({ entry, ready, callerAddress }));
@@ -127,11 +133,10 @@
     return isReady() ? [callerAddress, ...others] : others;
   }
 
-  #live(): readonly SeenEntry[] {
+  #live(silenceMilliseconds: number): readonly SeenEntry[] {
     const now = this.#options.clock.monotonicMilliseconds();
-    const since = this.#readableSince;
     return [...this.#seen.values()].filter(({ seenAt }) => (
-      since === null || now - Math.max(seenAt, since) < SILENCE_MILLISECONDS
+      !this.#reading || now - Math.max(seenAt, this.#unreadAt ?? seenAt) < silenceMilliseconds
     ));
   }
 
@@ -141,6 +146,11 @@
     [...this.#seen.keys()].filter((entry) => !names.has(entry)).forEach((entry) => this.#seen.delete(entry));
   }
 
+  #rowsUnread(): void {
+    this.#reading = false;
+    this.#unreadAt = this.#options.clock.monotonicMilliseconds();
+  }
+
   async #round(): Promise<void> {
     const {
       store, clock, log, linked,
@@ -148,7 +158,7 @@
     this.#rounds += 1;
     const known = linked();
     if (known !== null) {
-      this.#readableSince = null;
+      this.#rowsUnread();
       this.#forgetUnnamed(known);
       if (this.#rounds % LINKED_ROUNDS === 0) {
         await this.announce();
@@ -157,11 +167,14 @@
     }
     const [, rows] = await Promise.all([this.announce(), store.scan(TABLE, '')]);
     if (rows.isErr()) {
-      this.#readableSince = null;
+      log.debug('Entry rows were not read.', { reason: rows.error.message });
+      this.#rowsUnread();
       return;
     }
+    // A row that changed while it was not read may have changed at any time since.
     const now = clock.monotonicMilliseconds();
-    this.#readableSince ??= now;
+    const seenAt = this.#reading ? now : this.#unreadAt ?? now;
+    this.#reading = true;
     const seen = new Map<EntryId, SeenEntry>();
     rows.value.forEach((row) => {
       const parsed = EntryRecord.safeParse(row.value);
@@ -172,7 +185,7 @@
       const previous = this.#seen.get(parsed.data.entry);
       const unchanged = previous !== undefined && previous.version === row.version;
       const fresh = {
-        record: parsed.data, version: row.version, seenAt: now, confirmed: previous !== undefined,
+        record: parsed.data, version: row.version, seenAt, confirmed: previous !== undefined,
       };
       seen.set(parsed.data.entry, unchanged ? previous : fresh);
     });
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -1,8 +1,9 @@
 import {
   afterEach, expect, test, vi,
 } from 'vitest';
+import { errAsync } from 'neverthrow';
 import {
-  AvailabilityZoneId, EntryId, ManualClock, MemoryTableStore,
+  AvailabilityZoneId, EntryId, ManualClock, MemoryTableStore, ServingError, type TableStore,
 } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import EntryRegistry from '../lib/entries/EntryRegistry.js';
@@ -24,7 +25,7 @@
 
 function create(
   name: string,
-  store: MemoryTableStore,
+  store: TableStore,
   clock: ManualClock,
   linked: () => readonly KnownEntry[] | null = () => null,
 ): EntryRegistry {
@@ -115,6 +116,37 @@
   expect(one.readyAddresses()).toEqual(['one:1']);
 });
 
+test('an entry that ended during an outage is left out within 2.7 s of the last failure', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  let away = false;
+  const one = create('one', {
+    ...store,
+    read: (keys) => store.read(keys),
+    commit: (transaction) => store.commit(transaction),
+    scan: (table, prefix) => (away
+      ? errAsync(new ServingError('away', { kind: 'store-unavailable' })) : store.scan(table, prefix)),
+  }, clock);
+  const other = create('other', store, clock);
+  const ended = create('ended', store, clock);
+  [one, other, ended].forEach((registry) => registry.start());
+  await rounds(3, clock);
+  away = true;
+  running = running.filter((registry) => registry !== ended);
+  await ended.stop();
+  await ended.announce();
+  await rounds(3, clock);
+  expect(one.readyAddresses()).toContain('ended:1');
+  away = false;
+  await rounds(1, clock);
+  expect(one.readyAddresses()).toContain('other:1');
+  await rounds(1, clock);
+  clock.advance(700);
+  expect(one.readyAddresses()).not.toContain('ended:1');
+  expect(one.readyAddresses()).toContain('other:1');
+});
+
 test('an entry that ended during a link is not named after it', async () => {
   vi.useFakeTimers();
   const store = new MemoryTableStore();
