Let streams that are late yield to those that can be on time

Groups took all up to their places + 4, in any order, so that nearly every stream began late for 2 to 4 s (first events at 250 to 500 ms, aims 250 and 400). The same in bursts of one model. The load alone said little: at equal loads the first event took 210 ms or 550 ms, by the prompts that were waiting to be read. Change: the time to the first event is predicted (learned median, prompts to read, wait for a place); a stream goes where it is on time, and does not go where its prompt would hold up running streams beyond their aim. Late streams take only places that no stream on time is likely to need, each entry its share of them by chance. A stream without a place waits for 1 s at most in place of an immediate refusal. Streams that no target begins are moved after three times the expected time, not after 900 ms. Links send records.

--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -3,7 +3,8 @@
 } from '@dandelionlane/core';
 import { quietLimitMilliseconds } from '@dandelionlane/fleet';
 import {
-  EntryRegistry, RepeatBudget, RequestServer, StallDetector, TargetConnections, TargetStates,
+  CallerPatience, EntryRegistry, ModelTimings, RepeatBudget, RequestServer, StallDetector, TargetConnections,
+  TargetStates, WaitingRoom,
   createDirectoryApplication, createMetricsApplication, createReadinessApplication,
 } from '@dandelionlane/gateway';
 import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
@@ -79,6 +80,9 @@
       extra: settings.repeatExtra,
       windowMilliseconds: settings.repeatWindowMilliseconds,
     }),
+    timings: new ModelTimings(),
+    patience: new CallerPatience(clock),
+    waitingRoom: new WaitingRoom(clock),
     closedZones: () => view.operatorSink.closedZones,
     countEntries: () => registry.count(),
     clock,
--- a/packages/fleet/src/lib/configuration/RequestKind.ts
+++ b/packages/fleet/src/lib/configuration/RequestKind.ts
@@ -5,6 +5,11 @@
  */
 type RequestKind = | { readonly kind: 'idempotent' }
   | { readonly kind: 'non-idempotent' }
-  | { readonly kind: 'stream'; readonly resumable: boolean };
+  | {
+    readonly kind: 'stream';
+    readonly resumable: boolean;
+    /** Longest pause between two events for which a stream is on time, in ms; null for no such bound. */
+    readonly pauseAimMilliseconds: number | null;
+  };
 
 export default RequestKind;
--- /dev/null
+++ b/packages/fleet/src/lib/engine/paceOf.ts
@@ -0,0 +1,7 @@
+import type { ModelName } from '@dandelionlane/core';
+import type EngineProfile from '../configuration/EngineProfile.js';
+
+/** Factor on all times of a model's replicas; 1 for a model that is not known. */
+export default function paceOf(engine: EngineProfile, model: ModelName | null): number {
+  return engine.models.find(({ name }) => name === model)?.pace ?? 1;
+}
--- a/packages/fleet/src/lib/engine/quietLimitMilliseconds.ts
+++ b/packages/fleet/src/lib/engine/quietLimitMilliseconds.ts
@@ -1,5 +1,7 @@
 import type { ModelName } from '@dandelionlane/core';
 import type EngineProfile from '../configuration/EngineProfile.js';
+import passMilliseconds from './passMilliseconds.js';
+import readingMilliseconds from './readingMilliseconds.js';
 
 /** Passes of an engine without an event that are nothing unusual. */
 const USUAL_PASSES = 2;
@@ -7,8 +9,6 @@
 /** Time that events may be late on their way, with prompts of other entries not heard of yet, in ms. */
 const DELIVERY_MARGIN_MILLISECONDS = 90;
 
-const MILLISECONDS = 1_000;
-
 /**
  * Longest time in ms for which a healthy group may bring no event to any of its streams. A group
  * that writes for all its places takes longest, and reads prompts in between.
@@ -19,8 +19,6 @@
   model: ModelName | null,
   unreadTokens: number,
 ): number {
-  const pace = engine.models.find(({ name }) => name === model)?.pace ?? 1;
-  const step = engine.stepMilliseconds + engine.stepMillisecondsPerRequest * engine.slots;
-  const reading = (unreadTokens / engine.promptTokensPerSecond) * MILLISECONDS;
-  return (engine.stepsPerPass * step * USUAL_PASSES + reading) * pace + DELIVERY_MARGIN_MILLISECONDS;
+  return passMilliseconds(engine, model, engine.slots) * USUAL_PASSES
+    + readingMilliseconds(engine, model, unreadTokens) + DELIVERY_MARGIN_MILLISECONDS;
 }
--- /dev/null
+++ b/packages/fleet/src/lib/engine/readingMilliseconds.ts
@@ -0,0 +1,14 @@
+import type { ModelName } from '@dandelionlane/core';
+import type EngineProfile from '../configuration/EngineProfile.js';
+import paceOf from './paceOf.js';
+
+const MILLISECONDS = 1_000;
+
+/** Time in ms that a replica takes to read so many prompt tokens. */
+export default function readingMilliseconds(
+  engine: EngineProfile,
+  model: ModelName | null,
+  promptTokens: number,
+): number {
+  return (promptTokens / engine.promptTokensPerSecond) * MILLISECONDS * paceOf(engine, model);
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,12 +1,15 @@
 /** Public surface of the package. */
+export { default as ModelTimings } from './lib/choice/ModelTimings.js';
 export { default as RepeatBudget } from './lib/choice/RepeatBudget.js';
 export { default as EntryRegistry } from './lib/entries/EntryRegistry.js';
 export { type default as KnownEntry } from './lib/entries/KnownEntry.js';
 export { default as createDirectoryApplication } from './lib/entries/createDirectoryApplication.js';
 export { default as createMetricsApplication } from './lib/entries/createMetricsApplication.js';
 export { default as createReadinessApplication } from './lib/entries/createReadinessApplication.js';
+export { default as CallerPatience } from './lib/requests/CallerPatience.js';
 export { type default as GatewayParts } from './lib/requests/GatewayParts.js';
 export { default as RequestServer } from './lib/requests/RequestServer.js';
+export { default as WaitingRoom } from './lib/requests/WaitingRoom.js';
 export { default as StallDetector } from './lib/targets/StallDetector.js';
 export { default as TargetConnections } from './lib/targets/TargetConnections.js';
 export { default as TargetStates } from './lib/targets/TargetStates.js';
--- a/packages/gateway/src/lib/choice/Choice.ts
+++ b/packages/gateway/src/lib/choice/Choice.ts
@@ -1,4 +1,5 @@
 import type Candidate from './Candidate.js';
+import type Prediction from './Prediction.js';
 
 /** Outcome of a choice, with the inputs that decided it. */
 type Choice = | {
@@ -6,6 +7,8 @@
   readonly candidate: Candidate;
   /** Requests that the target is estimated to have. */
   readonly load: number;
+  /** How a stream is likely to fare there; null for plain targets. */
+  readonly prediction: Prediction | null;
   readonly candidates: number;
 }
   | { readonly kind: 'none'; readonly reason: 'no-target' | 'all-suspected' | 'all-full' | 'all-cold' };
--- /dev/null
+++ b/packages/gateway/src/lib/choice/predict.ts
@@ -0,0 +1,26 @@
+import { passMilliseconds, readingMilliseconds } from '@dandelionlane/fleet';
+import type Candidate from './Candidate.js';
+import type Prediction from './Prediction.js';
+import type StreamNeed from './StreamNeed.js';
+
+/**
+ * Predicts how a stream would fare at a target: the engine reads all prompts that it has, and a
+ * request beyond the places waits until a running one ends.
+ * @param load Requests that the target is estimated to have.
+ */
+export default function predict(
+  { state, slots }: Candidate,
+  load: number,
+  {
+    engine, model, timing, promptTokens,
+  }: StreamNeed,
+): Prediction {
+  const reading = readingMilliseconds(engine, model, state.estimateUnreadTokens() + promptTokens);
+  const waiting = Math.max(0, load + 1 - slots) * (timing.runMilliseconds / slots);
+  return {
+    firstEventMilliseconds: timing.firstEventMilliseconds + reading + waiting,
+    readingMilliseconds: reading,
+    waitingMilliseconds: waiting,
+    pauseMilliseconds: passMilliseconds(engine, model, Math.min(load + 1, slots)) + reading,
+  };
+}
--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -15,6 +15,9 @@
 /** Most targets that are tried without having run the request. */
 const MAXIMUM_REFUSALS = 4;
 
+/** Longest time that a request waits for a target, in ms: callers give a silent stream up after 2 s. */
+const MAXIMUM_WAIT_MILLISECONDS = 1_000;
+
 /**
  * Serves one stream of events over one or more runs.
  *
@@ -60,7 +63,7 @@
       if (this.#remaining() <= 0) {
         return this.#giveUp('deadline passed');
       }
-      const choice = pickTarget(this.#parts, this.#call, this.#excluded);
+      const choice = await this.#choose(signal);
       if (choice.kind === 'none') {
         return this.#hasBegun() ? this.#giveUp(choice.reason) : this.#refuse(refuseChoice(choice));
       }
@@ -76,6 +79,34 @@
     return 'caller-gone';
   }
 
+  /** Chooses a target, and waits for one if the request has not run anywhere. */
+  async #choose(signal: AbortSignal): Promise<Choice> {
+    const choose = () => pickTarget(this.#parts, this.#call, this.#excluded, this.#goesOn);
+    const choice = choose();
+    if (choice.kind === 'chosen' || this.#hasBegun()) {
+      return choice;
+    }
+    const { clock, waitingRoom } = this.#parts;
+    const {
+      said, service, receivedAt, onTimeUntil, deadlineAt, log,
+    } = this.#call;
+    const startedAt = clock.monotonicMilliseconds();
+    const found = await waitingRoom.wait({
+      queue: `${service}/${said.model ?? ''}`,
+      onTimeUntil,
+      until: Math.min(deadlineAt, receivedAt + MAXIMUM_WAIT_MILLISECONDS),
+      signal,
+      choose,
+    });
+    log.set('waitedMilliseconds', Math.round(clock.monotonicMilliseconds() - startedAt));
+    return found ?? choice;
+  }
+
+  /** Whether a target has begun the stream, so that it has to go on at once. */
+  get #goesOn(): boolean {
+    return this.#hasBegun() || this.#order.last !== null;
+  }
+
   get #resumable(): boolean {
     const { request } = this.#call.route;
     return request.kind === 'stream' && request.resumable;
@@ -101,6 +132,7 @@
       parts: this.#parts,
       call: this.#call,
       candidate,
+      prediction: choice.prediction,
       order: this.#order,
       timing: this.#timing,
       fresh: !this.#resumable,
@@ -109,7 +141,9 @@
     const end = await run.serve(this.#remaining(), signal);
     const took = Math.round(this.#parts.clock.monotonicMilliseconds() - startedAt);
     const formation = candidate.formation === '' ? '' : `@${candidate.formation}`;
-    this.#call.log.attempt(`${candidate.entry.worker.id}${formation} load=${choice.load.toFixed(1)}/${choice.candidates}`
+    const expected = choice.prediction === null
+      ? '' : ` expected=${Math.round(choice.prediction.firstEventMilliseconds)}ms`;
+    this.#call.log.attempt(`${candidate.entry.worker.id}${formation} load=${choice.load.toFixed(1)}/${choice.candidates}${expected}`
       + ` ${end.kind}${'reason' in end ? ` (${end.reason})` : ''} events=${run.events} ${took}ms`);
     return end;
   }
@@ -121,7 +155,7 @@
 
   #hasAlternative(candidate: Candidate): boolean {
     const excluded = new Set([...this.#excluded, candidate.entry.worker.id]);
-    return pickTarget(this.#parts, this.#call, excluded).kind === 'chosen';
+    return pickTarget(this.#parts, this.#call, excluded, true).kind === 'chosen';
   }
 
   /** Draws the consequence of a run's end: the outcome, or null to try another target. */
--- a/packages/gateway/src/lib/relay/StreamRun.ts
+++ b/packages/gateway/src/lib/relay/StreamRun.ts
@@ -1,5 +1,6 @@
 import { EventSplitter, type ModelName } from '@dandelionlane/core';
 import type Candidate from '../choice/Candidate.js';
+import type Prediction from '../choice/Prediction.js';
 import type Call from '../requests/Call.js';
 import type GatewayParts from '../requests/GatewayParts.js';
 import startAttempt from '../requests/startAttempt.js';
@@ -31,6 +32,7 @@
   readonly parts: GatewayParts;
   readonly call: Call;
   readonly candidate: Candidate;
+  readonly prediction: Prediction | null;
   readonly order: EventOrder;
   readonly timing: StreamTiming;
   readonly fresh: boolean;
@@ -50,6 +52,8 @@
 
   readonly promptTokens: number;
 
+  readonly expectedMilliseconds: number;
+
   readonly model: ModelName | null;
 
   lastEventAt: number | null = null;
@@ -80,6 +84,8 @@
     this.sentAt = options.parts.clock.monotonicMilliseconds();
     this.formation = options.candidate.formation;
     this.promptTokens = options.call.said.promptTokens;
+    this.expectedMilliseconds = options.prediction?.firstEventMilliseconds
+      ?? options.call.route.targetLatencyMilliseconds;
     this.model = options.call.said.model;
   }
 
@@ -195,13 +201,25 @@
       }
     }
     if (delivered.length > 0) {
+      const now = parts.clock.monotonicMilliseconds();
+      if (this.lastEventAt === null) {
+        this.#learnFirstEvent(now - this.sentAt);
+      }
       this.events += delivered.length;
-      this.lastEventAt = parts.clock.monotonicMilliseconds();
+      this.lastEventAt = now;
       state.progressed();
       this.#write(delivered);
     }
   }
 
+  /** A run that waited for a place tells nothing of the target's own time. */
+  #learnFirstEvent(milliseconds: number): void {
+    const { parts: { timings }, prediction } = this.#options;
+    if (prediction !== null && prediction.waitingMilliseconds === 0) {
+      timings.firstEvent(this.model, milliseconds - prediction.readingMilliseconds);
+    }
+  }
+
   #write(events: readonly Buffer[]): void {
     const { call: { outgoing }, timing, parts } = this.#options;
     if (events.length === 0 || outgoing.destroyed) {
@@ -250,6 +268,8 @@
         this.#begin(this.#head);
       }
       outgoing.end(method === 'HEAD' ? undefined : '');
+      const { clock, timings } = this.#options.parts;
+      timings.ended(this.model, clock.monotonicMilliseconds() - this.sentAt);
       this.#finish({ kind: 'complete' });
     }
   }
--- a/packages/gateway/src/lib/requests/Call.ts
+++ b/packages/gateway/src/lib/requests/Call.ts
@@ -17,6 +17,8 @@
   readonly team: Team | null;
   /** Monotonic time at which its head had been read, in ms. */
   readonly receivedAt: number;
+  /** Monotonic time until which its answer, or the first event of it, is on time, in ms. */
+  readonly onTimeUntil: number;
   /** Monotonic time by which it must have its final answer, in ms. */
   readonly deadlineAt: number;
   readonly outgoing: ServerResponse;
--- /dev/null
+++ b/packages/gateway/src/lib/requests/WaitingRoom.ts
@@ -0,0 +1,91 @@
+import type { Clock } from '@dandelionlane/core';
+import type Choice from '../choice/Choice.js';
+
+/** Time between two rounds, in ms: a place becomes free every 50 ms or so. */
+const PERIOD_MILLISECONDS = 20;
+
+/** Requests that may wait at once: above it a request is refused at once. */
+const MAXIMUM_WAITING = 500;
+
+/** A request that waits for a target. */
+interface WaitingRequest {
+  /** Requests of one queue are after the same targets. */
+  readonly queue: string;
+  /** Monotonic time until which it is on time, in ms. */
+  readonly onTimeUntil: number;
+  /** Monotonic time until which it waits, in ms. */
+  readonly until: number;
+  readonly signal: AbortSignal;
+  /** Chooses a target now. */
+  readonly choose: () => Choice;
+}
+
+/** A waiting request with what resolves it. */
+interface Ticket extends WaitingRequest {
+  readonly resolve: (choice: Choice | null) => void;
+}
+
+/**
+ * Requests for which no target is free now. They take turns: those that can still be on time first,
+ * the most urgent of them first, then the others in the order in which they came.
+ */
+export default class WaitingRoom {
+  readonly #clock: Clock;
+
+  #tickets: Ticket[] = [];
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Requests that wait. */
+  get size(): number {
+    return this.#tickets.length;
+  }
+
+  /** Waits for a target. Null: none was free in time, the caller left, or too many wait already. */
+  wait(request: WaitingRequest): Promise<Choice | null> {
+    if (this.#tickets.length >= MAXIMUM_WAITING) {
+      return Promise.resolve(null);
+    }
+    return new Promise((resolve) => {
+      this.#tickets.push({ ...request, resolve });
+      this.#timer ??= setInterval(() => this.#round(new Set()), PERIOD_MILLISECONDS);
+    });
+  }
+
+  /** Serves the next request of each queue that is not blocked; again once that request has been sent. */
+  #round(blocked: Set<string>): void {
+    const now = this.#clock.monotonicMilliseconds();
+    this.#tickets.filter((ticket) => ticket.signal.aborted || now >= ticket.until)
+      .forEach((ticket) => this.#end(ticket, null));
+    for (const ticket of this.#inOrder(now)) {
+      if (!blocked.has(ticket.queue)) {
+        const choice = ticket.choose();
+        if (choice.kind === 'chosen') {
+          this.#end(ticket, choice);
+          setImmediate(() => this.#round(blocked));
+          return;
+        }
+        blocked.add(ticket.queue);
+      }
+    }
+  }
+
+  #inOrder(now: number): readonly Ticket[] {
+    const urgent = this.#tickets.filter(({ onTimeUntil }) => onTimeUntil > now)
+      .sort((left, right) => left.onTimeUntil - right.onTimeUntil);
+    return [...urgent, ...this.#tickets.filter((ticket) => !urgent.includes(ticket))];
+  }
+
+  #end(ticket: Ticket, choice: Choice | null): void {
+    this.#tickets = this.#tickets.filter((other) => other !== ticket);
+    if (this.#tickets.length === 0) {
+      clearInterval(this.#timer);
+      this.#timer = undefined;
+    }
+    ticket.resolve(choice);
+  }
+}
--- a/packages/gateway/src/lib/requests/admitCall.ts
+++ b/packages/gateway/src/lib/requests/admitCall.ts
@@ -54,6 +54,9 @@
     log.set('team', team?.id);
     log.set('model', said.model);
     const patience = said.deadlineMilliseconds ?? route.timeoutMilliseconds;
+    const spent = parts.patience.spent(route, said.deadlineMilliseconds);
+    log.set('deadlineMilliseconds', said.deadlineMilliseconds);
+    log.set('spentMilliseconds', spent === 0 ? undefined : spent);
     return ok({
       method: incoming.method ?? 'GET',
       path,
@@ -64,6 +67,7 @@
       profile,
       team,
       receivedAt,
+      onTimeUntil: receivedAt + (route.targetLatencyMilliseconds || Number.POSITIVE_INFINITY) - spent,
       deadlineAt: receivedAt + Math.min(patience, route.timeoutMilliseconds),
       outgoing,
       log,
--- a/packages/gateway/src/lib/targets/RunningStream.ts
+++ b/packages/gateway/src/lib/targets/RunningStream.ts
@@ -6,6 +6,8 @@
   readonly sentAt: number;
   /** Monotonic time of its last event, or null before the first. */
   readonly lastEventAt: number | null;
+  /** Time from its sending in which its first event was expected, in ms. */
+  readonly expectedMilliseconds: number;
   /** Tokens of its prompt. */
   readonly promptTokens: number;
   /** Model that it runs on. */
--- a/packages/gateway/src/lib/targets/StallDetector.ts
+++ b/packages/gateway/src/lib/targets/StallDetector.ts
@@ -11,8 +11,14 @@
  */
 const STARTED_PATIENCE_MILLISECONDS = 100;
 
-/** Wait for the first event from which a target that shows no progress at all is left out, in ms. */
-const UNSTARTED_SILENCE_MILLISECONDS = 900;
+/**
+ * Expected times to a first event after which a target that shows no progress at all is left out:
+ * one in a hundred streams takes longer than this at a target that is well.
+ */
+const UNSTARTED_FACTOR = 3;
+
+/** Least such wait, in ms. */
+const LEAST_UNSTARTED_MILLISECONDS = 400;
 
 /** Time for which a suspected target is left out, in ms; a new formation of its group ends it. */
 const SUSPICION_MILLISECONDS = 400;
@@ -78,7 +84,7 @@
     const oldest = Math.min(...streams.map(({ sentAt }) => sentAt));
     const silence = now - Math.max(oldest, state.lastProgressAt);
     const limit = started.length === 0
-      ? UNSTARTED_SILENCE_MILLISECONDS
+      ? Math.max(LEAST_UNSTARTED_MILLISECONDS, first.expectedMilliseconds * UNSTARTED_FACTOR)
       : this.#options.quietLimit(worker, state.estimateUnreadTokens());
     if (silence <= limit) {
       return;
--- a/packages/gateway/src/test/StreamCourse.test.ts
+++ b/packages/gateway/src/test/StreamCourse.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, expect, test } from 'vitest';
 import TestGateway, { type TargetScript } from './TestGateway.js';
 
-const RESUMABLE = { kind: 'stream', resumable: true } as const;
+const RESUMABLE = { kind: 'stream', resumable: true, pauseAimMilliseconds: null } as const;
 const EVENTS = 6;
 
 let gateway: TestGateway | undefined;
@@ -38,7 +38,7 @@
 
 /** Makes the gateway choose the first target first. */
 function preferFirst(started: TestGateway): TestGateway {
-  Object.assign(started.states.of('w1' as never), { outstanding: 2 });
+  ['w1', 'w2'].forEach((name) => Object.assign(started.states.of(name as never), { outstanding: 2 }));
   return started;
 }
 
@@ -75,7 +75,7 @@
 });
 
 test('a broken stream that may not be resumed is cut and not run again', async () => {
-  gateway = preferFirst(await TestGateway.start({ kind: 'stream', resumable: false }, [breakAfter(2), whole]));
+  gateway = preferFirst(await TestGateway.start({ ...RESUMABLE, resumable: false }, [breakAfter(2), whole]));
   expect(await gateway.call()).toMatchObject({ body: event(1) + event(2), cut: true });
   expect(gateway.received).toEqual([1, 0]);
 });
@@ -102,3 +102,31 @@
   }]));
   expect((await gateway.call()).cut).toBe(true);
 });
+
+/** Takes all places of the only target. */
+function fill(started: TestGateway, outstanding: number): void {
+  Object.assign(started.states.of('w0' as never), { outstanding });
+}
+
+test('a stream waits for a place', async () => {
+  gateway = await TestGateway.start(RESUMABLE, [whole]);
+  fill(gateway, 8);
+  const answer = gateway.call();
+  setTimeout(() => fill(gateway as TestGateway, 0), 100);
+  expect(await answer).toMatchObject({ status: 200, body: all() });
+});
+
+test('a stream that found no place is refused as not run, with a time to come back', async () => {
+  gateway = await TestGateway.start(RESUMABLE, [whole]);
+  fill(gateway, 8);
+  const answer = await gateway.call();
+  expect(answer.status).toBe(429);
+  expect(Number(answer.retryAfter)).toBeGreaterThan(0);
+  expect(gateway.received).toEqual([0]);
+});
+
+test('a stream that broke before its first event takes any place', async () => {
+  gateway = preferFirst(await TestGateway.start(RESUMABLE, [breakAfter(0), whole]));
+  Object.assign(gateway.states.of('w1' as never), { outstanding: 5 });
+  expect(await gateway.call()).toMatchObject({ status: 200, body: all() });
+});
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -11,8 +11,11 @@
   ConfigurationHolder, WorkerTable, type FleetConfiguration, type RequestKind, type Worker,
 } from '@dandelionlane/fleet';
 import { MetricsRegistry, type Log } from '@dandelionlane/telemetry';
+import ModelTimings from '../lib/choice/ModelTimings.js';
 import RepeatBudget from '../lib/choice/RepeatBudget.js';
+import CallerPatience from '../lib/requests/CallerPatience.js';
 import RequestServer from '../lib/requests/RequestServer.js';
+import WaitingRoom from '../lib/requests/WaitingRoom.js';
 import TargetConnections from '../lib/targets/TargetConnections.js';
 import TargetStates from '../lib/targets/TargetStates.js';
 import type GatewayWire from '../lib/wire/GatewayWire.js';
@@ -156,6 +159,9 @@
       states: this.states,
       connections: this.#connections,
       budget: new RepeatBudget(new ManualClock(), { ratio: 1, extra: 100, windowMilliseconds: 10_000 }),
+      timings: new ModelTimings(),
+      patience: new CallerPatience(this.#clock),
+      waitingRoom: new WaitingRoom(this.#clock),
       closedZones: () => new Set(),
       countEntries: () => 1,
       clock: this.#clock,
--- /dev/null
+++ b/packages/gateway/src/test/WaitingRoom.test.ts
@@ -0,0 +1,68 @@
+import { expect, test } from 'vitest';
+import { ManualClock } from '@dandelionlane/core';
+import type Choice from '../lib/choice/Choice.js';
+import WaitingRoom from '../lib/requests/WaitingRoom.js';
+
+const NONE: Choice = { kind: 'none', reason: 'all-full' };
+const CHOSEN = { kind: 'chosen' } as unknown as Choice;
+
+/** A waiting room with a number of free places. */
+class Room {
+  readonly clock = new ManualClock();
+
+  readonly room = new WaitingRoom(this.clock);
+
+  readonly served: string[] = [];
+
+  free = 0;
+
+  async wait(name: string, onTimeUntil: number, {
+    until = 10_000, queue = 'q', signal = new AbortController().signal,
+  } = {}): Promise<void> {
+    const choice = await this.room.wait({
+      queue, onTimeUntil, until, signal, choose: () => (this.free > 0 ? CHOSEN : NONE),
+    });
+    this.free -= choice === null ? 0 : 1;
+    this.served.push(choice === null ? `${name} gave up` : name);
+  }
+}
+
+test('requests on time go first, the most urgent of them before the others', async () => {
+  const room = new Room();
+  room.clock.advance(100);
+  const waits = [room.wait('late', 0), room.wait('later', 50), room.wait('soon', 300), room.wait('sooner', 200)];
+  room.free = 4;
+  await Promise.all(waits);
+  expect(room.served).toEqual(['sooner', 'soon', 'late', 'later']);
+  expect(room.room.size).toBe(0);
+});
+
+test('no more requests are served than there are places', async () => {
+  const room = new Room();
+  const first = room.wait('first', 200);
+  const second = room.wait('second', 300, { until: 1_000 });
+  room.free = 1;
+  await first;
+  expect(room.room.size).toBe(1);
+  room.clock.advance(1_000);
+  await second;
+  expect(room.served).toEqual(['first', 'second gave up']);
+});
+
+test('a caller that left does not wait on', async () => {
+  const room = new Room();
+  const caller = new AbortController();
+  const wait = room.wait('gone', 200, { signal: caller.signal });
+  caller.abort();
+  await wait;
+  expect(room.served).toEqual(['gone gave up']);
+});
+
+test('a full room turns a request away at once', async () => {
+  const room = new Room();
+  const waits = Array.from({ length: 500 }, (_, index) => room.wait(`r${index}`, 200, { until: 100 }));
+  await room.wait('one too many', 200);
+  expect(room.served).toEqual(['one too many gave up']);
+  room.clock.advance(100);
+  await Promise.all(waits);
+});
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -1,13 +1,19 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import {
-  AvailabilityZoneId, ManualClock, ModelName, SeededRandom, ServiceId, WorkerId,
+  AvailabilityZoneId, ManualClock, ModelName, SeededRandom, ServiceId, WorkerId, type RandomSource,
 } from '@dandelionlane/core';
-import { quietLimitMilliseconds, type EngineProfile, type WorkerEntry } from '@dandelionlane/fleet';
+import {
+  quietLimitMilliseconds, type EngineProfile, type Route, type WorkerEntry,
+} from '@dandelionlane/fleet';
+import type Choice from '../lib/choice/Choice.js';
 import type Candidate from '../lib/choice/Candidate.js';
+import type StreamNeed from '../lib/choice/StreamNeed.js';
+import ModelTimings from '../lib/choice/ModelTimings.js';
 import RepeatBudget from '../lib/choice/RepeatBudget.js';
 import chooseTarget from '../lib/choice/chooseTarget.js';
 import EventOrder from '../lib/relay/EventOrder.js';
+import CallerPatience from '../lib/requests/CallerPatience.js';
 import StallDetector from '../lib/targets/StallDetector.js';
 import TargetStates from '../lib/targets/TargetStates.js';
 
@@ -73,15 +79,41 @@
   };
 }
 
-function choose(candidates: readonly Candidate[], clock: ManualClock, isModel = true) {
+const ENGINE: EngineProfile = {
+  slots: 10,
+  models: [{ name: ModelName.parse('m'), groupSize: 2, pace: 1 }],
+  loadsPerSecond: 1,
+  promptTokensPerSecond: 1_000,
+  stepMilliseconds: 5,
+  stepMillisecondsPerRequest: 0.5,
+  stepsPerPass: 4,
+  reportLagMilliseconds: 0,
+};
+
+const NEED: StreamNeed = {
+  engine: ENGINE,
+  model: ModelName.parse('m'),
+  timing: { firstEventMilliseconds: 100, runMilliseconds: 1_000 },
+  promptTokens: 10,
+  firstEventBudgetMilliseconds: 1_000,
+  pauseAimMilliseconds: 200,
+};
+
+function choose(
+  candidates: readonly Candidate[],
+  clock: ManualClock,
+  need: StreamNeed | null = NEED,
+  random: RandomSource = new SeededRandom(7),
+  entries = 1,
+) {
   return chooseTarget({
     candidates,
     zone: ZONE,
-    entries: 1,
+    entries,
     now: clock.monotonicMilliseconds(),
-    random: new SeededRandom(7),
+    random,
     coldRequestsPerSecond: 4,
-    isModel,
+    need,
   });
 }
 
@@ -104,6 +136,122 @@
   expect(choose([one], clock)).toEqual({ kind: 'none', reason: 'all-full' });
 });
 
+/** Gives a target running streams, one of them with a prompt that has not been read. */
+function busy(target: Candidate, running: number, unreadTokens = 0): Candidate {
+  const { state } = target;
+  state.outstanding = running;
+  if (unreadTokens > 0) {
+    state.streams.add({
+      sentAt: 0,
+      lastEventAt: null,
+      expectedMilliseconds: 100,
+      promptTokens: unreadTokens,
+      model: null,
+      paused: false,
+      formation: 'g/1',
+      stalled: () => undefined,
+    });
+  }
+  return target;
+}
+
+function chosenName(choice: Choice): string {
+  return choice.kind === 'chosen' ? choice.candidate.entry.worker.id : choice.reason;
+}
+
+test('a stream goes where its prompt is read first', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const reading = busy(candidate(states, 'reading'), 1, 90);
+  const writing = busy(candidate(states, 'writing'), 2);
+  expect(chosenName(choose([reading, writing], clock))).toBe('writing');
+});
+
+test('a prompt that would hold up running streams goes elsewhere', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const reading = busy(candidate(states, 'reading'), 1, 175);
+  expect(chosenName(choose([reading], clock))).toBe('all-full');
+  const need = { ...NEED, pauseAimMilliseconds: null };
+  expect(chosenName(choose([reading], clock, need))).toBe('reading');
+});
+
+test('a prompt too large for the aim runs where nothing else does', () => {
+  const clock = new ManualClock();
+  const idle = candidate(new TargetStates(clock), 'idle');
+  expect(chosenName(choose([idle], clock, { ...NEED, promptTokens: 5_000 }))).toBe('idle');
+});
+
+test('a stream that is late leaves places to those on time', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const late = { ...NEED, firstEventBudgetMilliseconds: -1 };
+  const target = busy(candidate(states, 'target', { slots: 6 }), 3);
+  const random = new SeededRandom(1);
+  const tries = Array.from({ length: 100 }, () => chosenName(choose([target], clock, late, random)));
+  expect(tries).toContain('target');
+  busy(target, 4);
+  const later = Array.from({ length: 100 }, () => chosenName(choose([target], clock, late, random)));
+  expect(later).not.toContain('target');
+  expect(chosenName(choose([target], clock))).toBe('target');
+});
+
+test('entries that see the same free places do not all take them', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const late = { ...NEED, firstEventBudgetMilliseconds: -1 };
+  const target = busy(candidate(states, 'target', { slots: 18 }), 9);
+  target.state.told();
+  target.state.loadShared(9, 0);
+  const random = new SeededRandom(3);
+  const tries = 6;
+  const rounds = 200;
+  const taken = Array.from({ length: rounds * tries * 9 }, () => choose([target], clock, late, random, 9))
+    .filter(({ kind }) => kind === 'chosen').length;
+  expect(taken / rounds).toBeLessThanOrEqual(3 * 1.1);
+});
+
+test('a stream that would wait too long for a place is late', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const target = busy(candidate(states, 'target'), 5);
+  expect(chosenName(choose([target], clock, { ...NEED, firstEventBudgetMilliseconds: 600 }))).toBe('all-full');
+  expect(chosenName(choose([target], clock, { ...NEED, firstEventBudgetMilliseconds: 700 }))).toBe('target');
+});
+
+test('the time to a first event follows the median', () => {
+  const model = ModelName.parse('m');
+  const timings = new ModelTimings();
+  expect(timings.of(ENGINE, model).firstEventMilliseconds).toBe(60);
+  Array.from({ length: 100 }, (_, index) => timings.firstEvent(model, index % 10 === 0 ? 5_000 : 150));
+  expect(Math.abs(timings.of(ENGINE, model).firstEventMilliseconds - 150)).toBeLessThanOrEqual(4);
+  timings.ended(model, 3_000);
+  expect(timings.of(ENGINE, model).runMilliseconds).toBe(1_100);
+});
+
+test('what a caller has spent shows in the time that it has left', () => {
+  const clock = new ManualClock();
+  const patience = new CallerPatience(clock);
+  const route = { name: 'r' } as Route;
+  expect(patience.spent(route, 6_000)).toBe(0);
+  expect(patience.spent(route, 5_000)).toBe(0);
+  expect(patience.spent(route, 4_000)).toBe(800);
+  expect(patience.spent({ name: 'other' } as Route, 4_000)).toBe(0);
+  expect(patience.spent(route, null)).toBe(0);
+});
+
+test('callers that give less time than they used to count as first tries again', () => {
+  const clock = new ManualClock();
+  const patience = new CallerPatience(clock);
+  const route = { name: 'r' } as Route;
+  patience.spent(route, 6_000);
+  expect(patience.spent(route, 3_000)).toBe(1_800);
+  clock.advance(10_000);
+  patience.spent(route, 3_000);
+  clock.advance(10_000);
+  expect(patience.spent(route, 3_000)).toBe(0);
+});
+
 test('a cold target gets no more than its share a second', () => {
   const clock = new ManualClock();
   const states = new TargetStates(clock);
@@ -121,21 +269,10 @@
   const bad = candidate(states, 'bad', { formation: '' });
   const good = candidate(states, 'good', { formation: '' });
   Array.from({ length: 20 }).forEach(() => bad.state.failed());
-  const choice = choose([bad, good], clock, false);
+  const choice = choose([bad, good], clock, null);
   expect(choice.kind === 'chosen' && choice.candidate).toBe(good);
 });
 
-const ENGINE: EngineProfile = {
-  slots: 10,
-  models: [{ name: ModelName.parse('m'), groupSize: 2, pace: 1 }],
-  loadsPerSecond: 1,
-  promptTokensPerSecond: 1_000,
-  stepMilliseconds: 5,
-  stepMillisecondsPerRequest: 0.5,
-  stepsPerPass: 4,
-  reportLagMilliseconds: 0,
-};
-
 test('the limit of silence grows with the prompts to read', () => {
   const model = ModelName.parse('m');
   expect(quietLimitMilliseconds(ENGINE, model, 0)).toBe(170);
@@ -150,6 +287,7 @@
   const stream = (name: string, lastEventAt: number | null) => ({
     sentAt: 0,
     lastEventAt,
+    expectedMilliseconds: 150,
     promptTokens: 0,
     model: null,
     paused: false,
@@ -176,6 +314,36 @@
   expect(moved).toContain('started');
 });
 
+test('streams leave a target that does not begin any of them', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const worker = WorkerId.parse('w');
+  let moved = false;
+  states.of(worker).streams.add({
+    sentAt: 0,
+    lastEventAt: null,
+    expectedMilliseconds: 150,
+    promptTokens: 0,
+    model: null,
+    paused: false,
+    formation: 'g/1',
+    stalled: () => {
+      moved = true;
+    },
+  });
+  const detector = new StallDetector({ states, clock, quietLimit: () => 170 });
+  const wait = (milliseconds: number) => {
+    for (let waited = 0; waited < milliseconds; waited += 40) {
+      clock.advance(40);
+      detector.check();
+    }
+  };
+  wait(440);
+  expect(moved).toBe(false);
+  wait(40);
+  expect(moved).toBe(true);
+});
+
 test('a delay of this process is no silence of a target', () => {
   const clock = new ManualClock();
   const states = new TargetStates(clock);
@@ -184,6 +352,7 @@
   states.of(worker).streams.add({
     sentAt: 0,
     lastEventAt: 0,
+    expectedMilliseconds: 150,
     promptTokens: 0,
     model: null,
     paused: false,
--- a/packages/links/src/lib/LinkClient.ts
+++ b/packages/links/src/lib/LinkClient.ts
@@ -29,7 +29,7 @@
 export default class LinkClient {
   readonly #options: LinkClientOptions;
 
-  readonly #packr = new Packr({ useRecords: false });
+  readonly #packr = new Packr({ useRecords: true });
 
   #address: string | null = null;
 
--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -33,7 +33,7 @@
 export default class LinkServer {
   readonly #options: LinkServerOptions;
 
-  readonly #packr = new Packr({ useRecords: false });
+  readonly #packr = new Packr({ useRecords: true });
 
   readonly #http: Server = createServer();
 
--- a/packages/proofs/src/test/TestSystem.ts
+++ b/packages/proofs/src/test/TestSystem.ts
@@ -15,6 +15,7 @@
 } from '@dandelionlane/standin';
 import type Answer from './Answer.js';
 import callEntry from './callEntry.js';
+import type PlacedService from './PlacedService.js';
 import type SystemOptions from './SystemOptions.js';
 import waitUntil from './waitUntil.js';
 
@@ -195,7 +196,7 @@
   }
 
   /** Replaces the placement row of a service. */
-  async place({ definition, replicas }: SystemOptions['services'][number]): Promise<void> {
+  async place({ definition, replicas }: PlacedService): Promise<void> {
     const placement = ServicePlacement.parse({
       service: definition.service,
       replicas: replicas.map(({
@@ -232,7 +233,7 @@
    * were restarted. The new replicas need ids of their own: an entry that has seen a replica whole
    * never counts it as whole again with other process starts.
    */
-  async rebuild(service: SystemOptions['services'][number]): Promise<void> {
+  async rebuild(service: PlacedService): Promise<void> {
     await this.place(service);
     await this.load([service]);
   }
