Fire timers of deadlines no earlier than the deadline

A timer counts whole milliseconds and fires up to 1 ms early by the monotonic clock, so time seemed to be left when the deadline's timer had fired. Ruled out: load (the new test fails at each run without the mend). Test: timerUntil.test.ts, failed before.

--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -5,6 +5,7 @@
 import type GatewayParts from '../requests/GatewayParts.js';
 import pickTarget from '../requests/pickTarget.js';
 import refuseChoice from '../requests/refuseChoice.js';
+import timerUntil from '../requests/timerUntil.js';
 import writeRefusal from '../requests/writeRefusal.js';
 import EventOrder from './EventOrder.js';
 import type RunEnd from './RunEnd.js';
@@ -138,7 +139,7 @@
       fresh: !this.#resumable,
       mayMove: () => this.#mayRunAgain() && this.#hasAlternative(candidate),
     });
-    const end = await run.serve(this.#remaining(), signal);
+    const end = await run.serve(timerUntil(this.#parts.clock, this.#call.deadlineAt), signal);
     const took = Math.round(this.#parts.clock.monotonicMilliseconds() - startedAt);
     const formation = candidate.formation === '' ? '' : `@${candidate.formation}`;
     const expected = choice.prediction === null
--- a/packages/gateway/src/lib/relay/servePlain.ts
+++ b/packages/gateway/src/lib/relay/servePlain.ts
@@ -3,6 +3,7 @@
 import type GatewayParts from '../requests/GatewayParts.js';
 import pickTarget from '../requests/pickTarget.js';
 import refuseChoice from '../requests/refuseChoice.js';
+import timerUntil from '../requests/timerUntil.js';
 import writeRefusal from '../requests/writeRefusal.js';
 import beginAnswer from './beginAnswer.js';
 import exchangePlain from './exchangePlain.js';
@@ -76,9 +77,10 @@
     const mayRepeat = idempotent && runs + 1 < call.route.maximumAttempts;
     const patience = call.route.targetLatencyMilliseconds * PATIENCE_FACTOR;
     const startedAt = parts.clock.monotonicMilliseconds();
+    const timeLeft = timerUntil(parts.clock, call.deadlineAt);
     const answer = await exchangePlain(parts, call, candidate, {
       fresh: !idempotent,
-      timeoutMilliseconds: mayRepeat ? Math.min(remaining(), patience) : Math.max(1, remaining()),
+      timeoutMilliseconds: mayRepeat ? Math.min(timeLeft, patience) : timeLeft,
       signal,
     });
     const took = parts.clock.monotonicMilliseconds() - startedAt;
