--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -126,14 +126,16 @@
         state.told();
         const streams = [...state.streams];
         const started = streams.filter(({ lastEventAt, paused }) => lastEventAt !== null && !paused);
+        const formation = streams[0]?.formation ?? '';
         return {
           worker,
-          formation: streams[0]?.formation ?? '',
+          formation,
           outstanding: state.outstanding,
           started: started.length,
           unreadTokens: state.unreadTokens,
           // Before the first event the silence has no beginning.
           silentMilliseconds: Math.round(Math.min(now - state.lastProgressAt, LONGEST_SILENCE_MILLISECONDS)),
+          doubted: state.isDoubted(formation),
         };
       });
     return {
@@ -177,7 +179,8 @@
       version: workerRows.version,
     };
     this.#server.broadcast(state, () => [...workerRows.all()]);
-    state.stalled.forEach(({ formation }) => controller.formationStalled(formation));
+    const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
+    [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
     this.#applyTargets(state);
   }
 
--- a/packages/gateway/src/lib/targets/StallDetector.ts
+++ b/packages/gateway/src/lib/targets/StallDetector.ts
@@ -20,6 +20,9 @@
 /** Least such wait, in ms. */
 const LEAST_UNSTARTED_MILLISECONDS = 400;
 
+/** Share of the limit of silence from which the holder of the lease is asked to look at the group. */
+const DOUBT_SHARE = 0.75;
+
 /** Time for which a suspected target is left out, in ms; a new formation of its group ends it. */
 const SUSPICION_MILLISECONDS = 400;
 
@@ -86,6 +89,9 @@
     const limit = started.length === 0
       ? Math.max(LEAST_UNSTARTED_MILLISECONDS, first.expectedMilliseconds * UNSTARTED_FACTOR)
       : this.#options.quietLimit(worker, state.estimateUnreadTokens());
+    if (silence > limit * DOUBT_SHARE) {
+      state.doubt(first.formation);
+    }
     if (silence <= limit) {
       return;
     }
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -20,6 +20,9 @@
 /** Longest such time, in ms. */
 const LONGEST_BACKOFF_MILLISECONDS = 2_000;
 
+/** Time for which a doubt is told to the holder of the lease, in ms: two messages. */
+const DOUBT_MILLISECONDS = 250;
+
 /** Window in which requests to a cold target are counted, in ms. */
 const COLD_WINDOW_MILLISECONDS = 1_000;
 
@@ -65,6 +68,10 @@
 
   #suspectedFormation = '';
 
+  #doubtedUntil = Number.NEGATIVE_INFINITY;
+
+  #doubtedFormation = '';
+
   #recentSends: number[] = [];
 
   constructor(clock: Clock) {
@@ -154,6 +161,16 @@
     return this.#now() < this.#suspectedUntil && this.#suspectedFormation === formation;
   }
 
+  /** Notes that the target has been silent for so long that its group should be asked. */
+  doubt(formation: string): void {
+    this.#doubtedUntil = this.#now() + DOUBT_MILLISECONDS;
+    this.#doubtedFormation = formation;
+  }
+
+  isDoubted(formation: string): boolean {
+    return this.#now() < this.#doubtedUntil && this.#doubtedFormation === formation;
+  }
+
   /** Notes that a request is sent. */
   sending(): void {
     const now = this.#now();
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -338,7 +338,10 @@
       detector.check();
     }
   };
-  wait(440);
+  wait(280);
+  expect(states.of(worker).isDoubted('g/1')).toBe(false);
+  wait(160);
+  expect(states.of(worker).isDoubted('g/1')).toBe(true);
   expect(moved).toBe(false);
   wait(40);
   expect(moved).toBe(true);
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -1,8 +1,8 @@
 import type {
-  Clock, FencingNumber, ModelName, ServiceId, TableStore,
+  Clock, FencingNumber, ModelName, ServiceId, TableStore, WorkerId,
 } from '@dandelionlane/core';
 import type {
-  ConfigurationHolder, EngineProfile, Worker, WorkerPort, WorkerTable,
+  ConfigurationHolder, EngineProfile, Worker, WorkerOrder, WorkerPort, WorkerTable,
 } from '@dandelionlane/fleet';
 import type { HeldLease } from '@dandelionlane/platform';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
@@ -300,6 +300,21 @@
     void this.#carryOut(step, worker, { fencing: lease.fencing, expectedSequence });
   }
 
+  /** What an accepted order changes at once; reports show it later. */
+  #noteMembership(id: WorkerId, order: WorkerOrder): void {
+    if (order.kind === 'join') {
+      const { group, epoch, members } = order;
+      const membership = {
+        name: group, epoch, rank: members.indexOf(id), state: 'joining' as const,
+      };
+      this.#observer.groupAccepted(id, membership, order.model);
+    } else if (order.kind === 'leave') {
+      this.#observer.groupAccepted(id, null, null);
+    } else if (order.kind === 'open') {
+      this.#observer.openAccepted(id);
+    }
+  }
+
   async #carryOut(
     { worker: id, order }: OrderStep,
     worker: Worker,
@@ -308,7 +323,12 @@
     const { port, log, metrics } = this.#options;
     const outcome = await port.order(worker, order, stamp, ORDER_TIMEOUT_MILLISECONDS);
     const result = outcome.isOk() ? outcome.value : 'unanswered';
-    this.#observer.orderEnded(id, result === 'begun' ? stamp.expectedSequence + 1 : null);
+    // A leave is done by the time of its answer, and counts as an order.
+    const counts = result === 'begun' || (result === 'done' && order.kind === 'leave');
+    this.#observer.orderEnded(id, counts ? stamp.expectedSequence + 1 : null);
+    if (result === 'begun' || result === 'done') {
+      this.#noteMembership(id, order);
+    }
     metrics.count('groups.orders', 1, [`kind:${order.kind}`, `outcome:${result}`]);
     log.info('Order sent.', {
       worker: id,
--- a/packages/groups/src/lib/observation/ObservedWorker.ts
+++ b/packages/groups/src/lib/observation/ObservedWorker.ts
@@ -1,3 +1,4 @@
+import type { ModelName } from '@dandelionlane/core';
 import type { Worker, WorkerReport } from '@dandelionlane/fleet';
 
 /** What the holder of the lease knows of one worker. */
@@ -15,6 +16,10 @@
   readonly silentMilliseconds: number;
   /** Time since its reported group or its state changed, in ms. */
   readonly groupStateMilliseconds: number;
+  /** Model of the group that it last joined by an order of this term, or null. */
+  readonly lastModel: ModelName | null;
+  /** Whether it has accepted to open its group a moment ago. */
+  readonly opening: boolean;
   /** Whether an order is under way, or its answer was lost and no report has come since. */
   readonly ordering: boolean;
 }
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -1,6 +1,6 @@
-import type { Clock, WorkerId } from '@dandelionlane/core';
+import type { Clock, ModelName, WorkerId } from '@dandelionlane/core';
 import type {
-  Worker, WorkerEntry, WorkerPort, WorkerReport,
+  GroupMembership, Worker, WorkerEntry, WorkerPort, WorkerReport,
 } from '@dandelionlane/fleet';
 import type { Log } from '@dandelionlane/telemetry';
 import FleetObservation from './FleetObservation.js';
@@ -11,11 +11,14 @@
 /** Time after which a question counts as unanswered, in ms: a report needs no place and takes about 2 ms. */
 const REPORT_TIMEOUT_MILLISECONDS = 250;
 
-/** Time between two questions to a worker of a group, in ms. */
-const MEMBER_INTERVAL_MILLISECONDS = 500;
+/** The same for a worker whose group seems to stand still: streams wait for what the answer decides. */
+const EXPEDITED_TIMEOUT_MILLISECONDS = 150;
+
+/** Time between two questions to a worker of a group, in ms: its streams tell sooner when it stands still. */
+const MEMBER_INTERVAL_MILLISECONDS = 1_000;
 
 /** Time between two questions to a spare, in ms. */
-const SPARE_INTERVAL_MILLISECONDS = 1_000;
+const SPARE_INTERVAL_MILLISECONDS = 2_000;
 
 /** Time between two questions to a worker whose state is about to change, in ms. */
 const CHANGING_INTERVAL_MILLISECONDS = 80;
@@ -26,6 +29,15 @@
 /** Time after which an accepted order that no report counts is taken to be lost, in ms. */
 const ORDER_EFFECT_MILLISECONDS = 1_000;
 
+/** Time after an accepted order in which a registration may still tell of the time before it, in ms. */
+const REGISTRATION_LAG_MILLISECONDS = 400;
+
+/** Age up to which an answer shows that a worker lives, in ms: below the silence that raises a doubt. */
+const RECENT_ANSWER_MILLISECONDS = 150;
+
+/** Time after an accepted order to open in which it is not repeated, in ms: heads take some hundred ms. */
+const OPENING_MILLISECONDS = 1_000;
+
 /** What an unanswered question counts when streams of the group have fallen silent too. */
 const EXPEDITED_MISSES = 2;
 
@@ -52,8 +64,13 @@
   orderSequence: number;
   /** Whether it was asked out of turn since its last answer. */
   expedited: boolean;
-  /** Monotonic time of the last change of its registration's group, in ms. */
-  registeredGroupAt: number;
+  /** Monotonic time from which its group is known by its registration or by an accepted order, in ms. */
+  groupKnownAt: number;
+  /** Monotonic time at which it last accepted to join or to leave a group, in ms. */
+  acceptedAt: number;
+  lastModel: ModelName | null;
+  /** Monotonic time at which it last accepted to open its group, in ms. */
+  openAcceptedAt: number;
 }
 
 function describeGroup({ group }: Pick<Worker, 'group'>): string {
@@ -99,11 +116,13 @@
     [...this.#sightings.keys()].filter((id) => !wanted.has(id)).forEach((id) => this.#sightings.delete(id));
   }
 
-  /** Asks the members of a formation at once: it seems to stand still. */
+  /** Asks the members of a formation at once, but those that have just answered: it seems to stand still. */
   expedite(formation: string): void {
+    const now = this.#now();
     this.#sightings.forEach((sighting) => {
       const group = sighting.report?.group ?? null;
-      if (group !== null && `${group.name}/${group.epoch}` === formation && !sighting.expedited) {
+      if (group !== null && `${group.name}/${group.epoch}` === formation && !sighting.expedited
+        && now - sighting.answeredAt > RECENT_ANSWER_MILLISECONDS) {
         Object.assign(sighting, { askedAt: Number.NEGATIVE_INFINITY, expedited: true });
       }
     });
@@ -149,6 +168,33 @@
     }
   }
 
+  /**
+   * The worker has accepted to join or to leave a group, which takes effect at once.
+   * @param group The group that it is in now.
+   * @param model Model of the group that it has joined; null when it has left one.
+   */
+  groupAccepted(id: WorkerId, group: GroupMembership | null, model: ModelName | null): void {
+    const sighting = this.#sightings.get(id);
+    if (sighting === undefined || sighting.report === null) {
+      return;
+    }
+    const now = this.#now();
+    sighting.order = 'none';
+    sighting.openAcceptedAt = Number.NEGATIVE_INFINITY;
+    sighting.acceptedAt = now;
+    sighting.groupKnownAt = now;
+    sighting.lastModel = model ?? sighting.lastModel;
+    WorkerObserver.#takeReport(sighting, { ...sighting.report, group }, now);
+  }
+
+  /** The head has accepted to open its group, and serves after a while. */
+  openAccepted(id: WorkerId): void {
+    const sighting = this.#sightings.get(id);
+    if (sighting !== undefined) {
+      sighting.openAcceptedAt = this.#now();
+    }
+  }
+
   observation(): FleetObservation {
     const now = this.#now();
     const workers = new Map([...this.#sightings].map(([id, sighting]): [WorkerId, ObservedWorker] => [id, {
@@ -159,6 +205,8 @@
       misses: sighting.misses,
       silentMilliseconds: now - sighting.answeredAt,
       groupStateMilliseconds: now - sighting.groupChangedAt,
+      lastModel: sighting.lastModel,
+      opening: now - sighting.openAcceptedAt < OPENING_MILLISECONDS,
       ordering: sighting.order !== 'none',
     }]));
     return new FleetObservation(workers, now - this.#newestAt);
@@ -202,7 +250,10 @@
       orderEndedAt: Number.NEGATIVE_INFINITY,
       orderSequence: 0,
       expedited: false,
-      registeredGroupAt: Number.NEGATIVE_INFINITY,
+      groupKnownAt: Number.NEGATIVE_INFINITY,
+      acceptedAt: Number.NEGATIVE_INFINITY,
+      lastModel: null,
+      openAcceptedAt: Number.NEGATIVE_INFINITY,
     });
   }
 
@@ -217,7 +268,11 @@
     if (worker.group === sighting.worker.group || describeGroup(worker) === describeGroup(sighting.worker)) {
       return;
     }
-    sighting.registeredGroupAt = now;
+    if (now - sighting.acceptedAt < REGISTRATION_LAG_MILLISECONDS) {
+      // May have been on its way already; a report tells.
+      return;
+    }
+    sighting.groupKnownAt = now;
     if (sighting.report !== null) {
       const { group, stagedModels } = worker;
       WorkerObserver.#takeReport(sighting, { ...sighting.report, group, stagedModels }, now);
@@ -252,7 +307,8 @@
     const asksAfterOrder = sighting.order === 'ended';
     sighting.asking = true;
     sighting.askedAt = now;
-    const answer = await this.#options.port.report(sighting.worker, REPORT_TIMEOUT_MILLISECONDS);
+    const timeout = sighting.expedited ? EXPEDITED_TIMEOUT_MILLISECONDS : REPORT_TIMEOUT_MILLISECONDS;
+    const answer = await this.#options.port.report(sighting.worker, timeout);
     sighting.asking = false;
     if (answer.isErr()) {
       this.#missed(sighting, asksAfterOrder, delayed, answer.error.message);
@@ -268,7 +324,7 @@
     const answeredAt = this.#now();
     const madeAt = answeredAt - this.#options.reportLagMilliseconds();
     const { group, stagedModels } = sighting.report ?? answer.value;
-    const report = madeAt < sighting.registeredGroupAt
+    const report = madeAt < sighting.groupKnownAt
       ? { ...answer.value, group, stagedModels } : answer.value;
     WorkerObserver.#takeReport(sighting, report, answeredAt);
     sighting.answeredAt = answeredAt;
--- a/packages/groups/src/lib/plan/WorkerPool.ts
+++ b/packages/groups/src/lib/plan/WorkerPool.ts
@@ -4,6 +4,7 @@
 import assessLiveness from '../observation/assessLiveness.js';
 import STRAGGLER_SLOWDOWN from './STRAGGLER_SLOWDOWN.js';
 import type GroupRecord from './GroupRecord.js';
+import isWarmingUp from './isWarmingUp.js';
 
 /** Workers of one service that belong to no group and can be given to one. */
 export default class WorkerPool {
@@ -21,7 +22,8 @@
       .map((id) => observation.workers.get(id))
       .filter((observed) => observed !== undefined)
       .filter((observed) => assessLiveness(observed) === 'alive' && !taken.has(observed.worker.id))
-      .filter(({ report }) => report?.group === null && report.slowdown < STRAGGLER_SLOWDOWN));
+      .filter((observed) => observed.report?.group === null || isWarmingUp(observed))
+      .filter(({ report }) => report !== null && report.slowdown < STRAGGLER_SLOWDOWN));
   }
 
   /** Free workers of a domain. */
--- a/packages/groups/src/lib/plan/planFormation.ts
+++ b/packages/groups/src/lib/plan/planFormation.ts
@@ -51,7 +51,7 @@
     const members = record.members.map((member) => observation.findAnswering(member));
     const allReady = members.every((member) => isMemberOf(record, member)
       && member?.report?.group?.state === 'ready');
-    return allReady
+    return allReady && !head.opening
       ? [{
         kind: 'order',
         worker: head.worker.id,
--- a/packages/groups/src/lib/plan/planGroups.ts
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -68,6 +68,6 @@
     service, engine, records, pool, epochs, domainSizes: countByDomain(observation, candidates),
   });
   const all = [...records, ...created.flatMap((step) => (step.kind === 'write' ? [step.record] : []))];
-  const staging = pool.domains().flatMap((domain) => planStaging(domain, all, pool));
+  const staging = pool.domains().flatMap((domain) => planStaging(domain, all, pool, epochs));
   return [...repairs, ...created, ...planStrays(observation, records, candidates), ...staging];
 }
--- a/packages/groups/src/lib/plan/planRelease.ts
+++ b/packages/groups/src/lib/plan/planRelease.ts
@@ -6,7 +6,10 @@
 /** Longest time that a head may finish its running requests before they are cut, in ms. */
 const FINISH_MILLISECONDS = 2_500;
 
-/** Next order that takes a former head out of its formation; none when it is out or does not answer. */
+/**
+ * Next order that takes a former head out of its formation; none when it is out or does not answer.
+ * A head whose group stands still leaves at once: nothing that it runs can come to an end.
+ */
 export default function planRelease(
   record: GroupRecord,
   former: FormerHead,
@@ -18,21 +21,21 @@
     || group.name !== record.name || group.epoch !== former.epoch) {
     return [];
   }
-  const order = (step: 'finish' | 'cut' | 'leave'): readonly GroupStep[] => [{
+  const order = (step: 'finish' | 'leave'): readonly GroupStep[] => [{
     kind: 'order',
     worker: former.head.id,
     order: step === 'leave'
       ? { kind: 'leave', group: record.name, epoch: former.epoch }
       : {
-        kind: 'close', group: record.name, epoch: former.epoch, strategy: step,
+        kind: 'close', group: record.name, epoch: former.epoch, strategy: 'finish',
       },
     loads: false,
   }];
   switch (group.state) {
     case 'open':
-      return order(former.stalled ? 'cut' : 'finish');
+      return order(former.stalled ? 'leave' : 'finish');
     case 'closing':
-      return former.stalled || observed.groupStateMilliseconds > FINISH_MILLISECONDS ? order('cut') : [];
+      return former.stalled || observed.groupStateMilliseconds > FINISH_MILLISECONDS ? order('leave') : [];
     case 'joining':
     case 'ready':
     case 'broken':
--- a/packages/groups/src/lib/plan/planStaging.ts
+++ b/packages/groups/src/lib/plan/planStaging.ts
@@ -1,15 +1,18 @@
 import type { FabricDomainId, ModelName } from '@dandelionlane/core';
 import type ObservedWorker from '../observation/ObservedWorker.js';
+import type EpochSource from './EpochSource.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
 import WorkerPool from './WorkerPool.js';
 import allotSpares from './allotSpares.js';
+import planWarmUp from './planWarmUp.js';
 
-/** Has the spares of a domain hold the weights that its groups would miss. */
+/** Has the spares of a domain hold the weights that its groups would miss, ready to join. */
 export default function planStaging(
   domain: FabricDomainId | null,
   records: readonly GroupRecord[],
   pool: WorkerPool,
+  epochs: EpochSource,
 ): readonly GroupStep[] {
   const members = new Map<ModelName, number>();
   records.filter((record) => record.members[0]?.domain === domain)
@@ -24,12 +27,17 @@
     }
     return left > 0;
   };
-  const isSettled = (spare: ObservedWorker): boolean => {
-    const isOpen = (name: ModelName) => (open.get(name) ?? 0) > 0;
-    return take([...open.keys()].find((name) => isOpen(name) && WorkerPool.isStaged(spare, name)));
-  };
-  return spares.filter((spare) => !isSettled(spare)).flatMap((spare): GroupStep[] => {
-    const model = [...open.keys()].find((name) => (open.get(name) ?? 0) > 0);
+  const isOpen = (name: ModelName) => (open.get(name) ?? 0) > 0;
+  const staged = new Map(spares.flatMap((spare): [ObservedWorker, ModelName][] => {
+    const model = [...open.keys()].find((name) => isOpen(name) && WorkerPool.isStaged(spare, name));
+    return model !== undefined && take(model) ? [[spare, model]] : [];
+  }));
+  return spares.flatMap((spare): readonly GroupStep[] => {
+    const held = staged.get(spare);
+    if (held !== undefined) {
+      return planWarmUp(spare, held, epochs);
+    }
+    const model = [...open.keys()].find(isOpen);
     // A busy spare is loading already; it counts for the model that it would be given.
     const isIdle = !spare.ordering && spare.report?.busy !== true;
     return model !== undefined && take(model) && isIdle ? [{
--- a/packages/groups/src/lib/plan/planStrays.ts
+++ b/packages/groups/src/lib/plan/planStrays.ts
@@ -3,9 +3,10 @@
 import assessLiveness from '../observation/assessLiveness.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
+import isWarmingUp from './isWarmingUp.js';
 import mayLeave from './mayLeave.js';
 
-/** Takes workers out of groups that have no record, a late order for instance. */
+/** Takes workers out of groups that have no record: warm-ups that are over, a late order for instance. */
 export default function planStrays(
   observation: FleetObservation,
   records: readonly GroupRecord[],
@@ -15,7 +16,8 @@
   return candidates.flatMap((id): readonly GroupStep[] => {
     const observed = observation.workers.get(id);
     const group = observed?.report?.group ?? null;
-    if (observed === undefined || group === null || observed.ordering) {
+    if (observed === undefined || group === null || observed.ordering
+      || (group.state === 'joining' && isWarmingUp(observed))) {
       return [];
     }
     const liveness = assessLiveness(observed);
--- /dev/null
+++ b/packages/groups/src/lib/plan/planWarmUp.ts
@@ -0,0 +1,26 @@
+import type { ModelName } from '@dandelionlane/core';
+import type ObservedWorker from '../observation/ObservedWorker.js';
+import type EpochSource from './EpochSource.js';
+import type GroupStep from './GroupStep.js';
+import warmUpGroupOf from './warmUpGroupOf.js';
+
+/**
+ * Has a spare load a model from its host once, in a group of its own that never opens and that it
+ * leaves again. A worker that joins a group of its last model is ready at once, and not only
+ * after the weights have been loaded.
+ */
+export default function planWarmUp(
+  spare: ObservedWorker,
+  model: ModelName,
+  epochs: EpochSource,
+): readonly GroupStep[] {
+  const isIdle = !spare.ordering && spare.report?.group === null && !spare.report.busy;
+  return isIdle && spare.lastModel !== model ? [{
+    kind: 'order',
+    worker: spare.worker.id,
+    order: {
+      kind: 'join', group: warmUpGroupOf(spare.worker.id), epoch: epochs.next(), model, members: [spare.worker.id],
+    },
+    loads: false,
+  }] : [];
+}
--- a/packages/groups/src/test/FakeGroupWorker.ts
+++ b/packages/groups/src/test/FakeGroupWorker.ts
@@ -1,5 +1,5 @@
 import {
-  AvailabilityZoneId, Epoch, FabricDomainId, ModelName, ServiceId, WorkerId,
+  AvailabilityZoneId, Epoch, FabricDomainId, ModelName, ServiceId, WorkerId, type GroupName,
 } from '@dandelionlane/core';
 import type {
   GroupMembership, OrderOutcome, OrderStamp, Worker, WorkerOrder, WorkerReport,
@@ -23,6 +23,9 @@
 
   staged: readonly ModelName[] = [];
 
+  /** Groups that it has joined, in order. */
+  joined: readonly GroupName[] = [];
+
   #fence = 0;
 
   #highestEpoch = 0;
@@ -114,6 +117,7 @@
       }
       this.#highestEpoch = order.epoch;
       this.members = order.members;
+      this.joined = [...this.joined, order.group];
       this.staged = [order.model];
       this.group = {
         name: order.group,
--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -54,6 +54,8 @@
 
   readonly #misses = new Map<WorkerId, number>();
 
+  readonly #lastModels = new Map<WorkerId, ModelName>();
+
   deposed = false;
 
   constructor(fencing: number, rows: GroupRows) {
@@ -101,6 +103,8 @@
         misses,
         silentMilliseconds: misses * 1_000,
         groupStateMilliseconds: 0,
+        lastModel: this.#lastModels.get(worker.id) ?? null,
+        opening: false,
         ordering: false,
       }];
     }));
@@ -123,6 +127,9 @@
           this.#unsaved.add(step.name);
           break;
         case 'order':
+          if (step.order.kind === 'join') {
+            this.#lastModels.set(step.worker, step.order.model);
+          }
           break;
         default:
           step satisfies never;
--- a/packages/groups/src/test/WorkerObserver.test.ts
+++ b/packages/groups/src/test/WorkerObserver.test.ts
@@ -1,6 +1,8 @@
 import { okAsync } from 'neverthrow';
 import { expect, test } from 'vitest';
-import { FencingNumber, ManualClock } from '@dandelionlane/core';
+import {
+  Epoch, FencingNumber, GroupName, ManualClock, ModelName,
+} from '@dandelionlane/core';
 import type { Worker, WorkerPort, WorkerReport } from '@dandelionlane/fleet';
 import assessLiveness from '../lib/observation/assessLiveness.js';
 import WorkerObserver from '../lib/observation/WorkerObserver.js';
@@ -11,14 +13,14 @@
 };
 
 /** Observes one worker whose address answers with the given report. */
-async function observe(worker: Worker, answer: () => WorkerReport) {
+async function observe(worker: Worker, answer: () => WorkerReport, lag = 0) {
   const clock = new ManualClock(1_000);
   const port: WorkerPort = {
     report: () => okAsync(answer()),
     order: () => okAsync('done' as const),
   };
   const observer = new WorkerObserver({
-    port, clock, log: LOG, reportLagMilliseconds: () => 0,
+    port, clock, log: LOG, reportLagMilliseconds: () => lag,
   });
   const round = async () => {
     observer.follow([{
@@ -63,3 +65,54 @@
   expect(after?.ordering).toBe(false);
   expect(after?.report?.orderSequence).toBe(1);
 });
+
+const MEMBERSHIP = {
+  name: GroupName.parse('g'), epoch: Epoch.parse(3), rank: 0, state: 'ready' as const,
+};
+
+test('a worker that has accepted to leave is free, whatever an older report says', async () => {
+  const worker = new FakeGroupWorker('w', 5);
+  worker.group = MEMBERSHIP;
+  const { observer, round } = await observe(worker.worker(), () => worker.report(), 5_000);
+  await round();
+  observer.orderSent(worker.id);
+  observer.orderEnded(worker.id, 1);
+  observer.groupAccepted(worker.id, null, null);
+  const freed = observer.observation().workers.get(worker.id);
+  expect(freed?.ordering).toBe(false);
+  expect(freed?.report?.group).toBeNull();
+  expect((await round())?.report?.group).toBeNull();
+});
+
+test('a registration on its way does not undo an accepted order', async () => {
+  const worker = new FakeGroupWorker('w', 5);
+  worker.group = MEMBERSHIP;
+  const { observer, round } = await observe(worker.worker(), () => worker.report());
+  await round();
+  observer.groupAccepted(worker.id, null, null);
+  const registered = { ...worker.worker(), group: { ...MEMBERSHIP, state: 'open' as const } };
+  observer.follow([{
+    worker: registered, group: registered.group, models: [], coldUntil: 0, lapsedAt: null,
+  }], []);
+  expect(observer.observation().workers.get(worker.id)?.report?.group).toBeNull();
+});
+
+test('the model of the last accepted join is known', async () => {
+  const worker = new FakeGroupWorker('w', 5);
+  const { observer, round } = await observe(worker.worker(), () => worker.report());
+  await round();
+  observer.groupAccepted(worker.id, MEMBERSHIP, ModelName.parse('m'));
+  observer.groupAccepted(worker.id, null, null);
+  expect(observer.observation().workers.get(worker.id)?.lastModel).toBe('m');
+});
+
+test('a head that has accepted to open is not told again for a while', async () => {
+  const worker = new FakeGroupWorker('w', 5);
+  worker.group = MEMBERSHIP;
+  const { observer, round, clock } = await observe(worker.worker(), () => worker.report());
+  await round();
+  observer.openAccepted(worker.id);
+  expect(observer.observation().workers.get(worker.id)?.opening).toBe(true);
+  clock.advance(1_000);
+  expect(observer.observation().workers.get(worker.id)?.opening).toBe(false);
+});
--- a/packages/groups/src/test/handOver.test.ts
+++ b/packages/groups/src/test/handOver.test.ts
@@ -226,3 +226,28 @@
   calmRounds(model, 8);
   expect(model.workers.filter(({ isServing }) => isServing).length).toBe(3);
 });
+
+test('a spare is warmed up once and is free again', () => {
+  const model = new Model();
+  calmRounds(model, 12);
+  const spares = model.workers.filter(({ group }) => group === null);
+  expect(spares.length).toBeGreaterThan(0);
+  spares.forEach(({ id, joined }) => expect(joined).toEqual([`warm-up-${id}`]));
+});
+
+test('a spare that warms up replaces a lost member at once', () => {
+  const model = new Model();
+  const isWarming = ({ id, group }: FakeGroupWorker) => group?.name === `warm-up-${id}`;
+  for (let rounds = 0; rounds < 12 && !model.workers.some(isWarming); rounds += 1) {
+    model.apply({ kind: 'settle' });
+    model.apply({
+      kind: 'round', holder: 'new', silent: [], reachesStore: true,
+    });
+    model.apply({ kind: 'deliver', pick: 0, count: 20 });
+  }
+  expect(model.workers.some(isWarming)).toBe(true);
+  const lost = model.workers.findIndex(({ group }) => group?.rank === 1);
+  model.apply({ kind: 'crash', worker: lost });
+  calmRounds(model, 8);
+  expect(model.workers.filter(({ isServing }) => isServing).length).toBe(3);
+});
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -19,6 +19,8 @@
     unreadTokens: z.number(),
     /** Time since any of its streams there brought an event, in ms. */
     silentMilliseconds: z.number(),
+    /** Whether the target has been silent for so long that its group should be asked. */
+    doubted: z.boolean(),
   })),
 });
 type EntryStatus = z.infer<typeof EntryStatus>;
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -22,7 +22,14 @@
     ready: true,
     callerAddress: `${entry}:1`,
     targets: [{
-      worker: HEAD, formation: 'g/1', outstanding: 2, started: 1, unreadTokens: 10, silentMilliseconds: 500, ...target,
+      worker: HEAD,
+      formation: 'g/1',
+      outstanding: 2,
+      started: 1,
+      unreadTokens: 10,
+      silentMilliseconds: 500,
+      doubted: false,
+      ...target,
     }],
   };
 }
