Let the holder of the lease act on without the store, unless the store serves others

The holder kept its term only if the store had not answered within a term when the lease ran out; but the lease runs out 250 ms before that, so each outage ended the term. Ruled out: workers that refuse (no order was sent), the lease taken by another. Now a term ends when the row was last read as somebody else's, of a later term or released. Where the store turns away the holder only, it hears by the links that others have had later answers, and leaves the lease to them: they see new workers, which it does not. A renewal is one write over the version last written, without a read; entries that are linked read the lease every 4.5 s; the first step is taken as soon as a process may contend, not up to 0.45 s later.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -1,7 +1,7 @@
 import type { Clock, EntryId, WorkerId } from '@dandelionlane/core';
 import type { EntryRegistry, KnownEntry, TargetStates } from '@dandelionlane/gateway';
 import {
-  LinkClient, LinkServer, findStalled, sumLoads, type EntryStatus, type FleetState,
+  LinkClient, LinkServer, findStalled, othersReachStore, sumLoads, type EntryStatus, type FleetState,
 } from '@dandelionlane/links';
 import type { Log } from '@dandelionlane/telemetry';
 import type FleetEntrySettings from './FleetEntrySettings.js';
@@ -143,10 +143,27 @@
       entry: settings.entry,
       ready: isReady(),
       callerAddress: `${settings.callers.host}:${settings.callers.port}`,
+      storeAgeMilliseconds: Math.round(Math.min(this.#storeAge(), LONGEST_SILENCE_MILLISECONDS)),
       targets,
     };
   }
 
+  /** Time since the store last answered this process, in ms. */
+  #storeAge(): number {
+    const { control: { lease }, view: { operatorFollower } } = this.#options;
+    return Math.min(lease.ageMilliseconds, operatorFollower.ageMilliseconds);
+  }
+
+  /** Leaves the lease to others where the store serves them: they see what this process misses. */
+  #handOver(others: readonly { readonly status: EntryStatus; readonly ageMilliseconds: number }[]): void {
+    const { control, log } = this.#options;
+    const ages = others.map(({ status, ageMilliseconds }) => status.storeAgeMilliseconds + ageMilliseconds);
+    if (!control.lease.isInTouch() && othersReachStore(this.#storeAge(), ages)) {
+      log.warn('The store serves others only, giving the lease up.', { storeAge: Math.round(this.#storeAge()) });
+      control.leadership.resign();
+    }
+  }
+
   #lead(): void {
     const {
       settings, registry, view: { workerRows, workerFollower }, control: { controller }, quietLimit,
@@ -182,6 +199,7 @@
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
     this.#applyTargets(state);
+    this.#handOver(others);
   }
 
   #takeState(state: FleetState): void {
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -10,7 +10,10 @@
 const LEASE_PERIOD_MILLISECONDS = 450;
 
 /** Such pauses between two steps while the holder is known to live by the link to it. */
-const LINKED_LEASE_ROUNDS = 4;
+const LINKED_LEASE_ROUNDS = 10;
+
+/** Pause between two looks at whether this process may contend yet, in ms. */
+const ELIGIBILITY_PERIOD_MILLISECONDS = 30;
 
 /** Time after the first start of the whole system in which loads of weights are not paced, in ms. */
 const BOOTSTRAP_MILLISECONDS = 9_000;
@@ -35,6 +38,8 @@
 
   #rounds = 0;
 
+  #beginning: NodeJS.Timeout | undefined;
+
   #stopLease: (() => Promise<void>) | null = null;
 
   constructor(runtime: EntryRuntime, options: GroupControlOptions) {
@@ -53,6 +58,7 @@
     });
     this.leadership = new Leadership({
       lease: this.lease,
+      holder: ControllerId.parse(settings.entry),
       clock: wakefulClock,
       // Without the store nobody can follow a holder that leaves.
       isEligible: () => view.workerSink.loaded && (!isLeaving() || !this.lease.isInTouch()),
@@ -75,11 +81,18 @@
 
   start(): void {
     this.controller.start();
-    this.#stopLease = repeatWork(() => this.#keepLease(), LEASE_PERIOD_MILLISECONDS);
+    // After a restart of all entries the groups wait for a holder.
+    this.#beginning = setInterval(() => {
+      if (this.leadership.mayContend) {
+        clearInterval(this.#beginning);
+        this.#stopLease = repeatWork(() => this.#keepLease(), LEASE_PERIOD_MILLISECONDS);
+      }
+    }, ELIGIBILITY_PERIOD_MILLISECONDS);
   }
 
   /** Leaves the lease to others. */
   async release(): Promise<void> {
+    clearInterval(this.#beginning);
     await this.lease.release();
     await this.#stopLease?.();
   }
--- a/packages/fleet-entry/src/lib/Leadership.ts
+++ b/packages/fleet-entry/src/lib/Leadership.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@dandelionlane/core';
+import type { Clock, ControllerId } from '@dandelionlane/core';
 import type { HeldLease, LeaseKeeper } from '@dandelionlane/platform';
 
 /** Time for which the lease is left to others after it was given up, in ms. */
@@ -7,6 +7,8 @@
 /** What a `Leadership` needs from outside. */
 interface LeadershipOptions {
   readonly lease: LeaseKeeper;
+  /** This process. */
+  readonly holder: ControllerId;
   /** Clock that goes on while the process is stopped. */
   readonly clock: Clock;
   /** Whether this process may hold the lease at all. */
@@ -43,13 +45,21 @@
     if (!this.mayContend) {
       return null;
     }
-    const held = lease.held();
-    if (held !== null || lease.isInTouch()) {
-      this.#lastHeld = held;
+    this.#lastHeld = lease.held() ?? this.#lastHeld;
+    if (this.#isLost()) {
+      this.#lastHeld = null;
     }
     return this.#lastHeld;
   }
 
+  /** Whether the lease was last read as somebody else's, of a later term, or as released. */
+  #isLost(): boolean {
+    const { lease, holder } = this.#options;
+    const observed = lease.observed();
+    return observed === null || observed.released || observed.holder !== holder
+      || observed.fencing !== this.#lastHeld?.fencing;
+  }
+
   /** Gives the lease up, for others to take. */
   resign(): void {
     this.#resignedAt = this.#options.clock.monotonicMilliseconds();
--- /dev/null
+++ b/packages/fleet-entry/src/test/Leadership.test.ts
@@ -0,0 +1,88 @@
+import { errAsync } from 'neverthrow';
+import { expect, test } from 'vitest';
+import {
+  ControllerId, ManualClock, MemoryTableStore, RegionId, ServingError, type TableStore,
+} from '@dandelionlane/core';
+import { LeaseKeeper } from '@dandelionlane/platform';
+import LEASE_SETTINGS from '../lib/LEASE_SETTINGS.js';
+import Leadership from '../lib/Leadership.js';
+
+const STEP_MILLISECONDS = 450;
+
+/** A process that contends for the lease over a store that can be away. */
+class Contender {
+  readonly lease: LeaseKeeper;
+
+  readonly leadership: Leadership;
+
+  away = false;
+
+  constructor(name: string, store: MemoryTableStore, clock: ManualClock) {
+    const unavailable = () => errAsync(new ServingError('away', { kind: 'store-unavailable' }));
+    const reached: TableStore = {
+      read: (keys) => (this.away ? unavailable() : store.read(keys)),
+      scan: (table, prefix) => (this.away ? unavailable() : store.scan(table, prefix)),
+      commit: (transaction) => (this.away ? unavailable() : store.commit(transaction)),
+    };
+    this.lease = new LeaseKeeper({
+      store: reached,
+      clock,
+      controller: ControllerId.parse(name),
+      region: RegionId.parse('r'),
+      settings: LEASE_SETTINGS,
+    });
+    this.leadership = new Leadership({
+      lease: this.lease, holder: ControllerId.parse(name), clock, isEligible: () => true,
+    });
+  }
+}
+
+function create() {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock(10_000);
+  return { clock, one: new Contender('one', store, clock), two: new Contender('two', store, clock) };
+}
+
+test('a holder acts on all the while that the store is away', async () => {
+  const { clock, one } = create();
+  await one.lease.step();
+  expect(one.leadership.acting()?.fencing).toBe(1);
+  one.away = true;
+  for (let waited = 0; waited < 8_000; waited += 10) {
+    if (waited % STEP_MILLISECONDS === 0) {
+      await one.lease.step();
+    }
+    expect(one.leadership.acting()?.fencing, `after ${waited} ms`).toBe(1);
+    clock.advance(10);
+  }
+});
+
+test('a holder that reads of another one stops', async () => {
+  const { clock, one, two } = create();
+  await one.lease.step();
+  expect(one.leadership.acting()?.fencing).toBe(1);
+  await two.lease.step();
+  one.away = true;
+  clock.advance(LEASE_SETTINGS.termMilliseconds);
+  await two.lease.step();
+  expect(two.leadership.acting()?.fencing).toBe(2);
+  expect(one.leadership.acting()?.fencing).toBe(1);
+  one.away = false;
+  await one.lease.step();
+  expect(one.leadership.acting()).toBeNull();
+});
+
+test('a holder that resigned does not act', async () => {
+  const { one } = create();
+  await one.lease.step();
+  one.leadership.resign();
+  expect(one.leadership.acting()).toBeNull();
+});
+
+test('a holder that released its lease does not act', async () => {
+  const { one } = create();
+  await one.lease.step();
+  expect(one.leadership.acting()).not.toBeNull();
+  await one.lease.release();
+  expect(one.leadership.acting()).toBeNull();
+});
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -5,4 +5,5 @@
 export { default as LinkServer } from './lib/LinkServer.js';
 export { default as decodeMessage } from './lib/decodeMessage.js';
 export { default as findStalled } from './lib/findStalled.js';
+export { default as othersReachStore } from './lib/othersReachStore.js';
 export { default as sumLoads } from './lib/sumLoads.js';
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -8,6 +8,8 @@
   /** Whether callers may be sent to it. */
   ready: z.boolean(),
   callerAddress: z.string(),
+  /** Time since the store last answered it, in ms. */
+  storeAgeMilliseconds: z.number(),
   /** Model targets that it has requests at. */
   targets: z.array(z.object({
     worker: WorkerId,
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -8,6 +8,7 @@
 import LinkServer from '../lib/LinkServer.js';
 import decodeMessage from '../lib/decodeMessage.js';
 import findStalled from '../lib/findStalled.js';
+import othersReachStore from '../lib/othersReachStore.js';
 import sumLoads from '../lib/sumLoads.js';
 
 const LOG = {
@@ -21,6 +22,7 @@
     entry: EntryId.parse(entry),
     ready: true,
     callerAddress: `${entry}:1`,
+    storeAgeMilliseconds: 0,
     targets: [{
       worker: HEAD,
       formation: 'g/1',
@@ -112,3 +114,10 @@
   await vi.waitFor(() => expect(lost).toBe(1));
   expect(client.working).toBe(false);
 });
+
+test('a holder tells an outage of its own from one for all', () => {
+  expect(othersReachStore(3_000, [])).toBe(false);
+  expect(othersReachStore(3_000, [2_600, 4_000])).toBe(false);
+  expect(othersReachStore(3_000, [2_600, 300])).toBe(true);
+  expect(othersReachStore(900, [0])).toBe(false);
+});
--- a/packages/platform/src/lib/lease/LeaseKeeper.ts
+++ b/packages/platform/src/lib/lease/LeaseKeeper.ts
@@ -56,10 +56,19 @@
     return this.#observation?.record?.holder ?? null;
   }
 
+  /** The lease as this process last read or wrote it; null before that, or for a row of another kind. */
+  observed(): LeaseRecord | null {
+    return this.#observation?.record ?? null;
+  }
+
+  /** Time since the table service last answered, in ms; infinite before the first time. */
+  get ageMilliseconds(): number {
+    return this.#options.clock.monotonicMilliseconds() - this.#answeredAt;
+  }
+
   /** Whether the table service answered within the last term. */
   isInTouch(): boolean {
-    const { clock, settings } = this.#options;
-    return clock.monotonicMilliseconds() - this.#answeredAt < settings.termMilliseconds;
+    return this.ageMilliseconds < this.#options.settings.termMilliseconds;
   }
 
   /** Condition by which a transaction commits only while the lease row is as this holder wrote it. */
@@ -67,11 +76,14 @@
     return { table: TABLE_NAMES.leases, key: this.#options.region, version: lease.version };
   }
 
-  /** One round: reads the row, then renews or acquires where that is allowed. */
+  /** One round: renews a lease that is held; else reads the row, and acquires where that is allowed. */
   async step(): Promise<void> {
     const {
       store, clock, region, settings, controller,
     } = this.#options;
+    if (this.held() !== null && await this.#renew()) {
+      return;
+    }
     const rows = await store.read([{ table: TABLE_NAMES.leases, key: region }]);
     if (rows.isErr()) {
       return;
@@ -97,6 +109,16 @@
     }
   }
 
+  /** Writes over the version that this process wrote last. Returns whether nothing else is to be done. */
+  async #renew(): Promise<boolean> {
+    const held = this.#held;
+    const observation = this.#observation;
+    if (held === null || observation === null || held.version !== observation.version) {
+      return false;
+    }
+    return this.#write(observation, held.fencing, false);
+  }
+
   /** Gives the lease up, so that a contender need not wait for the term to end. */
   async release(): Promise<void> {
     const lease = this.held();
@@ -108,7 +130,8 @@
     }
   }
 
-  async #write(observation: LeaseObservation, fencing: FencingNumber, released: boolean): Promise<void> {
+  /** Returns false where another process has written the row. */
+  async #write(observation: LeaseObservation, fencing: FencingNumber, released: boolean): Promise<boolean> {
     const {
       store, clock, controller, region, settings,
     } = this.#options;
@@ -125,12 +148,14 @@
       writes: [{ table: TABLE_NAMES.leases, key: region, value: record }],
     });
     if (outcome.isOk() && outcome.value.kind === 'committed') {
+      this.#answeredAt = clock.monotonicMilliseconds();
       this.#hold(record, outcome.value.version, startedAt);
-      return;
+      return true;
     }
     if (outcome.isErr() && outcome.error.kind === 'store-outcome-unknown') {
       await this.#settle(record, startedAt);
     }
+    return outcome.isErr();
   }
 
   /** After a lost answer: the row tells by its nonce whether the write took effect. */
