Form no group anew for registrations that return after an outage

The new holder took members without a registration for leaving ones and formed six whole groups anew at 37.0 s, in the middle of the recovery.

--- a/packages/fleet/src/lib/feed/WorkerSink.ts
+++ b/packages/fleet/src/lib/feed/WorkerSink.ts
@@ -30,7 +30,11 @@
     this.#table.all()
       .filter(({ worker }) => !present.has(worker.id))
       .forEach(({ worker }) => this.#table.remove(worker.id));
-    this.#loaded = true;
+    if (!this.#loaded) {
+      // This process cannot know whether the store was away until now.
+      this.#table.storeReturned();
+      this.#loaded = true;
+    }
   }
 
   change(rows: readonly TableRow[]): void {
--- a/packages/fleet/src/lib/workers/WorkerTable.ts
+++ b/packages/fleet/src/lib/workers/WorkerTable.ts
@@ -49,6 +49,11 @@
     this.#storeReturnedAt = this.#clock.monotonicMilliseconds();
   }
 
+  /** Whether registrations may be missing that return: the store was away until a moment ago. */
+  get isUnsteady(): boolean {
+    return this.#clock.monotonicMilliseconds() - this.#storeReturnedAt < REGISTRATION_RETURN_MILLISECONDS;
+  }
+
   put(worker: Worker): void {
     const coldUntil = this.#clock.monotonicMilliseconds() + worker.coldMilliseconds;
     const previous = this.#entries.get(worker.id);
@@ -74,10 +79,8 @@
     if (entry === undefined) {
       return;
     }
-    const now = this.#clock.monotonicMilliseconds();
-    const unsteady = now - this.#storeReturnedAt < REGISTRATION_RETURN_MILLISECONDS;
-    if (unsteady && !entry.worker.draining) {
-      this.#set({ ...entry, lapsedAt: entry.lapsedAt ?? now });
+    if (this.isUnsteady && !entry.worker.draining) {
+      this.#set({ ...entry, lapsedAt: entry.lapsedAt ?? this.#clock.monotonicMilliseconds() });
     } else {
       this.#drop(entry);
     }
@@ -85,8 +88,7 @@
 
   /** Drops lapsed workers that have not returned in time. */
   expire(): void {
-    const now = this.#clock.monotonicMilliseconds();
-    if (now - this.#storeReturnedAt >= REGISTRATION_RETURN_MILLISECONDS) {
+    if (!this.isUnsteady) {
       this.all().filter(({ lapsedAt }) => lapsedAt !== null).forEach((entry) => this.#drop(entry));
     }
   }
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -54,12 +54,12 @@
   readonly isBootstrapping: () => boolean;
 }
 
-function toWorker(reference: MemberReference, service: ServiceId): Worker {
+function toWorker(reference: MemberReference, service: ServiceId, draining: boolean): Worker {
   return {
     ...reference,
     service,
     slots: 0,
-    draining: true,
+    draining,
     coldMilliseconds: 0,
     models: [],
     stagedModels: [],
@@ -193,11 +193,14 @@
 
   #follow(): void {
     const { workers } = this.#options;
-    const registered = this.#engines().flatMap(([service]) => workers.ofService(service));
+    const { isUnsteady } = workers;
+    const registered = this.#engines()
+      .flatMap(([service]) => workers.ofService(service).map(({ worker }) => worker));
     const unregistered = this.#store.records.flatMap(({ service, members, formerHeads }) => (
-      [...members, ...formerHeads.map(({ head }) => head)].map((reference) => toWorker(reference, service))
+      [...members, ...formerHeads.map(({ head }) => head)]
+        .map((reference) => toWorker(reference, service, !isUnsteady))
     ));
-    this.#observer.follow(registered, unregistered);
+    this.#observer.follow(registered, unregistered, isUnsteady);
   }
 
   #resignIfCutOff(): boolean {
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -1,6 +1,6 @@
 import type { Clock, ModelName, WorkerId } from '@dandelionlane/core';
 import type {
-  GroupMembership, Worker, WorkerEntry, WorkerPort, WorkerReport,
+  GroupMembership, Worker, WorkerPort, WorkerReport,
 } from '@dandelionlane/fleet';
 import type { Log } from '@dandelionlane/telemetry';
 import FleetObservation from './FleetObservation.js';
@@ -101,17 +101,21 @@
     this.#options = options;
   }
 
-  /** Sets which workers are observed: the registered ones, and members whose registration is gone. */
-  follow(registered: readonly WorkerEntry[], unregistered: readonly Worker[]): void {
+  /**
+   * Sets which workers are observed: the registered ones, and members whose registration is gone.
+   * @param isUnsteady Whether registrations may be missing that return: they count until then.
+   */
+  follow(registered: readonly Worker[], unregistered: readonly Worker[], isUnsteady = false): void {
     const now = this.#now();
     const wanted = new Set<WorkerId>();
-    registered.forEach(({ worker, lapsedAt }) => {
+    registered.forEach((worker) => {
       wanted.add(worker.id);
-      this.#note(worker, lapsedAt === null, now);
+      this.#note(worker, true, now);
     });
     unregistered.filter(({ id }) => !wanted.has(id)).forEach((worker) => {
       wanted.add(worker.id);
-      this.#note(this.#sightings.get(worker.id)?.worker ?? worker, false, now);
+      const known = this.#sightings.get(worker.id)?.worker;
+      this.#note(known === undefined ? worker : { ...known, draining: worker.draining }, isUnsteady, now);
     });
     [...this.#sightings.keys()].filter((id) => !wanted.has(id)).forEach((id) => this.#sightings.delete(id));
   }
--- a/packages/groups/src/test/WorkerObserver.test.ts
+++ b/packages/groups/src/test/WorkerObserver.test.ts
@@ -23,9 +23,7 @@
     port, clock, log: LOG, reportLagMilliseconds: () => lag,
   });
   const round = async () => {
-    observer.follow([{
-      worker, group: worker.group, models: [], coldUntil: 0, lapsedAt: null,
-    }], []);
+    observer.follow([worker], []);
     observer.round();
     await new Promise((resolve) => {
       setImmediate(resolve);
@@ -91,9 +89,7 @@
   await round();
   observer.groupAccepted(worker.id, null, null);
   const registered = { ...worker.worker(), group: { ...MEMBERSHIP, state: 'open' as const } };
-  observer.follow([{
-    worker: registered, group: registered.group, models: [], coldUntil: 0, lapsedAt: null,
-  }], []);
+  observer.follow([registered], []);
   expect(observer.observation().workers.get(worker.id)?.report?.group).toBeNull();
 });
 
@@ -116,3 +112,14 @@
   clock.advance(1_000);
   expect(observer.observation().workers.get(worker.id)?.opening).toBe(false);
 });
+
+test('a member whose registration may return counts until then', async () => {
+  const worker = new FakeGroupWorker('w', 5);
+  const { observer, round } = await observe(worker.worker(), () => worker.report());
+  await round();
+  const reference = (draining: boolean) => ({ ...worker.worker(), draining });
+  observer.follow([], [reference(false)], true);
+  expect(assessLiveness(observer.observation().workers.get(worker.id))).toBe('alive');
+  observer.follow([], [reference(true)], false);
+  expect(assessLiveness(observer.observation().workers.get(worker.id))).toBe('leaving');
+});
