Pay for fewer calls and fewer bytes between zones

Streams draw two targets of the own zone and one of all, with a bonus of 30 ms for the own zone; a table that cannot be read is asked again after 100 ms, doubling to 400 ms. An entry that knows nothing of the others takes them to have its own mean at each target: its own count there, times the entries, called targets full after a restart.

--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -4,8 +4,11 @@
 import type { Log } from '@dandelionlane/telemetry';
 import type RowSink from './RowSink.js';
 
-/** Pause after a failed call, in ms. */
-const FAILURE_PAUSE_MILLISECONDS = 250;
+/** Pause after the first failure, in ms; doubles with each further one. */
+const FIRST_FAILURE_PAUSE_MILLISECONDS = 100;
+
+/** Longest pause after a failure, in ms: each call is priced, and a store that is back has to be noticed. */
+const LONGEST_FAILURE_PAUSE_MILLISECONDS = 400;
 
 /** Time without an answer after which the store counts as having been away, in ms. */
 const OUTAGE_MILLISECONDS = 1_000;
@@ -40,6 +43,8 @@
 
   #answeredAt = Number.NEGATIVE_INFINITY;
 
+  #failurePause = FIRST_FAILURE_PAUSE_MILLISECONDS;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: TableFollowerOptions) {
@@ -91,7 +96,9 @@
       return;
     }
     if (!this.#stopped) {
-      const pause = succeeded ? paceMilliseconds : FAILURE_PAUSE_MILLISECONDS;
+      const pause = succeeded ? paceMilliseconds : this.#failurePause;
+      this.#failurePause = succeeded ? FIRST_FAILURE_PAUSE_MILLISECONDS
+        : Math.min(this.#failurePause * 2, LONGEST_FAILURE_PAUSE_MILLISECONDS);
       this.#timer = setTimeout(() => void this.#round(), pause);
     }
   }
--- a/packages/gateway/src/lib/choice/chooseStreamTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseStreamTarget.ts
@@ -21,7 +21,7 @@
 const LOAD_MILLISECONDS = 6;
 
 /** Advantage of a target in the own zone, in ms: bytes between zones are priced. */
-const OWN_ZONE_BONUS_MILLISECONDS = 12;
+const OWN_ZONE_BONUS_MILLISECONDS = 30;
 
 /** Handicap of a group of which not all workers are registered, in ms. */
 const NOT_WHOLE_HANDICAP_MILLISECONDS = 36;
@@ -46,7 +46,7 @@
 }
 
 /**
- * Two of the targets by chance, one of them in the own zone where there is one: loads are some
+ * Two targets of the own zone and one of all by chance, as far as there are so many: loads are some
  * hundred ms old, and entries must not all choose alike.
  */
 function sample(
@@ -58,9 +58,11 @@
     const item = from[Math.floor(random.next() * from.length)];
     return item === undefined ? [] : [item];
   };
-  const near = draw(items.filter(({ candidate }) => candidate.entry.worker.zone === zone));
-  const first = near.length > 0 ? near : draw(items);
-  return [...first, ...draw(items.filter((item) => !first.includes(item)))];
+  const near = items.filter(({ candidate }) => candidate.entry.worker.zone === zone);
+  const first = draw(near.length > 0 ? near : items);
+  const second = draw(near.filter((item) => !first.includes(item)));
+  const drawn = [...first, ...second];
+  return [...drawn, ...draw(items.filter((item) => !drawn.includes(item)))];
 }
 
 /**
--- a/packages/gateway/src/lib/choice/chooseTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseTarget.ts
@@ -40,8 +40,9 @@
     return { kind: 'none', reason: 'all-cold' };
   }
   const { need, zone, random } = input;
+  const meanOutstanding = warm.reduce((sum, { state }) => sum + state.outstanding, 0) / warm.length;
   const loaded = warm.map((candidate) => ({
-    candidate, load: candidate.state.estimateLoad(input.entries),
+    candidate, load: candidate.state.estimateLoad(input.entries, meanOutstanding),
   }));
   return need === null
     ? choosePlainTarget(loaded, zone, random)
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -112,14 +112,16 @@
   /**
    * Requests of all entries on the target, estimated.
    * @param entries Live entries, this one included.
+   * @param meanOutstanding Own requests at a target of this kind, on average. Where nothing is known of the
+   * other entries, they are taken to have as many.
    */
-  estimateLoad(entries: number): number {
+  estimateLoad(entries: number, meanOutstanding: number): number {
     if (this.#now() - this.#sharedAt < SHARED_AGE_MILLISECONDS) {
       return this.outstanding + this.#sharedOthers;
     }
     const age = this.#now() - this.#loadAt;
     const freshness = Math.max(0, 1 - age / LOAD_AGE_MILLISECONDS);
-    const guess = this.outstanding * (entries - 1);
+    const guess = meanOutstanding * (entries - 1);
     const others = Number.isFinite(age) ? this.#othersLoad * freshness + guess * (1 - freshness) : guess;
     return this.outstanding + others;
   }
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -159,6 +159,15 @@
   return choice.kind === 'chosen' ? choice.candidate.entry.worker.id : choice.reason;
 }
 
+test('an entry that knows nothing of the others takes them to have as much as itself on average', () => {
+  const states = new TargetStates(new ManualClock());
+  const { state } = busy(candidate(states, 'one'), 3);
+  expect(state.estimateLoad(9, 0.5)).toBe(7);
+  state.told();
+  state.loadShared(5, 0);
+  expect(state.estimateLoad(9, 0.5)).toBe(5);
+});
+
 test('a stream goes where its prompt is read first', () => {
   const clock = new ManualClock();
   const states = new TargetStates(clock);
