Tell linked entries when the term of the lease began

A contender counts the term from its own first sight of the row, which an entry that is linked reads every 4.5 s only. Now the holder tells its row and when it began to write it; a contender waits for the rest of the term.

Test: LeaseKeeper.test.ts, a contender waits only for the rest of the term, and never less.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -166,7 +166,7 @@
 
   #lead(): void {
     const {
-      settings, registry, view: { workerRows, workerFollower }, control: { controller }, quietLimit,
+      settings, registry, view: { workerRows, workerFollower }, control: { controller, lease }, quietLimit,
     } = this.#options;
     const others = this.#server.statuses()
       .filter(({ ageMilliseconds }) => ageMilliseconds < ENTRY_SILENCE_MILLISECONDS);
@@ -185,6 +185,7 @@
     const state: FleetState = {
       kind: 'state',
       holder: settings.entry,
+      lease: lease.announcement(),
       ageMilliseconds: Math.round(workerFollower.ageMilliseconds),
       entries,
       loads: sumLoads(statuses.map(({ status }) => status)),
@@ -203,7 +204,10 @@
   }
 
   #takeState(state: FleetState): void {
-    const { workerRows, workerFollower } = this.#options.view;
+    const { view: { workerRows, workerFollower }, control } = this.#options;
+    if (state.lease !== null) {
+      control.lease.announced(state.lease);
+    }
     if (state.returned) {
       workerRows.storeReturned();
     }
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -2,11 +2,14 @@
 import {
   EntryId, Epoch, GroupName, ModelName, RowVersion, TableRow, WorkerId,
 } from '@dandelionlane/core';
+import { LeaseAnnouncement } from '@dandelionlane/platform';
 
 /** What the holder of the lease tells the entries, several times a second. */
 const FleetState = z.object({
   kind: z.literal('state'),
   holder: EntryId,
+  /** Its lease, or null while it cannot renew it. */
+  lease: LeaseAnnouncement.nullable(),
   /** Time since the holder last heard of the workers from the store, in ms. */
   ageMilliseconds: z.number(),
   /** Entries that are linked to the holder, itself included. */
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -39,6 +39,7 @@
 const STATE: FleetState = {
   kind: 'state',
   holder: EntryId.parse('holder'),
+  lease: null,
   ageMilliseconds: 0,
   entries: [],
   loads: [],
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -18,6 +18,7 @@
 export { default as sendJSON } from './lib/http/sendJSON.js';
 export { type default as HeldLease } from './lib/lease/HeldLease.js';
 export { default as isLeaseFree } from './lib/lease/isLeaseFree.js';
+export { default as LeaseAnnouncement } from './lib/lease/LeaseAnnouncement.js';
 export { default as LeaseKeeper } from './lib/lease/LeaseKeeper.js';
 export { type default as LeaseObservation } from './lib/lease/LeaseObservation.js';
 export { type default as LeaseSettings } from './lib/lease/LeaseSettings.js';
--- a/packages/platform/src/lib/lease/LeaseKeeper.ts
+++ b/packages/platform/src/lib/lease/LeaseKeeper.ts
@@ -3,6 +3,7 @@
   type Clock, type ControllerId, type RegionId, type TableCondition, type TableRow, type TableStore,
 } from '@dandelionlane/core';
 import type HeldLease from './HeldLease.js';
+import type LeaseAnnouncement from './LeaseAnnouncement.js';
 import type LeaseObservation from './LeaseObservation.js';
 import type LeaseSettings from './LeaseSettings.js';
 import isLeaseFree from './isLeaseFree.js';
@@ -61,6 +62,31 @@
     return this.#observation?.record ?? null;
   }
 
+  /** The lease row as this process has written it, for others; null while it does not hold the lease. */
+  announcement(): LeaseAnnouncement | null {
+    const held = this.held();
+    const observation = this.#observation;
+    if (held === null || observation === null || observation.record === null) {
+      return null;
+    }
+    const { clock, settings: { termMilliseconds, safetyMarginMilliseconds } } = this.#options;
+    const writtenAt = held.actUntilMilliseconds - termMilliseconds + safetyMarginMilliseconds;
+    return {
+      record: observation.record,
+      version: held.version,
+      ageMilliseconds: clock.monotonicMilliseconds() - writtenAt,
+    };
+  }
+
+  /**
+   * Takes in what the holder says of its lease, so that its term is known to begin where the holder
+   * begins it and not where this process next reads the row.
+   */
+  announced({ record, version, ageMilliseconds }: LeaseAnnouncement): void {
+    const writtenAt = this.#options.clock.monotonicMilliseconds() - ageMilliseconds;
+    this.#observation = observeLease(this.#observation, record, version, writtenAt);
+  }
+
   /** Time since the table service last answered, in ms; infinite before the first time. */
   get ageMilliseconds(): number {
     return this.#options.clock.monotonicMilliseconds() - this.#answeredAt;
--- a/packages/platform/src/test/LeaseKeeper.test.ts
+++ b/packages/platform/src/test/LeaseKeeper.test.ts
@@ -155,3 +155,34 @@
   await restarted.step();
   expect(restarted.held()?.fencing).toBe(2);
 });
+
+test('a contender that hears of the lease waits only for the rest of its term', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const first = createKeeper(store, clock, 'a');
+  const second = createKeeper(store, clock, 'b');
+  await first.step();
+  clock.advance(3_000);
+  const announcement = first.announcement();
+  expect(announcement?.ageMilliseconds).toBe(3_000);
+  if (announcement !== null) {
+    second.announced(announcement);
+  }
+  clock.advance(2_999);
+  await second.step();
+  expect(second.held()).toBeNull();
+  clock.advance(1);
+  expect(first.held()).toBeNull();
+  await second.step();
+  expect(second.held()?.fencing).toBe(2);
+});
+
+test('a lease that has run out is not announced', async () => {
+  const clock = new ManualClock();
+  const keeper = createKeeper(new MemoryTableStore(), clock, 'a');
+  expect(keeper.announcement()).toBeNull();
+  await keeper.step();
+  expect(keeper.announcement()).not.toBeNull();
+  clock.advance(4_000);
+  expect(keeper.announcement()).toBeNull();
+});
