--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -1,8 +1,8 @@
 import type {
-  Clock, FencingNumber, ModelName, ServiceId, TableStore, WorkerId,
+  Clock, FencingNumber, ModelName, ServiceId, TableStore,
 } from '@dandelionlane/core';
 import type {
-  ConfigurationHolder, EngineProfile, Worker, WorkerOrder, WorkerPort, WorkerTable,
+  ConfigurationHolder, EngineProfile, OrderStamp, Worker, WorkerPort, WorkerTable,
 } from '@dandelionlane/fleet';
 import type { HeldLease } from '@dandelionlane/platform';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
@@ -12,17 +12,14 @@
 import EpochSource from '../plan/EpochSource.js';
 import planGroups from '../plan/planGroups.js';
 import type GroupRecord from '../plan/GroupRecord.js';
-import type GroupStep from '../plan/GroupStep.js';
+import type OrderStep from '../plan/OrderStep.js';
 import type MemberReference from '../plan/MemberReference.js';
 import GroupStore from './GroupStore.js';
-import LoadPacer from './LoadPacer.js';
+import OrderSender from './OrderSender.js';
 
 /** Period of the control loop, in ms. */
 const PERIOD_MILLISECONDS = 40;
 
-/** Time after which an order counts as unanswered, in ms. */
-const ORDER_TIMEOUT_MILLISECONDS = 400;
-
 /** Share of silent workers from which this process takes itself to be the one that is cut off. */
 const CUT_OFF_SHARE = 0.6;
 
@@ -32,8 +29,6 @@
 /** Time between two rounds above which what is known of the workers is out of date, in ms. */
 const STALE_ROUND_MILLISECONDS = 800;
 
-type OrderStep = Extract<GroupStep, { kind: 'order' }>;
-
 /** What a `GroupController` needs from outside. */
 interface GroupControllerOptions {
   readonly store: TableStore;
@@ -75,7 +70,7 @@
 
   readonly #observer: WorkerObserver;
 
-  readonly #pacer = new LoadPacer();
+  readonly #sender: OrderSender;
 
   #fencing: FencingNumber | null = null;
 
@@ -100,6 +95,14 @@
       log: options.log,
       reportLagMilliseconds: () => this.#reportLag(),
     });
+    this.#sender = new OrderSender({
+      ...options,
+      observer: this.#observer,
+      fenced: () => {
+        this.#fencing = null;
+        options.resign();
+      },
+    });
   }
 
   start(): void {
@@ -248,7 +251,8 @@
     }
     steps.forEach((step) => {
       if (step.kind === 'order') {
-        this.#send(step, lease, observation.workers.get(step.worker)?.report?.orderSequence ?? 0);
+        const expectedSequence = observation.workers.get(step.worker)?.report?.orderSequence ?? 0;
+        this.#send(step, { fencing: lease.fencing, expectedSequence });
       }
     });
   }
@@ -264,6 +268,13 @@
     this.#options.metrics.count('groups.planned', 1, [`reason:${reason}`]);
   }
 
+  /** The term may have ended while records were saved. */
+  #send(step: OrderStep, stamp: OrderStamp): void {
+    if (this.#fencing !== null && this.#options.lease()?.fencing === stamp.fencing) {
+      this.#sender.send(step, stamp);
+    }
+  }
+
   async #save(): Promise<void> {
     const now = this.#options.clock.monotonicMilliseconds();
     if (now - this.#savingAt < SAVE_PAUSE_MILLISECONDS) {
@@ -283,69 +294,4 @@
       this.#fencing = null;
     }
   }
-
-  #send(step: OrderStep, lease: HeldLease, expectedSequence: number): void {
-    const {
-      clock, workers, configuration, isBootstrapping,
-    } = this.#options;
-    const entry = workers.get(step.worker);
-    const observed = this.#observer.observation().workers.get(step.worker);
-    const worker = entry?.worker ?? observed?.worker;
-    if (worker === undefined || this.#fencing === null || this.#options.lease()?.fencing !== lease.fencing) {
-      return;
-    }
-    const profile = configuration.table?.configuration.services.get(worker.service);
-    const limit = profile?.engine?.loadsPerSecond ?? 1;
-    if (step.loads && !isBootstrapping() && !this.#pacer.tryStart(clock.monotonicMilliseconds(), limit)) {
-      return;
-    }
-    this.#observer.orderSent(step.worker);
-    void this.#carryOut(step, worker, { fencing: lease.fencing, expectedSequence });
-  }
-
-  /** What an accepted order changes at once; reports show it later. */
-  #noteMembership(id: WorkerId, order: WorkerOrder): void {
-    if (order.kind === 'join') {
-      const { group, epoch, members } = order;
-      const membership = {
-        name: group, epoch, rank: members.indexOf(id), state: 'joining' as const,
-      };
-      this.#observer.groupAccepted(id, membership, order.model);
-    } else if (order.kind === 'leave') {
-      this.#observer.groupAccepted(id, null, null);
-    } else if (order.kind === 'open') {
-      this.#observer.openAccepted(id);
-    }
-  }
-
-  async #carryOut(
-    { worker: id, order }: OrderStep,
-    worker: Worker,
-    stamp: { readonly fencing: FencingNumber; readonly expectedSequence: number },
-  ): Promise<void> {
-    const { port, log, metrics } = this.#options;
-    const outcome = await port.order(worker, order, stamp, ORDER_TIMEOUT_MILLISECONDS);
-    const result = outcome.isOk() ? outcome.value : 'unanswered';
-    // A leave is done by the time of its answer, and counts as an order.
-    const counts = result === 'begun' || (result === 'done' && order.kind === 'leave');
-    this.#observer.orderEnded(id, counts ? stamp.expectedSequence + 1 : null);
-    if (result === 'begun' || result === 'done') {
-      this.#noteMembership(id, order);
-    }
-    metrics.count('groups.orders', 1, [`kind:${order.kind}`, `outcome:${result}`]);
-    log.info('Order sent.', {
-      worker: id,
-      order: order.kind,
-      group: order.kind === 'stage' ? undefined : order.group,
-      epoch: order.kind === 'stage' ? undefined : order.epoch,
-      expectedSequence: stamp.expectedSequence,
-      fencing: stamp.fencing,
-      outcome: result,
-    });
-    if (result === 'fenced') {
-      log.warn('A worker has seen a later term, giving the lease up.', { worker: id });
-      this.#fencing = null;
-      this.#options.resign();
-    }
-  }
 }
--- /dev/null
+++ b/packages/groups/src/lib/observation/Sighting.ts
@@ -0,0 +1,246 @@
+import type { ModelName } from '@dandelionlane/core';
+import type { GroupMembership, Worker, WorkerReport } from '@dandelionlane/fleet';
+import MISSES_UNTIL_SILENT from './MISSES_UNTIL_SILENT.js';
+import type ObservedWorker from './ObservedWorker.js';
+import describeGroup from './describeGroup.js';
+
+/** Time between two questions to a worker of a group, in ms: its streams tell sooner when it stands still. */
+const MEMBER_INTERVAL_MILLISECONDS = 1_000;
+
+/** Time between two questions to a spare, in ms. */
+const SPARE_INTERVAL_MILLISECONDS = 2_000;
+
+/** Time between two questions to a worker whose state is about to change, in ms. */
+const CHANGING_INTERVAL_MILLISECONDS = 80;
+
+/** Time between two questions to a worker that has been silent for long, in ms. */
+const SILENT_INTERVAL_MILLISECONDS = 700;
+
+/** Time after which an accepted order that no report counts is taken to be lost, in ms. */
+const ORDER_EFFECT_MILLISECONDS = 1_000;
+
+/** Time after an accepted order in which a registration may still tell of the time before it, in ms. */
+const REGISTRATION_LAG_MILLISECONDS = 400;
+
+/** Time after an accepted order to open in which it is not repeated, in ms: heads take some hundred ms. */
+const OPENING_MILLISECONDS = 1_000;
+
+/** What an unanswered question counts when streams of the group have fallen silent too. */
+const EXPEDITED_MISSES = 2;
+
+/**
+ * What the holder of the lease knows of one life of a worker, by its registration, its reports and its
+ * answers to orders. Times are monotonic, in ms.
+ *
+ * Invariant: what a registration or an accepted order tells of its group is never undone by a
+ * report that was made before.
+ */
+export default class Sighting {
+  #worker: Worker;
+
+  #registered: boolean;
+
+  #report: WorkerReport | null = null;
+
+  /** Whether another life answers at its address. */
+  ended = false;
+
+  /** Whether a question is under way. */
+  asking = false;
+
+  #misses = 0;
+
+  #answeredAt: number;
+
+  #askedAt = Number.NEGATIVE_INFINITY;
+
+  #groupChangedAt: number;
+
+  /** `ended`: the order's call is over, and no report has shown its effect yet. */
+  #order: 'none' | 'under-way' | 'ended' = 'none';
+
+  #orderEndedAt = Number.NEGATIVE_INFINITY;
+
+  /** Orders that the worker has accepted, by its reports and its answers. */
+  #orderSequence = 0;
+
+  /** Whether it was asked out of turn since its last answer. */
+  #expedited = false;
+
+  /** Time from which its group is known by its registration or by an accepted order. */
+  #groupKnownAt = Number.NEGATIVE_INFINITY;
+
+  /** Time at which it last accepted to join or to leave a group. */
+  #acceptedAt = Number.NEGATIVE_INFINITY;
+
+  #openAcceptedAt = Number.NEGATIVE_INFINITY;
+
+  #lastModel: ModelName | null = null;
+
+  constructor(worker: Worker, registered: boolean, now: number) {
+    this.#worker = worker;
+    this.#registered = registered;
+    this.#answeredAt = now;
+    this.#groupChangedAt = now;
+  }
+
+  get worker(): Worker {
+    return this.#worker;
+  }
+
+  get registered(): boolean {
+    return this.#registered;
+  }
+
+  get report(): WorkerReport | null {
+    return this.#report;
+  }
+
+  get expedited(): boolean {
+    return this.#expedited;
+  }
+
+  get isSilent(): boolean {
+    return this.#misses >= MISSES_UNTIL_SILENT;
+  }
+
+  /** Whether an order's call is over whose effect has not been seen. */
+  get awaitsEffect(): boolean {
+    return this.#order === 'ended';
+  }
+
+  /** Whether its report names another group than its registration, and it answers. */
+  get hasUnregisteredGroup(): boolean {
+    return this.#report !== null && this.#misses === 0
+      && describeGroup(this.#report) !== describeGroup(this.#worker);
+  }
+
+  isSameLife({ bornAt, address }: Worker): boolean {
+    return this.#worker.bornAt === bornAt && this.#worker.address === address;
+  }
+
+  isDue(now: number): boolean {
+    return !this.asking && now - this.#askedAt >= this.#interval();
+  }
+
+  /** Has it asked at the next round, unless it has just answered. */
+  expedite(now: number, recentMilliseconds: number): void {
+    if (!this.#expedited && now - this.#answeredAt > recentMilliseconds) {
+      this.#askedAt = Number.NEGATIVE_INFINITY;
+      this.#expedited = true;
+    }
+  }
+
+  asked(now: number): void {
+    this.asking = true;
+    this.#askedAt = now;
+  }
+
+  /** Takes its registration in. It changes at once with the group, whereas reports lag behind. */
+  note(worker: Worker, registered: boolean, now: number): void {
+    const changed = worker.group !== this.#worker.group
+      && describeGroup(worker) !== describeGroup(this.#worker);
+    // A change right after an accepted order may have been on its way already; a report tells.
+    if (changed && now - this.#acceptedAt >= REGISTRATION_LAG_MILLISECONDS) {
+      this.#groupKnownAt = now;
+      if (this.#report !== null) {
+        const { group, stagedModels } = worker;
+        this.#takeReport({ ...this.#report, group, stagedModels }, now);
+      }
+    }
+    this.#worker = worker;
+    this.#registered = registered;
+  }
+
+  /**
+   * Takes a report in.
+   * @param madeAt When the worker made it.
+   * @param asksAfterOrder Whether the question was asked after the call of the last order had ended.
+   */
+  answered(answer: WorkerReport, now: number, madeAt: number, asksAfterOrder: boolean): void {
+    const { group, stagedModels } = this.#report ?? answer;
+    this.#takeReport(madeAt < this.#groupKnownAt ? { ...answer, group, stagedModels } : answer, now);
+    this.#answeredAt = now;
+    this.#misses = 0;
+    this.#expedited = false;
+    const showsOrder = answer.orderSequence >= this.#orderSequence
+      || madeAt > this.#orderEndedAt + ORDER_EFFECT_MILLISECONDS;
+    if (asksAfterOrder && this.#order === 'ended' && showsOrder && madeAt > this.#orderEndedAt) {
+      this.#order = 'none';
+      this.#orderSequence = answer.orderSequence;
+    }
+    this.#orderSequence = Math.max(this.#orderSequence, answer.orderSequence);
+  }
+
+  /** A question after an order's call went unanswered: the order is not waited for any longer. */
+  orderForgotten(): void {
+    this.#order = this.#order === 'ended' ? 'none' : this.#order;
+  }
+
+  missed(): void {
+    this.#misses += this.#expedited ? EXPEDITED_MISSES : 1;
+  }
+
+  orderSent(): void {
+    this.#order = 'under-way';
+  }
+
+  /** @param acceptedSequence Orders accepted with this one, where it has begun something. */
+  orderEnded(acceptedSequence: number | null, now: number): void {
+    this.#order = 'ended';
+    this.#orderEndedAt = now;
+    this.#orderSequence = Math.max(this.#orderSequence, acceptedSequence ?? 0);
+  }
+
+  groupAccepted(group: GroupMembership | null, model: ModelName | null, now: number): void {
+    if (this.#report !== null) {
+      this.#order = 'none';
+      this.#openAcceptedAt = Number.NEGATIVE_INFINITY;
+      this.#acceptedAt = now;
+      this.#groupKnownAt = now;
+      this.#lastModel = model ?? this.#lastModel;
+      this.#takeReport({ ...this.#report, group }, now);
+    }
+  }
+
+  openAccepted(now: number): void {
+    this.#openAcceptedAt = now;
+  }
+
+  toObserved(now: number): ObservedWorker {
+    return {
+      worker: this.#worker,
+      registered: this.#registered,
+      report: this.#report === null ? null : { ...this.#report, orderSequence: this.#orderSequence },
+      ended: this.ended,
+      misses: this.#misses,
+      silentMilliseconds: now - this.#answeredAt,
+      groupStateMilliseconds: now - this.#groupChangedAt,
+      lastModel: this.#lastModel,
+      opening: now - this.#openAcceptedAt < OPENING_MILLISECONDS,
+      ordering: this.#order !== 'none',
+    };
+  }
+
+  #takeReport(report: WorkerReport, now: number): void {
+    if (this.#report === null || describeGroup(report) !== describeGroup(this.#report)) {
+      this.#groupChangedAt = now;
+    }
+    this.#report = report;
+  }
+
+  /** Time between two questions, in ms: the more hangs on the answer, the shorter. */
+  #interval(): number {
+    if (this.isSilent) {
+      return SILENT_INTERVAL_MILLISECONDS;
+    }
+    if (this.#misses > 0 || this.#report === null) {
+      return 0;
+    }
+    const { group, busy } = this.#report;
+    if (this.#order !== 'none' || group?.state === 'joining' || group?.state === 'closing') {
+      return CHANGING_INTERVAL_MILLISECONDS;
+    }
+    return group === null && !busy ? SPARE_INTERVAL_MILLISECONDS : MEMBER_INTERVAL_MILLISECONDS;
+  }
+}
