--- a/packages/controller/src/lib/startController.ts
+++ b/packages/controller/src/lib/startController.ts
@@ -61,15 +61,9 @@
     log,
     metrics,
   });
-  const guard = (work: () => Promise<void>) => async () => {
-    try {
-      await work();
-    } catch (error) {
-      log.error('Round failed.', { detail: error instanceof Error ? error.message : String(error) });
-    }
-  };
-  const stopLease = repeatWork(guard(() => lease.step()), timing.leaseTermMilliseconds / RENEWALS_PER_TERM);
-  const stopRounds = repeatWork(guard(() => controller.step()), timing.planPeriodMilliseconds);
+  const failed = (cause: unknown): void => log.error('Round failed.', { detail: String(cause) });
+  const stopLease = repeatWork(() => lease.step(), timing.leaseTermMilliseconds / RENEWALS_PER_TERM, failed);
+  const stopRounds = repeatWork(() => controller.step(), timing.planPeriodMilliseconds, failed);
   const health = createServer((request, response) => {
     response.writeHead(healthStatus(request.url, lease.isInTouch()), { 'content-type': 'application/json' });
     response.end(JSON.stringify({
--- a/packages/core/src/test/process.test.ts
+++ b/packages/core/src/test/process.test.ts
@@ -15,10 +15,13 @@
 
 test('work that rejects is repeated', async () => {
   const work = vi.fn(() => Promise.reject(new Error('once more')));
-  const stop = repeatWork(work, 1);
+  const failed = vi.fn();
+  const stop = repeatWork(work, 1, failed);
   await vi.waitFor(() => expect(work.mock.calls.length).toBeGreaterThan(2));
   await stop();
   const calls = work.mock.calls.length;
+  expect(failed).toHaveBeenCalledTimes(calls);
+  expect(failed).toHaveBeenLastCalledWith(new Error('once more'));
   await new Promise((resolve) => {
     setTimeout(resolve, 20);
   });
--- a/packages/entry/src/lib/startup/startRounds.ts
+++ b/packages/entry/src/lib/startup/startRounds.ts
@@ -5,7 +5,7 @@
 
 /** Starts the periodic reads of rows and reports, and the gauges. Returns a function that stops them. */
 export default function startRounds(
-  { settings, metrics }: EntryRuntime,
+  { settings, metrics, log }: EntryRuntime,
   {
     release, group, targets, admission,
   }: EntryParts,
@@ -15,14 +15,15 @@
   const homeServices = (): readonly ServiceId[] => [...release.definitions()]
     .map(({ service }) => service)
     .filter((service) => group.isHome(service));
+  const failed = (cause: unknown): void => log.error('Round failed.', { detail: String(cause) });
   const stops = [
-    repeatWork(() => targets.readRows(homeServices()), pollPeriodMilliseconds),
-    repeatWork(() => targets.readReports(), reportPeriodMilliseconds),
+    repeatWork(() => targets.readRows(homeServices()), pollPeriodMilliseconds, failed),
+    repeatWork(() => targets.readReports(), reportPeriodMilliseconds, failed),
     repeatWork(async () => {
       metrics.gauge('entry.in_flight', server.inFlight);
       metrics.gauge('entry.queued', admission.queued());
       metrics.gauge('entry.release_sequence', release.sequence());
-    }, pollPeriodMilliseconds),
+    }, pollPeriodMilliseconds, failed),
   ];
   return () => stops.forEach((stop) => {
     void stop();
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -1,6 +1,7 @@
 import { ControllerId, repeatWork } from '@dandelionlane/core';
 import { GroupController } from '@dandelionlane/groups';
 import { LeaseKeeper } from '@dandelionlane/platform';
+import type { Log } from '@dandelionlane/telemetry';
 import type EntryRuntime from './EntryRuntime.js';
 import type FleetView from './FleetView.js';
 import LEASE_SETTINGS from './LEASE_SETTINGS.js';
@@ -36,6 +37,8 @@
 
   readonly #options: GroupControlOptions;
 
+  readonly #log: Log;
+
   #rounds = 0;
 
   #beginning: NodeJS.Timeout | undefined;
@@ -49,6 +52,7 @@
     const { view, isLeaving } = options;
     const startedAt = clock.monotonicMilliseconds();
     this.#options = options;
+    this.#log = logFor('groups');
     this.lease = new LeaseKeeper({
       store: ports.store,
       clock: wakefulClock,
@@ -72,7 +76,7 @@
       isStoreInTouch: () => this.lease.isInTouch(),
       resign: () => this.leadership.resign(),
       clock: wakefulClock,
-      log: logFor('groups'),
+      log: this.#log,
       metrics,
       isBootstrapping: () => settings.bootstrap
         && clock.monotonicMilliseconds() - startedAt < BOOTSTRAP_MILLISECONDS,
@@ -85,7 +89,9 @@
     this.#beginning = setInterval(() => {
       if (this.leadership.mayContend) {
         clearInterval(this.#beginning);
-        this.#stopLease = repeatWork(() => this.#keepLease(), LEASE_PERIOD_MILLISECONDS);
+        this.#stopLease = repeatWork(() => this.#keepLease(), LEASE_PERIOD_MILLISECONDS, (cause) => {
+          this.#log.error('Round failed.', { detail: String(cause) });
+        });
       }
     }, ELIGIBILITY_PERIOD_MILLISECONDS);
   }
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -71,7 +71,9 @@
   }
 
   start(): void {
-    this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS);
+    this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS, (cause) => {
+      this.#options.log.error('Round failed.', { detail: String(cause) });
+    });
   }
 
   /** Ends the heartbeats and deletes the own row. */
