Name no entry again that had fallen silent before an outage

At 8.1 s the holder of the lease was cut off from the store; while rows cannot be read all known entries count, and the dead one was among them. It was named to all by the links at 9.0 s. Entries that are silent when an outage begins are now forgotten, and count again only once their rows are seen to change. Test: an entry that has fallen silent is not named again by an outage; failed before.

--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -148,7 +148,9 @@
     [...this.#seen.keys()].filter((entry) => !names.has(entry)).forEach((entry) => this.#seen.delete(entry));
   }
 
+  /** From now on all known entries count, but for those that had fallen silent before. */
   #rowsUnread(): void {
+    this.#seen = new Map(this.#live(SILENCE_MILLISECONDS).map((seen) => [seen.record.entry, seen]));
     this.#reading = false;
     this.#unreadAt = this.#options.clock.monotonicMilliseconds();
   }
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -147,6 +147,34 @@
   expect(one.readyAddresses()).toContain('other:1');
 });
 
+test('an entry that has fallen silent is not named again by an outage', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  let away = false;
+  const one = create('one', {
+    read: (keys) => store.read(keys),
+    commit: (transaction) => store.commit(transaction),
+    scan: (table, prefix) => (away
+      ? errAsync(new ServingError('away', { kind: 'store-unavailable' })) : store.scan(table, prefix)),
+  }, clock);
+  const other = create('other', store, clock);
+  const ended = create('ended', store, clock);
+  [one, other, ended].forEach((registry) => registry.start());
+  await rounds(3, clock);
+  running = running.filter((registry) => registry !== ended);
+  await ended.stop();
+  await ended.announce();
+  await rounds(5, clock);
+  expect(one.readyAddresses()).toEqual(['one:1', 'other:1']);
+  away = true;
+  await rounds(3, clock);
+  expect(one.readyAddresses()).toEqual(['one:1', 'other:1']);
+  away = false;
+  await rounds(2, clock);
+  expect(one.readyAddresses()).toEqual(['one:1', 'other:1']);
+});
+
 test('an entry that ended during a link is not named after it', async () => {
   vi.useFakeTimers();
   const store = new MemoryTableStore();
