Let broken streams wait for a place, and go on wherever there is room

A stream that has begun now goes wherever there is a place, and waits for one for 1 s, after those that can still be on time. A connection that is not made within 200 ms is given up (300 ms before). The reason of each end is in the log. Tests: chooseTarget and StreamCourse, both failed before.

--- a/packages/gateway/src/lib/choice/chooseStreamTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseStreamTarget.ts
@@ -81,11 +81,17 @@
   return spare >= 1 && random.next() * entries * TRIES_BETWEEN_LOADS < spare;
 }
 
+/** The first of two lists that has items. */
+function firstOf<Item>(preferred: readonly Item[], others: readonly Item[]): readonly Item[] {
+  return preferred.length > 0 ? preferred : others;
+}
+
 /**
  * The target at which a stream is likely to begin first.
  *
- * A stream that can be on time goes where it is. One that cannot takes only places that no stream
- * on time is likely to need: it would make others late and gain nothing by its haste.
+ * A stream that has begun goes on wherever there is room. One that can be on time goes where it is.
+ * One that cannot takes only places that no stream on time is likely to need: it would make
+ * others late and gain nothing by its haste.
  */
 export default function chooseStreamTarget(
   loaded: readonly LoadedCandidate[],
@@ -100,10 +106,12 @@
   const calm = predicted.filter(({ load, prediction }) => (
     load < 1 || prediction.pauseMilliseconds <= (need.pauseAimMilliseconds ?? Number.POSITIVE_INFINITY)
   ));
-  const onTime = calm.filter(({ prediction }) => (
-    prediction.firstEventMilliseconds <= need.firstEventBudgetMilliseconds
-  ));
-  const usable = onTime.length > 0 ? onTime : calm.filter((item) => takesSparePlace(item, entries, random));
+  const usable = need.firstEventBudgetMilliseconds === Number.POSITIVE_INFINITY
+    ? firstOf(calm, predicted)
+    : firstOf(
+      calm.filter(({ prediction }) => prediction.firstEventMilliseconds <= need.firstEventBudgetMilliseconds),
+      calm.filter((item) => takesSparePlace(item, entries, random)),
+    );
   const [first, ...rest] = sample(usable, zone, random)
     .map((item) => ({ ...item, score: score(item, zone, random) }));
   if (first === undefined) {
--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -65,6 +65,9 @@
         return this.#giveUp('deadline passed');
       }
       const choice = await this.#choose(signal);
+      if (signal.aborted) {
+        return 'caller-gone';
+      }
       if (choice.kind === 'none') {
         return this.#hasBegun() ? this.#giveUp(choice.reason) : this.#refuse(refuseChoice(choice));
       }
@@ -80,11 +83,11 @@
     return 'caller-gone';
   }
 
-  /** Chooses a target, and waits for one if the request has not run anywhere. */
+  /** Chooses a target, and waits for one where none is free. */
   async #choose(signal: AbortSignal): Promise<Choice> {
     const choose = () => pickTarget(this.#parts, this.#call, this.#excluded, this.#goesOn);
     const choice = choose();
-    if (choice.kind === 'chosen' || this.#hasBegun()) {
+    if (choice.kind === 'chosen') {
       return choice;
     }
     const { clock, waitingRoom } = this.#parts;
@@ -92,10 +95,12 @@
       said, service, receivedAt, onTimeUntil, deadlineAt, log,
     } = this.#call;
     const startedAt = clock.monotonicMilliseconds();
+    const until = (this.#hasBegun() ? startedAt : receivedAt) + MAXIMUM_WAIT_MILLISECONDS;
     const found = await waitingRoom.wait({
       queue: `${service}/${said.model ?? ''}`,
-      onTimeUntil,
-      until: Math.min(deadlineAt, receivedAt + MAXIMUM_WAIT_MILLISECONDS),
+      // A stream that has begun comes before late ones, and after those that can still be on time.
+      onTimeUntil: this.#hasBegun() ? until : onTimeUntil,
+      until: Math.min(deadlineAt, until),
       signal,
       choose,
     });
@@ -200,7 +205,8 @@
 
   /** Ends a stream that cannot go on: cuts one that has begun, refuses another. */
   #giveUp(reason: string): string {
-    const { outgoing } = this.#call;
+    const { outgoing, log } = this.#call;
+    log.set('detail', reason);
     if (outgoing.headersSent) {
       cutAnswer(outgoing);
       return 'stream-cut';
--- a/packages/gateway/src/lib/targets/TargetConnection.ts
+++ b/packages/gateway/src/lib/targets/TargetConnection.ts
@@ -2,7 +2,7 @@
 import { Client } from 'undici';
 
 /** Time to establish a connection, in ms: a target in the same region accepts within a few ms. */
-const CONNECT_TIMEOUT_MILLISECONDS = 300;
+const CONNECT_TIMEOUT_MILLISECONDS = 200;
 
 /** Idle time after which a connection is closed where the target names none, in ms. */
 const IDLE_TIMEOUT_MILLISECONDS = 3_000;
--- a/packages/gateway/src/test/StreamCourse.test.ts
+++ b/packages/gateway/src/test/StreamCourse.test.ts
@@ -130,3 +130,11 @@
   Object.assign(gateway.states.of('w1' as never), { outstanding: 5 });
   expect(await gateway.call()).toMatchObject({ status: 200, body: all() });
 });
+
+test('a broken stream waits for a place to go on', async () => {
+  gateway = preferFirst(await TestGateway.start(RESUMABLE, [breakAfter(3), whole]));
+  const { states } = gateway;
+  Object.assign(states.of('w1' as never), { outstanding: 20 });
+  setTimeout(() => Object.assign(states.of('w1' as never), { outstanding: 0 }), 150);
+  expect(await gateway.call()).toMatchObject({ status: 200, body: all(), cut: false });
+});
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -185,6 +185,15 @@
   expect(chosenName(choose([reading], clock, need))).toBe('reading');
 });
 
+test('a stream that has begun goes on where no other would be let in', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const reading = busy(candidate(states, 'reading'), 5, 175);
+  expect(chosenName(choose([reading], clock))).toBe('all-full');
+  const begun = { ...NEED, firstEventBudgetMilliseconds: Number.POSITIVE_INFINITY };
+  expect(chosenName(choose([reading], clock, begun))).toBe('reading');
+});
+
 test('a prompt too large for the aim runs where nothing else does', () => {
   const clock = new ManualClock();
   const idle = candidate(new TargetStates(clock), 'idle');
