--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -18,6 +18,9 @@
  */
 const STALE_MILLISECONDS = 1_100;
 
+/** Age of the holder's last message up to which it is known to live, in ms: two messages and a half. */
+const HEARD_MILLISECONDS = 300;
+
 /** Time after the last status of an entry from which its link counts as ended, in ms. */
 const ENTRY_SILENCE_MILLISECONDS = 1_000;
 
@@ -89,6 +92,11 @@
     return this.#leading ? null : this.#linkedEntries;
   }
 
+  /** Whether the holder is known to live; else the lease is to be looked at. */
+  hearsHolder(): boolean {
+    return !this.#leading && this.#client.ageMilliseconds < HEARD_MILLISECONDS;
+  }
+
   #round(): void {
     const {
       control, view, settings, registry,
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -24,7 +24,7 @@
   readonly view: FleetView;
   readonly isLeaving: () => boolean;
   /** Whether the holder of the lease is known to live. */
-  readonly isLinked: () => boolean;
+  readonly hearsHolder: () => boolean;
 }
 
 /** Contends for the lease on the group control, and controls the groups while it is held. */
@@ -108,9 +108,9 @@
   }
 
   async #keepLease(): Promise<void> {
-    const { isLeaving, isLinked } = this.#options;
+    const { isLeaving, hearsHolder } = this.#options;
     this.#rounds += 1;
-    const isDue = !isLinked() || this.#rounds % LINKED_LEASE_ROUNDS === 0;
+    const isDue = !hearsHolder() || this.#rounds % LINKED_LEASE_ROUNDS === 0;
     const isActing = this.leadership.acting() !== null;
     if (!isLeaving() && this.leadership.mayContend && (isDue || isActing)) {
       await this.lease.step();
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -59,7 +59,7 @@
     linked: () => coordinator.linkedEntries(),
   });
   const control = new GroupControl(runtime, {
-    view, isLeaving: () => leaving, isLinked: () => coordinator.linkedEntries() !== null,
+    view, isLeaving: () => leaving, hearsHolder: () => coordinator.hearsHolder(),
   });
 
   const states = new TargetStates(clock);
--- a/packages/links/src/lib/LinkClient.ts
+++ b/packages/links/src/lib/LinkClient.ts
@@ -50,6 +50,11 @@
     return this.#working && this.#options.now() - this.#heardAt < SILENCE_MILLISECONDS;
   }
 
+  /** Time since the holder last spoke, in ms; infinite without a link. */
+  get ageMilliseconds(): number {
+    return this.#working ? this.#options.now() - this.#heardAt : Number.POSITIVE_INFINITY;
+  }
+
   /** Keeps a link to an address, or none. Called regularly: it also ends links that fell silent. */
   maintain(address: string | null): void {
     const now = this.#options.now();
