Split the repeat budget by the requests of all entries

An entry that has just started has seen few requests, so its part was small. The links now tell the requests of all entries; each uses an even part. Unlinked entries go by their own. Tests: the bound holds in any window when all, or only some of the time, hear of all requests; an entry that has just started has its share.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -1,7 +1,10 @@
 import type { Clock, EntryId, WorkerId } from '@dandelionlane/core';
-import type { EntryRegistry, KnownEntry, TargetStates } from '@dandelionlane/gateway';
+import type {
+  EntryRegistry, KnownEntry, RepeatBudget, TargetStates,
+} from '@dandelionlane/gateway';
 import {
-  LinkClient, LinkServer, findStalled, othersReachStore, sumLoads, type EntryStatus, type FleetState,
+  LinkClient, LinkServer, findStalled, othersReachStore, sumLoads, sumRequests, type EntryStatus,
+  type FleetState,
 } from '@dandelionlane/links';
 import type { Log } from '@dandelionlane/telemetry';
 import type FleetEntrySettings from './FleetEntrySettings.js';
@@ -35,6 +38,7 @@
   readonly settings: FleetEntrySettings;
   readonly registry: EntryRegistry;
   readonly states: TargetStates;
+  readonly budget: RepeatBudget;
   readonly view: FleetView;
   readonly control: GroupControl;
   readonly isReady: () => boolean;
@@ -152,6 +156,7 @@
       ready: isReady(),
       callerAddress: `${settings.callers.host}:${settings.callers.port}`,
       storeAgeMilliseconds: Math.round(Math.min(this.#storeAge(), LONGEST_SILENCE_MILLISECONDS)),
+      requests: [...this.#options.budget.counts()],
       targets,
     };
   }
@@ -197,6 +202,7 @@
       ageMilliseconds: Math.round(workerFollower.ageMilliseconds),
       entries,
       loads: sumLoads(statuses.map(({ status }) => status)),
+      requests: sumRequests(statuses.map(({ status }) => status)),
       stalled: findStalled(statuses, (worker, unread) => quietLimit(worker, unread)),
       groups: [...controller.unregisteredGroups()],
       rows: [...workerRows.takeChanges()],
@@ -207,7 +213,7 @@
     this.#server.broadcast(state, () => [...workerRows.all()]);
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
-    this.#applyTargets(state);
+    this.#applyShared(state);
     this.#handOver(others);
   }
 
@@ -230,11 +236,14 @@
       workerFollower.resume();
     }
     this.#linkedEntries = state.entries;
-    this.#applyTargets(state);
+    this.#applyShared(state);
   }
 
-  #applyTargets({ loads, stalled, groups }: FleetState): void {
-    const { states, view: { workers } } = this.#options;
+  #applyShared({
+    loads, requests, stalled, groups,
+  }: FleetState): void {
+    const { states, budget, view: { workers } } = this.#options;
+    requests.forEach(({ service, requests: count }) => budget.requestsShared(service, count));
     groups.forEach(({ worker, group, model }) => workers.noteGroup(worker, group, model));
     loads.forEach(({ worker, outstanding, unreadTokens }) => {
       states.of(worker).loadShared(outstanding, unreadTokens);
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -68,6 +68,11 @@
     states.drop(worker);
     connections.drop(worker);
   });
+  const budget = new RepeatBudget(clock, {
+    ratio: settings.repeatRatio,
+    extra: settings.repeatExtra,
+    windowMilliseconds: settings.repeatWindowMilliseconds,
+  });
   const requests = new RequestServer({
     wire: ports.wire,
     zone: settings.zone,
@@ -75,11 +80,7 @@
     workers,
     states,
     connections,
-    budget: new RepeatBudget(clock, {
-      ratio: settings.repeatRatio,
-      extra: settings.repeatExtra,
-      windowMilliseconds: settings.repeatWindowMilliseconds,
-    }),
+    budget,
     timings: new ModelTimings(),
     patience: new CallerPatience(clock),
     waitingRoom: new WaitingRoom(clock),
@@ -100,7 +101,7 @@
   };
   const stalls = new StallDetector({ states, clock, quietLimit });
   coordinator = new Coordinator({
-    settings, registry, states, view, control, isReady, quietLimit, clock, log: logFor('links'),
+    settings, registry, states, budget, view, control, isReady, quietLimit, clock, log: logFor('links'),
   });
 
   const callers = createCallerServer(requests, configuration);
--- a/packages/gateway/src/lib/choice/RepeatBudget.ts
+++ b/packages/gateway/src/lib/choice/RepeatBudget.ts
@@ -6,6 +6,15 @@
 /** Share of the bound that is used: entries count their windows apart. */
 const SAFETY_SHARE = 0.7;
 
+/** Age up to which the requests that entries share are used, in ms: several messages. */
+const SHARED_AGE_MILLISECONDS = 1_000;
+
+/** Requests of all entries for a service, as of a moment. */
+interface SharedRequests {
+  readonly requests: number;
+  readonly at: number;
+}
+
 /** Requests and repeats that began within one second. */
 interface Bucket {
   readonly startedAt: number;
@@ -23,8 +32,9 @@
 }
 
 /**
- * Bounds arrivals at a service beyond the first of each request. The part that grows with the
- * requests needs no agreement; the fixed part is split evenly over the live entries.
+ * Bounds arrivals at a service beyond the first of each request. The allowance is split evenly over
+ * the live entries: the part that grows with the requests by those of all entries, where they are
+ * known, so that an entry that has just started has its share; by its own otherwise.
  */
 export default class RepeatBudget {
   readonly #clock: Clock;
@@ -33,6 +43,8 @@
 
   readonly #buckets = new Map<ServiceId, Bucket[]>();
 
+  readonly #shared = new Map<ServiceId, SharedRequests>();
+
   constructor(clock: Clock, settings: RepeatBudgetSettings) {
     this.#clock = clock;
     this.#settings = settings;
@@ -43,6 +55,16 @@
     this.#current(service).requests += 1;
   }
 
+  /** Requests of this entry in the window, by service. */
+  counts(): readonly { readonly service: ServiceId; readonly requests: number }[] {
+    return [...this.#buckets.keys()].map((service) => ({ service, requests: this.#requests(service) }));
+  }
+
+  /** Takes in the requests of all entries in the window, this one's included. */
+  requestsShared(service: ServiceId, requests: number): void {
+    this.#shared.set(service, { requests, at: this.#clock.monotonicMilliseconds() });
+  }
+
   /**
    * Takes one repeat, or returns false when the window's are used up.
    * @param entries Live entries, this one included.
@@ -50,9 +72,9 @@
   tryRepeat(service: ServiceId, entries: number): boolean {
     const current = this.#current(service);
     const buckets = this.#buckets.get(service) ?? [];
-    const requests = buckets.reduce((sum, bucket) => sum + bucket.requests, 0);
     const repeats = buckets.reduce((sum, bucket) => sum + bucket.repeats, 0);
     const { ratio, extra } = this.#settings;
+    const requests = this.#sharedPart(service, entries) ?? this.#requests(service);
     if (repeats + 1 > (ratio * requests + extra / entries) * SAFETY_SHARE) {
       return false;
     }
@@ -60,6 +82,20 @@
     return true;
   }
 
+  /** This entry's part of the requests of all, or null where they are not known. */
+  #sharedPart(service: ServiceId, entries: number): number | null {
+    const shared = this.#shared.get(service);
+    return shared !== undefined && this.#clock.monotonicMilliseconds() - shared.at < SHARED_AGE_MILLISECONDS
+      ? shared.requests / entries : null;
+  }
+
+  #requests(service: ServiceId): number {
+    const now = this.#clock.monotonicMilliseconds();
+    return (this.#buckets.get(service) ?? [])
+      .filter(({ startedAt }) => now - startedAt < this.#settings.windowMilliseconds)
+      .reduce((sum, bucket) => sum + bucket.requests, 0);
+  }
+
   #current(service: ServiceId): Bucket {
     const now = this.#clock.monotonicMilliseconds();
     const buckets = (this.#buckets.get(service) ?? [])
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -24,7 +24,10 @@
 const EXTRA = 134;
 const WINDOW_MILLISECONDS = 10_000;
 
-test('entries together keep the shared bound on repeats in any window', () => {
+const BUDGET = { ratio: RATIO, extra: EXTRA, windowMilliseconds: WINDOW_MILLISECONDS };
+
+/** Any requests and repeats at some entries; `share` may tell each entry of the requests of all. */
+function checkBudgets(share: (budgets: readonly RepeatBudget[], event: number) => void): void {
   fc.assert(fc.property(
     fc.integer({ min: 1, max: 12 }),
     fc.array(fc.record({
@@ -32,12 +35,12 @@
     }), { maxLength: 1_500 }),
     (entries, events) => {
       const clock = new ManualClock();
-      const settings = { ratio: RATIO, extra: EXTRA, windowMilliseconds: WINDOW_MILLISECONDS };
-      const budgets = Array.from({ length: entries }, () => new RepeatBudget(clock, settings));
+      const budgets = Array.from({ length: entries }, () => new RepeatBudget(clock, BUDGET));
       const requests: number[] = [];
       const repeats: number[] = [];
-      events.forEach(({ entry, repeat, pause }) => {
+      events.forEach(({ entry, repeat, pause }, index) => {
         clock.advance(pause);
+        share(budgets, index);
         const budget = budgets[entry % entries];
         if (!repeat) {
           budget?.request(SERVICE);
@@ -54,6 +57,36 @@
       });
     },
   ), PARAMETERS);
+}
+
+function shareWithAll(budgets: readonly RepeatBudget[]): void {
+  const requests = budgets.flatMap((budget) => budget.counts())
+    .reduce((sum, { requests: count }) => sum + count, 0);
+  budgets.forEach((budget) => budget.requestsShared(SERVICE, requests));
+}
+
+test('entries together keep the shared bound on repeats in any window', () => {
+  checkBudgets(() => undefined);
+});
+
+test('entries that hear of all requests keep the bound', () => {
+  checkBudgets((budgets, event) => (event % 3 === 0 ? shareWithAll(budgets) : undefined));
+});
+
+test('entries of which some hear of all requests keep the bound', () => {
+  checkBudgets((budgets, event) => (event % 50 === 0 ? shareWithAll(budgets) : undefined));
+});
+
+test('an entry that has just started has its share of the repeats', () => {
+  const clock = new ManualClock();
+  const old = new RepeatBudget(clock, { ...BUDGET, extra: 0 });
+  const fresh = new RepeatBudget(clock, { ...BUDGET, extra: 0 });
+  Array.from({ length: 100 }).forEach(() => old.request(SERVICE));
+  expect(fresh.tryRepeat(SERVICE, 2)).toBe(false);
+  shareWithAll([old, fresh]);
+  expect(fresh.tryRepeat(SERVICE, 2)).toBe(true);
+  clock.advance(1_000);
+  expect(fresh.tryRepeat(SERVICE, 2)).toBe(false);
 });
 
 test('events go out once and in order over any runs', () => {
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -7,3 +7,4 @@
 export { default as findStalled } from './lib/findStalled.js';
 export { default as othersReachStore } from './lib/othersReachStore.js';
 export { default as sumLoads } from './lib/sumLoads.js';
+export { default as sumRequests } from './lib/sumRequests.js';
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { EntryId, WorkerId } from '@dandelionlane/core';
+import { EntryId, ServiceId, WorkerId } from '@dandelionlane/core';
 
 /** What an entry tells the holder of the lease, several times a second. */
 const EntryStatus = z.object({
@@ -10,6 +10,8 @@
   callerAddress: z.string(),
   /** Time since the store last answered it, in ms. */
   storeAgeMilliseconds: z.number(),
+  /** Its requests in the window of the repeat budget. */
+  requests: z.array(z.object({ service: ServiceId, requests: z.number() })),
   /** Model targets that it has requests at. */
   targets: z.array(z.object({
     worker: WorkerId,
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import {
-  EntryId, Epoch, GroupName, ModelName, RowVersion, TableRow, WorkerId,
+  EntryId, Epoch, GroupName, ModelName, RowVersion, ServiceId, TableRow, WorkerId,
 } from '@dandelionlane/core';
 import { LeaseAnnouncement } from '@dandelionlane/platform';
 
@@ -16,6 +16,8 @@
   entries: z.array(z.object({ entry: EntryId, ready: z.boolean(), callerAddress: z.string() })),
   /** Requests of all entries at model targets. */
   loads: z.array(z.object({ worker: WorkerId, outstanding: z.number(), unreadTokens: z.number() })),
+  /** Requests of all entries in the window of the repeat budget. */
+  requests: z.array(z.object({ service: ServiceId, requests: z.number() })),
   /** Formations that stand still, by what all entries see. */
   stalled: z.array(z.object({ worker: WorkerId, formation: z.string() })),
   /** Groups of workers by their reports, where their registrations say otherwise: the store may be away. */
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -1,7 +1,9 @@
 import {
   afterEach, expect, test, vi,
 } from 'vitest';
-import { EntryId, RowVersion, WorkerId } from '@dandelionlane/core';
+import {
+  EntryId, RowVersion, WorkerId, ServiceId,
+} from '@dandelionlane/core';
 import EntryStatus from '../lib/EntryStatus.js';
 import type FleetState from '../lib/FleetState.js';
 import LinkClient from '../lib/LinkClient.js';
@@ -9,6 +11,7 @@
 import decodeMessage from '../lib/decodeMessage.js';
 import findStalled from '../lib/findStalled.js';
 import othersReachStore from '../lib/othersReachStore.js';
+import sumRequests from '../lib/sumRequests.js';
 import sumLoads from '../lib/sumLoads.js';
 
 const LOG = {
@@ -23,6 +26,7 @@
     ready: true,
     callerAddress: `${entry}:1`,
     storeAgeMilliseconds: 0,
+    requests: [],
     targets: [{
       worker: HEAD,
       formation: 'g/1',
@@ -40,6 +44,7 @@
   kind: 'state',
   holder: EntryId.parse('holder'),
   lease: null,
+  requests: [],
   ageMilliseconds: 0,
   entries: [],
   loads: [],
@@ -122,3 +127,11 @@
   expect(othersReachStore(3_000, [2_600, 300])).toBe(true);
   expect(othersReachStore(900, [0])).toBe(false);
 });
+
+test('requests are summed over entries by service', () => {
+  const [one, two] = [ServiceId.parse('one'), ServiceId.parse('two')];
+  const first = { ...status('a'), requests: [{ service: one, requests: 2 }] };
+  const second = { ...status('b'), requests: [{ service: one, requests: 3 }, { service: two, requests: 1 }] };
+  expect(sumRequests([first, second]))
+    .toEqual([{ service: one, requests: 5 }, { service: two, requests: 1 }]);
+});
