--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -44,6 +44,16 @@
   return registry;
 }
 
+/** A store whose tables can be read only at times. */
+function readable(store: MemoryTableStore, isReadable: () => boolean): TableStore {
+  return {
+    read: (keys) => store.read(keys),
+    commit: (transaction) => store.commit(transaction),
+    scan: (table, prefix) => (isReadable()
+      ? store.scan(table, prefix) : errAsync(new ServingError('away', { kind: 'store-unavailable' }))),
+  };
+}
+
 async function rounds(count: number, clock: ManualClock): Promise<void> {
   for (let index = 0; index < count; index += 1) {
     clock.advance(ROUND_MILLISECONDS);
@@ -121,13 +131,7 @@
   const store = new MemoryTableStore();
   const clock = new ManualClock();
   let away = false;
-  const one = create('one', {
-    ...store,
-    read: (keys) => store.read(keys),
-    commit: (transaction) => store.commit(transaction),
-    scan: (table, prefix) => (away
-      ? errAsync(new ServingError('away', { kind: 'store-unavailable' })) : store.scan(table, prefix)),
-  }, clock);
+  const one = create('one', readable(store, () => !away), clock);
   const other = create('other', store, clock);
   const ended = create('ended', store, clock);
   [one, other, ended].forEach((registry) => registry.start());
@@ -152,12 +156,7 @@
   const store = new MemoryTableStore();
   const clock = new ManualClock();
   let away = false;
-  const one = create('one', {
-    read: (keys) => store.read(keys),
-    commit: (transaction) => store.commit(transaction),
-    scan: (table, prefix) => (away
-      ? errAsync(new ServingError('away', { kind: 'store-unavailable' })) : store.scan(table, prefix)),
-  }, clock);
+  const one = create('one', readable(store, () => !away), clock);
   const other = create('other', store, clock);
   const ended = create('ended', store, clock);
   [one, other, ended].forEach((registry) => registry.start());
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -14,6 +14,7 @@
 import chooseTarget from '../lib/choice/chooseTarget.js';
 import EventOrder from '../lib/relay/EventOrder.js';
 import CallerPatience from '../lib/requests/CallerPatience.js';
+import type RunningStream from '../lib/targets/RunningStream.js';
 import StallDetector from '../lib/targets/StallDetector.js';
 import TargetStates from '../lib/targets/TargetStates.js';
 
@@ -169,21 +170,27 @@
   expect(choose([one], clock)).toEqual({ kind: 'none', reason: 'all-full' });
 });
 
+/** A stream on a target; calls `stalled` when it is told that the target stands still. */
+function runningStream(overrides: Partial<RunningStream> = {}): RunningStream {
+  return {
+    sentAt: 0,
+    lastEventAt: null,
+    expectedMilliseconds: 150,
+    promptTokens: 0,
+    model: null,
+    paused: false,
+    formation: 'g/1',
+    stalled: () => undefined,
+    ...overrides,
+  };
+}
+
 /** Gives a target running streams, one of them with a prompt that has not been read. */
 function busy(target: Candidate, running: number, unreadTokens = 0): Candidate {
   const { state } = target;
   state.outstanding = running;
   if (unreadTokens > 0) {
-    state.streams.add({
-      sentAt: 0,
-      lastEventAt: null,
-      expectedMilliseconds: 100,
-      promptTokens: unreadTokens,
-      model: null,
-      paused: false,
-      formation: 'g/1',
-      stalled: () => undefined,
-    });
+    state.streams.add(runningStream({ promptTokens: unreadTokens }));
   }
   return target;
 }
@@ -335,14 +342,8 @@
   const states = new TargetStates(clock);
   const worker = WorkerId.parse('w');
   const moved: string[] = [];
-  const stream = (name: string, lastEventAt: number | null) => ({
-    sentAt: 0,
+  const stream = (name: string, lastEventAt: number | null) => runningStream({
     lastEventAt,
-    expectedMilliseconds: 150,
-    promptTokens: 0,
-    model: null,
-    paused: false,
-    formation: 'g/1',
     stalled: () => {
       moved.push(name);
     },
@@ -370,18 +371,11 @@
   const states = new TargetStates(clock);
   const worker = WorkerId.parse('w');
   let moved = false;
-  states.of(worker).streams.add({
-    sentAt: 0,
-    lastEventAt: null,
-    expectedMilliseconds: 150,
-    promptTokens: 0,
-    model: null,
-    paused: false,
-    formation: 'g/1',
+  states.of(worker).streams.add(runningStream({
     stalled: () => {
       moved = true;
     },
-  });
+  }));
   const detector = new StallDetector({ states, clock, quietLimit: () => 170 });
   const wait = (milliseconds: number) => {
     for (let waited = 0; waited < milliseconds; waited += 40) {
@@ -403,18 +397,12 @@
   const states = new TargetStates(clock);
   const worker = WorkerId.parse('w');
   let moved = false;
-  states.of(worker).streams.add({
-    sentAt: 0,
+  states.of(worker).streams.add(runningStream({
     lastEventAt: 0,
-    expectedMilliseconds: 150,
-    promptTokens: 0,
-    model: null,
-    paused: false,
-    formation: 'g/1',
     stalled: () => {
       moved = true;
     },
-  });
+  }));
   states.of(worker).progressed();
   const detector = new StallDetector({ states, clock, quietLimit: () => 170 });
   clock.advance(900);
