Expect prompts of other entries where nothing is known of them; wait 1.5 s for a place

Prompts of the others are now guessed as their requests are. Late streams were refused after 1 s although callers wait 2 s for an event.

Test: an entry that knows nothing of the others expects them to have prompts, too.

--- a/packages/gateway/src/lib/choice/chooseStreamTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseStreamTarget.ts
@@ -102,7 +102,7 @@
 ): Choice {
   const predicted = loaded
     .filter(({ candidate, load }) => load < candidate.slots + QUEUE_ALLOWANCE)
-    .map((item) => ({ ...item, prediction: predict(item.candidate, item.load, need) }));
+    .map((item) => ({ ...item, prediction: predict(item, need) }));
   const calm = predicted.filter(({ load, prediction }) => (
     load < 1 || prediction.pauseMilliseconds <= (need.pauseAimMilliseconds ?? Number.POSITIVE_INFINITY)
   ));
--- a/packages/gateway/src/lib/choice/chooseTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseTarget.ts
@@ -40,9 +40,15 @@
     return { kind: 'none', reason: 'all-cold' };
   }
   const { need, zone, random } = input;
-  const meanOutstanding = warm.reduce((sum, { state }) => sum + state.outstanding, 0) / warm.length;
+  const meanOf = (count: (candidate: Candidate) => number) => (
+    warm.reduce((sum, candidate) => sum + count(candidate), 0) / warm.length
+  );
+  const meanOutstanding = meanOf(({ state }) => state.outstanding);
+  const othersUnread = meanOf(({ state }) => state.unreadTokens) * (input.entries - 1);
   const loaded = warm.map((candidate) => ({
-    candidate, load: candidate.state.estimateLoad(input.entries, meanOutstanding),
+    candidate,
+    load: candidate.state.estimateLoad(input.entries, meanOutstanding),
+    unreadTokens: candidate.state.estimateUnreadTokens(othersUnread),
   }));
   return need === null
     ? choosePlainTarget(loaded, zone, random)
--- a/packages/gateway/src/lib/choice/predict.ts
+++ b/packages/gateway/src/lib/choice/predict.ts
@@ -1,21 +1,19 @@
 import { passMilliseconds, readingMilliseconds } from '@dandelionlane/fleet';
-import type Candidate from './Candidate.js';
+import type LoadedCandidate from './LoadedCandidate.js';
 import type Prediction from './Prediction.js';
 import type StreamNeed from './StreamNeed.js';
 
 /**
  * Predicts how a stream would fare at a target: the engine reads all prompts that it has, and a
  * request beyond the places waits until a running one ends.
- * @param load Requests that the target is estimated to have.
  */
 export default function predict(
-  { state, slots }: Candidate,
-  load: number,
+  { candidate: { slots }, load, unreadTokens }: LoadedCandidate,
   {
     engine, model, timing, promptTokens,
   }: StreamNeed,
 ): Prediction {
-  const reading = readingMilliseconds(engine, model, state.estimateUnreadTokens() + promptTokens);
+  const reading = readingMilliseconds(engine, model, unreadTokens + promptTokens);
   const waiting = Math.max(0, load + 1 - slots) * (timing.runMilliseconds / slots);
   return {
     firstEventMilliseconds: timing.firstEventMilliseconds + reading + waiting,
--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -16,8 +16,11 @@
 /** Most targets that are tried without having run the request. */
 const MAXIMUM_REFUSALS = 4;
 
-/** Longest time that a request waits for a target, in ms: callers give a silent stream up after 2 s. */
-const MAXIMUM_WAIT_MILLISECONDS = 1_000;
+/**
+ * Longest time that a request waits for a target, in ms: callers give a silent stream up after 2 s,
+ * and the first event takes some hundred ms.
+ */
+const MAXIMUM_WAIT_MILLISECONDS = 1_500;
 
 /**
  * Serves one stream of events over one or more runs.
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -90,10 +90,17 @@
       .reduce((sum, { promptTokens }) => sum + promptTokens, 0);
   }
 
-  /** Prompt tokens that the target may still have to read, for all entries. */
-  estimateUnreadTokens(): number {
-    const isShared = this.#now() - this.#sharedAt < SHARED_AGE_MILLISECONDS;
-    return this.unreadTokens + (isShared ? this.#sharedUnread : 0);
+  /** Whether the requests of all entries at the target are known. */
+  get isShared(): boolean {
+    return this.#now() - this.#sharedAt < SHARED_AGE_MILLISECONDS;
+  }
+
+  /**
+   * Prompt tokens that the target may still have to read, for all entries.
+   * @param othersGuess Those of the other entries where nothing is known of them.
+   */
+  estimateUnreadTokens(othersGuess = 0): number {
+    return this.unreadTokens + (this.isShared ? this.#sharedUnread : othersGuess);
   }
 
   /** Notes that the own requests are told to the other entries. */
@@ -116,7 +123,7 @@
    * other entries, they are taken to have as many.
    */
   estimateLoad(entries: number, meanOutstanding: number): number {
-    if (this.#now() - this.#sharedAt < SHARED_AGE_MILLISECONDS) {
+    if (this.isShared) {
       return this.outstanding + this.#sharedOthers;
     }
     const age = this.#now() - this.#loadAt;
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -208,6 +208,18 @@
   expect(state.estimateLoad(9, 0.5)).toBe(5);
 });
 
+test('an entry that knows nothing of the others expects them to have prompts, too', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const one = busy(candidate(states, 'one', { slots: 18 }), 1, 20);
+  const need = { ...NEED, firstEventBudgetMilliseconds: 200 };
+  expect(chosenName(choose([one], clock, need, new SeededRandom(1), 1))).toBe('one');
+  expect(chosenName(choose([one], clock, need, new SeededRandom(1), 9))).toBe('all-full');
+  one.state.told();
+  one.state.loadShared(1, 20);
+  expect(chosenName(choose([one], clock, need, new SeededRandom(1), 9))).toBe('one');
+});
+
 test('a stream goes where its prompt is read first', () => {
   const clock = new ManualClock();
   const states = new TargetStates(clock);
