--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -1,7 +1,10 @@
 import type { Clock, EntryId, WorkerId } from '@dandelionlane/core';
-import type { EntryRegistry, KnownEntry, TargetStates } from '@dandelionlane/gateway';
+import type {
+  EntryRegistry, KnownEntry, RepeatBudget, TargetStates,
+} from '@dandelionlane/gateway';
 import {
-  LinkClient, LinkServer, findStalled, othersReachStore, sumLoads, type EntryStatus, type FleetState,
+  LinkClient, LinkServer, findStalled, othersReachStore, sumLoads, sumRequests, type EntryStatus,
+  type FleetState,
 } from '@dandelionlane/links';
 import type { Log } from '@dandelionlane/telemetry';
 import type FleetEntrySettings from './FleetEntrySettings.js';
@@ -18,6 +21,9 @@
  */
 const STALE_MILLISECONDS = 1_100;
 
+/** Age of the holder's last message up to which it is known to live, in ms: two messages and a half. */
+const HEARD_MILLISECONDS = 300;
+
 /** Time after the last status of an entry from which its link counts as ended, in ms. */
 const ENTRY_SILENCE_MILLISECONDS = 1_000;
 
@@ -32,6 +38,7 @@
   readonly settings: FleetEntrySettings;
   readonly registry: EntryRegistry;
   readonly states: TargetStates;
+  readonly budget: RepeatBudget;
   readonly view: FleetView;
   readonly control: GroupControl;
   readonly isReady: () => boolean;
@@ -89,6 +96,11 @@
     return this.#leading ? null : this.#linkedEntries;
   }
 
+  /** Whether the holder is known to live; else the lease is to be looked at. */
+  hearsHolder(): boolean {
+    return !this.#leading && this.#client.ageMilliseconds < HEARD_MILLISECONDS;
+  }
+
   #round(): void {
     const {
       control, view, settings, registry,
@@ -144,6 +156,7 @@
       ready: isReady(),
       callerAddress: `${settings.callers.host}:${settings.callers.port}`,
       storeAgeMilliseconds: Math.round(Math.min(this.#storeAge(), LONGEST_SILENCE_MILLISECONDS)),
+      requests: [...this.#options.budget.counts()],
       targets,
     };
   }
@@ -166,7 +179,7 @@
 
   #lead(): void {
     const {
-      settings, registry, view: { workerRows, workerFollower }, control: { controller }, quietLimit,
+      settings, registry, view: { workerRows, workerFollower }, control: { controller, lease }, quietLimit,
     } = this.#options;
     const others = this.#server.statuses()
       .filter(({ ageMilliseconds }) => ageMilliseconds < ENTRY_SILENCE_MILLISECONDS);
@@ -185,9 +198,11 @@
     const state: FleetState = {
       kind: 'state',
       holder: settings.entry,
+      lease: lease.announcement(),
       ageMilliseconds: Math.round(workerFollower.ageMilliseconds),
       entries,
       loads: sumLoads(statuses.map(({ status }) => status)),
+      requests: sumRequests(statuses.map(({ status }) => status)),
       stalled: findStalled(statuses, (worker, unread) => quietLimit(worker, unread)),
       groups: [...controller.unregisteredGroups()],
       rows: [...workerRows.takeChanges()],
@@ -198,12 +213,15 @@
     this.#server.broadcast(state, () => [...workerRows.all()]);
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
-    this.#applyTargets(state);
+    this.#applyShared(state);
     this.#handOver(others);
   }
 
   #takeState(state: FleetState): void {
-    const { workerRows, workerFollower } = this.#options.view;
+    const { view: { workerRows, workerFollower }, control } = this.#options;
+    if (state.lease !== null) {
+      control.lease.announced(state.lease);
+    }
     if (state.returned) {
       workerRows.storeReturned();
     }
@@ -218,11 +236,14 @@
       workerFollower.resume();
     }
     this.#linkedEntries = state.entries;
-    this.#applyTargets(state);
+    this.#applyShared(state);
   }
 
-  #applyTargets({ loads, stalled, groups }: FleetState): void {
-    const { states, view: { workers } } = this.#options;
+  #applyShared({
+    loads, requests, stalled, groups,
+  }: FleetState): void {
+    const { states, budget, view: { workers } } = this.#options;
+    requests.forEach(({ service, requests: count }) => budget.requestsShared(service, count));
     groups.forEach(({ worker, group, model }) => workers.noteGroup(worker, group, model));
     loads.forEach(({ worker, outstanding, unreadTokens }) => {
       states.of(worker).loadShared(outstanding, unreadTokens);
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -71,7 +71,9 @@
   }
 
   start(): void {
-    this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS);
+    this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS, (cause) => {
+      this.#options.log.error('Round failed.', { detail: String(cause) });
+    });
   }
 
   /** Ends the heartbeats and deletes the own row. */
@@ -146,7 +148,9 @@
     [...this.#seen.keys()].filter((entry) => !names.has(entry)).forEach((entry) => this.#seen.delete(entry));
   }
 
+  /** From now on all known entries count, but for those that had fallen silent before. */
   #rowsUnread(): void {
+    this.#seen = new Map(this.#live(SILENCE_MILLISECONDS).map((seen) => [seen.record.entry, seen]));
     this.#reading = false;
     this.#unreadAt = this.#options.clock.monotonicMilliseconds();
   }
--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -16,8 +16,11 @@
 /** Most targets that are tried without having run the request. */
 const MAXIMUM_REFUSALS = 4;
 
-/** Longest time that a request waits for a target, in ms: callers give a silent stream up after 2 s. */
-const MAXIMUM_WAIT_MILLISECONDS = 1_000;
+/**
+ * Longest time that a request waits for a target, in ms: callers give a silent stream up after 2 s,
+ * and the first event takes some hundred ms.
+ */
+const MAXIMUM_WAIT_MILLISECONDS = 1_500;
 
 /**
  * Serves one stream of events over one or more runs.
@@ -65,6 +68,9 @@
         return this.#giveUp('deadline passed');
       }
       const choice = await this.#choose(signal);
+      if (signal.aborted) {
+        return 'caller-gone';
+      }
       if (choice.kind === 'none') {
         return this.#hasBegun() ? this.#giveUp(choice.reason) : this.#refuse(refuseChoice(choice));
       }
@@ -80,11 +86,11 @@
     return 'caller-gone';
   }
 
-  /** Chooses a target, and waits for one if the request has not run anywhere. */
+  /** Chooses a target, and waits for one where none is free. */
   async #choose(signal: AbortSignal): Promise<Choice> {
     const choose = () => pickTarget(this.#parts, this.#call, this.#excluded, this.#goesOn);
     const choice = choose();
-    if (choice.kind === 'chosen' || this.#hasBegun()) {
+    if (choice.kind === 'chosen') {
       return choice;
     }
     const { clock, waitingRoom } = this.#parts;
@@ -92,10 +98,12 @@
       said, service, receivedAt, onTimeUntil, deadlineAt, log,
     } = this.#call;
     const startedAt = clock.monotonicMilliseconds();
+    const until = (this.#hasBegun() ? startedAt : receivedAt) + MAXIMUM_WAIT_MILLISECONDS;
     const found = await waitingRoom.wait({
       queue: `${service}/${said.model ?? ''}`,
-      onTimeUntil,
-      until: Math.min(deadlineAt, receivedAt + MAXIMUM_WAIT_MILLISECONDS),
+      // A stream that has begun comes before late ones, and after those that can still be on time.
+      onTimeUntil: this.#hasBegun() ? until : onTimeUntil,
+      until: Math.min(deadlineAt, until),
       signal,
       choose,
     });
@@ -200,7 +208,8 @@
 
   /** Ends a stream that cannot go on: cuts one that has begun, refuses another. */
   #giveUp(reason: string): string {
-    const { outgoing } = this.#call;
+    const { outgoing, log } = this.#call;
+    log.set('detail', reason);
     if (outgoing.headersSent) {
       cutAnswer(outgoing);
       return 'stream-cut';
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -44,6 +44,16 @@
   return registry;
 }
 
+/** A store whose tables can be read only at times. */
+function readable(store: MemoryTableStore, isReadable: () => boolean): TableStore {
+  return {
+    read: (keys) => store.read(keys),
+    commit: (transaction) => store.commit(transaction),
+    scan: (table, prefix) => (isReadable()
+      ? store.scan(table, prefix) : errAsync(new ServingError('away', { kind: 'store-unavailable' }))),
+  };
+}
+
 async function rounds(count: number, clock: ManualClock): Promise<void> {
   for (let index = 0; index < count; index += 1) {
     clock.advance(ROUND_MILLISECONDS);
@@ -121,13 +131,7 @@
   const store = new MemoryTableStore();
   const clock = new ManualClock();
   let away = false;
-  const one = create('one', {
-    ...store,
-    read: (keys) => store.read(keys),
-    commit: (transaction) => store.commit(transaction),
-    scan: (table, prefix) => (away
-      ? errAsync(new ServingError('away', { kind: 'store-unavailable' })) : store.scan(table, prefix)),
-  }, clock);
+  const one = create('one', readable(store, () => !away), clock);
   const other = create('other', store, clock);
   const ended = create('ended', store, clock);
   [one, other, ended].forEach((registry) => registry.start());
@@ -147,6 +151,29 @@
   expect(one.readyAddresses()).toContain('other:1');
 });
 
+test('an entry that has fallen silent is not named again by an outage', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  let away = false;
+  const one = create('one', readable(store, () => !away), clock);
+  const other = create('other', store, clock);
+  const ended = create('ended', store, clock);
+  [one, other, ended].forEach((registry) => registry.start());
+  await rounds(3, clock);
+  running = running.filter((registry) => registry !== ended);
+  await ended.stop();
+  await ended.announce();
+  await rounds(5, clock);
+  expect(one.readyAddresses()).toEqual(['one:1', 'other:1']);
+  away = true;
+  await rounds(3, clock);
+  expect(one.readyAddresses()).toEqual(['one:1', 'other:1']);
+  away = false;
+  await rounds(2, clock);
+  expect(one.readyAddresses()).toEqual(['one:1', 'other:1']);
+});
+
 test('an entry that ended during a link is not named after it', async () => {
   vi.useFakeTimers();
   const store = new MemoryTableStore();
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -14,6 +14,7 @@
 import chooseTarget from '../lib/choice/chooseTarget.js';
 import EventOrder from '../lib/relay/EventOrder.js';
 import CallerPatience from '../lib/requests/CallerPatience.js';
+import type RunningStream from '../lib/targets/RunningStream.js';
 import StallDetector from '../lib/targets/StallDetector.js';
 import TargetStates from '../lib/targets/TargetStates.js';
 
@@ -24,7 +25,10 @@
 const EXTRA = 134;
 const WINDOW_MILLISECONDS = 10_000;
 
-test('entries together keep the shared bound on repeats in any window', () => {
+const BUDGET = { ratio: RATIO, extra: EXTRA, windowMilliseconds: WINDOW_MILLISECONDS };
+
+/** Any requests and repeats at some entries; `share` may tell each entry of the requests of all. */
+function checkBudgets(share: (budgets: readonly RepeatBudget[], event: number) => void): void {
   fc.assert(fc.property(
     fc.integer({ min: 1, max: 12 }),
     fc.array(fc.record({
@@ -32,12 +36,12 @@
     }), { maxLength: 1_500 }),
     (entries, events) => {
       const clock = new ManualClock();
-      const settings = { ratio: RATIO, extra: EXTRA, windowMilliseconds: WINDOW_MILLISECONDS };
-      const budgets = Array.from({ length: entries }, () => new RepeatBudget(clock, settings));
+      const budgets = Array.from({ length: entries }, () => new RepeatBudget(clock, BUDGET));
       const requests: number[] = [];
       const repeats: number[] = [];
-      events.forEach(({ entry, repeat, pause }) => {
+      events.forEach(({ entry, repeat, pause }, index) => {
         clock.advance(pause);
+        share(budgets, index);
         const budget = budgets[entry % entries];
         if (!repeat) {
           budget?.request(SERVICE);
@@ -54,6 +58,36 @@
       });
     },
   ), PARAMETERS);
+}
+
+function shareWithAll(budgets: readonly RepeatBudget[]): void {
+  const requests = budgets.flatMap((budget) => budget.counts())
+    .reduce((sum, { requests: count }) => sum + count, 0);
+  budgets.forEach((budget) => budget.requestsShared(SERVICE, requests));
+}
+
+test('entries together keep the shared bound on repeats in any window', () => {
+  checkBudgets(() => undefined);
+});
+
+test('entries that hear of all requests keep the bound', () => {
+  checkBudgets((budgets, event) => (event % 3 === 0 ? shareWithAll(budgets) : undefined));
+});
+
+test('entries of which some hear of all requests keep the bound', () => {
+  checkBudgets((budgets, event) => (event % 50 === 0 ? shareWithAll(budgets) : undefined));
+});
+
+test('an entry that has just started has its share of the repeats', () => {
+  const clock = new ManualClock();
+  const old = new RepeatBudget(clock, { ...BUDGET, extra: 0 });
+  const fresh = new RepeatBudget(clock, { ...BUDGET, extra: 0 });
+  Array.from({ length: 100 }).forEach(() => old.request(SERVICE));
+  expect(fresh.tryRepeat(SERVICE, 2)).toBe(false);
+  shareWithAll([old, fresh]);
+  expect(fresh.tryRepeat(SERVICE, 2)).toBe(true);
+  clock.advance(1_000);
+  expect(fresh.tryRepeat(SERVICE, 2)).toBe(false);
 });
 
 test('events go out once and in order over any runs', () => {
@@ -136,21 +170,27 @@
   expect(choose([one], clock)).toEqual({ kind: 'none', reason: 'all-full' });
 });
 
+/** A stream on a target; calls `stalled` when it is told that the target stands still. */
+function runningStream(overrides: Partial<RunningStream> = {}): RunningStream {
+  return {
+    sentAt: 0,
+    lastEventAt: null,
+    expectedMilliseconds: 150,
+    promptTokens: 0,
+    model: null,
+    paused: false,
+    formation: 'g/1',
+    stalled: () => undefined,
+    ...overrides,
+  };
+}
+
 /** Gives a target running streams, one of them with a prompt that has not been read. */
 function busy(target: Candidate, running: number, unreadTokens = 0): Candidate {
   const { state } = target;
   state.outstanding = running;
   if (unreadTokens > 0) {
-    state.streams.add({
-      sentAt: 0,
-      lastEventAt: null,
-      expectedMilliseconds: 100,
-      promptTokens: unreadTokens,
-      model: null,
-      paused: false,
-      formation: 'g/1',
-      stalled: () => undefined,
-    });
+    state.streams.add(runningStream({ promptTokens: unreadTokens }));
   }
   return target;
 }
@@ -168,6 +208,18 @@
   expect(state.estimateLoad(9, 0.5)).toBe(5);
 });
 
+test('an entry that knows nothing of the others expects them to have prompts, too', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const one = busy(candidate(states, 'one', { slots: 18 }), 1, 20);
+  const need = { ...NEED, firstEventBudgetMilliseconds: 200 };
+  expect(chosenName(choose([one], clock, need, new SeededRandom(1), 1))).toBe('one');
+  expect(chosenName(choose([one], clock, need, new SeededRandom(1), 9))).toBe('all-full');
+  one.state.told();
+  one.state.loadShared(1, 20);
+  expect(chosenName(choose([one], clock, need, new SeededRandom(1), 9))).toBe('one');
+});
+
 test('a stream goes where its prompt is read first', () => {
   const clock = new ManualClock();
   const states = new TargetStates(clock);
@@ -185,6 +237,15 @@
   expect(chosenName(choose([reading], clock, need))).toBe('reading');
 });
 
+test('a stream that has begun goes on where no other would be let in', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  const reading = busy(candidate(states, 'reading'), 5, 175);
+  expect(chosenName(choose([reading], clock))).toBe('all-full');
+  const begun = { ...NEED, firstEventBudgetMilliseconds: Number.POSITIVE_INFINITY };
+  expect(chosenName(choose([reading], clock, begun))).toBe('reading');
+});
+
 test('a prompt too large for the aim runs where nothing else does', () => {
   const clock = new ManualClock();
   const idle = candidate(new TargetStates(clock), 'idle');
@@ -293,14 +354,8 @@
   const states = new TargetStates(clock);
   const worker = WorkerId.parse('w');
   const moved: string[] = [];
-  const stream = (name: string, lastEventAt: number | null) => ({
-    sentAt: 0,
+  const stream = (name: string, lastEventAt: number | null) => runningStream({
     lastEventAt,
-    expectedMilliseconds: 150,
-    promptTokens: 0,
-    model: null,
-    paused: false,
-    formation: 'g/1',
     stalled: () => {
       moved.push(name);
     },
@@ -328,18 +383,11 @@
   const states = new TargetStates(clock);
   const worker = WorkerId.parse('w');
   let moved = false;
-  states.of(worker).streams.add({
-    sentAt: 0,
-    lastEventAt: null,
-    expectedMilliseconds: 150,
-    promptTokens: 0,
-    model: null,
-    paused: false,
-    formation: 'g/1',
+  states.of(worker).streams.add(runningStream({
     stalled: () => {
       moved = true;
     },
-  });
+  }));
   const detector = new StallDetector({ states, clock, quietLimit: () => 170 });
   const wait = (milliseconds: number) => {
     for (let waited = 0; waited < milliseconds; waited += 40) {
@@ -361,18 +409,12 @@
   const states = new TargetStates(clock);
   const worker = WorkerId.parse('w');
   let moved = false;
-  states.of(worker).streams.add({
-    sentAt: 0,
+  states.of(worker).streams.add(runningStream({
     lastEventAt: 0,
-    expectedMilliseconds: 150,
-    promptTokens: 0,
-    model: null,
-    paused: false,
-    formation: 'g/1',
     stalled: () => {
       moved = true;
     },
-  });
+  }));
   states.of(worker).progressed();
   const detector = new StallDetector({ states, clock, quietLimit: () => 170 });
   clock.advance(900);
