Explain a request from log files: dandelionlane explain

An on-call engineer had to grep for the request, its worker, its group and its model in turn. The command prints how it ended, its attempts and the changes of belief around it from the logs of all entries, and says when lines are missing.

--- a/packages/command-line/src/lib/Command.ts
+++ b/packages/command-line/src/lib/Command.ts
@@ -11,6 +11,7 @@
     readonly options: CommandOptions;
   }
   | { readonly kind: 'status'; readonly options: CommandOptions }
-  | { readonly kind: 'check'; readonly fileName: string };
+  | { readonly kind: 'check'; readonly fileName: string }
+  | { readonly kind: 'explain'; readonly request: string; readonly fileNames: readonly string[] };
 
 export default Command;
--- a/packages/command-line/src/lib/CommandOptions.ts
+++ b/packages/command-line/src/lib/CommandOptions.ts
@@ -13,6 +13,7 @@
   settings: z.string().min(1).optional(),
   wait: z.boolean().default(false),
   timeout: z.coerce.number().positive().max(MAXIMUM_TIMEOUT_SECONDS).default(DEFAULT_TIMEOUT_SECONDS),
+  log: z.union([z.string().min(1).transform((file) => [file]), z.array(z.string().min(1))]).default([]),
   json: z.boolean().default(false),
 });
 type CommandOptions = z.infer<typeof CommandOptions>;
--- a/packages/command-line/src/lib/buildProgram.ts
+++ b/packages/command-line/src/lib/buildProgram.ts
@@ -1,6 +1,6 @@
 import { parseWith, ServingError } from '@dandelionlane/core';
 import {
-  err, type Result,
+  err, ok, type Result,
 } from 'neverthrow';
 import sade, { type Sade } from 'sade';
 import type Command from './Command.js';
@@ -55,6 +55,18 @@
     ));
 }
 
+function addLogs(program: Sade): void {
+  program.command('explain <request>')
+    .describe('Print the course of a request from log files: how it ended, its attempts, and what changed around it.')
+    .option('--log', 'Log file of an entry, JSON lines; repeat it for the other entries')
+    .example('explain 9c41d07be2a35f68 --log entry-1.log --log entry-2.log')
+    .action((request: string, raw: RawOptions): Parsed => parseOptions(raw).andThen(({ log }) => (
+      log.length === 0
+        ? err(new ServingError('explain needs --log FILE', { kind: 'malformed-request' }))
+        : ok({ kind: 'explain' as const, request, fileNames: log })
+    )));
+}
+
 function addReading(program: Sade): void {
   program.command('show')
     .describe('Print the release state: services, team weights and what is out of service.')
@@ -86,5 +98,6 @@
   addReleaseNotes(program);
   addReading(program);
   addOutOfService(program);
+  addLogs(program);
   return program;
 }
--- /dev/null
+++ b/packages/command-line/src/lib/explain/LogEntry.ts
@@ -0,0 +1,11 @@
+/** One line of a structured log. */
+export default interface LogEntry {
+  /** Unix time in ms, by the clock of the process that wrote it. */
+  readonly at: number;
+  /** Process that wrote it: the word before the line, or the name of its file. */
+  readonly source: string;
+  readonly level: string;
+  readonly part: string;
+  readonly message: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
--- /dev/null
+++ b/packages/command-line/src/lib/explain/parseLog.ts
@@ -0,0 +1,33 @@
+import { z } from 'zod';
+import type LogEntry from './LogEntry.js';
+
+const LogLine = z.looseObject({
+  at: z.iso.datetime(), level: z.string(), part: z.string(), message: z.string(),
+});
+
+function parseLine(line: string, fileName: string): readonly LogEntry[] {
+  const start = line.indexOf('{');
+  let data: unknown = null;
+  try {
+    data = start < 0 ? null : JSON.parse(line.slice(start));
+  } catch {
+    // A line that is cut or of another program explains nothing.
+    return [];
+  }
+  const parsed = LogLine.safeParse(data);
+  if (!parsed.success) {
+    return [];
+  }
+  const {
+    at, level, part, message, ...fields
+  } = parsed.data;
+  const before = line.slice(0, start).trim().split(/\s+/).at(-1) ?? '';
+  return [{
+    at: Date.parse(at), source: before === '' ? fileName : before, level, part, message, fields,
+  }];
+}
+
+/** The entries of a log file, one JSON object a line; other lines are passed over. */
+export default function parseLog(text: string, fileName: string): readonly LogEntry[] {
+  return text.split('\n').flatMap((line) => parseLine(line, fileName));
+}
--- a/packages/command-line/src/lib/parseArguments.ts
+++ b/packages/command-line/src/lib/parseArguments.ts
@@ -20,7 +20,7 @@
   const parsed = buildProgram().parse(argv.map((argument) => argument.replace(FLAGS, '$&=true')), {
     lazy: true,
     boolean: ['wait', 'json'],
-    string: ['entry', 'token-file', 'settings', 'timeout'],
+    string: ['entry', 'token-file', 'settings', 'timeout', 'log'],
     unknown: (flag) => `unknown option ${flag}`,
   });
   process.off('exit', setUsageCode);
--- a/packages/command-line/src/lib/runCommand.ts
+++ b/packages/command-line/src/lib/runCommand.ts
@@ -8,13 +8,14 @@
 import resolveConnection from './resolveConnection.js';
 import runCheck from './runCheck.js';
 import runDiff from './runDiff.js';
+import runExplain from './runExplain.js';
 import runOutOfService from './runOutOfService.js';
 import runPublish from './runPublish.js';
 import runShow from './runShow.js';
 import runStatus from './runStatus.js';
 import type Terminal from './Terminal.js';
 
-type RemoteCommand = Exclude<Command, { readonly kind: 'check' }>;
+type RemoteCommand = Exclude<Command, { readonly kind: 'check' | 'explain' }>;
 
 function dispatch(context: CommandContext, command: RemoteCommand): ResultAsync<void, Failure> {
   switch (command.kind) {
@@ -45,11 +46,20 @@
   return result;
 }
 
+function runAny(terminal: Terminal, command: Command): PromiseLike<Result<void, Failure>> {
+  switch (command.kind) {
+    case 'check':
+      return runCheck(terminal, command.fileName);
+    case 'explain':
+      return runExplain(terminal, command.request, command.fileNames);
+    default:
+      return runRemote(terminal, command);
+  }
+}
+
 /** Runs a command. Failures go to the standard error; the answer is the exit code. */
 export default async function runCommand(terminal: Terminal, command: Command): Promise<ExitCode> {
-  const result = await (command.kind === 'check'
-    ? runCheck(terminal, command.fileName)
-    : runRemote(terminal, command));
+  const result = await runAny(terminal, command);
   return result.match(() => EXIT_CODES.done, ({ exitCode, message }) => {
     terminal.writeError(message);
     return exitCode;
--- /dev/null
+++ b/packages/command-line/src/lib/runExplain.ts
@@ -0,0 +1,31 @@
+import { ResultAsync, errAsync, okAsync } from 'neverthrow';
+import EXIT_CODES from './EXIT_CODES.js';
+import type Failure from './Failure.js';
+import type Terminal from './Terminal.js';
+import explainRequest from './explain/explainRequest.js';
+import parseLog from './explain/parseLog.js';
+import readFileText from './readFileText.js';
+
+/** `explain`: prints the course of a request from log files, without talking to any entry. */
+export default function runExplain(
+  terminal: Terminal,
+  request: string,
+  fileNames: readonly string[],
+): ResultAsync<void, Failure> {
+  const logs = ResultAsync.combine(fileNames.map((fileName) => (
+    readFileText(fileName).map((text) => parseLog(text, fileName))
+  )));
+  return logs.andThen((parsed) => {
+    const entries = parsed.flat();
+    const lines = explainRequest(entries, request);
+    if (lines.length === 0) {
+      return errAsync({
+        exitCode: EXIT_CODES.refused,
+        message: `no line tells of request ${request} in ${entries.length} lines of ${fileNames.length} files: `
+          + 'its entry\'s log is missing, it was not read, or lines were dropped',
+      });
+    }
+    terminal.writeLine(lines.join('\n'));
+    return okAsync(undefined);
+  });
+}
