--- a/packages/gateway/src/lib/requests/RequestServer.ts
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -2,7 +2,7 @@
 import { ServingError } from '@dandelionlane/core';
 import StreamCourse from '../relay/StreamCourse.js';
 import cutAnswer from '../relay/cutAnswer.js';
-import servePlain from '../relay/servePlain.js';
+import PlainCourse from '../relay/PlainCourse.js';
 import type Call from './Call.js';
 import CallLog from './CallLog.js';
 import type GatewayParts from './GatewayParts.js';
@@ -109,6 +109,6 @@
     this.#parts.budget.request(call.service);
     return call.route.request.kind === 'stream'
       ? new StreamCourse(this.#parts, call).serve(departure.signal)
-      : servePlain(this.#parts, call, departure.signal);
+      : new PlainCourse(this.#parts, call).serve(departure.signal);
   }
 }
