Serve by heads that answer the holder while their registrations may return

The links now tell where such workers are; an entry takes them in only while registrations may be missing that return.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -1,4 +1,5 @@
 import type { Clock, EntryId, WorkerId } from '@dandelionlane/core';
+import { toUnregisteredWorker } from '@dandelionlane/fleet';
 import type {
   EntryRegistry, KnownEntry, RepeatBudget, TargetStates,
 } from '@dandelionlane/gateway';
@@ -204,7 +205,16 @@
       loads: sumLoads(statuses.map(({ status }) => status)),
       requests: sumRequests(statuses.map(({ status }) => status)),
       stalled: findStalled(statuses, (worker, unread) => quietLimit(worker, unread)),
-      groups: [...controller.unregisteredGroups()],
+      groups: controller.unregisteredGroups().map(({ worker, group, model }) => ({
+        worker: worker.id,
+        service: worker.service,
+        address: worker.address,
+        zone: worker.zone,
+        domain: worker.domain,
+        bornAt: worker.bornAt,
+        group,
+        model,
+      })),
       rows: [...workerRows.takeChanges()],
       whole: false,
       returned: workerRows.takeReturned(),
@@ -244,7 +254,12 @@
   }: FleetState): void {
     const { states, budget, view: { workers } } = this.#options;
     requests.forEach(({ service, requests: count }) => budget.requestsShared(service, count));
-    groups.forEach(({ worker, group, model }) => workers.noteGroup(worker, group, model));
+    groups.forEach(({
+      worker, group, model, ...place
+    }) => {
+      workers.noteGroup(worker, group, model);
+      workers.putUnregistered(toUnregisteredWorker({ id: worker, ...place }), group, model);
+    });
     loads.forEach(({ worker, outstanding, unreadTokens }) => {
       states.of(worker).loadShared(outstanding, unreadTokens);
     });
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -32,3 +32,4 @@
 export { type default as WorkerPort } from './lib/workers/WorkerPort.js';
 export { type default as WorkerReport } from './lib/workers/WorkerReport.js';
 export { default as WorkerTable } from './lib/workers/WorkerTable.js';
+export { default as toUnregisteredWorker } from './lib/workers/toUnregisteredWorker.js';
--- a/packages/fleet/src/lib/workers/WorkerTable.ts
+++ b/packages/fleet/src/lib/workers/WorkerTable.ts
@@ -73,6 +73,19 @@
     }
   }
 
+  /**
+   * Takes in a worker that answers the holder of the lease and whose registration is missing here. It
+   * counts only while registrations may be missing that return.
+   */
+  putUnregistered(worker: Worker, group: GroupMembership | null, model: ModelName | null): void {
+    if (this.isUnsteady && !this.#entries.has(worker.id)) {
+      const now = this.#clock.monotonicMilliseconds();
+      this.#set({
+        worker, group, models: model === null ? [] : [model], coldUntil: now, lapsedAt: now,
+      });
+    }
+  }
+
   /** The registration is gone. */
   remove(id: WorkerId): void {
     const entry = this.#entries.get(id);
--- /dev/null
+++ b/packages/fleet/src/lib/workers/toUnregisteredWorker.ts
@@ -0,0 +1,17 @@
+import type Worker from './Worker.js';
+
+/** What is known of a worker without its registration. */
+type KnownPlace = Pick<Worker, 'id' | 'service' | 'address' | 'zone' | 'domain' | 'bornAt'>;
+
+/** A worker that answers although its registration is missing. */
+export default function toUnregisteredWorker(place: KnownPlace): Worker {
+  return {
+    ...place,
+    slots: 0,
+    draining: false,
+    coldMilliseconds: 0,
+    models: [],
+    stagedModels: [],
+    group: null,
+  };
+}
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -1,8 +1,9 @@
 import type {
   Clock, FencingNumber, ModelName, ServiceId, TableStore,
 } from '@dandelionlane/core';
-import type {
-  ConfigurationHolder, EngineProfile, OrderStamp, Worker, WorkerPort, WorkerTable,
+import {
+  toUnregisteredWorker, type ConfigurationHolder, type EngineProfile, type OrderStamp, type WorkerPort,
+  type WorkerTable,
 } from '@dandelionlane/fleet';
 import type { HeldLease } from '@dandelionlane/platform';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
@@ -13,7 +14,6 @@
 import planGroups from '../plan/planGroups.js';
 import type GroupRecord from '../plan/GroupRecord.js';
 import type OrderStep from '../plan/OrderStep.js';
-import type MemberReference from '../plan/MemberReference.js';
 import GroupStore from './GroupStore.js';
 import OrderSender from './OrderSender.js';
 
@@ -49,19 +49,6 @@
   readonly isBootstrapping: () => boolean;
 }
 
-function toWorker(reference: MemberReference, service: ServiceId, draining: boolean): Worker {
-  return {
-    ...reference,
-    service,
-    slots: 0,
-    draining,
-    coldMilliseconds: 0,
-    models: [],
-    stagedModels: [],
-    group: null,
-  };
-}
-
 /** Brings the groups of all model services about while this process holds the lease. */
 export default class GroupController {
   readonly #options: GroupControllerOptions;
@@ -121,9 +108,10 @@
   /** Groups that workers report and their registrations do not show yet, with their models. */
   unregisteredGroups(): readonly (ReportedGroup & { readonly model: ModelName | null })[] {
     const models = new Map(this.#store.records.map(({ name, model }) => [name, model]));
-    return this.#observer.unregisteredGroups().map((reported) => ({
-      ...reported,
-      model: reported.group === null ? null : models.get(reported.group.name) ?? null,
+    return this.#observer.unregisteredGroups().map(({ worker, group }) => ({
+      worker,
+      group,
+      model: group === null ? null : models.get(group.name) ?? null,
     }));
   }
 
@@ -201,7 +189,7 @@
       .flatMap(([service]) => workers.ofService(service).map(({ worker }) => worker));
     const unregistered = this.#store.records.flatMap(({ service, members, formerHeads }) => (
       [...members, ...formerHeads.map(({ head }) => head)]
-        .map((reference) => toWorker(reference, service, !isUnsteady))
+        .map((reference) => ({ ...toUnregisteredWorker({ ...reference, service }), draining: !isUnsteady }))
     ));
     this.#observer.follow(registered, unregistered, isUnsteady);
   }
--- a/packages/groups/src/lib/observation/ReportedGroup.ts
+++ b/packages/groups/src/lib/observation/ReportedGroup.ts
@@ -1,8 +1,7 @@
-import type { WorkerId } from '@dandelionlane/core';
-import type { GroupMembership } from '@dandelionlane/fleet';
+import type { GroupMembership, Worker } from '@dandelionlane/fleet';
 
-/** The group that a worker reports to belong to. */
+/** A worker with the group that it reports to be in. */
 export default interface ReportedGroup {
-  readonly worker: WorkerId;
+  readonly worker: Worker;
   readonly group: GroupMembership | null;
 }
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -130,7 +130,7 @@
   /** Workers whose reports name another group than their registrations. */
   unregisteredGroups(): readonly ReportedGroup[] {
     return [...this.#sightings.values()].filter(({ hasUnregisteredGroup }) => hasUnregisteredGroup)
-      .map(({ worker, report }) => ({ worker: worker.id, group: report?.group ?? null }));
+      .map(({ worker, report }) => ({ worker, group: report?.group ?? null }));
   }
 
   #now(): number {
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import {
-  EntryId, Epoch, GroupName, ModelName, RowVersion, ServiceId, TableRow, WorkerId,
+  AvailabilityZoneId, EntryId, Epoch, FabricDomainId, GroupName, ModelName, RowVersion, ServiceId, TableRow,
+  WorkerId,
 } from '@dandelionlane/core';
 import { LeaseAnnouncement } from '@dandelionlane/platform';
 
@@ -23,6 +24,12 @@
   /** Groups of workers by their reports, where their registrations say otherwise: the store may be away. */
   groups: z.array(z.object({
     worker: WorkerId,
+    /** Where it is, for entries whose own registration of it has lapsed. */
+    service: ServiceId,
+    address: z.string(),
+    zone: AvailabilityZoneId,
+    domain: FabricDomainId.nullable(),
+    bornAt: z.number().nullable(),
     model: ModelName.nullable(),
     group: z.object({
       name: GroupName,
