Make the store's calls independent of the number of entries

Each linked entry followed the operators' table, wrote a heartbeat and read the lease. And after each change of the holder the entries were without links for 6 to 14 s (log: 62 links end at 4 s, 1 comes back, the rest after 11 s; again at 19 s, back after 30 s), in which each followed both tables. A new link begins with all registrations: 62 times some ten KB over a holder's link of 14 Mbit/s took longer than the 0.7 s after which an entry gave the link up, so that all tried again together.

Change: a linked entry reads the operators' table only when the holder has read further; it writes its row once, and the holder's row names the entries linked to it; it reads the lease only while the holder does not renew it. The first message of a link is deflated, has 2 s, and goes out once for all; the list of entries is sent when it changes.

Tests, of which five were run on the former code and failed: one write of a linked entry, entries named by the holder's row, three on the catching up of a paused follower. The deflated first message has no counterpart there.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -11,14 +11,15 @@
 import type FleetEntrySettings from './FleetEntrySettings.js';
 import type FleetView from './FleetView.js';
 import type GroupControl from './GroupControl.js';
+import type HolderSign from './HolderSign.js';
 
 /** Time between two messages on a link, in ms. */
 const PERIOD_MILLISECONDS = 120;
 
 /**
- * Age of the holder's view of the workers from which an entry reads the store itself, in ms. Above
- * the time between two answers of the feed, and well below the time in which work has to stop
- * going to a worker that leaves.
+ * Age of the holder's view of a table from which an entry reads the store itself, in ms. Above the
+ * time between two answers of the feed, and well below the times in which work has to stop going
+ * to a worker that leaves and in which a configuration has to be in force.
  */
 const STALE_MILLISECONDS = 1_100;
 
@@ -51,7 +52,8 @@
 
 /**
  * Shares what entries know by way of the holder of the lease: the holder reads the workers'
- * registrations for all, sums up loads, and finds formations that stand still. Nothing rests on
+ * registrations for all, watches the operators' table, sums up loads, and finds formations that
+ * stand still. Nothing rests on
  * the links: an entry without one reads the store itself and goes by its own streams.
  */
 export default class Coordinator {
@@ -68,6 +70,12 @@
 
   #leading = false;
 
+  /** Whether the holder last told that it renews its lease. */
+  #renewing = false;
+
+  /** Entries as they were last told, in a form to compare. */
+  #toldEntries = '';
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: CoordinatorOptions) {
@@ -97,9 +105,22 @@
     return this.#leading ? null : this.#linkedEntries;
   }
 
-  /** Whether the holder is known to live; else the lease is to be looked at. */
-  hearsHolder(): boolean {
-    return !this.#leading && this.#client.ageMilliseconds < HEARD_MILLISECONDS;
+  /** Whether this process holds the lease and reads for all. */
+  get isLeading(): boolean {
+    return this.#leading;
+  }
+
+  /** Entries whose links to this process work, while it holds the lease. */
+  attachedEntries(): readonly EntryId[] {
+    return this.#leading ? [...this.#linked] : [];
+  }
+
+  /** What the link tells of the holder of the lease. */
+  holderSign(): HolderSign {
+    if (this.#leading || this.#client.ageMilliseconds >= HEARD_MILLISECONDS) {
+      return 'silent';
+    }
+    return this.#renewing ? 'renewing' : 'alive';
   }
 
   #round(): void {
@@ -114,6 +135,7 @@
     if (isLeading) {
       this.#client.maintain(null);
       view.workerFollower.resume();
+      view.operatorFollower.resume();
       this.#lead();
       return;
     }
@@ -180,7 +202,8 @@
 
   #lead(): void {
     const {
-      settings, registry, view: { workerRows, workerFollower }, control: { controller, lease }, quietLimit,
+      settings, registry, view: { workerRows, workerFollower, operatorFollower },
+      control: { controller, lease }, quietLimit,
     } = this.#options;
     const others = this.#server.statuses()
       .filter(({ ageMilliseconds }) => ageMilliseconds < ENTRY_SILENCE_MILLISECONDS);
@@ -196,12 +219,17 @@
       ...[...linked.values()].map(({ entry, ready, callerAddress }) => ({ entry, ready, callerAddress })),
       ...registry.live().filter(({ entry }) => !linked.has(entry)),
     ];
+    const told = JSON.stringify(entries);
     const state: FleetState = {
       kind: 'state',
       holder: settings.entry,
       lease: lease.announcement(),
       ageMilliseconds: Math.round(workerFollower.ageMilliseconds),
-      entries,
+      operators: {
+        ...operatorFollower.position,
+        ageMilliseconds: Math.round(operatorFollower.ageMilliseconds),
+      },
+      entries: told === this.#toldEntries ? null : entries,
       loads: sumLoads(statuses.map(({ status }) => status)),
       requests: sumRequests(statuses.map(({ status }) => status)),
       stalled: findStalled(statuses, (worker, unread) => quietLimit(worker, unread)),
@@ -220,7 +248,8 @@
       returned: workerRows.takeReturned(),
       version: workerRows.version,
     };
-    this.#server.broadcast(state, () => [...workerRows.all()]);
+    this.#toldEntries = told;
+    this.#server.broadcast(state, () => ({ rows: [...workerRows.all()], entries }));
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
     this.#applyShared(state);
@@ -228,7 +257,8 @@
   }
 
   #takeState(state: FleetState): void {
-    const { view: { workerRows, workerFollower }, control } = this.#options;
+    const { view: { workerRows, workerFollower, operatorFollower }, control } = this.#options;
+    this.#renewing = state.lease !== null;
     if (state.lease !== null) {
       control.lease.announced(state.lease);
     }
@@ -245,7 +275,13 @@
     } else {
       workerFollower.resume();
     }
-    this.#linkedEntries = state.entries;
+    if (state.operators.ageMilliseconds < STALE_MILLISECONDS) {
+      operatorFollower.pause();
+      operatorFollower.catchUp(state.operators);
+    } else {
+      operatorFollower.resume();
+    }
+    this.#linkedEntries = state.entries ?? this.#linkedEntries;
     this.#applyShared(state);
   }
 
@@ -274,5 +310,6 @@
   #unlinked(): void {
     this.#linkedEntries = null;
     this.#options.view.workerFollower.resume();
+    this.#options.view.operatorFollower.resume();
   }
 }
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -4,13 +4,14 @@
 import type { Log } from '@dandelionlane/telemetry';
 import type EntryRuntime from './EntryRuntime.js';
 import type FleetView from './FleetView.js';
+import type HolderSign from './HolderSign.js';
 import LEASE_SETTINGS from './LEASE_SETTINGS.js';
 import Leadership from './Leadership.js';
 
 /** Pause between two steps of the lease, in ms. */
 const LEASE_PERIOD_MILLISECONDS = 450;
 
-/** Such pauses between two steps while the holder is known to live by the link to it. */
+/** Such pauses between two steps while the holder lives by the link to it, but does not renew the lease. */
 const LINKED_LEASE_ROUNDS = 10;
 
 /** Pause between two looks at whether this process may contend yet, in ms. */
@@ -23,8 +24,7 @@
 interface GroupControlOptions {
   readonly view: FleetView;
   readonly isLeaving: () => boolean;
-  /** Whether the holder of the lease is known to live. */
-  readonly hearsHolder: () => boolean;
+  readonly holderSign: () => HolderSign;
 }
 
 /** Contends for the lease on the group control, and controls the groups while it is held. */
@@ -108,12 +108,25 @@
   }
 
   async #keepLease(): Promise<void> {
-    const { isLeaving, hearsHolder } = this.#options;
     this.#rounds += 1;
-    const isDue = !hearsHolder() || this.#rounds % LINKED_LEASE_ROUNDS === 0;
     const isActing = this.leadership.acting() !== null;
-    if (!isLeaving() && this.leadership.mayContend && (isDue || isActing)) {
+    if (!this.#options.isLeaving() && this.leadership.mayContend && (isActing || this.#isDue())) {
       await this.lease.step();
     }
   }
+
+  /** Whether the lease of another holder is to be read. */
+  #isDue(): boolean {
+    const sign = this.#options.holderSign();
+    switch (sign) {
+      case 'renewing':
+        return false;
+      case 'alive':
+        return this.#rounds % LINKED_LEASE_ROUNDS === 0;
+      case 'silent':
+        return true;
+      default:
+        return sign satisfies never;
+    }
+  }
 }
--- /dev/null
+++ b/packages/fleet-entry/src/lib/HolderSign.ts
@@ -0,0 +1,7 @@
+/**
+ * What an entry hears of the holder of the lease by its link: that it renews the lease, that it
+ * lives without renewing it, or nothing.
+ */
+type HolderSign = 'renewing' | 'alive' | 'silent';
+
+export default HolderSign;
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -44,7 +44,7 @@
   let leaving = false;
   // The registry and the coordinator know each other.
   let coordinator: Coordinator;
-  const view = createFleetView(runtime);
+  const view = createFleetView(runtime, () => coordinator.isLeading);
   const { configuration, workers } = view;
   const isReady = () => !leaving && configuration.table !== null && view.workerSink.loaded;
   const registry = new EntryRegistry({
@@ -57,9 +57,10 @@
     linkAddress: `${settings.links.host}:${settings.links.port}`,
     isReady,
     linked: () => coordinator.linkedEntries(),
+    attached: () => coordinator.attachedEntries(),
   });
   const control = new GroupControl(runtime, {
-    view, isLeaving: () => leaving, hearsHolder: () => coordinator.hearsHolder(),
+    view, isLeaving: () => leaving, holderSign: () => coordinator.holderSign(),
   });
 
   const states = new TargetStates(clock);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -20,6 +20,7 @@
 export { default as RowCache } from './lib/feed/RowCache.js';
 export { type default as RowSink } from './lib/feed/RowSink.js';
 export { default as TableFollower } from './lib/feed/TableFollower.js';
+export { type default as TablePosition } from './lib/feed/TablePosition.js';
 export { type default as WorkerRow } from './lib/feed/WorkerRow.js';
 export { default as WorkerSink } from './lib/feed/WorkerSink.js';
 export { type default as GroupMembership } from './lib/workers/GroupMembership.js';
--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -1,8 +1,9 @@
-import type {
-  Clock, RowVersion, TableChanges, TableFeed,
+import {
+  RowVersion, type Clock, type TableChanges, type TableFeed, type TableRow,
 } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import type RowSink from './RowSink.js';
+import type TablePosition from './TablePosition.js';
 
 /** Pause after the first failure, in ms; doubles with each further one. */
 const FIRST_FAILURE_PAUSE_MILLISECONDS = 100;
@@ -13,6 +14,9 @@
 /** Time without an answer after which the store counts as having been away, in ms. */
 const OUTAGE_MILLISECONDS = 1_000;
 
+/** Least time between two readings of a paused follower, in ms: quick changes are read together. */
+const CATCH_UP_PACE_MILLISECONDS = 250;
+
 /** What a `TableFollower` needs from outside. */
 interface TableFollowerOptions {
   readonly table: string;
@@ -21,7 +25,7 @@
   readonly clock: Clock;
   readonly log: Log;
   /** Pause between two answers, in ms: each call is priced. */
-  readonly paceMilliseconds: number;
+  readonly pace: () => number;
   /** Longest wait for a change in one call, in ms. Bounds how long a silent connection goes unnoticed. */
   readonly waitMilliseconds: number;
 }
@@ -32,6 +36,16 @@
 
   #version: RowVersion | null = null;
 
+  /** Newest row that was read, deleted ones included. */
+  #newestRow = RowVersion.parse(0);
+
+  #wholeReads = 0;
+
+  /** Whole readings of the other source when this follower last read, or null before it is told. */
+  #toldWholeReads: number | null = null;
+
+  #caughtUpAt = Number.NEGATIVE_INFINITY;
+
   #failingSince: number | null = null;
 
   #stopped = false;
@@ -60,16 +74,41 @@
     clearTimeout(this.#timer);
   }
 
-  /** Stops reading while another source serves the sink. */
+  /** Stops reading while another process watches the table. */
   pause(): void {
     this.#paused = true;
   }
 
+  /** How far this follower has read, for others that are paused meanwhile. */
+  get position(): TablePosition {
+    return { newestRow: this.#newestRow, wholeReads: this.#wholeReads };
+  }
+
+  /** While paused: reads the table if the process that watches it has read further. */
+  catchUp({ newestRow, wholeReads }: TablePosition): void {
+    const { clock } = this.#options;
+    const now = clock.monotonicMilliseconds();
+    if (!this.#idle || now - this.#caughtUpAt < CATCH_UP_PACE_MILLISECONDS) {
+      return;
+    }
+    if (this.#toldWholeReads !== null && wholeReads !== this.#toldWholeReads) {
+      // Rows that were deleted before a whole reading are in no position.
+      this.#version = null;
+    }
+    this.#toldWholeReads = wholeReads;
+    if (this.#version === null || newestRow > this.#newestRow) {
+      this.#caughtUpAt = now;
+      this.#idle = false;
+      void this.#round();
+    }
+  }
+
   /** Reads again, from the whole table on. */
   resume(): void {
     if (this.#paused) {
       this.#paused = false;
       this.#version = null;
+      this.#toldWholeReads = null;
       if (this.#idle) {
         this.#idle = false;
         void this.#round();
@@ -83,7 +122,6 @@
   }
 
   async #round(): Promise<void> {
-    const { paceMilliseconds } = this.#options;
     const work = this.#version === null ? this.#readAll() : this.#readChanges(this.#version);
     const succeeded = await work.catch((cause: unknown) => {
       // A fault while rows are taken must not end the following of the table: it is read again.
@@ -96,7 +134,7 @@
       return;
     }
     if (!this.#stopped) {
-      const pause = succeeded ? paceMilliseconds : this.#failurePause;
+      const pause = succeeded ? this.#options.pace() : this.#failurePause;
       this.#failurePause = succeeded ? FIRST_FAILURE_PAUSE_MILLISECONDS
         : Math.min(this.#failurePause * 2, LONGEST_FAILURE_PAUSE_MILLISECONDS);
       this.#timer = setTimeout(() => void this.#round(), pause);
@@ -112,13 +150,15 @@
     }
     this.#answered();
     this.#version = snapshot.value.version;
+    this.#wholeReads += 1;
+    this.#noteNewest(snapshot.value.rows);
     sink.reset(snapshot.value.rows, snapshot.value.version);
     return true;
   }
 
   async #readChanges(after: RowVersion): Promise<boolean> {
     const { feed, table, waitMilliseconds } = this.#options;
-    const changes = await feed.changes(table, after, waitMilliseconds);
+    const changes = await feed.changes(table, after, this.#paused ? 0 : waitMilliseconds);
     if (changes.isErr()) {
       this.#failed(changes.error.message);
       return false;
@@ -135,6 +175,7 @@
         // An answer without rows does not move on: a store that has lost its history may leave rows
         // out while its version grows. Asked again for them, it says that they are lost.
         this.#version = changes.rows.at(-1)?.version ?? this.#version;
+        this.#noteNewest(changes.rows);
         sink.change(changes.rows);
         break;
       case 'history-lost':
@@ -146,6 +187,12 @@
     }
   }
 
+  #noteNewest(rows: readonly TableRow[]): void {
+    rows.forEach(({ version }) => {
+      this.#newestRow = version > this.#newestRow ? version : this.#newestRow;
+    });
+  }
+
   #failed(reason: string): void {
     const { clock, log, table } = this.#options;
     if (this.#failingSince === null) {
--- a/packages/fleet/src/test/TableFollower.test.ts
+++ b/packages/fleet/src/test/TableFollower.test.ts
@@ -50,7 +50,7 @@
     sink: { reset: take, change: take, storeReturned: () => undefined },
     clock: new ManualClock(),
     log: LOG,
-    paceMilliseconds: 0,
+    pace: () => 0,
     waitMilliseconds: 10,
   });
   follower.start();
@@ -76,3 +76,55 @@
   expect(feed.asked[2]).toBe(20);
   expect(seen).toEqual([10, 20]);
 });
+
+/** A follower that is paused before its first answer. */
+async function paused(answers: TableChanges[]) {
+  const feed = new ScriptedFeed(answers);
+  const clock = new ManualClock();
+  const follower = new TableFollower({
+    table: 'op',
+    feed,
+    sink: { reset: () => undefined, change: () => undefined, storeReturned: () => undefined },
+    clock,
+    log: LOG,
+    pace: () => 0,
+    waitMilliseconds: 10,
+  });
+  follower.start();
+  follower.pause();
+  await vi.waitFor(() => expect(follower.position.wholeReads).toBe(1));
+  const told = async (newestRow: number, wholeReads: number) => {
+    clock.advance(1_000);
+    follower.catchUp({ newestRow: RowVersion.parse(newestRow), wholeReads });
+    await new Promise(setImmediate);
+  };
+  return { feed, told, follower };
+}
+
+test('while paused reads only what others have read further', async () => {
+  const { feed, told, follower } = await paused([{ kind: 'changes', rows: [row('config', 12)] }]);
+  await told(10, 1);
+  expect(feed.asked).toEqual([]);
+  await told(12, 1);
+  await told(12, 1);
+  expect(feed.asked).toEqual([10]);
+  expect(follower.position.newestRow).toBe(12);
+});
+
+test('while paused asks until it has read as far', async () => {
+  const { feed, told } = await paused([{ kind: 'changes', rows: [] }, { kind: 'history-lost' }]);
+  await told(20, 1);
+  await told(20, 1);
+  await told(20, 1);
+  await told(20, 1);
+  expect(feed.asked).toEqual([10, 10]);
+  expect(feed.snapshots).toBe(2);
+});
+
+test('while paused reads the table again when others had to', async () => {
+  const { feed, told } = await paused([]);
+  await told(10, 4);
+  expect(feed.snapshots).toBe(1);
+  await told(10, 5);
+  expect(feed.snapshots).toBe(2);
+});
--- a/packages/gateway/src/lib/entries/EntryRecord.ts
+++ b/packages/gateway/src/lib/entries/EntryRecord.ts
@@ -13,6 +13,8 @@
   ready: z.boolean(),
   /** Grows with each heartbeat, so that the row changes. */
   beat: z.number().int(),
+  /** Entries that are linked to this one as the holder of the lease. */
+  linked: z.array(EntryId),
 });
 type EntryRecord = z.infer<typeof EntryRecord>;
 
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -1,37 +1,27 @@
 import {
-  repeatWork, type AvailabilityZoneId, type Clock, type EntryId, type RowVersion, type TableStore,
+  repeatWork, type AvailabilityZoneId, type Clock, type EntryId, type TableStore,
 } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import EntryRecord from './EntryRecord.js';
 import type KnownEntry from './KnownEntry.js';
+import type SeenEntry from './SeenEntry.js';
+import withLinked from './withLinked.js';
 
 const TABLE = 'entries';
 
 /** Time between two heartbeats, in ms. */
 const HEARTBEAT_MILLISECONDS = 1_000;
 
-/** Rounds of which one writes a heartbeat while the holder of the lease hears of this entry by its link. */
-const LINKED_ROUNDS = 2;
-
 /**
- * Silence after which an entry counts as ended, in ms: above the longest time between two heartbeats.
- * With the silence of a link and a round before it, an entry that ended is named for 5 s at most.
+ * Silence after which an entry counts as ended, in ms: above the time between two heartbeats and a
+ * slow answer of the store. With the silence of a link, a heartbeat of the holder and a round before
+ * it, an entry that ended is named for 6 s at most.
  */
 const SILENCE_MILLISECONDS = 2_600;
 
 /** Silence after which an entry no longer counts for what all entries share, in ms. */
 const ENDED_MILLISECONDS = 2 * SILENCE_MILLISECONDS;
 
-/** An entry as this process last saw its row. */
-interface SeenEntry {
-  readonly record: EntryRecord;
-  readonly version: RowVersion;
-  /** Monotonic time at which this version was first seen, in ms. */
-  readonly seenAt: number;
-  /** Whether it was seen to change: a row may be all that is left of an entry that ended long ago. */
-  readonly confirmed: boolean;
-}
-
 /** What an `EntryRegistry` needs from outside. */
 interface EntryRegistryOptions {
   readonly store: TableStore;
@@ -44,9 +34,14 @@
   readonly isReady: () => boolean;
   /** Entries by the link to the holder of the lease; null while there is none. */
   readonly linked: () => readonly KnownEntry[] | null;
+  /** Entries that are linked to this one, while it holds the lease. */
+  readonly attached: () => readonly EntryId[];
 }
 
-/** Heartbeats of all entries in the platform's store, and which of them live. */
+/**
+ * Rows of the entries in the platform's store, and which entries live. An entry that is linked to
+ * the holder of the lease writes no heartbeats: the holder's row names it.
+ */
 export default class EntryRegistry {
   readonly #options: EntryRegistryOptions;
 
@@ -54,10 +49,11 @@
 
   readonly #lostAt = new Map<EntryId, number>();
 
-  #rounds = 0;
-
   #beat = 0;
 
+  /** Readiness that the own row tells, or null before it is written. */
+  #writtenReady: boolean | null = null;
+
   /** Whether the last round read the rows. */
   #reading = false;
 
@@ -90,17 +86,20 @@
   /** Writes the own row at once, after a change of readiness. */
   async announce(): Promise<void> {
     const {
-      store, entry, zone, callerAddress, linkAddress, isReady, log,
+      store, entry, zone, callerAddress, linkAddress, isReady, attached, log,
     } = this.#options;
     this.#beat += 1;
+    const ready = isReady();
     const record: EntryRecord = {
-      entry, zone, callerAddress, linkAddress, ready: isReady(), beat: this.#beat,
+      entry, zone, callerAddress, linkAddress, ready, beat: this.#beat, linked: [...attached()],
     };
     const write = { table: TABLE, key: entry, value: record };
     const outcome = await store.commit({ conditions: [], writes: [write] });
     if (outcome.isErr()) {
       log.debug('Heartbeat was not written.', { reason: outcome.error.message });
+      return;
     }
+    this.#writtenReady = ready;
   }
 
   /** Entries that may live, this one included; at least 1. What all share is split by it. */
@@ -157,14 +156,14 @@
 
   async #round(): Promise<void> {
     const {
-      store, clock, log, linked,
+      store, clock, log, linked, isReady,
     } = this.#options;
-    this.#rounds += 1;
     const known = linked();
     if (known !== null) {
       this.#rowsUnread();
       this.#forgetUnnamed(known);
-      if (this.#rounds % LINKED_ROUNDS === 0) {
+      // The holder hears of this entry by the link.
+      if (isReady() !== this.#writtenReady) {
         await this.announce();
       }
       return;
@@ -193,6 +192,6 @@
       };
       seen.set(parsed.data.entry, unchanged ? previous : fresh);
     });
-    this.#seen = seen;
+    this.#seen = withLinked(seen);
   }
 }
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -28,6 +28,7 @@
   store: TableStore,
   clock: ManualClock,
   linked: () => readonly KnownEntry[] | null = () => null,
+  attached: () => readonly EntryId[] = () => [],
 ): EntryRegistry {
   const registry = new EntryRegistry({
     store,
@@ -39,6 +40,7 @@
     linkAddress: `${name}:2`,
     isReady: () => true,
     linked,
+    attached,
   });
   running.push(registry);
   return registry;
@@ -192,3 +194,35 @@
   await rounds(1, clock);
   expect(one.readyAddresses()).toEqual(['one:1']);
 });
+
+test('an entry with a link writes its row once', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const known: readonly KnownEntry[] = [{ entry: EntryId.parse('one'), ready: true, callerAddress: 'one:1' }];
+  const one = create('one', store, clock, () => known);
+  one.start();
+  await rounds(1, clock);
+  const [before] = (await store.scan('entries', ''))._unsafeUnwrap();
+  await rounds(6, clock);
+  expect((await store.scan('entries', ''))._unsafeUnwrap()).toEqual([before]);
+});
+
+test('an entry without a link names those that are linked to the holder', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const names = ['holder', 'linked'].map((name) => EntryId.parse(name));
+  let attached = names;
+  const known: readonly KnownEntry[] = [];
+  const linked = create('linked', store, clock, () => known);
+  create('holder', store, clock, () => null, () => attached).start();
+  linked.start();
+  const cut = create('cut', store, clock);
+  cut.start();
+  await rounds(6, clock);
+  expect(cut.readyAddresses()).toEqual(['cut:1', 'holder:1', 'linked:1']);
+  attached = [];
+  await rounds(4, clock);
+  expect(cut.readyAddresses()).toEqual(['cut:1', 'holder:1']);
+});
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -13,8 +13,10 @@
   lease: LeaseAnnouncement.nullable(),
   /** Time since the holder last heard of the workers from the store, in ms. */
   ageMilliseconds: z.number(),
-  /** Entries that are linked to the holder, itself included. */
-  entries: z.array(z.object({ entry: EntryId, ready: z.boolean(), callerAddress: z.string() })),
+  /** How far the holder has read the operators' table, and the time since the store last answered, in ms. */
+  operators: z.object({ newestRow: RowVersion, wholeReads: z.number(), ageMilliseconds: z.number() }),
+  /** Entries that are linked to the holder, itself included; null while unchanged, but with `whole`. */
+  entries: z.array(z.object({ entry: EntryId, ready: z.boolean(), callerAddress: z.string() })).nullable(),
   /** Requests of all entries at model targets. */
   loads: z.array(z.object({ worker: WorkerId, outstanding: z.number(), unreadTokens: z.number() })),
   /** Requests of all entries in the window of the repeat budget. */
@@ -38,7 +40,7 @@
       state: z.enum(['joining', 'ready', 'open', 'closing', 'broken']),
     }).nullable(),
   })),
-  /** Registrations that changed. With `whole`, all registrations. */
+  /** Registrations that changed. With `whole`, which begins each link, all registrations. */
   rows: z.array(TableRow),
   whole: z.boolean(),
   /** Whether the store has returned from an outage just now. */
--- a/packages/links/src/lib/LinkClient.ts
+++ b/packages/links/src/lib/LinkClient.ts
@@ -3,9 +3,9 @@
 import type { Log } from '@dandelionlane/telemetry';
 import type EntryStatus from './EntryStatus.js';
 import FleetState from './FleetState.js';
+import MAXIMUM_FRAME_BYTES from './MAXIMUM_FRAME_BYTES.js';
 import decodeMessage from './decodeMessage.js';
-
-const MAXIMUM_FRAME_BYTES = 4 * 1_024 * 1_024;
+import encodeMessage from './encodeMessage.js';
 
 /** Time to establish a link, in ms. */
 const HANDSHAKE_TIMEOUT_MILLISECONDS = 500;
@@ -13,6 +13,12 @@
 /** Silence after which a link is given up, in ms: the holder speaks several times a second. */
 const SILENCE_MILLISECONDS = 700;
 
+/**
+ * Time for the first message of a link, in ms: it holds all registrations, and after a change of
+ * the holder goes to all entries at once.
+ */
+const FIRST_MESSAGE_MILLISECONDS = 2_000;
+
 /** Pause before a link is tried again, in ms. */
 const RETRY_MILLISECONDS = 400;
 
@@ -58,7 +64,8 @@
   /** Keeps a link to an address, or none. Called regularly: it also ends links that fell silent. */
   maintain(address: string | null): void {
     const now = this.#options.now();
-    const isSilent = now - Math.max(this.#heardAt, this.#triedAt) >= SILENCE_MILLISECONDS;
+    const isSilent = this.#working
+      ? now - this.#heardAt >= SILENCE_MILLISECONDS : now - this.#triedAt >= FIRST_MESSAGE_MILLISECONDS;
     if (this.#socket !== null && (address !== this.#address || isSilent)) {
       this.#end(address === this.#address ? 'silent' : 'another holder');
     }
@@ -69,7 +76,7 @@
 
   send(status: EntryStatus): void {
     if (this.#socket?.readyState === WebSocket.OPEN) {
-      this.#socket.send(this.#packr.pack(status));
+      this.#socket.send(encodeMessage(this.#packr, status));
     }
   }
 
--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -5,9 +5,9 @@
 import type { Log } from '@dandelionlane/telemetry';
 import EntryStatus from './EntryStatus.js';
 import type FleetState from './FleetState.js';
+import MAXIMUM_FRAME_BYTES from './MAXIMUM_FRAME_BYTES.js';
 import decodeMessage from './decodeMessage.js';
-
-const MAXIMUM_FRAME_BYTES = 4 * 1_024 * 1_024;
+import encodeMessage from './encodeMessage.js';
 
 /** Unsent bytes at which a link is taken to be dead. */
 const MAXIMUM_BUFFERED_BYTES = 2 * 1_024 * 1_024;
@@ -64,11 +64,11 @@
   }
 
   /**
-   * Sends the state to all links. A new link gets all registrations in place of the changes.
-   * @param allRows Called once at most, for new links.
+   * Sends the state to all links. A new link gets all of it in place of the changes.
+   * @param unchanged What the state leaves out as unchanged. Called once at most, for new links.
    */
-  broadcast(state: FleetState, allRows: () => FleetState['rows']): void {
-    const frame = this.#packr.pack(state);
+  broadcast(state: FleetState, unchanged: () => Pick<FleetState, 'rows' | 'entries'>): void {
+    const frame = encodeMessage(this.#packr, state);
     let wholeFrame: Buffer | null = null;
     this.#links.forEach((link) => {
       if (link.socket.bufferedAmount > MAXIMUM_BUFFERED_BYTES) {
@@ -79,7 +79,7 @@
         link.socket.send(frame);
         return;
       }
-      wholeFrame ??= this.#packr.pack({ ...state, rows: allRows(), whole: true });
+      wholeFrame ??= encodeMessage(this.#packr, { ...state, ...unchanged(), whole: true }, 'deflated');
       link.socket.send(wholeFrame);
       Object.assign(link, { initialised: true });
     });
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -1,14 +1,16 @@
 import {
   afterEach, expect, test, vi,
 } from 'vitest';
+import { Packr } from 'msgpackr';
 import {
   EntryId, RowVersion, WorkerId, ServiceId,
 } from '@dandelionlane/core';
 import EntryStatus from '../lib/EntryStatus.js';
-import type FleetState from '../lib/FleetState.js';
+import FleetState from '../lib/FleetState.js';
 import LinkClient from '../lib/LinkClient.js';
 import LinkServer from '../lib/LinkServer.js';
 import decodeMessage from '../lib/decodeMessage.js';
+import encodeMessage from '../lib/encodeMessage.js';
 import findStalled from '../lib/findStalled.js';
 import othersReachStore from '../lib/othersReachStore.js';
 import sumRequests from '../lib/sumRequests.js';
@@ -46,7 +48,8 @@
   lease: null,
   requests: [],
   ageMilliseconds: 0,
-  entries: [],
+  operators: { newestRow: RowVersion.parse(0), wholeReads: 1, ageMilliseconds: 0 },
+  entries: null,
   loads: [],
   stalled: [],
   groups: [],
@@ -56,6 +59,8 @@
   version: RowVersion.parse(0),
 };
 
+const KNOWN = { entry: EntryId.parse('a'), ready: true, callerAddress: 'a:1' };
+
 const closing: (() => void)[] = [];
 
 afterEach(() => {
@@ -83,7 +88,20 @@
 
 test('bytes that are no message are an error', () => {
   expect(decodeMessage(EntryStatus, Buffer.from('no message')).isErr()).toBe(true);
-  expect(decodeMessage(EntryStatus, Buffer.from([0xc1])).isErr()).toBe(true);
+  expect(decodeMessage(EntryStatus, Buffer.from([0, 0xc1])).isErr()).toBe(true);
+  expect(decodeMessage(EntryStatus, Buffer.from([1, 2, 3])).isErr()).toBe(true);
+  expect(decodeMessage(EntryStatus, Buffer.of()).isErr()).toBe(true);
+});
+
+test('registrations for a new link are deflated', () => {
+  const packr = new Packr({ useRecords: true });
+  const rows = Array.from({ length: 200 }, (_, index) => ({
+    table: 'workers', key: `i-${index}`, version: RowVersion.parse(index), value: { zone: 'a', state: 'ready' },
+  }));
+  const state = { ...STATE, rows };
+  const frame = encodeMessage(packr, state, 'deflated');
+  expect(frame.length * 2).toBeLessThan(encodeMessage(packr, state).length);
+  expect(decodeMessage(FleetState, frame)._unsafeUnwrap()).toEqual(state);
 });
 
 test('a link carries statuses one way and states the other', async () => {
@@ -111,10 +129,12 @@
   const row = {
     table: 't', key: 'k', version: RowVersion.parse(1), value: { a: 1 },
   };
-  server.broadcast(STATE, () => [row]);
-  server.broadcast(STATE, () => [row]);
+  const unchanged = () => ({ rows: [row], entries: [KNOWN] });
+  server.broadcast(STATE, unchanged);
+  server.broadcast(STATE, unchanged);
   await vi.waitFor(() => expect(states).toHaveLength(2));
-  expect(states.map(({ whole, rows }) => [whole, rows.length])).toEqual([[true, 1], [false, 0]]);
+  expect(states.map(({ whole, rows, entries }) => [whole, rows.length, entries]))
+    .toEqual([[true, 1, [KNOWN]], [false, 0, null]]);
   expect(client.working).toBe(true);
   server.disconnect();
   await vi.waitFor(() => expect(lost).toBe(1));
