Add a randomized soak of the entry processes

Entry processes run beside stand-ins of the store and of workers; links between them are delayed, cut one way, silenced or refused, processes are killed, paused and restarted, the store fails and forgets, workers crash, leave and garble. Promises are checked from what callers and workers see.

The stand-in of a worker with groups moved from a test to the package of stand-ins, for both.

--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -9,7 +9,7 @@
 import EpochSource from '../lib/plan/EpochSource.js';
 import planGroups from '../lib/plan/planGroups.js';
 import type GroupRecord from '../lib/plan/GroupRecord.js';
-import type FakeGroupWorker from './FakeGroupWorker.js';
+import type { GroupWorker } from '@dandelionlane/standin';
 
 const ENGINE: EngineProfile = {
   slots: 4,
@@ -67,7 +67,7 @@
   }
 
   /** Asks a worker; without an answer it counts as a miss. */
-  ask(worker: FakeGroupWorker, answers: boolean): void {
+  ask(worker: GroupWorker, answers: boolean): void {
     if (answers && worker.alive) {
       this.#reports.set(worker.id, worker.report());
       this.#misses.set(worker.id, 0);
@@ -86,7 +86,7 @@
    * before their records.
    */
   plan(
-    workers: readonly FakeGroupWorker[],
+    workers: readonly GroupWorker[],
     registered: ReadonlySet<WorkerId>,
     reachesStore: boolean,
   ): readonly SentOrder[] {
--- a/packages/groups/src/test/WorkerObserver.test.ts
+++ b/packages/groups/src/test/WorkerObserver.test.ts
@@ -4,9 +4,9 @@
   Epoch, FencingNumber, GroupName, ManualClock, ModelName,
 } from '@dandelionlane/core';
 import type { Worker, WorkerPort, WorkerReport } from '@dandelionlane/fleet';
+import { GroupWorker } from '@dandelionlane/standin';
 import assessLiveness from '../lib/observation/assessLiveness.js';
 import WorkerObserver from '../lib/observation/WorkerObserver.js';
-import FakeGroupWorker from './FakeGroupWorker.js';
 
 const LOG = {
   debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
@@ -35,20 +35,20 @@
 }
 
 test('a worker that answers is alive', async () => {
-  const worker = new FakeGroupWorker('w', 5);
+  const worker = new GroupWorker('w', 5);
   const { round } = await observe(worker.worker(), () => worker.report());
   expect(assessLiveness(await round())).toBe('alive');
 });
 
 test('an answer of another life means that the worker is gone', async () => {
-  const worker = new FakeGroupWorker('w', 5);
+  const worker = new GroupWorker('w', 5);
   const registered = worker.worker();
   const { round } = await observe(registered, () => ({ ...worker.report(), bornAt: 9 }));
   expect(assessLiveness(await round())).toBe('gone');
 });
 
 test('an accepted order counts before a report shows it', async () => {
-  const worker = new FakeGroupWorker('w', 5);
+  const worker = new GroupWorker('w', 5);
   const { observer, round } = await observe(worker.worker(), () => worker.report());
   await round();
   observer.orderSent(worker.id);
@@ -69,7 +69,7 @@
 };
 
 test('a worker that has accepted to leave is free, whatever an older report says', async () => {
-  const worker = new FakeGroupWorker('w', 5);
+  const worker = new GroupWorker('w', 5);
   worker.group = MEMBERSHIP;
   const { observer, round } = await observe(worker.worker(), () => worker.report(), 5_000);
   await round();
@@ -83,7 +83,7 @@
 });
 
 test('a registration on its way does not undo an accepted order', async () => {
-  const worker = new FakeGroupWorker('w', 5);
+  const worker = new GroupWorker('w', 5);
   worker.group = MEMBERSHIP;
   const { observer, round } = await observe(worker.worker(), () => worker.report());
   await round();
@@ -94,7 +94,7 @@
 });
 
 test('the model of the last accepted join is known', async () => {
-  const worker = new FakeGroupWorker('w', 5);
+  const worker = new GroupWorker('w', 5);
   const { observer, round } = await observe(worker.worker(), () => worker.report());
   await round();
   observer.groupAccepted(worker.id, MEMBERSHIP, ModelName.parse('m'));
@@ -103,7 +103,7 @@
 });
 
 test('a head that has accepted to open is not told again for a while', async () => {
-  const worker = new FakeGroupWorker('w', 5);
+  const worker = new GroupWorker('w', 5);
   worker.group = MEMBERSHIP;
   const { observer, round, clock } = await observe(worker.worker(), () => worker.report());
   await round();
@@ -114,7 +114,7 @@
 });
 
 test('a member whose registration may return counts until then', async () => {
-  const worker = new FakeGroupWorker('w', 5);
+  const worker = new GroupWorker('w', 5);
   const { observer, round } = await observe(worker.worker(), () => worker.report());
   await round();
   const reference = (draining: boolean) => ({ ...worker.worker(), draining });
--- a/packages/groups/src/test/handOver.test.ts
+++ b/packages/groups/src/test/handOver.test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from 'vitest';
 import type { WorkerId } from '@dandelionlane/core';
 import type { WorkerOrder } from '@dandelionlane/fleet';
-import FakeGroupWorker from './FakeGroupWorker.js';
+import { GroupWorker } from '@dandelionlane/standin';
 import FakeHolder, { type GroupRows, type SentOrder } from './FakeHolder.js';
 
 const PARAMETERS = { seed: 20_261_204, numRuns: 400 };
@@ -49,7 +49,7 @@
 
 /** The fleet, what is on its way, and what must hold. */
 class Model {
-  readonly workers = Array.from({ length: WORKERS }, (_, index) => new FakeGroupWorker(`w${index}`, 1));
+  readonly workers = Array.from({ length: WORKERS }, (_, index) => new GroupWorker(`w${index}`, 1));
 
   readonly registered = new Set<WorkerId>(this.workers.map(({ id }) => id));
 
@@ -119,7 +119,7 @@
     }
   }
 
-  #worker(index: number): FakeGroupWorker {
+  #worker(index: number): GroupWorker {
     const found = this.workers[index];
     if (found === undefined) {
       throw new RangeError(`no worker ${index}`);
@@ -146,7 +146,7 @@
     }
   }
 
-  #noteReady(each: FakeGroupWorker): void {
+  #noteReady(each: GroupWorker): void {
     if (each.group?.state === 'ready') {
       this.ready.add(`${each.id}/${each.bornAt}/${each.group.name}/${each.group.epoch}/${each.members.join()}`);
     }
@@ -172,11 +172,11 @@
     this.#noteReady(target);
   }
 
-  #headOf(member: FakeGroupWorker): FakeGroupWorker | undefined {
+  #headOf(member: GroupWorker): GroupWorker | undefined {
     return this.workers.find(({ id }) => id === member.members[0]);
   }
 
-  #checkOpen(head: FakeGroupWorker, order: WorkerOrder): void {
+  #checkOpen(head: GroupWorker, order: WorkerOrder): void {
     this.opened += 1;
     const group = order.kind === 'open' ? `${order.group}/${order.epoch}` : '';
     const everReady = head.members.every((member) => [...this.ready]
@@ -237,7 +237,7 @@
 
 test('a spare that warms up replaces a lost member at once', () => {
   const model = new Model();
-  const isWarming = ({ id, group }: FakeGroupWorker) => group?.name === `warm-up-${id}`;
+  const isWarming = ({ id, group }: GroupWorker) => group?.name === `warm-up-${id}`;
   for (let rounds = 0; rounds < 12 && !model.workers.some(isWarming); rounds += 1) {
     model.apply({ kind: 'settle' });
     model.apply({
--- /dev/null
+++ b/packages/soak/src/lib/SoakOptions.ts
@@ -0,0 +1,12 @@
+/** Size and course of a soak. */
+export default interface SoakOptions {
+  /** Decides the faults and the requests. */
+  readonly seed: number;
+  /** Time in which faults begin, in s. */
+  readonly seconds: number;
+  readonly entries: number;
+  /** Requests a second. */
+  readonly rate: number;
+  /** Where settings files and logs of the processes go. */
+  readonly directory: string;
+}
--- /dev/null
+++ b/packages/soak/src/lib/callers/SoakCaller.ts
@@ -0,0 +1,138 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Agent, request } from 'undici';
+import type { RandomSource } from '@dandelionlane/core';
+import type SoakEntry from '../entries/SoakEntry.js';
+import type CallerOutcome from '../journal/CallerOutcome.js';
+import type RequestKind from '../journal/RequestKind.js';
+import type SentRequest from '../journal/SentRequest.js';
+import type SoakJournal from '../journal/SoakJournal.js';
+import readAnswer from './readAnswer.js';
+
+const DEADLINE_MILLISECONDS: Readonly<Record<RequestKind, number>> = {
+  safe: 1_500, once: 1_500, stream: 4_000,
+};
+
+/** Time beyond the deadline after which a caller leaves, in ms. */
+const PATIENCE_MILLISECONDS = 2_000;
+
+/** Time for which a directory answer is kept, in ms. */
+const DIRECTORY_KEPT_MILLISECONDS = 2_000;
+
+/** Time within which a directory answer has to come, in ms. */
+const DIRECTORY_TIMEOUT_MILLISECONDS = 1_000;
+
+const MAXIMUM_EVENTS = 24;
+
+/** Sends requests the way callers do: to addresses that the directory names, over kept connections. */
+export default class SoakCaller {
+  readonly #journal: SoakJournal;
+
+  readonly #entries: readonly SoakEntry[];
+
+  readonly #random: RandomSource;
+
+  readonly #agent = new Agent({ connect: { timeout: 1_000 }, connections: 64 });
+
+  #named: readonly string[] = [];
+
+  #namedAt = Number.NEGATIVE_INFINITY;
+
+  #sent = 0;
+
+  constructor(journal: SoakJournal, entries: readonly SoakEntry[], random: RandomSource) {
+    this.#journal = journal;
+    this.#entries = entries;
+    this.#random = random;
+  }
+
+  /** Sends requests at a rate until told to stop, and waits for their answers. */
+  async run(perSecond: number, isOver: () => boolean): Promise<void> {
+    const running = new Set<Promise<void>>();
+    while (!isOver()) {
+      const sending = this.send(this.#pickKind()).then(() => {
+        running.delete(sending);
+      });
+      running.add(sending);
+      await sleep((1_000 / perSecond) * 2 * this.#random.next());
+    }
+    await Promise.all(running);
+  }
+
+  /** Sends one request. Resolves when it has ended, or when there was no entry to send it to. */
+  async send(kind: RequestKind): Promise<void> {
+    const entry = await this.#pickEntry();
+    if (entry === null) {
+      return;
+    }
+    this.#sent += 1;
+    const id = `request-${this.#sent}`;
+    const sent: SentRequest = {
+      id,
+      kind,
+      body: `body of ${id}`,
+      events: kind === 'stream' ? 1 + Math.floor(this.#random.next() * MAXIMUM_EVENTS) : 0,
+      entry: entry.name,
+      sentAt: performance.now(),
+      deadlineMilliseconds: DEADLINE_MILLISECONDS[kind],
+      outcome: null,
+    };
+    this.#journal.requests.set(id, sent);
+    sent.outcome = await this.#exchange(sent, entry);
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #exchange(sent: SentRequest, entry: SoakEntry): Promise<CallerOutcome> {
+    const leaving = AbortSignal.timeout(sent.deadlineMilliseconds + PATIENCE_MILLISECONDS);
+    const answer = await request(`http://${entry.callerLink.address}/${sent.kind}/run`, {
+      dispatcher: this.#agent,
+      method: 'POST',
+      signal: leaving,
+      body: sent.body,
+      headers: {
+        host: 'soak.example',
+        'dandelionlane-attempt-id': sent.id,
+        'dandelionlane-deadline-ms': String(sent.deadlineMilliseconds),
+        'dandelionlane-key': 'key-a',
+        ...sent.kind === 'stream'
+          ? { 'dandelionlane-model': 'm0', 'dandelionlane-token-count': `100,${MAXIMUM_EVENTS}` } : {},
+      },
+    }).catch(() => null);
+    const read = answer === null ? null : await readAnswer(answer);
+    const endedAt = performance.now();
+    if (leaving.aborted) {
+      return { kind: 'left', endedAt };
+    }
+    return read === null ? { kind: 'disconnected', endedAt } : { kind: 'answered', ...read, endedAt };
+  }
+
+  async #pickEntry(): Promise<SoakEntry | null> {
+    if (performance.now() - this.#namedAt > DIRECTORY_KEPT_MILLISECONDS || this.#named.length === 0) {
+      await this.#askDirectory();
+    }
+    const address = this.#named[Math.floor(this.#random.next() * this.#named.length)];
+    return this.#entries.find(({ callerAddress }) => callerAddress === address) ?? null;
+  }
+
+  async #askDirectory(): Promise<void> {
+    const asked = this.#entries[Math.floor(this.#random.next() * this.#entries.length)];
+    const answer = await request(
+      `http://${String(asked?.directoryAddress)}/dandelionlane/resolve?name=soak.example&region=region-1&zone=zone-a`,
+      { dispatcher: this.#agent, signal: AbortSignal.timeout(DIRECTORY_TIMEOUT_MILLISECONDS) },
+    ).then(async ({ statusCode, body }) => (
+      statusCode === 200 ? await body.json() as { addresses: readonly string[] } : null
+    )).catch(() => null);
+    // Callers keep an old answer when they cannot get a new one.
+    if (answer !== null && answer.addresses.length > 0) {
+      this.#named = answer.addresses;
+      this.#namedAt = performance.now();
+    }
+  }
+
+  #pickKind(): RequestKind {
+    const kinds: readonly RequestKind[] = ['safe', 'once', 'stream', 'stream'];
+    return kinds[Math.floor(this.#random.next() * kinds.length)] ?? 'safe';
+  }
+}
--- /dev/null
+++ b/packages/soak/src/lib/createTopology.ts
@@ -0,0 +1,61 @@
+import { SeededRandom } from '@dandelionlane/core';
+import type SoakOptions from './SoakOptions.js';
+import type SoakTopology from './SoakTopology.js';
+import createConfiguration from './createConfiguration.js';
+import SoakEntry from './entries/SoakEntry.js';
+import findPorts from './entries/findPorts.js';
+import SoakJournal from './journal/SoakJournal.js';
+import RowTables from './store/RowTables.js';
+import StoreServer from './store/StoreServer.js';
+import SoakGroups from './workers/SoakGroups.js';
+import SoakWorker from './workers/SoakWorker.js';
+
+const ZONES = ['zone-a', 'zone-b'];
+const PLAIN_WORKERS = 3;
+const MODEL_WORKERS = 7;
+const SLOTS = 8;
+
+/** Starts the store, the workers and the entries of a soak. */
+export default async function createTopology(
+  { seed, entries: count, directory }: SoakOptions,
+  groupSize: number,
+): Promise<SoakTopology> {
+  const journal = new SoakJournal();
+  const tables = new RowTables();
+  const store = new StoreServer(tables);
+  const storeAddress = await store.listen();
+  const groups = new SoakGroups(journal, groupSize);
+  const random = new SeededRandom(seed + 1);
+  const worker = (service: string, index: number) => new SoakWorker({
+    id: `i-${service}-${index}`,
+    service,
+    zone: ZONES[index % ZONES.length] ?? 'zone-a',
+    groups: service === 'model' ? groups : null,
+    slots: SLOTS,
+    tables,
+    journal,
+    random,
+  });
+  const workers = [
+    ...Array.from({ length: PLAIN_WORKERS }, (_, index) => worker('plain', index)),
+    ...Array.from({ length: MODEL_WORKERS }, (_, index) => worker('model', index)),
+  ];
+  await Promise.all(workers.map((each) => each.start()));
+  tables.write('op', 'config', createConfiguration(1, groupSize));
+  const entries: SoakEntry[] = [];
+  for (let index = 0; index < count; index += 1) {
+    // One after the other, so that no port is found twice.
+    entries.push(await SoakEntry.create({
+      name: `entry-${index}`,
+      zone: ZONES[index % ZONES.length] ?? 'zone-a',
+      ports: await findPorts(),
+      storeAddress,
+      directory,
+      journal,
+    }));
+  }
+  await Promise.all(entries.map((entry) => entry.start()));
+  return {
+    journal, tables, store, entries, workers,
+  };
+}
--- /dev/null
+++ b/packages/soak/src/lib/entries/ListeningPort.ts
@@ -0,0 +1,7 @@
+import type { Server } from 'node:net';
+
+/** A port that is listened at. */
+export default interface ListeningPort {
+  readonly server: Server;
+  readonly port: number;
+}
--- /dev/null
+++ b/packages/soak/src/lib/faults/FaultInjector.ts
@@ -0,0 +1,154 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type SoakTopology from '../SoakTopology.js';
+import createConfiguration from '../createConfiguration.js';
+import type SoakEntry from '../entries/SoakEntry.js';
+import type SoakWorker from '../workers/SoakWorker.js';
+import type PlannedFault from './PlannedFault.js';
+import type SoakFault from './SoakFault.js';
+
+/** Brings faults about and takes them back. A fault at something that another one holds is left out. */
+export default class FaultInjector {
+  readonly #topology: SoakTopology;
+
+  readonly #groupSize: number;
+
+  /** What faults hold now. */
+  readonly #held = new Set<string>();
+
+  #version = 1;
+
+  constructor(topology: SoakTopology, groupSize: number) {
+    this.#topology = topology;
+    this.#groupSize = groupSize;
+  }
+
+  /** Runs faults at their times. Resolves when all are over. */
+  async run(faults: readonly PlannedFault[]): Promise<void> {
+    await Promise.all(faults.map(async (planned) => {
+      await sleep(planned.atMilliseconds);
+      await this.#hold(planned);
+    }));
+  }
+
+  async #hold({ fault, forMilliseconds }: PlannedFault): Promise<void> {
+    const places = this.#placesOf(fault);
+    if (places.some((place) => this.#held.has(place))) {
+      return;
+    }
+    places.forEach((place) => this.#held.add(place));
+    const over = this.#topology.journal.disturbed(performance.now());
+    await this.#apply(fault, forMilliseconds);
+    over(performance.now());
+    places.forEach((place) => this.#held.delete(place));
+  }
+
+  #placesOf(fault: SoakFault): readonly string[] {
+    switch (fault.kind) {
+      case 'entry-killed':
+      case 'entry-paused':
+      case 'entry-terminated':
+        return [`entry ${fault.entry}`];
+      case 'all-entries-killed':
+        return this.#topology.entries.map((_, index) => `entry ${index}`);
+      case 'store-link':
+      case 'caller-link':
+        return [`${fault.kind} ${fault.entry}`];
+      case 'worker-link':
+      case 'worker-answers':
+        return [`${fault.kind} ${fault.worker}`];
+      case 'worker-crashes':
+      case 'worker-leaves':
+        return [`worker ${fault.worker}`];
+      case 'store-fails':
+      case 'store-forgets':
+      case 'configuration-changes':
+        return [fault.kind];
+      default:
+        return fault satisfies never;
+    }
+  }
+
+  async #apply(fault: SoakFault, milliseconds: number): Promise<void> {
+    const { entries, store, tables } = this.#topology;
+    switch (fault.kind) {
+      case 'entry-killed':
+        await this.#entry(fault.entry).kill();
+        await sleep(milliseconds);
+        await this.#entry(fault.entry).start();
+        return;
+      case 'entry-paused':
+        this.#entry(fault.entry).pause();
+        await sleep(milliseconds);
+        this.#entry(fault.entry).resume();
+        return;
+      case 'entry-terminated':
+        await this.#entry(fault.entry).terminate();
+        await this.#entry(fault.entry).start();
+        return;
+      case 'all-entries-killed':
+        await Promise.all(entries.map((entry) => entry.kill()));
+        await Promise.all(entries.map((entry) => entry.start()));
+        return;
+      case 'store-fails':
+        store.fault = fault.fault;
+        await sleep(milliseconds);
+        store.fault = 'none';
+        return;
+      case 'store-forgets':
+        tables.forgetHistory();
+        return;
+      case 'store-link':
+      case 'caller-link': {
+        const { storeLink, callerLink } = this.#entry(fault.entry);
+        const link = fault.kind === 'store-link' ? storeLink : callerLink;
+        link.setState(fault.state);
+        await sleep(milliseconds);
+        link.setState('open');
+        return;
+      }
+      case 'worker-link':
+        this.#worker(fault.worker).link.setState(fault.state);
+        await sleep(milliseconds);
+        this.#worker(fault.worker).link.setState('open');
+        return;
+      case 'worker-crashes':
+        this.#worker(fault.worker).crash();
+        await sleep(milliseconds);
+        await this.#worker(fault.worker).restart();
+        return;
+      case 'worker-leaves':
+        await this.#worker(fault.worker).leave();
+        await sleep(milliseconds);
+        this.#topology.journal.drainedAt.delete(this.#worker(fault.worker).id);
+        await this.#worker(fault.worker).restart();
+        return;
+      case 'worker-answers':
+        this.#worker(fault.worker).answerFault = fault.fault;
+        await sleep(milliseconds);
+        this.#worker(fault.worker).answerFault = 'none';
+        return;
+      case 'configuration-changes':
+        this.#version += 1;
+        tables.write('op', 'config', createConfiguration(this.#version, this.#groupSize));
+        return;
+      default:
+        fault satisfies never;
+    }
+  }
+
+  #entry(index: number): SoakEntry {
+    const entry = this.#topology.entries[index];
+    if (entry === undefined) {
+      throw new Error(`there is no entry ${index}`);
+    }
+    return entry;
+  }
+
+  #worker(index: number): SoakWorker {
+    const worker = this.#topology.workers[index];
+    if (worker === undefined) {
+      throw new Error(`there is no worker ${index}`);
+    }
+    return worker;
+  }
+}
--- /dev/null
+++ b/packages/soak/src/lib/faults/SoakFault.ts
@@ -0,0 +1,20 @@
+import type { LinkState } from '@dandelionlane/standin';
+import type StoreFault from '../store/StoreFault.js';
+import type AnswerFault from '../workers/AnswerFault.js';
+
+/** Something that goes wrong from outside the processes. Indexes are of entries or of workers. */
+type SoakFault = | { readonly kind: 'entry-killed'; readonly entry: number }
+  | { readonly kind: 'entry-paused'; readonly entry: number }
+  | { readonly kind: 'entry-terminated'; readonly entry: number }
+  | { readonly kind: 'all-entries-killed' }
+  | { readonly kind: 'store-fails'; readonly fault: StoreFault }
+  | { readonly kind: 'store-forgets' }
+  | { readonly kind: 'store-link'; readonly entry: number; readonly state: LinkState }
+  | { readonly kind: 'caller-link'; readonly entry: number; readonly state: LinkState }
+  | { readonly kind: 'worker-link'; readonly worker: number; readonly state: LinkState }
+  | { readonly kind: 'worker-crashes'; readonly worker: number }
+  | { readonly kind: 'worker-leaves'; readonly worker: number }
+  | { readonly kind: 'worker-answers'; readonly worker: number; readonly fault: AnswerFault }
+  | { readonly kind: 'configuration-changes' };
+
+export default SoakFault;
--- /dev/null
+++ b/packages/soak/src/lib/journal/CallerOutcome.ts
@@ -0,0 +1,17 @@
+/** How a request ended for its caller. Times are monotonic, in ms. */
+type CallerOutcome = | {
+  readonly kind: 'answered';
+  readonly status: number;
+  /** Signature of the worker's run, or null. */
+  readonly signature: string | null;
+  readonly body: string;
+  /** Whether the answer ended as complete. */
+  readonly whole: boolean;
+  readonly endedAt: number;
+}
+/** No answer: the connection failed or ended. */
+| { readonly kind: 'disconnected'; readonly endedAt: number }
+/** The caller left, some time after its deadline. */
+| { readonly kind: 'left'; readonly endedAt: number };
+
+export default CallerOutcome;
--- /dev/null
+++ b/packages/soak/src/lib/journal/SoakJournal.ts
@@ -0,0 +1,42 @@
+import type SentRequest from './SentRequest.js';
+import type Violation from './Violation.js';
+import type WorkerRun from './WorkerRun.js';
+
+/** A time span in which something was disturbed, in monotonic ms; `to` is infinite until it ends. */
+interface Disturbance {
+  readonly from: number;
+  to: number;
+}
+
+/** What callers and workers saw of one soak. */
+export default class SoakJournal {
+  readonly requests = new Map<string, SentRequest>();
+
+  readonly runs: WorkerRun[] = [];
+
+  /** Monotonic time at which the leaving of each worker was written, in ms. */
+  readonly drainedAt = new Map<string, number>();
+
+  /** Promises that were seen broken at once. */
+  readonly violations: Violation[] = [];
+
+  readonly #disturbances: Disturbance[] = [];
+
+  violated(promise: string, detail: string): void {
+    this.violations.push({ promise, detail, timed: false });
+  }
+
+  /** Notes that something is disturbed, until the returned function is called. */
+  disturbed(now: number): (end: number) => void {
+    const disturbance: Disturbance = { from: now, to: Number.POSITIVE_INFINITY };
+    this.#disturbances.push(disturbance);
+    return (end) => {
+      disturbance.to = end;
+    };
+  }
+
+  /** Whether nothing was disturbed in a time span. */
+  isCalm(from: number, to: number): boolean {
+    return this.#disturbances.every((disturbance) => disturbance.to < from || disturbance.from > to);
+  }
+}
--- /dev/null
+++ b/packages/soak/src/lib/workers/SoakWorkerSettings.ts
@@ -0,0 +1,17 @@
+import type { RandomSource } from '@dandelionlane/core';
+import type SoakJournal from '../journal/SoakJournal.js';
+import type RowTables from '../store/RowTables.js';
+import type SoakGroups from './SoakGroups.js';
+
+/** What a `SoakWorker` is made of. */
+export default interface SoakWorkerSettings {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  /** Groups of model workers; null for a plain worker. */
+  readonly groups: SoakGroups | null;
+  readonly slots: number;
+  readonly tables: RowTables;
+  readonly journal: SoakJournal;
+  readonly random: RandomSource;
+}
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,6 +1,7 @@
 /** Public surface of the package. */
 export { default as expectedAnswer } from './lib/answers/expectedAnswer.js';
 export { default as promptOf } from './lib/answers/promptOf.js';
+export { default as GroupWorker } from './lib/groups/GroupWorker.js';
 export { default as JournalDocument } from './lib/journal/JournalDocument.js';
 export { default as JournalRun } from './lib/journal/JournalRun.js';
 export { default as mergeJournals } from './lib/journal/mergeJournals.js';
--- a/packages/groups/src/test/FakeGroupWorker.ts
+++ b/packages/standin/src/lib/groups/GroupWorker.ts
@@ -6,7 +6,7 @@
 } from '@dandelionlane/fleet';
 
 /** A model worker with the platform's rules for orders, without time. */
-export default class FakeGroupWorker {
+export default class GroupWorker {
   readonly id: WorkerId;
 
   bornAt: number;
--- a/packages/standin/src/lib/links/LinkConnection.ts
+++ b/packages/standin/src/lib/links/LinkConnection.ts
@@ -1,18 +1,32 @@
 import type { Socket } from 'node:net';
 import type LinkState from './LinkState.js';
+import LinkGate from './LinkGate.js';
 
-/** One connection over a link: two sockets whose bytes are passed on while the link is open. */
+/** Delay of a slow link, in ms. */
+const DELAY_MILLISECONDS = 80;
+
+/** One connection over a link: two sockets whose bytes are passed on, both ways, as the link's state says. */
 export default class LinkConnection {
   readonly #sockets: readonly [Socket, Socket];
 
+  readonly #there = new LinkGate();
+
+  readonly #back = new LinkGate();
+
   constructor(near: Socket, far: Socket, onClose: () => void) {
     this.#sockets = [near, far];
+    near.pipe(this.#there).pipe(far);
+    far.pipe(this.#back).pipe(near);
     this.#sockets.forEach((socket) => {
       // The peer's error shows as a closed connection on the other side.
       socket.on('error', () => undefined);
       socket.once('close', () => {
-        this.destroy();
-        onClose();
+        if (!socket.readableEnded) {
+          this.destroy();
+        }
+        if (near.closed && far.closed) {
+          onClose();
+        }
       });
     });
   }
@@ -20,10 +34,20 @@
   apply(state: LinkState): void {
     switch (state) {
       case 'open':
-        this.#join();
+        this.#there.pass(0);
+        this.#back.pass(0);
         return;
       case 'silent':
-        this.#part();
+        this.#there.hold();
+        this.#back.hold();
+        return;
+      case 'one-way':
+        this.#there.hold();
+        this.#back.pass(0);
+        return;
+      case 'slow':
+        this.#there.pass(DELAY_MILLISECONDS);
+        this.#back.pass(DELAY_MILLISECONDS);
         return;
       case 'refused':
         this.destroy();
@@ -35,19 +59,7 @@
 
   destroy(): void {
     this.#sockets.forEach((socket) => socket.destroy());
-  }
-
-  #join(): void {
-    const [near, far] = this.#sockets;
-    this.#part();
-    near.pipe(far);
-    far.pipe(near);
-  }
-
-  /** Bytes that arrive stay in the socket's buffer, so that none is lost when the link opens again. */
-  #part(): void {
-    const [near, far] = this.#sockets;
-    near.unpipe(far).pause();
-    far.unpipe(near).pause();
+    this.#there.destroy();
+    this.#back.destroy();
   }
 }
--- a/packages/standin/src/lib/links/LinkState.ts
+++ b/packages/standin/src/lib/links/LinkState.ts
@@ -1,8 +1,9 @@
 /**
- * What a link does with connections. `open`: passes bytes on. `silent`: keeps
- * connections and passes nothing on, as a network that drops packets. `refused`:
- * destroys connections and takes no new ones.
+ * What a link does with connections. `open`: passes bytes on. `silent`: keeps connections and
+ * passes nothing on, as a network that drops packets. `one-way`: passes on only what comes from the
+ * target. `slow`: passes bytes on after a while. `refused`: destroys connections and takes no new
+ * ones.
  */
-type LinkState = 'open' | 'silent' | 'refused';
+type LinkState = 'open' | 'silent' | 'one-way' | 'slow' | 'refused';
 
 export default LinkState;
--- a/packages/standin/src/test/links.test.ts
+++ b/packages/standin/src/test/links.test.ts
@@ -1,5 +1,6 @@
+import { connect, createServer, type AddressInfo } from 'node:net';
 import {
-  afterEach, beforeEach, expect, test,
+  afterEach, beforeEach, expect, test, vi,
 } from 'vitest';
 import { request } from 'undici';
 import {
@@ -54,3 +55,37 @@
   await platform.close();
   await expect(ask()).rejects.toThrow();
 });
+
+test('one-way link brings no request to the target until it opens', async () => {
+  link.setState('one-way');
+  const answered: number[] = [];
+  const held = ask().then((status) => answered.push(status));
+  await expect(request(`http://${link.address}/counters`, { signal: AbortSignal.timeout(50) })).rejects.toThrow();
+  expect(answered).toEqual([]);
+  link.setState('open');
+  await held;
+  expect(answered).toEqual([200]);
+});
+
+test('bytes keep their order when a slow link becomes fast', async () => {
+  const received: Buffer[] = [];
+  const server = createServer((socket) => {
+    socket.on('data', (chunk) => received.push(chunk));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const slow = (await startLink({ target: `127.0.0.1:${(server.address() as AddressInfo).port}` }))._unsafeUnwrap();
+  const [host, port] = slow.address.split(':');
+  const socket = connect(Number(port), host);
+  slow.setState('slow');
+  socket.write('first ');
+  await vi.waitFor(() => expect(socket.bytesWritten).toBe(6));
+  await new Promise(setImmediate);
+  slow.setState('open');
+  socket.write('second');
+  await vi.waitFor(() => expect(Buffer.concat(received).toString()).toBe('first second'));
+  socket.destroy();
+  await slow.close();
+  server.close();
+});
