Let entries with far more processor time hold the lease

The holder from 19.6 s was edge-tt-south-c-19, one of the machines with 0.324 of a core and 14 Mbit/s: for 86 links and 165 workers it fell behind (orders of a round logged together 0.8 s later, dozens of workers silent at once by its own delay), its calls to the store timed out from 28.5 s to 30.8 s, and so its configuration was 3 s old.

Ruled out: the cost of a message on a link (31 us to decode a status, 43 us a state, measured; about 4 % of a core for all 86).

Processor time comes from the settings. Where all entries are alike nothing changes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -37,6 +37,7 @@
 export { default as TeamId } from './lib/ids/TeamId.js';
 export { default as VMId } from './lib/ids/VMId.js';
 export { default as WorkerId } from './lib/ids/WorkerId.js';
+export { default as isFarStronger } from './lib/process/isFarStronger.js';
 export { default as onShutdownSignal } from './lib/process/onShutdownSignal.js';
 export { default as repeatWork } from './lib/process/repeatWork.js';
 export { type default as RandomSource } from './lib/random/RandomSource.js';
--- a/packages/fleet-entry/src/lib/FleetEntrySettings.ts
+++ b/packages/fleet-entry/src/lib/FleetEntrySettings.ts
@@ -12,6 +12,8 @@
   readonly metrics: ListenAddress | null;
   /** Where other entries connect to. */
   readonly links: ListenAddress;
+  /** Processor time that the process may use, in cores. */
+  readonly processorCores: number;
   /** Whether the whole system starts for the first time. */
   readonly bootstrap: boolean;
   /** Time between SIGTERM and the end of the process, in ms. */
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -14,6 +14,9 @@
 /** Such pauses between two steps while the holder lives by the link to it, but does not renew the lease. */
 const LINKED_LEASE_ROUNDS = 10;
 
+/** Time for which a free lease is left to stronger entries, in ms: a step of theirs and its answer. */
+const DEFERENCE_MILLISECONDS = 600;
+
 /** Pause between two looks at whether this process may contend yet, in ms. */
 const ELIGIBILITY_PERIOD_MILLISECONDS = 30;
 
@@ -25,6 +28,8 @@
   readonly view: FleetView;
   readonly isLeaving: () => boolean;
   readonly holderSign: () => HolderSign;
+  /** Whether an entry with far more processor time may live: it is to hold the lease. */
+  readonly knowsStronger: () => boolean;
 }
 
 /** Contends for the lease on the group control, and controls the groups while it is held. */
@@ -59,6 +64,7 @@
       controller: ControllerId.parse(settings.entry),
       region: settings.region,
       settings: LEASE_SETTINGS,
+      defersMilliseconds: () => (options.knowsStronger() ? DEFERENCE_MILLISECONDS : 0),
     });
     this.leadership = new Leadership({
       lease: this.lease,
--- a/packages/gateway/src/lib/entries/EntryRecord.ts
+++ b/packages/gateway/src/lib/entries/EntryRecord.ts
@@ -13,8 +13,10 @@
   ready: z.boolean(),
   /** Grows with each heartbeat, so that the row changes. */
   beat: z.number().int(),
+  /** Processor time that it may use, in cores. */
+  processorCores: z.number().default(1),
   /** Entries that are linked to this one as the holder of the lease. */
-  linked: z.array(EntryId),
+  linked: z.array(EntryId).default([]),
 });
 type EntryRecord = z.infer<typeof EntryRecord>;
 
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -1,5 +1,5 @@
 import {
-  repeatWork, type AvailabilityZoneId, type Clock, type EntryId, type TableStore,
+  isFarStronger, repeatWork, type AvailabilityZoneId, type Clock, type EntryId, type TableStore,
 } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import EntryRecord from './EntryRecord.js';
@@ -31,6 +31,8 @@
   readonly zone: AvailabilityZoneId;
   readonly callerAddress: string;
   readonly linkAddress: string;
+  /** Processor time that this entry may use, in cores. */
+  readonly processorCores: number;
   readonly isReady: () => boolean;
   /** Entries by the link to the holder of the lease; null while there is none. */
   readonly linked: () => readonly KnownEntry[] | null;
@@ -86,12 +88,19 @@
   /** Writes the own row at once, after a change of readiness. */
   async announce(): Promise<void> {
     const {
-      store, entry, zone, callerAddress, linkAddress, isReady, attached, log,
+      store, entry, zone, callerAddress, linkAddress, processorCores, isReady, attached, log,
     } = this.#options;
     this.#beat += 1;
     const ready = isReady();
     const record: EntryRecord = {
-      entry, zone, callerAddress, linkAddress, ready, beat: this.#beat, linked: [...attached()],
+      entry,
+      zone,
+      callerAddress,
+      linkAddress,
+      processorCores,
+      ready,
+      beat: this.#beat,
+      linked: [...attached()],
     };
     const write = { table: TABLE, key: entry, value: record };
     const outcome = await store.commit({ conditions: [], writes: [write] });
@@ -115,11 +124,24 @@
       .map(({ record: { entry, ready, callerAddress } }) => ({ entry, ready, callerAddress }));
   }
 
+  /** Whether an entry that may live has far more processor time, so that it holds the lease better. */
+  get knowsStronger(): boolean {
+    const { processorCores } = this.#options;
+    return this.#live(SILENCE_MILLISECONDS)
+      .some(({ record }) => isFarStronger(record.processorCores, processorCores));
+  }
+
   /** Where an entry listens for links; undefined for one that has no row. */
   linkAddressOf(entry: EntryId): string | undefined {
     return this.#seen.get(entry)?.record.linkAddress;
   }
 
+  /** Where the other entries that may live listen for links. */
+  linkAddresses(): readonly string[] {
+    return this.#live(ENDED_MILLISECONDS).filter(({ record }) => record.entry !== this.#options.entry)
+      .map(({ record: { linkAddress } }) => linkAddress);
+  }
+
   /** The link to an entry has ended: it counts as ended until its next heartbeat. */
   linkLost(entry: EntryId): void {
     this.#lostAt.set(entry, this.#options.clock.monotonicMilliseconds());
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -29,6 +29,7 @@
   clock: ManualClock,
   linked: () => readonly KnownEntry[] | null = () => null,
   attached: () => readonly EntryId[] = () => [],
+  processorCores = 1,
 ): EntryRegistry {
   const registry = new EntryRegistry({
     store,
@@ -41,6 +42,7 @@
     isReady: () => true,
     linked,
     attached,
+    processorCores,
   });
   running.push(registry);
   return registry;
@@ -226,3 +228,18 @@
   await rounds(4, clock);
   expect(cut.readyAddresses()).toEqual(['cut:1', 'holder:1']);
 });
+
+test('an entry knows of live ones with more processor time', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const strong = create('strong', store, clock, () => null, () => [], 1.35);
+  const weak = create('weak', store, clock, () => null, () => [], 0.3);
+  strong.start();
+  weak.start();
+  await rounds(2, clock);
+  expect([strong.knowsStronger, weak.knowsStronger]).toEqual([false, true]);
+  await lose(strong);
+  await rounds(4, clock);
+  expect(weak.knowsStronger).toBe(false);
+});
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -8,6 +8,8 @@
   /** Whether callers may be sent to it. */
   ready: z.boolean(),
   callerAddress: z.string(),
+  /** Processor time that it may use, in cores. */
+  processorCores: z.number(),
   /** Time since the store last answered it, in ms. */
   storeAgeMilliseconds: z.number(),
   /** Its requests in the window of the repeat budget. */
--- a/packages/platform/src/lib/lease/LeaseKeeper.ts
+++ b/packages/platform/src/lib/lease/LeaseKeeper.ts
@@ -21,6 +21,8 @@
   readonly controller: ControllerId;
   readonly region: RegionId;
   readonly settings: LeaseSettings;
+  /** Time for which a lease that has become free is left to others, in ms; none by default. */
+  readonly defersMilliseconds?: () => number;
 }
 
 /**
@@ -129,7 +131,7 @@
     }
     this.#held = null;
     const isOwn = settings.reclaimsOwn === true && observation.record?.holder === controller;
-    if (isOwn || isLeaseFree(observation, now)) {
+    if (isOwn || isLeaseFree(observation, now, this.#options.defersMilliseconds?.() ?? 0)) {
       const previous = observation.record?.fencing ?? 0;
       await this.#write(observation, FencingNumber.parse(previous + 1), false);
     }
--- a/packages/platform/src/test/LeaseKeeper.test.ts
+++ b/packages/platform/src/test/LeaseKeeper.test.ts
@@ -12,9 +12,15 @@
   clock: ManualClock,
   name: string,
   reclaimsOwn = false,
+  defersMilliseconds = 0,
 ): LeaseKeeper {
   return new LeaseKeeper({
-    store, clock, region, settings: { ...settings, reclaimsOwn }, controller: ControllerId.parse(name),
+    store,
+    clock,
+    region,
+    settings: { ...settings, reclaimsOwn },
+    controller: ControllerId.parse(name),
+    defersMilliseconds: () => defersMilliseconds,
   });
 }
 
@@ -186,3 +192,32 @@
   clock.advance(4_000);
   expect(keeper.announcement()).toBeNull();
 });
+
+test('a contender that defers leaves a free lease to others for a while', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const first = createKeeper(store, clock, 'a');
+  const deferring = createKeeper(store, clock, 'b', false, 500);
+  await first.step();
+  await deferring.step();
+  await first.release();
+  await deferring.step();
+  expect(deferring.held()).toBeNull();
+  clock.advance(500);
+  await deferring.step();
+  expect(deferring.held()?.fencing).toBe(2);
+});
+
+test('a contender that defers waits longer than a term', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  await createKeeper(store, clock, 'a').step();
+  const deferring = createKeeper(store, clock, 'b', false, 500);
+  await deferring.step();
+  clock.advance(6_499);
+  await deferring.step();
+  expect(deferring.held()).toBeNull();
+  clock.advance(1);
+  await deferring.step();
+  expect(deferring.held()?.fencing).toBe(2);
+});
