Find the holder of the lease without the store

An entry that the store turns away cannot read who holds the lease. It asks other entries now, and an entry that does not hold the lease answers a link with the address of the one that does.

New links of 0.25 s are left alone, as the entry may just have acquired the lease.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -1,16 +1,19 @@
-import type { Clock, EntryId, WorkerId } from '@dandelionlane/core';
+import type {
+  Clock, EntryId, RandomSource, WorkerId,
+} from '@dandelionlane/core';
 import { toUnregisteredWorker } from '@dandelionlane/fleet';
 import type {
   EntryRegistry, KnownEntry, RepeatBudget, TargetStates,
 } from '@dandelionlane/gateway';
 import {
-  LinkClient, LinkServer, findStalled, othersReachStore, sumLoads, sumRequests, type EntryStatus,
+  LinkClient, LinkServer, findStalled, isOvertaxed, othersReachStore, sumLoads, sumRequests, type EntryStatus,
   type FleetState,
 } from '@dandelionlane/links';
 import type { Log } from '@dandelionlane/telemetry';
 import type FleetEntrySettings from './FleetEntrySettings.js';
 import type FleetView from './FleetView.js';
 import type GroupControl from './GroupControl.js';
+import HolderSearch from './HolderSearch.js';
 import type HolderSign from './HolderSign.js';
 
 /** Time between two messages on a link, in ms. */
@@ -29,6 +32,9 @@
 /** Time after the last status of an entry from which its link counts as ended, in ms. */
 const ENTRY_SILENCE_MILLISECONDS = 1_000;
 
+/** Time for which a holder acts before it leaves the lease to a stronger entry, in ms: all links are up. */
+const SETTLED_MILLISECONDS = 3_000;
+
 /** Longest silence that is told, in ms. */
 const LONGEST_SILENCE_MILLISECONDS = 60_000;
 
@@ -47,6 +53,7 @@
   /** Longest usual silence of a model target, in ms. */
   readonly quietLimit: (worker: WorkerId, unreadTokens: number) => number;
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly log: Log;
 }
 
@@ -63,6 +70,8 @@
 
   readonly #client: LinkClient;
 
+  readonly #search: HolderSearch;
+
   #linkedEntries: readonly KnownEntry[] | null = null;
 
   /** Entries whose link worked in the last round of the holder. */
@@ -70,6 +79,12 @@
 
   #leading = false;
 
+  /** Monotonic time at which this process came to hold the lease, in ms. */
+  #leadingSince = Number.NEGATIVE_INFINITY;
+
+  /** The holder that spoke last on the link. */
+  #linkedHolder: EntryId | null = null;
+
   /** Whether the holder last told that it renews its lease. */
   #renewing = false;
 
@@ -85,8 +100,13 @@
       ...options.settings.links, log: options.log, now,
     });
     this.#client = new LinkClient({
-      log: options.log, now, receive: (state) => this.#takeState(state), lost: () => this.#unlinked(),
+      log: options.log,
+      now,
+      receive: (state) => this.#takeState(state),
+      redirected: (address) => this.#search.redirected(address),
+      lost: () => this.#unlinked(),
     });
+    this.#search = new HolderSearch(options.clock, options.random);
   }
 
   start(): void {
@@ -125,12 +145,15 @@
 
   #round(): void {
     const {
-      control, view, settings, registry,
+      control, view,
     } = this.#options;
     const isLeading = control.leadership.acting() !== null;
     if (this.#leading && !isLeading) {
       this.#server.disconnect();
     }
+    if (!this.#leading && isLeading) {
+      this.#leadingSince = this.#options.clock.monotonicMilliseconds();
+    }
     this.#leading = isLeading;
     if (isLeading) {
       this.#client.maintain(null);
@@ -141,16 +164,28 @@
     }
     // Only a holder passes changes on.
     view.workerRows.takeChanges();
-    const holder = control.lease.holder();
-    const isOther = holder !== null && String(holder) !== String(settings.entry);
-    const address = isOther ? registry.linkAddressOf(String(holder) as EntryId) : undefined;
-    this.#client.maintain(address ?? null);
+    const address = this.#holderAddress();
+    this.#client.maintain(address);
     if (!this.#client.working) {
       this.#unlinked();
     }
+    this.#server.redirect(this.#client.working ? address : null);
     this.#client.send(this.#ownStatus());
   }
 
+  #holderAddress(): string | null {
+    const { control: { lease }, settings, registry } = this.#options;
+    const holder = lease.holder();
+    const isOther = holder !== null && String(holder) !== String(settings.entry);
+    return this.#search.address({
+      known: isOther ? registry.linkAddressOf(String(holder) as EntryId) ?? null : null,
+      others: registry.linkAddresses(),
+      isLinked: this.#client.working && String(this.#linkedHolder) === String(holder),
+      isEngaged: !this.#client.idle,
+      storeAgeMilliseconds: this.#storeAge(),
+    });
+  }
+
   #ownStatus(): EntryStatus {
     const {
       settings, states, isReady, clock,
@@ -178,21 +213,36 @@
       entry: settings.entry,
       ready: isReady(),
       callerAddress: `${settings.callers.host}:${settings.callers.port}`,
+      processorCores: settings.processorCores,
       storeAgeMilliseconds: Math.round(Math.min(this.#storeAge(), LONGEST_SILENCE_MILLISECONDS)),
       requests: [...this.#options.budget.counts()],
       targets,
     };
   }
 
+  /** Time since this process came to hold the lease, in ms. */
+  get #ledFor(): number {
+    return this.#options.clock.monotonicMilliseconds() - this.#leadingSince;
+  }
+
   /** Time since the store last answered this process, in ms. */
   #storeAge(): number {
     const { control: { lease }, view: { operatorFollower } } = this.#options;
     return Math.min(lease.ageMilliseconds, operatorFollower.ageMilliseconds);
   }
 
-  /** Leaves the lease to others where the store serves them: they see what this process misses. */
+  /**
+   * Leaves the lease to others where the store serves them, as they see what this process misses,
+   * and where this process is too weak for the number of entries.
+   */
   #handOver(others: readonly { readonly status: EntryStatus; readonly ageMilliseconds: number }[]): void {
-    const { control, log } = this.#options;
+    const { control, log, settings: { processorCores } } = this.#options;
+    const isSettled = this.#ledFor > SETTLED_MILLISECONDS;
+    if (isSettled && isOvertaxed(processorCores, others.map(({ status }) => status))) {
+      log.info('A stronger entry is linked, giving the lease up.', { processorCores, links: others.length });
+      control.leadership.resign();
+      return;
+    }
     const ages = others.map(({ status, ageMilliseconds }) => status.storeAgeMilliseconds + ageMilliseconds);
     if (!control.lease.isInTouch() && othersReachStore(this.#storeAge(), ages)) {
       log.warn('The store serves others only, giving the lease up.', { storeAge: Math.round(this.#storeAge()) });
@@ -258,6 +308,7 @@
 
   #takeState(state: FleetState): void {
     const { view: { workerRows, workerFollower, operatorFollower }, control } = this.#options;
+    this.#linkedHolder = state.holder;
     this.#renewing = state.lease !== null;
     if (state.lease !== null) {
       control.lease.announced(state.lease);
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -27,6 +27,7 @@
 /** Starts an entry process: callers, directory, readiness, and the contest for the group control. */
 export default function startFleetEntry(settings: FleetEntrySettings, ports: FleetEntryPorts): void {
   const clock = new SystemClock();
+  const random = new SystemRandom();
   const metrics = new MetricsRegistry();
   const writer = new LineWriter(STANDARD_OUTPUT);
   const runtime: EntryRuntime = {
@@ -55,12 +56,16 @@
     zone: settings.zone,
     callerAddress: `${settings.callers.host}:${settings.callers.port}`,
     linkAddress: `${settings.links.host}:${settings.links.port}`,
+    processorCores: settings.processorCores,
     isReady,
     linked: () => coordinator.linkedEntries(),
     attached: () => coordinator.attachedEntries(),
   });
   const control = new GroupControl(runtime, {
-    view, isLeaving: () => leaving, holderSign: () => coordinator.holderSign(),
+    view,
+    isLeaving: () => leaving,
+    holderSign: () => coordinator.holderSign(),
+    knowsStronger: () => registry.knowsStronger,
   });
 
   const states = new TargetStates(clock);
@@ -88,7 +93,7 @@
     closedZones: () => view.operatorSink.closedZones,
     countEntries: () => registry.count(),
     clock,
-    random: new SystemRandom(),
+    random,
     log: logFor('requests'),
     metrics,
   });
@@ -102,7 +107,7 @@
   };
   const stalls = new StallDetector({ states, clock, quietLimit });
   coordinator = new Coordinator({
-    settings, registry, states, budget, view, control, isReady, quietLimit, clock, log: logFor('links'),
+    settings, registry, states, budget, view, control, isReady, quietLimit, clock, random, log: logFor('links'),
   });
 
   const callers = createCallerServer(requests, configuration);
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -1,10 +1,12 @@
 /** Public surface of the package. */
 export { default as EntryStatus } from './lib/EntryStatus.js';
 export { default as FleetState } from './lib/FleetState.js';
+export { default as HolderMessage } from './lib/HolderMessage.js';
 export { default as LinkClient } from './lib/LinkClient.js';
 export { default as LinkServer } from './lib/LinkServer.js';
 export { default as decodeMessage } from './lib/decodeMessage.js';
 export { default as findStalled } from './lib/findStalled.js';
+export { default as isOvertaxed } from './lib/isOvertaxed.js';
 export { default as othersReachStore } from './lib/othersReachStore.js';
 export { default as sumLoads } from './lib/sumLoads.js';
 export { default as sumRequests } from './lib/sumRequests.js';
--- a/packages/links/src/lib/LinkClient.ts
+++ b/packages/links/src/lib/LinkClient.ts
@@ -2,7 +2,8 @@
 import { WebSocket } from 'ws';
 import type { Log } from '@dandelionlane/telemetry';
 import type EntryStatus from './EntryStatus.js';
-import FleetState from './FleetState.js';
+import type FleetState from './FleetState.js';
+import HolderMessage from './HolderMessage.js';
 import MAXIMUM_FRAME_BYTES from './MAXIMUM_FRAME_BYTES.js';
 import decodeMessage from './decodeMessage.js';
 import encodeMessage from './encodeMessage.js';
@@ -26,6 +27,8 @@
 interface LinkClientOptions {
   readonly log: Log;
   readonly receive: (state: FleetState) => void;
+  /** Called with the address of another entry that holds the lease, as the one at the other end says. */
+  readonly redirected: (address: string) => void;
   /** Called when a link that worked has ended. */
   readonly lost: () => void;
   readonly now: () => number;
@@ -56,6 +59,11 @@
     return this.#working && this.#options.now() - this.#heardAt < SILENCE_MILLISECONDS;
   }
 
+  /** Whether there is no connection, not even one that is being made. */
+  get idle(): boolean {
+    return this.#socket === null;
+  }
+
   /** Time since the holder last spoke, in ms; infinite without a link. */
   get ageMilliseconds(): number {
     return this.#working ? this.#options.now() - this.#heardAt : Number.POSITIVE_INFINITY;
@@ -107,18 +115,33 @@
   }
 
   #receive(frame: Buffer): void {
-    const decoded = decodeMessage(FleetState, frame);
+    const decoded = decodeMessage(HolderMessage, frame);
     if (decoded.isErr()) {
       this.#options.log.warn('Link message is invalid.', { reason: decoded.error.message });
       this.#end('invalid message');
       return;
     }
+    const message = decoded.value;
+    switch (message.kind) {
+      case 'redirect':
+        this.#end('redirected');
+        this.#options.redirected(message.address);
+        break;
+      case 'state':
+        this.#heard(message);
+        break;
+      default:
+        message satisfies never;
+    }
+  }
+
+  #heard(state: FleetState): void {
     this.#heardAt = this.#options.now();
     if (!this.#working) {
       this.#working = true;
-      this.#options.log.info('Linked to the holder.', { holder: decoded.value.holder });
+      this.#options.log.info('Linked to the holder.', { holder: state.holder });
     }
-    this.#options.receive(decoded.value);
+    this.#options.receive(state);
   }
 
   #end(reason: string): void {
--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -5,6 +5,7 @@
 import type { Log } from '@dandelionlane/telemetry';
 import EntryStatus from './EntryStatus.js';
 import type FleetState from './FleetState.js';
+import type HolderRedirect from './HolderRedirect.js';
 import MAXIMUM_FRAME_BYTES from './MAXIMUM_FRAME_BYTES.js';
 import decodeMessage from './decodeMessage.js';
 import encodeMessage from './encodeMessage.js';
@@ -12,6 +13,9 @@
 /** Unsent bytes at which a link is taken to be dead. */
 const MAXIMUM_BUFFERED_BYTES = 2 * 1_024 * 1_024;
 
+/** Age from which a link is told that another entry holds the lease, in ms: two messages. */
+const SETTLING_MILLISECONDS = 250;
+
 /** What a `LinkServer` needs from outside. */
 interface LinkServerOptions {
   readonly host: string;
@@ -23,6 +27,7 @@
 /** A link with the entry at its other end. */
 interface Link {
   readonly socket: WebSocket;
+  readonly attachedAt: number;
   status: EntryStatus | null;
   heardAt: number;
   /** Whether it has been sent all registrations. */
@@ -85,6 +90,25 @@
     });
   }
 
+  /**
+   * Ends links while another entry holds the lease, but for new ones: this one may just have
+   * acquired it.
+   * @param address Where that entry listens for links, or null where it is not known.
+   */
+  redirect(address: string | null): void {
+    const message: HolderRedirect | null = address === null ? null : { kind: 'redirect', address };
+    const now = this.#options.now();
+    [...this.#links].filter(({ attachedAt }) => now - attachedAt >= SETTLING_MILLISECONDS).forEach((link) => {
+      this.#links.delete(link);
+      if (message === null) {
+        link.socket.terminate();
+      } else {
+        link.socket.send(encodeMessage(this.#packr, message));
+        link.socket.close();
+      }
+    });
+  }
+
   /** Ends all links, when the lease is lost. */
   disconnect(): void {
     this.#links.forEach(({ socket }) => socket.terminate());
@@ -96,8 +120,9 @@
   }
 
   #attach(socket: WebSocket): void {
+    const now = this.#options.now();
     const link: Link = {
-      socket, status: null, heardAt: this.#options.now(), initialised: false,
+      socket, attachedAt: now, status: null, heardAt: now, initialised: false,
     };
     this.#links.add(link);
     socket.on('close', () => this.#links.delete(link));
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -13,6 +13,7 @@
 import encodeMessage from '../lib/encodeMessage.js';
 import findStalled from '../lib/findStalled.js';
 import othersReachStore from '../lib/othersReachStore.js';
+import isOvertaxed from '../lib/isOvertaxed.js';
 import sumRequests from '../lib/sumRequests.js';
 import sumLoads from '../lib/sumLoads.js';
 
@@ -27,6 +28,7 @@
     entry: EntryId.parse(entry),
     ready: true,
     callerAddress: `${entry}:1`,
+    processorCores: 1,
     storeAgeMilliseconds: 0,
     requests: [],
     targets: [{
@@ -116,6 +118,7 @@
     log: LOG,
     now: () => performance.now(),
     receive: (state) => states.push(state),
+    redirected: () => undefined,
     lost: () => {
       lost += 1;
     },
@@ -155,3 +158,40 @@
   expect(sumRequests([first, second]))
     .toEqual([{ service: one, requests: 5 }, { service: two, requests: 1 }]);
 });
+
+test('a weak holder of many links is overtaxed if a stronger entry is linked', () => {
+  const links = (cores: readonly number[]) => cores.map((processorCores) => ({ processorCores }));
+  const weak = Array.from({ length: 40 }, () => 0.3);
+  expect(isOvertaxed(0.3, links([...weak, 1.3]))).toBe(true);
+  expect(isOvertaxed(0.3, links(weak))).toBe(false);
+  expect(isOvertaxed(1.3, links([...weak, 1.3]))).toBe(false);
+  expect(isOvertaxed(0.3, links([0.3, 1.3]))).toBe(false);
+});
+
+test('an entry without the lease tells who holds it', async () => {
+  const server = new LinkServer({
+    host: '127.0.0.1', port: 0, log: LOG, now: () => performance.now(),
+  });
+  closing.push(() => server.close());
+  const port = await server.listen();
+  const addresses: string[] = [];
+  const client = new LinkClient({
+    log: LOG,
+    now: () => performance.now(),
+    receive: () => undefined,
+    redirected: (address) => addresses.push(address),
+    lost: () => undefined,
+  });
+  closing.push(() => client.close());
+  await vi.waitFor(() => {
+    client.maintain(`127.0.0.1:${port}`);
+    client.send(status('a'));
+    expect(server.statuses()).toHaveLength(1);
+  });
+  await vi.waitFor(() => {
+    server.redirect('10.0.0.1:7341');
+    expect(server.statuses()).toEqual([]);
+  });
+  await vi.waitFor(() => expect(addresses).toEqual(['10.0.0.1:7341']));
+  expect([client.idle, client.working, server.statuses().length]).toEqual([true, false, 0]);
+});
