--- a/packages/links/src/lib/LinkClient.ts
+++ b/packages/links/src/lib/LinkClient.ts
@@ -2,10 +2,11 @@
 import { WebSocket } from 'ws';
 import type { Log } from '@dandelionlane/telemetry';
 import type EntryStatus from './EntryStatus.js';
-import FleetState from './FleetState.js';
+import type FleetState from './FleetState.js';
+import HolderMessage from './HolderMessage.js';
+import MAXIMUM_FRAME_BYTES from './MAXIMUM_FRAME_BYTES.js';
 import decodeMessage from './decodeMessage.js';
-
-const MAXIMUM_FRAME_BYTES = 4 * 1_024 * 1_024;
+import encodeMessage from './encodeMessage.js';
 
 /** Time to establish a link, in ms. */
 const HANDSHAKE_TIMEOUT_MILLISECONDS = 500;
@@ -13,6 +14,12 @@
 /** Silence after which a link is given up, in ms: the holder speaks several times a second. */
 const SILENCE_MILLISECONDS = 700;
 
+/**
+ * Time for the first message of a link, in ms: it holds all registrations, and after a change of
+ * the holder goes to all entries at once.
+ */
+const FIRST_MESSAGE_MILLISECONDS = 2_000;
+
 /** Pause before a link is tried again, in ms. */
 const RETRY_MILLISECONDS = 400;
 
@@ -20,6 +27,8 @@
 interface LinkClientOptions {
   readonly log: Log;
   readonly receive: (state: FleetState) => void;
+  /** Called with the address of another entry that holds the lease, as the one at the other end says. */
+  readonly redirected: (address: string) => void;
   /** Called when a link that worked has ended. */
   readonly lost: () => void;
   readonly now: () => number;
@@ -50,6 +59,11 @@
     return this.#working && this.#options.now() - this.#heardAt < SILENCE_MILLISECONDS;
   }
 
+  /** Whether there is no connection, not even one that is being made. */
+  get idle(): boolean {
+    return this.#socket === null;
+  }
+
   /** Time since the holder last spoke, in ms; infinite without a link. */
   get ageMilliseconds(): number {
     return this.#working ? this.#options.now() - this.#heardAt : Number.POSITIVE_INFINITY;
@@ -58,7 +72,8 @@
   /** Keeps a link to an address, or none. Called regularly: it also ends links that fell silent. */
   maintain(address: string | null): void {
     const now = this.#options.now();
-    const isSilent = now - Math.max(this.#heardAt, this.#triedAt) >= SILENCE_MILLISECONDS;
+    const isSilent = this.#working
+      ? now - this.#heardAt >= SILENCE_MILLISECONDS : now - this.#triedAt >= FIRST_MESSAGE_MILLISECONDS;
     if (this.#socket !== null && (address !== this.#address || isSilent)) {
       this.#end(address === this.#address ? 'silent' : 'another holder');
     }
@@ -69,7 +84,7 @@
 
   send(status: EntryStatus): void {
     if (this.#socket?.readyState === WebSocket.OPEN) {
-      this.#socket.send(this.#packr.pack(status));
+      this.#socket.send(encodeMessage(this.#packr, status));
     }
   }
 
@@ -100,18 +115,33 @@
   }
 
   #receive(frame: Buffer): void {
-    const decoded = decodeMessage(FleetState, frame);
+    const decoded = decodeMessage(HolderMessage, frame);
     if (decoded.isErr()) {
       this.#options.log.warn('Link message is invalid.', { reason: decoded.error.message });
       this.#end('invalid message');
       return;
     }
+    const message = decoded.value;
+    switch (message.kind) {
+      case 'redirect':
+        this.#end('redirected');
+        this.#options.redirected(message.address);
+        break;
+      case 'state':
+        this.#heard(message);
+        break;
+      default:
+        message satisfies never;
+    }
+  }
+
+  #heard(state: FleetState): void {
     this.#heardAt = this.#options.now();
     if (!this.#working) {
       this.#working = true;
-      this.#options.log.info('Linked to the holder.', { holder: decoded.value.holder });
+      this.#options.log.info('Linked to the holder.', { holder: state.holder });
     }
-    this.#options.receive(decoded.value);
+    this.#options.receive(state);
   }
 
   #end(reason: string): void {
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -1,16 +1,19 @@
 import {
   afterEach, expect, test, vi,
 } from 'vitest';
+import { Packr } from 'msgpackr';
 import {
   EntryId, RowVersion, WorkerId, ServiceId,
 } from '@dandelionlane/core';
 import EntryStatus from '../lib/EntryStatus.js';
-import type FleetState from '../lib/FleetState.js';
+import FleetState from '../lib/FleetState.js';
 import LinkClient from '../lib/LinkClient.js';
 import LinkServer from '../lib/LinkServer.js';
 import decodeMessage from '../lib/decodeMessage.js';
+import encodeMessage from '../lib/encodeMessage.js';
 import findStalled from '../lib/findStalled.js';
 import othersReachStore from '../lib/othersReachStore.js';
+import isOvertaxed from '../lib/isOvertaxed.js';
 import sumRequests from '../lib/sumRequests.js';
 import sumLoads from '../lib/sumLoads.js';
 
@@ -25,6 +28,7 @@
     entry: EntryId.parse(entry),
     ready: true,
     callerAddress: `${entry}:1`,
+    processorCores: 1,
     storeAgeMilliseconds: 0,
     requests: [],
     targets: [{
@@ -46,7 +50,8 @@
   lease: null,
   requests: [],
   ageMilliseconds: 0,
-  entries: [],
+  operators: { newestRow: RowVersion.parse(0), wholeReads: 1, ageMilliseconds: 0 },
+  entries: null,
   loads: [],
   stalled: [],
   groups: [],
@@ -56,6 +61,8 @@
   version: RowVersion.parse(0),
 };
 
+const KNOWN = { entry: EntryId.parse('a'), ready: true, callerAddress: 'a:1' };
+
 const closing: (() => void)[] = [];
 
 afterEach(() => {
@@ -83,7 +90,20 @@
 
 test('bytes that are no message are an error', () => {
   expect(decodeMessage(EntryStatus, Buffer.from('no message')).isErr()).toBe(true);
-  expect(decodeMessage(EntryStatus, Buffer.from([0xc1])).isErr()).toBe(true);
+  expect(decodeMessage(EntryStatus, Buffer.from([0, 0xc1])).isErr()).toBe(true);
+  expect(decodeMessage(EntryStatus, Buffer.from([1, 2, 3])).isErr()).toBe(true);
+  expect(decodeMessage(EntryStatus, Buffer.of()).isErr()).toBe(true);
+});
+
+test('registrations for a new link are deflated', () => {
+  const packr = new Packr({ useRecords: true });
+  const rows = Array.from({ length: 200 }, (_, index) => ({
+    table: 'workers', key: `i-${index}`, version: RowVersion.parse(index), value: { zone: 'a', state: 'ready' },
+  }));
+  const state = { ...STATE, rows };
+  const frame = encodeMessage(packr, state, 'deflated');
+  expect(frame.length * 2).toBeLessThan(encodeMessage(packr, state).length);
+  expect(decodeMessage(FleetState, frame)._unsafeUnwrap()).toEqual(state);
 });
 
 test('a link carries statuses one way and states the other', async () => {
@@ -98,6 +118,7 @@
     log: LOG,
     now: () => performance.now(),
     receive: (state) => states.push(state),
+    redirected: () => undefined,
     lost: () => {
       lost += 1;
     },
@@ -111,10 +132,12 @@
   const row = {
     table: 't', key: 'k', version: RowVersion.parse(1), value: { a: 1 },
   };
-  server.broadcast(STATE, () => [row]);
-  server.broadcast(STATE, () => [row]);
+  const unchanged = () => ({ rows: [row], entries: [KNOWN] });
+  server.broadcast(STATE, unchanged);
+  server.broadcast(STATE, unchanged);
   await vi.waitFor(() => expect(states).toHaveLength(2));
-  expect(states.map(({ whole, rows }) => [whole, rows.length])).toEqual([[true, 1], [false, 0]]);
+  expect(states.map(({ whole, rows, entries }) => [whole, rows.length, entries]))
+    .toEqual([[true, 1, [KNOWN]], [false, 0, null]]);
   expect(client.working).toBe(true);
   server.disconnect();
   await vi.waitFor(() => expect(lost).toBe(1));
@@ -135,3 +158,40 @@
   expect(sumRequests([first, second]))
     .toEqual([{ service: one, requests: 5 }, { service: two, requests: 1 }]);
 });
+
+test('a weak holder of many links is overtaxed if a stronger entry is linked', () => {
+  const links = (cores: readonly number[]) => cores.map((processorCores) => ({ processorCores }));
+  const weak = Array.from({ length: 40 }, () => 0.3);
+  expect(isOvertaxed(0.3, links([...weak, 1.3]))).toBe(true);
+  expect(isOvertaxed(0.3, links(weak))).toBe(false);
+  expect(isOvertaxed(1.3, links([...weak, 1.3]))).toBe(false);
+  expect(isOvertaxed(0.3, links([0.3, 1.3]))).toBe(false);
+});
+
+test('an entry without the lease tells who holds it', async () => {
+  const server = new LinkServer({
+    host: '127.0.0.1', port: 0, log: LOG, now: () => performance.now(),
+  });
+  closing.push(() => server.close());
+  const port = await server.listen();
+  const addresses: string[] = [];
+  const client = new LinkClient({
+    log: LOG,
+    now: () => performance.now(),
+    receive: () => undefined,
+    redirected: (address) => addresses.push(address),
+    lost: () => undefined,
+  });
+  closing.push(() => client.close());
+  await vi.waitFor(() => {
+    client.maintain(`127.0.0.1:${port}`);
+    client.send(status('a'));
+    expect(server.statuses()).toHaveLength(1);
+  });
+  await vi.waitFor(() => {
+    server.redirect('10.0.0.1:7341');
+    expect(server.statuses()).toEqual([]);
+  });
+  await vi.waitFor(() => expect(addresses).toEqual(['10.0.0.1:7341']));
+  expect([client.idle, client.working, server.statuses().length]).toEqual([true, false, 0]);
+});
