Read quick changes of the operators' table together

A linked entry reads at most every 0.75 s now, a quarter of the 3 s in which a configuration has to be in force.

--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -14,8 +14,11 @@
 /** Time without an answer after which the store counts as having been away, in ms. */
 const OUTAGE_MILLISECONDS = 1_000;
 
-/** Least time between two readings of a paused follower, in ms: quick changes are read together. */
-const CATCH_UP_PACE_MILLISECONDS = 250;
+/**
+ * Least time between two readings of a paused follower, in ms: quick changes are read together. A
+ * quarter of the time in which a configuration has to be in force, the users' `config_apply_ms`.
+ */
+const CATCH_UP_PACE_MILLISECONDS = 750;
 
 /** What a `TableFollower` needs from outside. */
 interface TableFollowerOptions {
