--- a/packages/soak/src/lib/createTopology.ts
+++ b/packages/soak/src/lib/createTopology.ts
@@ -1,4 +1,4 @@
-import { SeededRandom } from '@dandelionlane/core';
+import { SeededRandom, SystemRandom } from '@dandelionlane/core';
 import type SoakOptions from './SoakOptions.js';
 import type SoakTopology from './SoakTopology.js';
 import createConfiguration from './createConfiguration.js';
@@ -11,7 +11,7 @@
 import SoakWorker from './workers/SoakWorker.js';
 
 const ZONES = ['zone-a', 'zone-b'];
-const PLAIN_WORKERS = 3;
+const PLAIN_WORKERS = 4;
 const MODEL_WORKERS = 7;
 const SLOTS = 8;
 
@@ -48,7 +48,7 @@
     entries.push(await SoakEntry.create({
       name: `entry-${index}`,
       zone: ZONES[index % ZONES.length] ?? 'zone-a',
-      ports: await findPorts(),
+      ports: await findPorts(new SystemRandom()),
       storeAddress,
       directory,
       journal,
--- a/packages/soak/src/lib/faults/planFaults.ts
+++ b/packages/soak/src/lib/faults/planFaults.ts
@@ -39,7 +39,7 @@
     { kind: 'worker-link', worker, state },
     { kind: 'worker-crashes', worker },
     { kind: 'worker-leaves', worker },
-    { kind: 'worker-answers', worker, fault: pick(ANSWER_FAULTS, random) },
+    ...ANSWER_FAULTS.map((fault): SoakFault => ({ kind: 'worker-answers', worker, fault })),
     { kind: 'configuration-changes' },
   ], random);
 }
--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -20,7 +20,7 @@
 const EVENT_MILLISECONDS = 20;
 
 /** Mean time that a plain request takes, in ms. */
-const PLAIN_MILLISECONDS = 20;
+const PLAIN_MILLISECONDS = 40;
 
 /** Time for which a group stands still before its head notices, in ms. */
 const STALL_MILLISECONDS = 2_000;
