Refuse what a leaving entry could not finish

Change: 3 s after the signal an entry answers 503, not run, with a time to come back, where the request's deadline lies beyond its own end. Until then streams are served as before. The test failed before.

--- a/packages/fleet-entry/src/lib/leaveGracefully.ts
+++ b/packages/fleet-entry/src/lib/leaveGracefully.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@dandelionlane/core';
+import GRACE_MARGIN_MILLISECONDS from './GRACE_MARGIN_MILLISECONDS.js';
 
 /**
  * Time for which a leaving entry serves on although it is idle, in ms: callers keep the answer
@@ -6,9 +7,6 @@
  */
 const SHORTEST_LEAVE_MILLISECONDS = 4_000;
 
-/** Time before the end of the grace period at which the process stops waiting for requests, in ms. */
-const GRACE_MARGIN_MILLISECONDS = 700;
-
 /** Longest wait for the last call to the store, in ms; what is left of the margin is for the end. */
 const WITHDRAWAL_MILLISECONDS = 300;
 
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -12,6 +12,7 @@
 import type EntryRuntime from './EntryRuntime.js';
 import type FleetEntryPorts from './FleetEntryPorts.js';
 import type FleetEntrySettings from './FleetEntrySettings.js';
+import GRACE_MARGIN_MILLISECONDS from './GRACE_MARGIN_MILLISECONDS.js';
 import GroupControl from './GroupControl.js';
 import createCallerServer from './createCallerServer.js';
 import createFleetView from './createFleetView.js';
@@ -24,6 +25,12 @@
 /** Pause between two checks for lapsed registrations, in ms. */
 const EXPIRY_PERIOD_MILLISECONDS = 200;
 
+/**
+ * Time after SIGTERM for which requests are accepted whatever they may take, in ms: callers keep
+ * an answer of the directory for 2 s, and the users' rules let a request of the first 3 s be cut.
+ */
+const ACCEPTING_MILLISECONDS = 3_000;
+
 /** Starts an entry process: callers, directory, readiness, and the contest for the group control. */
 export default function startFleetEntry(settings: FleetEntrySettings, ports: FleetEntryPorts): void {
   const clock = new SystemClock();
@@ -132,7 +139,10 @@
   onShutdownSignal(process, async () => {
     leaving = true;
     log.info('Entry is leaving.', { running: requests.running });
-    requests.leave();
+    requests.leave({
+      acceptsForMilliseconds: ACCEPTING_MILLISECONDS,
+      endsInMilliseconds: settings.graceMilliseconds - GRACE_MARGIN_MILLISECONDS,
+    });
     await leaveGracefully({
       clock,
       graceMilliseconds: settings.graceMilliseconds,
--- a/packages/gateway/src/lib/requests/RequestServer.ts
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -10,6 +10,17 @@
 import readBody from './readBody.js';
 import writeRefusal from './writeRefusal.js';
 
+/** Time after which a caller that an entry sent away may come back to another one, in s. */
+const LEAVING_RETRY_SECONDS = 0.1;
+
+/** How an entry leaves, from now on. */
+interface LeavePlan {
+  /** Time for which requests are accepted whatever they may take, in ms. */
+  readonly acceptsForMilliseconds: number;
+  /** Time after which requests under way are cut, in ms. */
+  readonly endsInMilliseconds: number;
+}
+
 /** Serves the requests of callers, from the head to the final answer. */
 export default class RequestServer {
   readonly #parts: GatewayParts;
@@ -18,6 +29,12 @@
 
   #leaving = false;
 
+  /** Monotonic time from which requests are refused that may not end in time, in ms. */
+  #refusesFrom = Number.POSITIVE_INFINITY;
+
+  /** Monotonic time at which the process ends at the latest, in ms. */
+  #endsAt = Number.POSITIVE_INFINITY;
+
   constructor(parts: GatewayParts) {
     this.#parts = parts;
   }
@@ -27,9 +44,15 @@
     return this.#running;
   }
 
-  /** From now on each answer asks its caller to use another connection. */
-  leave(): void {
+  /**
+   * From now on each answer asks its caller to use another connection. After a while requests are
+   * refused that may last longer than this process.
+   */
+  leave({ acceptsForMilliseconds, endsInMilliseconds }: LeavePlan): void {
+    const now = this.#parts.clock.monotonicMilliseconds();
     this.#leaving = true;
+    this.#refusesFrom = now + acceptsForMilliseconds;
+    this.#endsAt = now + endsInMilliseconds;
   }
 
   /** Handles one request. Never rejects. */
@@ -106,6 +129,13 @@
     if (call.outgoing.destroyed) {
       return 'caller-gone';
     }
+    if (this.#parts.clock.monotonicMilliseconds() >= this.#refusesFrom && call.deadlineAt > this.#endsAt) {
+      const error = new ServingError('this entry leaves before the request may have ended', {
+        kind: 'entry-leaving', retryAfterSeconds: LEAVING_RETRY_SECONDS,
+      });
+      writeRefusal(call.outgoing, error);
+      return error.kind;
+    }
     this.#parts.budget.request(call.service);
     return call.route.request.kind === 'stream'
       ? new StreamCourse(this.#parts, call).serve(departure.signal)
--- a/packages/gateway/src/test/StreamCourse.test.ts
+++ b/packages/gateway/src/test/StreamCourse.test.ts
@@ -138,3 +138,18 @@
   setTimeout(() => Object.assign(states.of('w1' as never), { outstanding: 0 }), 150);
   expect(await gateway.call()).toMatchObject({ status: 200, body: all(), cut: false });
 });
+
+test('an entry that leaves refuses what it could not finish', async () => {
+  gateway = await TestGateway.start(RESUMABLE, [whole]);
+  gateway.leave(0, 1_000);
+  const refused = await gateway.call();
+  expect([refused.status, refused.retryAfter, gateway.received]).toEqual([503, '0.1', [0]]);
+  const served = await gateway.call({ 'x-deadline': '500' });
+  expect([served.status, served.body]).toEqual([200, all()]);
+});
+
+test('an entry that has just begun to leave serves as before', async () => {
+  gateway = await TestGateway.start(RESUMABLE, [whole]);
+  gateway.leave(60_000, 1_000);
+  expect((await gateway.call()).status).toBe(200);
+});
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -94,6 +94,8 @@
 
   #address = '';
 
+  #requests: RequestServer | null = null;
+
   constructor(targets: number) {
     this.states = new TargetStates(this.#clock);
     this.#workers = new WorkerTable(this.#clock);
@@ -133,6 +135,11 @@
     };
   }
 
+  /** The gateway leaves: see `RequestServer.leave`. */
+  leave(acceptsForMilliseconds: number, endsInMilliseconds: number): void {
+    this.#requests?.leave({ acceptsForMilliseconds, endsInMilliseconds });
+  }
+
   stop(): void {
     this.#connections.close();
     this.#servers.forEach((server) => {
@@ -169,6 +176,7 @@
       log: LOG,
       metrics: new MetricsRegistry(),
     });
+    this.#requests = requests;
     const front = await listen((incoming, outgoing) => void requests.handle(incoming, outgoing));
     this.#servers.push(front);
     this.#address = addressOf(front);
