--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -10,11 +10,15 @@
 import type AnswerFault from './AnswerFault.js';
 import type SoakWorkerSettings from './SoakWorkerSettings.js';
 import readOrder from './readOrder.js';
+import writePlainAnswer from './writePlainAnswer.js';
 
 const TABLE = 'servers';
 
-/** Time that a join or a close takes, in ms: short, so that many changes fit into a run. */
-const JOIN_MILLISECONDS = 60;
+/**
+ * Longest time that a join or a close takes, in ms: short, so that many changes fit into a run.
+ * Members differ, so that a head may be ready long before the others.
+ */
+const LONGEST_JOIN_MILLISECONDS = 400;
 
 /** Time between two events of a stream, in ms. */
 const EVENT_MILLISECONDS = 20;
@@ -232,7 +236,7 @@
         this.#settings.groups?.noteReady(this.#member);
         this.#register();
       }
-    }, JOIN_MILLISECONDS);
+    }, LONGEST_JOIN_MILLISECONDS * this.#settings.random.next());
   }
 
   async #run(body: string, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
@@ -269,29 +273,7 @@
 
   async #answerPlain(requestId: string, outgoing: ServerResponse): Promise<void> {
     await sleep(PLAIN_MILLISECONDS * 2 * this.#settings.random.next());
-    const body = expectedBody({ id: requestId, kind: 'safe', events: 0 });
-    switch (this.answerFault) {
-      case 'none':
-      case 'mute':
-        outgoing.writeHead(200, { 'content-length': body.length }).end(body);
-        return;
-      case 'cut':
-        outgoing.writeHead(200, { 'content-length': body.length });
-        outgoing.write(body.slice(0, body.length / 2), () => outgoing.destroy());
-        return;
-      case 'lost':
-        outgoing.destroy();
-        return;
-      case 'extra':
-        outgoing.writeHead(200, { 'content-length': body.length });
-        outgoing.end(body, () => outgoing.socket?.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra'));
-        return;
-      case 'failing':
-        outgoing.writeHead(500, { 'content-length': 0 }).end();
-        return;
-      default:
-        this.answerFault satisfies never;
-    }
+    writePlainAnswer(outgoing, expectedBody({ id: requestId, kind: 'safe', events: 0 }), this.answerFault);
   }
 
   async #stream(requestId: string, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
