--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -4,12 +4,12 @@
 import type {
   EngineProfile, OrderStamp, WorkerOrder, WorkerReport,
 } from '@dandelionlane/fleet';
+import type { GroupWorker } from '@dandelionlane/standin';
 import FleetObservation from '../lib/observation/FleetObservation.js';
 import type ObservedWorker from '../lib/observation/ObservedWorker.js';
 import EpochSource from '../lib/plan/EpochSource.js';
 import planGroups from '../lib/plan/planGroups.js';
 import type GroupRecord from '../lib/plan/GroupRecord.js';
-import type { GroupWorker } from '@dandelionlane/standin';
 
 const ENGINE: EngineProfile = {
   slots: 4,
