--- a/packages/links/src/lib/LinkClient.ts
+++ b/packages/links/src/lib/LinkClient.ts
@@ -5,7 +5,7 @@
 import type FleetState from './FleetState.js';
 import HolderMessage from './HolderMessage.js';
 import MAXIMUM_FRAME_BYTES from './MAXIMUM_FRAME_BYTES.js';
-import decodeMessage from './decodeMessage.js';
+import decodeFrame from './decodeFrame.js';
 import encodeMessage from './encodeMessage.js';
 
 /** Time to establish a link, in ms. */
@@ -115,7 +115,7 @@
   }
 
   #receive(frame: Buffer): void {
-    const decoded = decodeMessage(HolderMessage, frame);
+    const decoded = decodeFrame(HolderMessage, frame);
     if (decoded.isErr()) {
       this.#options.log.warn('Link message is invalid.', { reason: decoded.error.message });
       this.#end('invalid message');
--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -7,7 +7,7 @@
 import type FleetState from './FleetState.js';
 import type HolderRedirect from './HolderRedirect.js';
 import MAXIMUM_FRAME_BYTES from './MAXIMUM_FRAME_BYTES.js';
-import decodeMessage from './decodeMessage.js';
+import decodeFrame from './decodeFrame.js';
 import encodeMessage from './encodeMessage.js';
 
 /** Unsent bytes at which a link is taken to be dead. */
@@ -132,7 +132,7 @@
 
   #receive(receiving: Link, frame: Buffer): void {
     const link = receiving;
-    const decoded = decodeMessage(EntryStatus, frame);
+    const decoded = decodeFrame(EntryStatus, frame);
     if (decoded.isErr()) {
       this.#options.log.warn('Link message is invalid.', { reason: decoded.error.message });
       link.socket.terminate();
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -9,7 +9,7 @@
 import FleetState from '../lib/FleetState.js';
 import LinkClient from '../lib/LinkClient.js';
 import LinkServer from '../lib/LinkServer.js';
-import decodeMessage from '../lib/decodeMessage.js';
+import decodeFrame from '../lib/decodeFrame.js';
 import encodeMessage from '../lib/encodeMessage.js';
 import findStalled from '../lib/findStalled.js';
 import othersReachStore from '../lib/othersReachStore.js';
@@ -89,10 +89,10 @@
 });
 
 test('bytes that are no message are an error', () => {
-  expect(decodeMessage(EntryStatus, Buffer.from('no message')).isErr()).toBe(true);
-  expect(decodeMessage(EntryStatus, Buffer.from([0, 0xc1])).isErr()).toBe(true);
-  expect(decodeMessage(EntryStatus, Buffer.from([1, 2, 3])).isErr()).toBe(true);
-  expect(decodeMessage(EntryStatus, Buffer.of()).isErr()).toBe(true);
+  expect(decodeFrame(EntryStatus, Buffer.from('no message')).isErr()).toBe(true);
+  expect(decodeFrame(EntryStatus, Buffer.from([0, 0xc1])).isErr()).toBe(true);
+  expect(decodeFrame(EntryStatus, Buffer.from([1, 2, 3])).isErr()).toBe(true);
+  expect(decodeFrame(EntryStatus, Buffer.of()).isErr()).toBe(true);
 });
 
 test('registrations for a new link are deflated', () => {
@@ -103,7 +103,7 @@
   const state = { ...STATE, rows };
   const frame = encodeMessage(packr, state, 'deflated');
   expect(frame.length * 2).toBeLessThan(encodeMessage(packr, state).length);
-  expect(decodeMessage(FleetState, frame)._unsafeUnwrap()).toEqual(state);
+  expect(decodeFrame(FleetState, frame)._unsafeUnwrap()).toEqual(state);
 });
 
 test('a link carries statuses one way and states the other', async () => {
