--- a/packages/command-line/src/lib/explain/isRelated.ts
+++ b/packages/command-line/src/lib/explain/isRelated.ts
@@ -7,10 +7,10 @@
 ]);
 
 /** Changes of belief of the holder of the lease, which concern all processes. */
-const OF_THE_HOLDER: ReadonlySet<string> = new Set([
-  'Most workers are silent, giving the lease up.', 'Term began.', 'Term ended.',
-  'The store serves others only, giving the lease up.',
-]);
+const OF_THE_HOLDER: ReadonlySet<string> = new Set(['Term began.', 'Term ended.']);
+
+/** End of the lines by which a holder gives the lease up, for one reason or another. */
+const GIVING_UP = ', giving the lease up.';
 
 /** What a request has had to do with. */
 export interface RequestContext {
@@ -28,7 +28,7 @@
     source: server, workers, groups, model,
   }: RequestContext,
 ): boolean {
-  if (OF_THE_HOLDER.has(message)) {
+  if (OF_THE_HOLDER.has(message) || message.endsWith(GIVING_UP)) {
     return true;
   }
   if (OF_THE_PROCESS.has(message)) {
--- a/packages/command-line/src/test/explain.test.ts
+++ b/packages/command-line/src/test/explain.test.ts
@@ -48,6 +48,13 @@
   expect(explainRequest(ENTRIES, 'r2').join('\n')).toContain('Group planned. group=g1 model=m');
 });
 
+test('a holder that gave the lease up is shown for every request, whatever its reason', () => {
+  const gaveUp = ['The store serves others only', 'A stronger entry is linked', 'A worker has seen a later term']
+    .map((reason) => line(9_400, 'links', `${reason}, giving the lease up.`)).join('\n');
+  const lines = explainRequest([...ENTRIES, ...parseLog(gaveUp, 'b.log')], 'r1');
+  expect(lines.filter((text) => text.includes('giving the lease up'))).toHaveLength(3);
+});
+
 test('an unknown request has no course', () => {
   expect(explainRequest(ENTRIES, 'r3')).toEqual([]);
 });
