Never order a join with the epoch of an earlier term

Change: a formation of an earlier term whose members have not all joined is formed anew with an epoch of this term. And a holder whose lease is not confirmed gives up when it sees epochs of a later term: before, it went on above them, and two holders could give one epoch to two lists, which the model found as soon as new epochs came earlier.

Tests: the new one failed before the change (the holder was deposed by its own join). The model tells an old holder that it has been followed, as its lease has run out by then; all checks are as they were.

--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -79,6 +79,7 @@
       workers: view.workers,
       configuration: view.configuration,
       lease: () => this.leadership.acting(),
+      isLeaseHeld: () => this.lease.held() !== null,
       isStoreInTouch: () => this.lease.isInTouch(),
       resign: () => this.leadership.resign(),
       clock: wakefulClock,
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -37,6 +37,8 @@
   readonly configuration: ConfigurationHolder;
   /** The lease, while this process may act on it. */
   readonly lease: () => HeldLease | null;
+  /** Whether the lease is held now; `lease` goes on without the store. */
+  readonly isLeaseHeld: () => boolean;
   /** Whether the store answers this process. Without it orders go out before their records. */
   readonly isStoreInTouch: () => boolean;
   /** Gives the lease up, for others to take. */
@@ -218,14 +220,21 @@
   async #plan(lease: HeldLease): Promise<void> {
     const epochs = this.#epochsOf(lease.fencing);
     const observation = this.#observer.observation();
+    const isConfirmed = this.#options.isLeaseHeld();
     const steps = this.#engines().flatMap(([service, engine]) => planGroups({
       service,
       epochs,
+      isConfirmed,
       engine,
       records: this.#store.records,
       observation,
       candidates: this.#options.workers.ofService(service).map(({ worker }) => worker.id),
     }));
+    if (!isConfirmed && epochs.isSuperseded) {
+      this.#options.log.warn('Workers are in groups of a later term, giving the lease up.', { fencing: lease.fencing });
+      this.#options.resign();
+      return;
+    }
     const writes = steps.flatMap((step) => (step.kind === 'write' ? [step] : []));
     const deletions = steps.flatMap((step) => (step.kind === 'delete' ? [step] : []));
     writes.forEach(({ record, reason }) => this.#logRecord(record, reason));
--- a/packages/groups/src/lib/plan/EpochSource.ts
+++ b/packages/groups/src/lib/plan/EpochSource.ts
@@ -11,10 +11,23 @@
  * ranges of their own: two holders that do not know of each other never give one epoch to two lists.
  */
 export default class EpochSource {
+  readonly #first: number;
+
   #highest: number;
 
   constructor(fencing: FencingNumber) {
-    this.#highest = fencing * EPOCHS_OF_A_TERM;
+    this.#first = fencing * EPOCHS_OF_A_TERM;
+    this.#highest = this.#first;
+  }
+
+  /** Whether a worker or a record names an epoch of a later term. */
+  get isSuperseded(): boolean {
+    return this.#highest >= this.#first + EPOCHS_OF_A_TERM;
+  }
+
+  /** Whether an epoch was handed out in an earlier term: workers may have seen later ones since. */
+  isOfEarlierTerm(epoch: Epoch): boolean {
+    return epoch <= this.#first;
   }
 
   /** Takes in the epochs that workers and records name. */
--- a/packages/groups/src/lib/plan/planGroups.ts
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -22,6 +22,8 @@
   readonly service: ServiceId;
   /** Epochs of the present term. */
   readonly epochs: EpochSource;
+  /** Whether the lease is held now, so that nobody can have begun a later term. */
+  readonly isConfirmed: boolean;
   readonly engine: EngineProfile;
   readonly records: readonly GroupRecord[];
   readonly observation: FleetObservation;
@@ -48,11 +50,14 @@
  */
 export default function planGroups(input: GroupPlanInput): readonly GroupStep[] {
   const {
-    service, engine, observation, candidates, epochs,
+    service, engine, observation, candidates, epochs, isConfirmed,
   } = input;
   const records = input.records.filter((record) => record.service === service);
   const pool = new WorkerPool(observation, records, candidates);
   epochs.observe(observation, input.records);
+  if (!isConfirmed && epochs.isSuperseded) {
+    return [];
+  }
   const repairs = records.flatMap((record) => {
     if (isAbandoned(record, observation)) {
       return planDissolution(record, observation);
--- a/packages/groups/src/lib/plan/planReform.ts
+++ b/packages/groups/src/lib/plan/planReform.ts
@@ -28,6 +28,14 @@
   });
 }
 
+/** Whether a member that answers has not joined the formation. */
+function isIncomplete(record: GroupRecord, observation: FleetObservation): boolean {
+  return record.members.some((member) => {
+    const observed = observation.findAnswering(member);
+    return observed !== undefined && observed.report !== null && !isMemberOf(record, observed);
+  });
+}
+
 /** Ends the service of a group that stands still and for which there is no replacement yet. */
 function planCut(record: GroupRecord, observation: FleetObservation): readonly GroupStep[] {
   const [head] = record.members;
@@ -100,7 +108,7 @@
  * alive holds its members: they cannot be moved before it is known to have ended.
  */
 export default function planReform(input: ReformInput): readonly GroupStep[] {
-  const { record, observation } = input;
+  const { record, observation, epochs } = input;
   const faulty = findFaultyMembers(record, observation);
   const [head] = record.members;
   const headLiveness = head === undefined ? 'unknown' : observation.livenessOf(head);
@@ -113,6 +121,10 @@
   if (findUnrecorded(record, observation).length > 0) {
     return reform(input, [], 'formation-unrecorded');
   }
+  if (epochs.isOfEarlierTerm(record.epoch) && isIncomplete(record, observation)) {
+    // A member that has seen a later epoch refuses to join for ever, as it refuses a holder of the past.
+    return reform(input, [], 'formation-of-earlier-term');
+  }
   if (isBroken(record, observation)) {
     return reform(input, [], 'group-broken');
   }
--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -58,6 +58,9 @@
 
   deposed = false;
 
+  /** Whether another holder has followed this one, which may not know. */
+  replaced = false;
+
   constructor(fencing: number, rows: GroupRows) {
     this.fencing = FencingNumber.parse(fencing);
     this.#epochs = new EpochSource(this.fencing);
@@ -111,6 +114,7 @@
     const steps = planGroups({
       service: ServiceId.parse('model'),
       epochs: this.#epochs,
+      isConfirmed: !this.replaced,
       engine: ENGINE,
       records: [...this.#records.values()],
       observation: new FleetObservation(observed, 10_000),
--- a/packages/groups/src/test/handOver.test.ts
+++ b/packages/groups/src/test/handOver.test.ts
@@ -1,8 +1,9 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import type { WorkerId } from '@dandelionlane/core';
+import { Epoch, FencingNumber, type WorkerId } from '@dandelionlane/core';
 import type { WorkerOrder } from '@dandelionlane/fleet';
 import { GroupWorker } from '@dandelionlane/standin';
+import warmUpGroupOf from '../lib/plan/warmUpGroupOf.js';
 import FakeHolder, { type GroupRows, type SentOrder } from './FakeHolder.js';
 
 const PARAMETERS = { seed: 20_261_204, numRuns: 400 };
@@ -112,6 +113,7 @@
       case 'takeOver':
         this.#terms += 1;
         this.oldHolder = this.holder;
+        this.oldHolder.replaced = true;
         this.holder = new FakeHolder(this.#terms, this.rows);
         break;
       default:
@@ -251,3 +253,45 @@
   calmRounds(model, 8);
   expect(model.workers.filter(({ isServing }) => isServing).length).toBe(3);
 });
+
+test('a formation of an earlier term comes about although a member has seen later epochs', () => {
+  const model = new Model();
+  calmRounds(model, 10);
+  const [row] = [...model.rows.values()];
+  const spare = model.workers.find(({ group }) => group === null);
+  if (row === undefined || spare === undefined) {
+    throw new Error('no group or no spare');
+  }
+  // The first holder has replaced a member in the record, and its order to the spare never went out.
+  const { record, version } = row;
+  const [head] = record.members;
+  const {
+    bornAt, address, zone, domain, id,
+  } = spare.worker();
+  const place = {
+    bornAt, address, zone, domain, id,
+  };
+  model.rows.set(record.name, {
+    version: version + 1,
+    record: {
+      ...record,
+      epoch: Epoch.parse(record.epoch + 100),
+      members: [...record.members.slice(0, -1), place],
+      formerHeads: head === undefined ? [] : [{ epoch: record.epoch, head, stalled: false }],
+    },
+  });
+  // The second one, which did not know of it, has warmed the spare up.
+  const warmUp = { group: warmUpGroupOf(spare.id), epoch: Epoch.parse(2_000_001) };
+  const stamp = (sequence: number) => ({ fencing: FencingNumber.parse(2), expectedSequence: sequence });
+  spare.take({
+    kind: 'join', ...warmUp, model: record.model, members: [spare.id],
+  }, stamp(spare.sequence));
+  spare.take({ kind: 'leave', ...warmUp }, stamp(spare.sequence));
+  model.apply({ kind: 'takeOver' });
+  model.apply({ kind: 'takeOver' });
+  calmRounds(model, 12);
+  expect(model.holder.deposed).toBe(false);
+  const heads = [...model.rows.values()].map(({ record: { members } }) => members[0]?.id);
+  const found = model.workers.filter(({ id: each }) => heads.includes(each));
+  expect(found.every(({ isServing }) => isServing)).toBe(true);
+});
