Keep every wire name of the soak in platform/

Cause: the soak's stand-ins of the store, the back ends and the callers wrote paths, headers, row formats and statuses of the platform themselves, so that two places had to agree on them.

Checks and faults of the soak are as they were.

--- a/packages/soak/src/lib/SoakTopology.ts
+++ b/packages/soak/src/lib/SoakTopology.ts
@@ -1,13 +1,13 @@
 import type SoakEntry from './entries/SoakEntry.js';
 import type SoakJournal from './journal/SoakJournal.js';
-import type RowTables from './store/RowTables.js';
+import type SoakTables from './store/SoakTables.js';
 import type StoreServer from './store/StoreServer.js';
 import type SoakWorker from './workers/SoakWorker.js';
 
 /** Everything that runs in a soak. */
 export default interface SoakTopology {
   readonly journal: SoakJournal;
-  readonly tables: RowTables;
+  readonly tables: SoakTables;
   readonly store: StoreServer;
   readonly entries: readonly SoakEntry[];
   readonly workers: readonly SoakWorker[];
--- a/packages/soak/src/lib/callers/SoakCaller.ts
+++ b/packages/soak/src/lib/callers/SoakCaller.ts
@@ -1,6 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
 import type { RandomSource } from '@dandelionlane/core';
+import { decodeDirectory, directoryPath, encodeCall } from '@dandelionlane/platform-adapter';
+import SOAK_NAMES from '../SOAK_NAMES.js';
 import type SoakEntry from '../entries/SoakEntry.js';
 import type CallerOutcome from '../journal/CallerOutcome.js';
 import type RequestKind from '../journal/RequestKind.js';
@@ -21,8 +23,14 @@
 /** Time within which a directory answer has to come, in ms. */
 const DIRECTORY_TIMEOUT_MILLISECONDS = 1_000;
 
+const OK = 200;
+
+const CALLER_ZONE = 'zone-a';
+
 const MAXIMUM_EVENTS = 24;
 
+const PROMPT_TOKENS = 100;
+
 /** Sends requests the way callers do: to addresses that the directory names, over kept connections. */
 export default class SoakCaller {
   readonly #journal: SoakJournal;
@@ -92,12 +100,15 @@
       signal: leaving,
       body: sent.body,
       headers: {
-        host: 'soak.example',
-        'dandelionlane-attempt-id': sent.id,
-        'dandelionlane-deadline-ms': String(sent.deadlineMilliseconds),
-        'dandelionlane-key': 'key-a',
-        ...sent.kind === 'stream'
-          ? { 'dandelionlane-model': 'm0', 'dandelionlane-token-count': `100,${MAXIMUM_EVENTS}` } : {},
+        host: SOAK_NAMES.host,
+        ...encodeCall({
+          requestId: sent.id,
+          deadlineMilliseconds: sent.deadlineMilliseconds,
+          apiKey: SOAK_NAMES.apiKey,
+          generation: sent.kind === 'stream' ? {
+            model: SOAK_NAMES.model, promptTokens: PROMPT_TOKENS, maximumOutputTokens: MAXIMUM_EVENTS,
+          } : null,
+        }),
       },
     }).catch(() => null);
     const read = answer === null ? null : await readAnswer(answer);
@@ -119,14 +130,14 @@
   async #askDirectory(): Promise<void> {
     const asked = this.#entries[Math.floor(this.#random.next() * this.#entries.length)];
     const answer = await request(
-      `http://${String(asked?.directoryAddress)}/dandelionlane/resolve?name=soak.example&region=region-1&zone=zone-a`,
+      `http://${String(asked?.directoryAddress)}${directoryPath(SOAK_NAMES.host, SOAK_NAMES.region, CALLER_ZONE)}`,
       { dispatcher: this.#agent, signal: AbortSignal.timeout(DIRECTORY_TIMEOUT_MILLISECONDS) },
     ).then(async ({ statusCode, body }) => (
-      statusCode === 200 ? await body.json() as { addresses: readonly string[] } : null
-    )).catch(() => null);
+      statusCode === OK ? decodeDirectory(await body.json()).unwrapOr([]) : []
+    )).catch((): readonly string[] => []);
     // Callers keep an old answer when they cannot get a new one.
-    if (answer !== null && answer.addresses.length > 0) {
-      this.#named = answer.addresses;
+    if (answer.length > 0) {
+      this.#named = answer;
       this.#namedAt = performance.now();
     }
   }
--- a/packages/soak/src/lib/callers/readAnswer.ts
+++ b/packages/soak/src/lib/callers/readAnswer.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici';
+import { readSignature } from '@dandelionlane/platform-adapter';
 
 /** An answer as far as it came. */
 interface ReadAnswer {
@@ -22,10 +23,9 @@
     // The connection has ended early: the answer is not whole.
     whole = false;
   }
-  const signature = headers['dandelionlane-server-seal'];
   return {
     status: statusCode,
-    signature: typeof signature === 'string' ? signature : null,
+    signature: readSignature(headers),
     body: Buffer.concat(chunks).toString('utf8'),
     whole,
   };
--- a/packages/soak/src/lib/createConfiguration.ts
+++ b/packages/soak/src/lib/createConfiguration.ts
@@ -1,45 +1,57 @@
-const HOST = 'soak.example';
+import { ModelName, ServiceId, TeamId } from '@dandelionlane/core';
+import type {
+  EngineProfile, FleetConfiguration, RequestKind, Route,
+} from '@dandelionlane/fleet';
+import SOAK_NAMES from './SOAK_NAMES.js';
 
-/** The operators' configuration of a soak, on the wire. */
-export default function createConfiguration(version: number, groupSize: number): object {
-  const route = (name: string, type: string, service: string, attempts: number) => ({
+const PLAIN = ServiceId.parse('plain');
+const MODEL = ServiceId.parse('model');
+
+function createEngine(groupSize: number): EngineProfile {
+  return {
+    slots: 8,
+    models: [{ name: ModelName.parse(SOAK_NAMES.model), groupSize, pace: 1 }],
+    loadsPerSecond: 20,
+    promptTokensPerSecond: 50_000,
+    stepMilliseconds: 10,
+    stepMillisecondsPerRequest: 0.1,
+    stepsPerPass: 2,
+    reportLagMilliseconds: 0,
+  };
+}
+
+function createRoute(name: string, request: RequestKind, service: ServiceId, maximumAttempts: number): Route {
+  return {
     name,
-    host: HOST,
+    host: SOAK_NAMES.host,
     prefix: `/${name}/`,
-    route_type: type,
-    timeout_ms: 4_000,
-    target_latency_ms: 300,
+    request,
+    timeoutMilliseconds: 4_000,
+    targetLatencyMilliseconds: 300,
     priority: 1,
-    max_attempts: attempts,
-    service,
-  });
+    maximumAttempts,
+    services: [{ service, weight: 1 }],
+    anonymous: false,
+  };
+}
+
+/** The operators' configuration of a soak. */
+export default function createConfiguration(version: number, groupSize: number): FleetConfiguration {
+  const profile = { maximumConnections: 200, coldRequestsPerSecond: 0 };
   return {
     version,
     routes: [
-      route('safe', 'idempotent', 'plain', 2),
-      route('once', 'non_idempotent', 'plain', 1),
-      { ...route('stream', 'streaming', 'model', 2), stream_resume: true, gap_aim_ms: 300 },
-    ],
-    services: [
-      { name: 'plain', max_connections: 200 },
-      {
-        name: 'model',
-        max_connections: 200,
-        engine: {
-          slots: 8,
-          models: [{ name: 'm0', size: groupSize, pace: 1 }],
-          loads_per_s: 20,
-          read_per_s: 50_000,
-          step_ms: 10,
-          per_seq_ms: 0.1,
-          stride: 2,
-          report_lag_ms: 0,
-        },
-      },
+      createRoute('safe', { kind: 'idempotent' }, PLAIN, 2),
+      createRoute('once', { kind: 'non-idempotent' }, PLAIN, 1),
+      createRoute('stream', { kind: 'stream', resumable: true, pauseAimMilliseconds: 300 }, MODEL, 2),
     ],
+    services: new Map([
+      [PLAIN, { ...profile, id: PLAIN, engine: null }],
+      [MODEL, { ...profile, id: MODEL, engine: createEngine(groupSize) }],
+    ]),
+    teams: [{ id: TeamId.parse(SOAK_NAMES.team), apiKeys: [SOAK_NAMES.apiKey], priority: null }],
     limits: {
-      max_header_bytes: 16_384, max_body_bytes: 100_000, header_timeout_ms: 5_000, idle_timeout_ms: 10_000,
+      maximumBodyBytes: 100_000, headerTimeoutMilliseconds: 5_000, idleTimeoutMilliseconds: 10_000,
     },
-    tenants: [{ name: 'team-a', api_keys: ['key-a'] }],
   };
 }
--- a/packages/soak/src/lib/createTopology.ts
+++ b/packages/soak/src/lib/createTopology.ts
@@ -5,8 +5,9 @@
 import SoakEntry from './entries/SoakEntry.js';
 import findPorts from './entries/findPorts.js';
 import SoakJournal from './journal/SoakJournal.js';
-import RowTables from './store/RowTables.js';
+import SoakTables from './store/SoakTables.js';
 import StoreServer from './store/StoreServer.js';
+import writeConfiguration from './store/writeConfiguration.js';
 import SoakGroups from './workers/SoakGroups.js';
 import SoakWorker from './workers/SoakWorker.js';
 
@@ -21,7 +22,7 @@
   groupSize: number,
 ): Promise<SoakTopology> {
   const journal = new SoakJournal();
-  const tables = new RowTables();
+  const tables = new SoakTables();
   const store = new StoreServer(tables);
   const storeAddress = await store.listen();
   const groups = new SoakGroups(journal, groupSize);
@@ -41,7 +42,7 @@
     ...Array.from({ length: MODEL_WORKERS }, (_, index) => worker('model', index)),
   ];
   await Promise.all(workers.map((each) => each.start()));
-  tables.write('op', 'config', createConfiguration(1, groupSize));
+  await writeConfiguration(tables, createConfiguration(1, groupSize));
   const entries: SoakEntry[] = [];
   for (let index = 0; index < count; index += 1) {
     // One after the other, so that no port is found twice.
--- a/packages/soak/src/lib/entries/SoakEntry.ts
+++ b/packages/soak/src/lib/entries/SoakEntry.ts
@@ -4,14 +4,22 @@
 import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { AvailabilityZoneId, EntryId, RegionId } from '@dandelionlane/core';
+import { SETTINGS_VARIABLE, renderSettings, type PlatformSettings } from '@dandelionlane/platform-adapter';
 import { startLink, type LinkHandle } from '@dandelionlane/standin';
+import SOAK_NAMES from '../SOAK_NAMES.js';
 import type SoakJournal from '../journal/SoakJournal.js';
 import type EntryPorts from './EntryPorts.js';
 
 const PROGRAM = fileURLToPath(new URL('../../../../../platform/dist/main.js', import.meta.url));
 
-/** Time for which a process may go on after SIGTERM, in s. */
-const GRACE_SECONDS = 3;
+const HOST = '127.0.0.1';
+
+/** Time for which a process may go on after SIGTERM, in ms. */
+const GRACE_MILLISECONDS = 3_000;
+
+/** Time beyond it after which a process is killed, in ms. */
+const KILL_MARGIN_MILLISECONDS = 1_000;
 
 /** What a `SoakEntry` is made of. */
 interface SoakEntrySettings {
@@ -45,7 +53,7 @@
 
   static async create(settings: SoakEntrySettings): Promise<SoakEntry> {
     const storeLink = (await startLink({ target: settings.storeAddress }))._unsafeUnwrap();
-    const callerLink = (await startLink({ target: `127.0.0.1:${settings.ports.callers}` }))._unsafeUnwrap();
+    const callerLink = (await startLink({ target: `${HOST}:${settings.ports.callers}` }))._unsafeUnwrap();
     return new SoakEntry(settings, storeLink, callerLink);
   }
 
@@ -55,11 +63,11 @@
 
   /** `host:port` by which the directory names the entry. */
   get callerAddress(): string {
-    return `127.0.0.1:${this.#settings.ports.callers}`;
+    return `${HOST}:${this.#settings.ports.callers}`;
   }
 
   get directoryAddress(): string {
-    return `127.0.0.1:${this.#settings.ports.directory}`;
+    return `${HOST}:${this.#settings.ports.directory}`;
   }
 
   get running(): boolean {
@@ -69,10 +77,10 @@
   async start(): Promise<void> {
     const { name, directory, journal } = this.#settings;
     const path = join(directory, `${name}.conf`);
-    await writeFile(path, this.#lines().join('\n'));
+    await writeFile(path, renderSettings(this.#platformSettings()));
     this.#ending = false;
     const child = spawn(process.execPath, [PROGRAM], {
-      env: { ...process.env, DANDELIONLANE_SETTINGS: path }, stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, [SETTINGS_VARIABLE]: path }, stdio: ['ignore', 'pipe', 'pipe'],
     });
     const output = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
     child.stdout.pipe(output, { end: false });
@@ -103,7 +111,7 @@
 
   /** Asks the process to end, and kills it where it has not within the grace period. */
   async terminate(): Promise<void> {
-    const timer = setTimeout(() => this.#child?.kill('SIGKILL'), (GRACE_SECONDS + 1) * 1_000);
+    const timer = setTimeout(() => this.#child?.kill('SIGKILL'), GRACE_MILLISECONDS + KILL_MARGIN_MILLISECONDS);
     await this.#end('SIGTERM');
     clearTimeout(timer);
   }
@@ -125,23 +133,27 @@
     }
   }
 
-  #lines(): readonly string[] {
+  #platformSettings(): PlatformSettings {
     const { name, zone, ports } = this.#settings;
-    return [
-      `node_name=${name}`,
-      `zone=${zone}`,
-      'region=region-1',
-      'ip=127.0.0.1',
-      `listen_addrs.frontend=127.0.0.1:${ports.callers}`,
-      `listen_addrs.readiness=127.0.0.1:${ports.readiness}`,
-      `listen_addrs.directory=127.0.0.1:${ports.directory}`,
-      `internal_ports=${ports.internal},${ports.internal + 1}`,
-      'bootstrap=true',
-      `parameters.grace_s=${GRACE_SECONDS}`,
-      'parameters.retry_budget_ratio=0.2',
-      'parameters.budget_extra=50',
-      'parameters.budget_window_s=10',
-      `platform.address=${this.storeLink.address}`,
-    ];
+    const at = (port: number) => ({ host: HOST, port });
+    return {
+      storeOrigin: `http://${this.storeLink.address}`,
+      entry: {
+        entry: EntryId.parse(name),
+        zone: AvailabilityZoneId.parse(zone),
+        region: RegionId.parse(SOAK_NAMES.region),
+        callers: at(ports.callers),
+        directory: at(ports.directory),
+        readiness: at(ports.readiness),
+        metrics: at(ports.internal),
+        links: at(ports.internal + 1),
+        processorCores: 1,
+        bootstrap: true,
+        graceMilliseconds: GRACE_MILLISECONDS,
+        repeatRatio: 0.2,
+        repeatExtra: 50,
+        repeatWindowMilliseconds: 10_000,
+      },
+    };
   }
 }
--- a/packages/soak/src/lib/faults/FaultInjector.ts
+++ b/packages/soak/src/lib/faults/FaultInjector.ts
@@ -2,6 +2,7 @@
 import type SoakTopology from '../SoakTopology.js';
 import createConfiguration from '../createConfiguration.js';
 import type SoakEntry from '../entries/SoakEntry.js';
+import writeConfiguration from '../store/writeConfiguration.js';
 import type SoakWorker from '../workers/SoakWorker.js';
 import type PlannedFault from './PlannedFault.js';
 import type SoakFault from './SoakFault.js';
@@ -129,7 +130,7 @@
         return;
       case 'configuration-changes':
         this.#version += 1;
-        tables.write('op', 'config', createConfiguration(this.#version, this.#groupSize));
+        await writeConfiguration(tables, createConfiguration(this.#version, this.#groupSize));
         return;
       default:
         fault satisfies never;
--- a/packages/soak/src/lib/journal/findViolations.ts
+++ b/packages/soak/src/lib/journal/findViolations.ts
@@ -1,3 +1,4 @@
+import SOAK_NAMES from '../SOAK_NAMES.js';
 import type SentRequest from './SentRequest.js';
 import type SoakJournal from './SoakJournal.js';
 import type Violation from './Violation.js';
@@ -19,9 +20,6 @@
 /** What an answer may take beyond the deadline, in ms: the users' bound for answers at a route's timeout. */
 const LATE_MILLISECONDS = 500;
 
-/** Name of the team whose key all requests carry. */
-const TEAM = 'team-a';
-
 function broken(promise: string, detail: string, timed = false): Violation {
   return { promise, detail, timed };
 }
@@ -36,7 +34,7 @@
     && journal.isCalm(drainedAt - STABLE_MILLISECONDS, run.startedAt);
   return [
     ...run.body === request.body ? [] : [broken('unasked', `${run.requestId} ran with another body`)],
-    ...run.team === TEAM ? [] : [broken('unasked', `${run.requestId} ran for team ${String(run.team)}`)],
+    ...run.team === SOAK_NAMES.team ? [] : [broken('unasked', `${run.requestId} ran for team ${String(run.team)}`)],
     ...isLate ? [broken('drain', `${run.requestId} reached ${run.worker} after it had left`, true)] : [],
   ];
 }
--- a/packages/soak/src/lib/store/StoreServer.ts
+++ b/packages/soak/src/lib/store/StoreServer.ts
@@ -3,33 +3,30 @@
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { text } from 'node:stream/consumers';
-import { z } from 'zod';
-import type RowTables from './RowTables.js';
+import {
+  encodeStoreAnswer, readStoreCall, type StoreAnswer, type StoreCall,
+} from '@dandelionlane/platform-adapter';
+import type SoakTables from './SoakTables.js';
 import type StoreFault from './StoreFault.js';
 
+/** Most rows of one answer. */
 const MAXIMUM_ROWS = 500;
 
-const Row = z.object({
-  table: z.string(), key: z.string(), ver: z.number().default(0), value: z.string().optional(),
-});
-
-const Transaction = z.object({
-  expected: z.array(Row).default([]), set_keys: z.array(Row).default([]), remove: z.array(Row).default([]),
-});
-
 /** The platform's store over HTTP, with faults. */
 export default class StoreServer {
   fault: StoreFault = 'none';
 
-  readonly #tables: RowTables;
+  readonly #tables: SoakTables;
 
   readonly #server: Server;
 
   #commits = 0;
 
-  constructor(tables: RowTables) {
+  constructor(tables: SoakTables) {
     this.#tables = tables;
-    this.#server = createServer((incoming, outgoing) => void this.#serve(incoming, outgoing));
+    this.#server = createServer((incoming, outgoing) => {
+      this.#serve(incoming, outgoing).catch(() => outgoing.destroy());
+    });
   }
 
   /** Resolves to `host:port`. */
@@ -47,67 +44,52 @@
   }
 
   async #serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    const url = new URL(incoming.url ?? '/', 'http://store');
-    const body = await text(incoming).catch(() => null);
-    if (body === null || this.fault === 'silent') {
+    const body = await text(incoming);
+    if (this.fault === 'silent') {
       return;
     }
     if (this.fault === 'busy') {
-      outgoing.writeHead(503).end();
+      this.#answer(outgoing, { kind: 'unavailable' });
       return;
     }
-    switch (url.pathname) {
-      case '/dandelionlane/rows-get':
-        this.#read(url.searchParams, outgoing);
-        return;
-      case '/dandelionlane/rows-feed':
-        await this.#feed(url.searchParams, outgoing);
-        return;
-      case '/dandelionlane/rows-tx':
-        this.#commit(body, outgoing);
-        return;
-      default:
-        outgoing.writeHead(404).end();
+    const call = readStoreCall(incoming.url ?? '/', body)._unsafeUnwrap();
+    if (call === null) {
+      outgoing.destroy();
+      return;
+    }
+    const answer = await this.#carryOut(call);
+    if (this.#losesAnswer(call)) {
+      outgoing.destroy();
+    } else {
+      this.#answer(outgoing, answer);
     }
   }
 
-  #read(query: URLSearchParams, outgoing: ServerResponse): void {
-    const limit = Number(query.get('limit') ?? MAXIMUM_ROWS);
-    const rows = this.#tables.read(query.get('table') ?? '', query.get('from') ?? '', limit + 1);
-    this.#answer(outgoing, 200, { rows: rows.slice(0, limit), truncated: rows.length > limit });
-  }
-
-  async #feed(query: URLSearchParams, outgoing: ServerResponse): Promise<void> {
-    const table = query.get('table') ?? '';
-    const after = Number(query.get('after_revision'));
-    const until = performance.now() + Number(query.get('wait_ms'));
-    let rows = this.#tables.changes(table, after);
-    while (rows?.length === 0 && performance.now() < until) {
-      await this.#tables.change(until - performance.now());
-      rows = this.#tables.changes(table, after);
+  async #carryOut(call: StoreCall): Promise<StoreAnswer> {
+    switch (call.kind) {
+      case 'read': {
+        const { rows } = (await this.#tables.snapshot(call.table))._unsafeUnwrap();
+        const found = rows.filter(({ key }) => key >= call.from);
+        const limit = call.limit ?? MAXIMUM_ROWS;
+        return { kind: 'rows', rows: found.slice(0, limit), truncated: found.length > limit };
+      }
+      case 'watch':
+        return (await this.#tables.changes(call.table, call.after, call.waitMilliseconds))._unsafeUnwrap();
+      case 'commit':
+        return (await this.#tables.commit(call.transaction))._unsafeUnwrap();
+      default:
+        return call satisfies never;
     }
-    this.#answer(outgoing, rows === null ? 410 : 200, { rows: rows ?? [] });
   }
 
-  #commit(body: string, outgoing: ServerResponse): void {
-    const parsed = Transaction.safeParse(JSON.parse(body));
-    if (!parsed.success) {
-      outgoing.writeHead(400).end();
-      return;
-    }
-    const { expected, set_keys: written, remove } = parsed.data;
-    const conflict = this.#tables.commit(expected, written, remove);
-    this.#commits += 1;
-    if (this.fault === 'forgetful' && this.#commits % 2 === 0) {
-      outgoing.destroy();
-      return;
-    }
-    this.#answer(outgoing, conflict === null ? 200 : 412, conflict === null ? {} : { rows: conflict });
+  /** A forgetful store loses the answer to every second commit. */
+  #losesAnswer({ kind }: StoreCall): boolean {
+    this.#commits += kind === 'commit' ? 1 : 0;
+    return kind === 'commit' && this.fault === 'forgetful' && this.#commits % 2 === 0;
   }
 
-  #answer(outgoing: ServerResponse, status: number, content: object): void {
-    outgoing.writeHead(status, { 'content-type': 'application/json' });
-    const now = Math.round(performance.now());
-    outgoing.end(JSON.stringify({ ...content, ver: this.#tables.version, now_ms: now }));
+  #answer(outgoing: ServerResponse, answer: StoreAnswer): void {
+    const { status, body } = encodeStoreAnswer(answer, this.#tables.version);
+    outgoing.writeHead(status, { 'content-type': 'application/json' }).end(body);
   }
 }
--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -4,16 +4,20 @@
 import type { AddressInfo } from 'node:net';
 import { text } from 'node:stream/consumers';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { AvailabilityZoneId, ServiceId } from '@dandelionlane/core';
+import type { OrderStamp, Worker, WorkerOrder } from '@dandelionlane/fleet';
+import {
+  OPERATOR_ROWS, STAND_IN_STATUSES, encodeReport, encodeTargetHead, encodeWorker, readWorkerCall,
+  type WorkerCall,
+} from '@dandelionlane/platform-adapter';
 import { GroupWorker, startLink, type LinkHandle } from '@dandelionlane/standin';
 import expectedBody from '../journal/expectedBody.js';
 import expectedEvent from '../journal/expectedEvent.js';
 import type AnswerFault from './AnswerFault.js';
+import GroupStall from './GroupStall.js';
 import type SoakWorkerSettings from './SoakWorkerSettings.js';
-import readOrder from './readOrder.js';
 import writePlainAnswer from './writePlainAnswer.js';
 
-const TABLE = 'servers';
-
 /**
  * Longest time that a join or a close takes, in ms: short, so that many changes fit into a run.
  * Members differ, so that a head may be ready long before the others.
@@ -26,19 +30,12 @@
 /** Mean time that a plain request takes, in ms. */
 const PLAIN_MILLISECONDS = 40;
 
-/** Time for which a group stands still before its head notices, in ms. */
-const STALL_MILLISECONDS = 2_000;
-
 /** Time after a crash at which the registration lapses, in ms. */
 const LAPSE_MILLISECONDS = 700;
 
 /** Time for which a worker that leaves serves on, in ms. */
 const LINGER_MILLISECONDS = 4_000;
 
-const ORDER_STATUSES = {
-  done: 200, begun: 202, conflict: 409, fenced: 412, refused: 400,
-} as const;
-
 /** A back end of the soak behind a link, with the platform's calls. */
 export default class SoakWorker {
   answerFault: AnswerFault = 'none';
@@ -47,6 +44,9 @@
 
   readonly #member: GroupWorker;
 
+  /** Null for a plain worker. */
+  readonly #stall: GroupStall | null;
+
   #server: Server | null = null;
 
   #link: LinkHandle | null = null;
@@ -55,13 +55,14 @@
 
   #life = 0;
 
-  #stoodStillSince: number | null = null;
-
   #closed = false;
 
+  #serverAddress: AddressInfo | null = null;
+
   constructor(settings: SoakWorkerSettings) {
     this.#settings = settings;
     this.#member = new GroupWorker(settings.id, Date.now());
+    this.#stall = settings.groups === null ? null : new GroupStall(settings.groups, this.#member);
     settings.groups?.add(this.#member);
   }
 
@@ -100,7 +101,7 @@
     const life = this.#life;
     setTimeout(() => {
       if (life === this.#life && !this.#closed) {
-        this.#settings.tables.write(TABLE, this.id, null);
+        this.#writeRow(null);
       }
     }, LAPSE_MILLISECONDS).unref();
   }
@@ -111,7 +112,7 @@
     this.#life += 1;
     this.#member.restart(Date.now());
     this.#running = 0;
-    this.#stoodStillSince = null;
+    this.#stall?.reset();
     await this.#listen(port);
     this.#register();
   }
@@ -123,7 +124,7 @@
     this.#settings.journal.drainedAt.set(this.id, performance.now());
     await sleep(LINGER_MILLISECONDS);
     this.crash();
-    this.#settings.tables.write(TABLE, this.id, null);
+    this.#writeRow(null);
   }
 
   async close(): Promise<void> {
@@ -135,8 +136,6 @@
     await this.#link?.close();
   }
 
-  #serverAddress: AddressInfo | null = null;
-
   #listen(port: number): Promise<number> {
     const server = createServer((incoming, outgoing) => {
       this.#serve(incoming, outgoing).catch(() => outgoing.destroy());
@@ -152,80 +151,76 @@
   }
 
   #register(): void {
-    const { service, zone, slots } = this.#settings;
-    this.#settings.tables.write(TABLE, this.id, {
-      service,
-      address: this.link.address,
-      zone,
-      version: 'v1',
-      slots,
-      state: this.#member.draining ? 'draining' : 'ready',
-      cold_remaining_ms: 0,
-      sequence: this.#member.sequence,
-      ...this.#told(),
-    });
+    this.#writeRow(encodeWorker(this.#worker()));
+  }
+
+  #writeRow(value: object | null): void {
+    void this.#settings.tables.write(OPERATOR_ROWS.workerTable, this.id, value);
   }
 
-  /** What the worker says of itself in its registration and in reports. */
-  #told(): object {
-    const { group, staged, bornAt } = this.#member;
-    // A worker that joins a group loads the model that it has staged last.
-    const models = group === null ? [] : staged.map((name) => ({ name, version: 1, adapters: [] }));
+  #worker(): Worker {
+    const {
+      service, zone, slots, groups,
+    } = this.#settings;
+    const worker = this.#member.worker();
     return {
-      born: bornAt,
-      ...this.#settings.groups === null ? {} : {
-        domain: 'domain', staged, group, models,
-      },
+      ...worker,
+      service: ServiceId.parse(service),
+      address: this.link.address,
+      zone: AvailabilityZoneId.parse(zone),
+      slots,
+      domain: groups === null ? null : worker.domain,
+      // A worker that joins a group loads the model that it has staged last.
+      models: worker.group === null ? [] : worker.stagedModels,
     };
   }
 
   async #serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const body = await text(incoming);
-    const expected = incoming.headers['dandelionlane-expect-instance'];
-    if (expected !== undefined && expected !== this.id) {
-      outgoing.writeHead(421, { 'dandelionlane-not-executed': '1' }).end();
-      return;
-    }
-    switch (incoming.url) {
-      case '/dandelionlane/report':
-        outgoing.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify({
-          stage: 'both',
+    const call = readWorkerCall(this.id, incoming.url ?? '/', incoming.headers, body);
+    switch (call.kind) {
+      case 'report':
+        outgoing.writeHead(STAND_IN_STATUSES.ok, { 'content-type': 'application/json' }).end(encodeReport({
+          ...this.#member.report(),
           busy: this.#member.group?.state === 'joining',
-          sequence: this.#member.sequence,
-          queued: 0,
-          running: this.#running,
-          pace: 1,
-          ...this.#told(),
+          runningRequests: this.#running,
         }));
         return;
-      case '/dandelionlane/order':
-        this.#takeOrder(body, outgoing);
+      case 'order':
+        this.#takeOrder(call.order, call.stamp, outgoing);
+        return;
+      case 'request':
+        await this.#run(call, body, outgoing);
+        return;
+      case 'misdirected':
+        this.#reject(STAND_IN_STATUSES.misdirected, outgoing);
+        return;
+      case 'malformed':
+        outgoing.writeHead(STAND_IN_STATUSES.malformed).end();
         return;
       default:
-        await this.#run(body, incoming, outgoing);
+        call satisfies never;
     }
   }
 
-  #takeOrder(body: string, outgoing: ServerResponse): void {
-    const { groups } = this.#settings;
-    const read = readOrder(JSON.parse(body));
-    if (read.isErr() || groups === null) {
-      outgoing.writeHead(400).end();
-      return;
-    }
-    const { order, stamp } = read.value;
+  // eslint-disable-next-line class-methods-use-this -- one of the answers of a worker
+  #reject(status: number, outgoing: ServerResponse): void {
+    outgoing.writeHead(status, encodeTargetHead({ kind: 'not-executed' })).end();
+  }
+
+  #takeOrder(order: WorkerOrder, stamp: OrderStamp, outgoing: ServerResponse): void {
     const former = this.#member.group === null
       ? null : { group: this.#member.group, members: this.#member.members };
     const outcome = this.#member.take(order, stamp);
     if (outcome === 'begun' && order.kind === 'join') {
-      groups.checkJoin(this.#member, former);
+      this.#settings.groups?.checkJoin(this.#member, former);
     }
     if (outcome === 'begun') {
-      this.#stoodStillSince = null;
+      this.#stall?.reset();
       this.#settleLater();
       this.#register();
     }
-    outgoing.writeHead(ORDER_STATUSES[outcome]).end();
+    outgoing.writeHead(STAND_IN_STATUSES.orders[outcome]).end();
   }
 
   #settleLater(): void {
@@ -239,33 +234,30 @@
     }, LONGEST_JOIN_MILLISECONDS * this.#settings.random.next());
   }
 
-  async #run(body: string, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+  async #run(
+    call: Extract<WorkerCall, { kind: 'request' }>,
+    body: string,
+    outgoing: ServerResponse,
+  ): Promise<void> {
     const { groups, slots, journal } = this.#settings;
-    const requestId = String(incoming.headers['dandelionlane-attempt-id'] ?? '');
+    const { requestId, team } = call;
     if (this.answerFault === 'mute') {
       return;
     }
     const isHead = groups === null || this.#member.isServing;
-    if (!isHead || this.#isBroken() || this.#running >= slots) {
-      outgoing.writeHead(isHead ? 503 : 421, { 'dandelionlane-not-executed': '1' }).end();
+    if (!isHead || this.#stall?.isBroken() === true || this.#running >= slots) {
+      this.#reject(isHead ? STAND_IN_STATUSES.full : STAND_IN_STATUSES.misdirected, outgoing);
       return;
     }
     groups?.checkRun(this.#member);
     const signature = `${this.id}.${journal.runs.length}`;
     journal.runs.push({
-      requestId,
-      worker: this.id,
-      signature,
-      body,
-      team: incoming.headers['dandelionlane-tenant'] as string | undefined ?? null,
-      startedAt: performance.now(),
+      requestId, worker: this.id, signature, body, team, startedAt: performance.now(),
     });
     this.#running += 1;
     const life = this.#life;
-    outgoing.setHeader('dandelionlane-attempt-id', requestId);
-    outgoing.setHeader('dandelionlane-server-seal', signature);
-    await (groups === null
-      ? this.#answerPlain(requestId, outgoing) : this.#stream(requestId, incoming, outgoing));
+    outgoing.setHeaders(new Map(Object.entries(encodeTargetHead({ kind: 'run', requestId, signature }))));
+    await (groups === null ? this.#answerPlain(requestId, outgoing) : this.#stream(call, outgoing));
     if (life === this.#life) {
       this.#running -= 1;
     }
@@ -276,18 +268,21 @@
     writePlainAnswer(outgoing, expectedBody({ id: requestId, kind: 'safe', events: 0 }), this.answerFault);
   }
 
-  async #stream(requestId: string, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+  async #stream(
+    { requestId, lastEventId }: Extract<WorkerCall, { kind: 'request' }>,
+    outgoing: ServerResponse,
+  ): Promise<void> {
     const events = this.#settings.journal.requests.get(requestId)?.events ?? 0;
-    const first = Number(incoming.headers['last-event-id'] ?? 0) + 1;
-    outgoing.writeHead(200, { 'content-type': 'text/event-stream' });
+    const first = Number(lastEventId ?? 0) + 1;
+    outgoing.writeHead(STAND_IN_STATUSES.ok, { 'content-type': 'text/event-stream' });
     for (let index = first; index <= events; index += 1) {
       await sleep(EVENT_MILLISECONDS);
-      while (!outgoing.destroyed && this.#member.alive && this.#standsStill() && !this.#isBroken()) {
+      while (!outgoing.destroyed && this.#member.alive && this.#stall?.isHeldBack() === true) {
         await sleep(EVENT_MILLISECONDS);
       }
       const event = expectedEvent(requestId, index);
       const isCut = this.answerFault === 'cut' && index === events;
-      if (outgoing.destroyed || this.#isBroken() || isCut) {
+      if (outgoing.destroyed || this.#stall?.isBroken() === true || isCut) {
         outgoing.write(event.slice(0, event.length / 2), () => outgoing.destroy());
         return;
       }
@@ -295,21 +290,4 @@
     }
     outgoing.end();
   }
-
-  /** Whether nothing moves in the group of this head. */
-  #standsStill(): boolean {
-    const { group, members } = this.#member;
-    const isStill = group !== null && this.#settings.groups?.standsStill({ group, members }) === true;
-    this.#stoodStillSince = isStill ? this.#stoodStillSince ?? performance.now() : null;
-    return isStill;
-  }
-
-  #isBroken(): boolean {
-    const isBroken = this.#standsStill()
-      && performance.now() - (this.#stoodStillSince ?? Number.POSITIVE_INFINITY) > STALL_MILLISECONDS;
-    if (isBroken && this.#member.group !== null) {
-      this.#member.group = { ...this.#member.group, state: 'broken' };
-    }
-    return isBroken;
-  }
 }
--- a/packages/soak/src/lib/workers/SoakWorkerSettings.ts
+++ b/packages/soak/src/lib/workers/SoakWorkerSettings.ts
@@ -1,6 +1,6 @@
 import type { RandomSource } from '@dandelionlane/core';
 import type SoakJournal from '../journal/SoakJournal.js';
-import type RowTables from '../store/RowTables.js';
+import type SoakTables from '../store/SoakTables.js';
 import type SoakGroups from './SoakGroups.js';
 
 /** What a `SoakWorker` is made of. */
@@ -11,7 +11,7 @@
   /** Groups of model workers; null for a plain worker. */
   readonly groups: SoakGroups | null;
   readonly slots: number;
-  readonly tables: RowTables;
+  readonly tables: SoakTables;
   readonly journal: SoakJournal;
   readonly random: RandomSource;
 }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,6 +7,10 @@
 export default defineConfig({
   resolve: {
     alias: [
+      {
+        find: '@dandelionlane/platform-adapter',
+        replacement: fileURLToPath(new URL('./platform/src/index.ts', import.meta.url)),
+      },
       {
         find: /^@dandelionlane\/([a-z-]+)$/,
         replacement: `${packagesDirectory}/$1/src/index.ts`,
