Read answers that came in time before a call counts as failed

Cause: in a process that was busy beyond the timeout of a call, the timer fires before the answer is read that has come in the meantime. The call fails although its answer is there. A holder of the lease that is busy for some 100 ms counts workers as silent and its own steps as failed for that.

Change: once the timer fires, what has come is read first, and then the call counts as failed.

--- a/packages/platform/src/lib/http/sendJSON.ts
+++ b/packages/platform/src/lib/http/sendJSON.ts
@@ -4,18 +4,10 @@
 import type JSONAnswer from './JSONAnswer.js';
 import type JSONRequest from './JSONRequest.js';
 import isNeverSent from './isNeverSent.js';
+import startTimeout from './startTimeout.js';
 
 const MAXIMUM_ANSWER_BYTES = 64 * 1_024 * 1_024;
 
-/** Rejects when the signal is aborted: the client itself notices that only once it is connected. */
-function rejectOnAbort(signal: AbortSignal): Promise<never> {
-  return new Promise((_resolve, reject) => {
-    signal.addEventListener('abort', () => {
-      reject(new Error('no answer in time'));
-    }, { once: true });
-  });
-}
-
 async function exchange(
   dispatcher: Dispatcher,
   request: JSONRequest,
@@ -58,8 +50,9 @@
   dispatcher: Dispatcher,
   request: JSONRequest,
 ): ResultAsync<JSONAnswer, ServingError> {
-  const signal = AbortSignal.timeout(request.timeoutMilliseconds);
-  const exchanged = Promise.race([exchange(dispatcher, request, signal), rejectOnAbort(signal)]);
+  const timeout = startTimeout(request.timeoutMilliseconds);
+  const exchanged = Promise.race([exchange(dispatcher, request, timeout.signal), timeout.expired])
+    .finally(() => timeout.clear());
   return ResultAsync.fromPromise(exchanged, (cause) => new ServingError(
     `${request.method} ${request.origin}${request.path} failed`,
     { kind: isNeverSent(cause) ? 'store-unavailable' : 'store-outcome-unknown', cause: toError(cause) },
--- a/packages/platform/src/test/sendJSON.test.ts
+++ b/packages/platform/src/test/sendJSON.test.ts
@@ -1,5 +1,7 @@
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { Worker } from 'node:worker_threads';
 import { afterEach, expect, test } from 'vitest';
 import { Agent } from 'undici';
 import sendJSON from '../lib/http/sendJSON.js';
@@ -39,3 +41,32 @@
   });
   expect(answer._unsafeUnwrapErr().kind).toBe('store-outcome-unknown');
 });
+
+/** Answers from a thread of its own, once this one is about to block. */
+const ANSWERING_THREAD = `
+  const { parentPort, workerData } = require('node:worker_threads');
+  const server = require('node:http').createServer((incoming, outgoing) => {
+    parentPort.postMessage('received');
+    Atomics.wait(workerData, 0, 0, 5_000);
+    outgoing.writeHead(200, { 'content-type': 'application/json' }).end('{"here":true}');
+  });
+  server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+`;
+
+test('an answer that came in time counts although the process was busy then', async () => {
+  const shared = new Int32Array(new SharedArrayBuffer(2 * Int32Array.BYTES_PER_ELEMENT));
+  const thread = new Worker(ANSWERING_THREAD, { eval: true, workerData: shared });
+  const [port] = await once(thread, 'message') as [number];
+  const timeoutMilliseconds = 500;
+  const sent = sendJSON(agent, {
+    method: 'GET', origin: `http://127.0.0.1:${port}`, path: '/', timeoutMilliseconds,
+  });
+  await once(thread, 'message');
+  Atomics.store(shared, 0, 1);
+  Atomics.notify(shared, 0);
+  // Nothing changes the second value: this thread blocks until the timer is due.
+  Atomics.wait(shared, 1, 0, timeoutMilliseconds);
+  const answer = await sent;
+  await thread.terminate();
+  expect(answer.map(({ data }) => data)._unsafeUnwrap()).toEqual({ here: true });
+});
