Let go of held pieces of a closed link, and of processes of a failed set-up

A link that was destroyed while it held a piece kept its promise for ever, and a fleet of the proofs whose set-up failed left its processes behind.

--- a/packages/proofs/src/test/RunningFleet.ts
+++ b/packages/proofs/src/test/RunningFleet.ts
@@ -37,8 +37,13 @@
       checksFencing,
     });
     const fleet = new RunningFleet(system, directory);
-    await waitUntil('the release is accepted', () => fleet.#publish(checksFencing));
-    await waitUntil('all replicas serve', () => fleet.isServing(), START_MILLISECONDS);
+    try {
+      await waitUntil('the release is accepted', () => fleet.#publish(checksFencing));
+      await waitUntil('all replicas serve', () => fleet.isServing(), START_MILLISECONDS);
+    } catch (cause) {
+      await fleet.stop();
+      throw cause;
+    }
     return fleet;
   }
 
--- a/packages/standin/src/lib/links/LinkGate.ts
+++ b/packages/standin/src/lib/links/LinkGate.ts
@@ -21,6 +21,11 @@
     this.#release?.();
   }
 
+  override _destroy(error: Error | null, callback: (error?: Error | null) => void): void {
+    this.#release?.();
+    callback(error);
+  }
+
   override _transform(chunk: Buffer, _encoding: BufferEncoding, callback: TransformCallback): void {
     void this.#passChunk(chunk, callback);
   }
@@ -34,6 +39,8 @@
     if (this.#delayMilliseconds > 0) {
       await sleep(this.#delayMilliseconds);
     }
-    callback(null, chunk);
+    if (!this.destroyed) {
+      callback(null, chunk);
+    }
   }
 }
