--- a/packages/fleet-entry/src/lib/FleetEntryPorts.ts
+++ b/packages/fleet-entry/src/lib/FleetEntryPorts.ts
@@ -12,6 +12,6 @@
   readonly readinessPath: string;
   readonly directoryPath: string;
   readonly metricsPath: string;
-  /** Body of a directory answer. */
-  readonly encodeDirectory: (addresses: readonly string[]) => unknown;
+  /** Body of a directory answer, which its caller keeps for some time, in s. */
+  readonly encodeDirectory: (addresses: readonly string[], keepSeconds: number) => unknown;
 }
