Split the coordinator

The status of this entry and the use of the holder's state are functions of their own. Behaviour is as it was.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -1,7 +1,6 @@
 import type {
   Clock, EntryId, RandomSource, WorkerId,
 } from '@dandelionlane/core';
-import { toUnregisteredWorker } from '@dandelionlane/fleet';
 import type {
   EntryRegistry, KnownEntry, RepeatBudget, TargetStates,
 } from '@dandelionlane/gateway';
@@ -15,6 +14,8 @@
 import type GroupControl from './GroupControl.js';
 import HolderSearch from './HolderSearch.js';
 import type HolderSign from './HolderSign.js';
+import applyShared from './applyShared.js';
+import readOwnStatus from './readOwnStatus.js';
 
 /** Time between two messages on a link, in ms. */
 const PERIOD_MILLISECONDS = 120;
@@ -35,12 +36,6 @@
 /** Time for which a holder acts before it leaves the lease to a stronger entry, in ms: all links are up. */
 const SETTLED_MILLISECONDS = 3_000;
 
-/** Longest silence that is told, in ms. */
-const LONGEST_SILENCE_MILLISECONDS = 60_000;
-
-/** Time for which a formation that stands still is left out after it was last told, in ms. */
-const SUSPICION_MILLISECONDS = 500;
-
 /** What a `Coordinator` needs from outside. */
 interface CoordinatorOptions {
   readonly settings: FleetEntrySettings;
@@ -60,8 +55,8 @@
 /**
  * Shares what entries know by way of the holder of the lease: the holder reads the workers'
  * registrations for all, watches the operators' table, sums up loads, and finds formations that
- * stand still. Nothing rests on
- * the links: an entry without one reads the store itself and goes by its own streams.
+ * stand still. Nothing rests on the links: an entry without one reads the store itself and goes by
+ * its own streams.
  */
 export default class Coordinator {
   readonly #options: CoordinatorOptions;
@@ -77,16 +72,11 @@
   /** Entries whose link worked in the last round of the holder. */
   #linked = new Set<EntryId>();
 
-  #leading = false;
-
-  /** Monotonic time at which this process came to hold the lease, in ms. */
-  #leadingSince = Number.NEGATIVE_INFINITY;
+  /** Monotonic time at which this process came to hold the lease, in ms; null while it does not. */
+  #leadingSince: number | null = null;
 
-  /** The holder that spoke last on the link. */
-  #linkedHolder: EntryId | null = null;
-
-  /** Whether the holder last told that it renews its lease. */
-  #renewing = false;
+  /** The holder that spoke last on the link, and whether it renewed its lease then. */
+  #linkedHolder: { readonly entry: EntryId; readonly renewing: boolean } | null = null;
 
   /** Entries as they were last told, in a form to compare. */
   #toldEntries = '';
@@ -122,46 +112,41 @@
 
   /** Live entries as the holder of the lease knows them; null while there is no link to it. */
   linkedEntries(): readonly KnownEntry[] | null {
-    return this.#leading ? null : this.#linkedEntries;
+    return this.isLeading ? null : this.#linkedEntries;
   }
 
   /** Whether this process holds the lease and reads for all. */
   get isLeading(): boolean {
-    return this.#leading;
+    return this.#leadingSince !== null;
   }
 
   /** Entries whose links to this process work, while it holds the lease. */
   attachedEntries(): readonly EntryId[] {
-    return this.#leading ? [...this.#linked] : [];
+    return this.isLeading ? [...this.#linked] : [];
   }
 
   /** What the link tells of the holder of the lease. */
   holderSign(): HolderSign {
-    if (this.#leading || this.#client.ageMilliseconds >= HEARD_MILLISECONDS) {
+    if (this.isLeading || this.#client.ageMilliseconds >= HEARD_MILLISECONDS) {
       return 'silent';
     }
-    return this.#renewing ? 'renewing' : 'alive';
+    return this.#linkedHolder?.renewing === true ? 'renewing' : 'alive';
   }
 
   #round(): void {
-    const {
-      control, view,
-    } = this.#options;
-    const isLeading = control.leadership.acting() !== null;
-    if (this.#leading && !isLeading) {
-      this.#server.disconnect();
-    }
-    if (!this.#leading && isLeading) {
-      this.#leadingSince = this.#options.clock.monotonicMilliseconds();
-    }
-    this.#leading = isLeading;
-    if (isLeading) {
+    const { control, view, clock } = this.#options;
+    if (control.leadership.acting() !== null) {
+      this.#leadingSince ??= clock.monotonicMilliseconds();
       this.#client.maintain(null);
       view.workerFollower.resume();
       view.operatorFollower.resume();
-      this.#lead();
+      this.#lead(this.#leadingSince);
       return;
     }
+    if (this.isLeading) {
+      this.#server.disconnect();
+    }
+    this.#leadingSince = null;
     // Only a holder passes changes on.
     view.workerRows.takeChanges();
     const address = this.#holderAddress();
@@ -180,49 +165,14 @@
     return this.#search.address({
       known: isOther ? registry.linkAddressOf(String(holder) as EntryId) ?? null : null,
       others: registry.linkAddresses(),
-      isLinked: this.#client.working && String(this.#linkedHolder) === String(holder),
+      isLinked: this.#client.working && String(this.#linkedHolder?.entry) === String(holder),
       isEngaged: !this.#client.idle,
       storeAgeMilliseconds: this.#storeAge(),
     });
   }
 
   #ownStatus(): EntryStatus {
-    const {
-      settings, states, isReady, clock,
-    } = this.#options;
-    const now = clock.monotonicMilliseconds();
-    const targets = [...states.entries()].filter(([, { streams }]) => streams.size > 0)
-      .map(([worker, state]) => {
-        state.told();
-        const streams = [...state.streams];
-        const started = streams.filter(({ lastEventAt, paused }) => lastEventAt !== null && !paused);
-        const formation = streams[0]?.formation ?? '';
-        return {
-          worker,
-          formation,
-          outstanding: state.outstanding,
-          started: started.length,
-          unreadTokens: state.unreadTokens,
-          // Before the first event the silence has no beginning.
-          silentMilliseconds: Math.round(Math.min(now - state.lastProgressAt, LONGEST_SILENCE_MILLISECONDS)),
-          doubted: state.isDoubted(formation),
-        };
-      });
-    return {
-      kind: 'status',
-      entry: settings.entry,
-      ready: isReady(),
-      callerAddress: `${settings.callers.host}:${settings.callers.port}`,
-      processorCores: settings.processorCores,
-      storeAgeMilliseconds: Math.round(Math.min(this.#storeAge(), LONGEST_SILENCE_MILLISECONDS)),
-      requests: [...this.#options.budget.counts()],
-      targets,
-    };
-  }
-
-  /** Time since this process came to hold the lease, in ms. */
-  get #ledFor(): number {
-    return this.#options.clock.monotonicMilliseconds() - this.#leadingSince;
+    return readOwnStatus(this.#options, this.#storeAge());
   }
 
   /** Time since the store last answered this process, in ms. */
@@ -235,9 +185,14 @@
    * Leaves the lease to others where the store serves them, as they see what this process misses,
    * and where this process is too weak for the number of entries.
    */
-  #handOver(others: readonly { readonly status: EntryStatus; readonly ageMilliseconds: number }[]): void {
-    const { control, log, settings: { processorCores } } = this.#options;
-    const isSettled = this.#ledFor > SETTLED_MILLISECONDS;
+  #handOver(
+    leadingSince: number,
+    others: readonly { readonly status: EntryStatus; readonly ageMilliseconds: number }[],
+  ): void {
+    const {
+      control, log, clock, settings: { processorCores },
+    } = this.#options;
+    const isSettled = clock.monotonicMilliseconds() - leadingSince > SETTLED_MILLISECONDS;
     if (isSettled && isOvertaxed(processorCores, others.map(({ status }) => status))) {
       log.info('A stronger entry is linked, giving the lease up.', { processorCores, links: others.length });
       control.leadership.resign();
@@ -250,7 +205,7 @@
     }
   }
 
-  #lead(): void {
+  #lead(leadingSince: number): void {
     const {
       settings, registry, view: { workerRows, workerFollower, operatorFollower },
       control: { controller, lease }, quietLimit,
@@ -302,14 +257,13 @@
     this.#server.broadcast(state, () => ({ rows: [...workerRows.all()], entries }));
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
-    this.#applyShared(state);
-    this.#handOver(others);
+    applyShared(state, this.#options);
+    this.#handOver(leadingSince, others);
   }
 
   #takeState(state: FleetState): void {
     const { view: { workerRows, workerFollower, operatorFollower }, control } = this.#options;
-    this.#linkedHolder = state.holder;
-    this.#renewing = state.lease !== null;
+    this.#linkedHolder = { entry: state.holder, renewing: state.lease !== null };
     if (state.lease !== null) {
       control.lease.announced(state.lease);
     }
@@ -333,29 +287,7 @@
       operatorFollower.resume();
     }
     this.#linkedEntries = state.entries ?? this.#linkedEntries;
-    this.#applyShared(state);
-  }
-
-  #applyShared({
-    loads, requests, stalled, groups,
-  }: FleetState): void {
-    const { states, budget, view: { workers } } = this.#options;
-    requests.forEach(({ service, requests: count }) => budget.requestsShared(service, count));
-    groups.forEach(({
-      worker, group, model, ...place
-    }) => {
-      workers.noteGroup(worker, group, model);
-      workers.putUnregistered(toUnregisteredWorker({ id: worker, ...place }), group, model);
-    });
-    loads.forEach(({ worker, outstanding, unreadTokens }) => {
-      states.of(worker).loadShared(outstanding, unreadTokens);
-    });
-    stalled.forEach(({ worker, formation }) => {
-      const target = states.of(worker);
-      target.suspect(formation, SUSPICION_MILLISECONDS);
-      [...target.streams].filter((stream) => stream.formation === formation)
-        .forEach((stream) => stream.stalled());
-    });
+    applyShared(state, this.#options);
   }
 
   #unlinked(): void {
