--- a/packages/controller/src/lib/settings/ControllerSettings.ts
+++ b/packages/controller/src/lib/settings/ControllerSettings.ts
@@ -1,19 +1,16 @@
 import { z } from 'zod';
-import { AvailabilityZoneId, ControllerId, RegionId } from '@dandelionlane/core';
+import {
+  AvailabilityZoneId, ControllerId, ListenAddress, RegionId,
+} from '@dandelionlane/core';
 import { LogSettings, MetricsSettings } from '@dandelionlane/telemetry';
 
-const MAXIMUM_PORT = 65_535;
-
 /** Settings of `dandelionlane-controller`. Durations are in milliseconds. */
 const ControllerSettings = z.strictObject({
   controller: ControllerId,
   region: RegionId,
   availabilityZone: AvailabilityZoneId,
   /** Listener of `/healthz` and `/readyz`. */
-  health: z.strictObject({
-    host: z.string().default('127.0.0.1'),
-    port: z.number().int().min(0).max(MAXIMUM_PORT),
-  }),
+  health: ListenAddress,
   /** `host:port` of the platform's services. */
   platformAddress: z.string().min(3),
   /** Administration listener of the entry beside this controller, which tells the live entries. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -71,6 +71,7 @@
 export { default as VMReport } from './lib/records/VMReport.js';
 export { default as MemoryTableStore } from './lib/table/MemoryTableStore.js';
 export { default as TABLE_NAMES } from './lib/table/TABLE_NAMES.js';
+export { default as ListenAddress } from './lib/settings/ListenAddress.js';
 export { default as EventSplitter } from './lib/streams/EventSplitter.js';
 export { type default as TableChanges } from './lib/table/TableChanges.js';
 export { default as TableCondition } from './lib/table/TableCondition.js';
--- a/packages/entry/src/lib/settings/EntrySettings.ts
+++ b/packages/entry/src/lib/settings/EntrySettings.ts
@@ -1,25 +1,19 @@
 import { z } from 'zod';
-import { AvailabilityZoneId, EntryId, RegionId } from '@dandelionlane/core';
+import {
+  AvailabilityZoneId, EntryId, ListenAddress, RegionId,
+} from '@dandelionlane/core';
 import { LogSettings, MetricsSettings } from '@dandelionlane/telemetry';
 
-const MAXIMUM_PORT = 65_535;
 const MEBIBYTE = 1_024 * 1_024;
 
-const Listener = z.strictObject({
-  /** IP number to listen on, which is also the one given to callers and peers. */
-  host: z.string().default('127.0.0.1'),
-  /** 0 takes a free port. */
-  port: z.number().int().min(0).max(MAXIMUM_PORT),
-});
-
 /** Settings of `dandelionlane-entry`. Durations are in milliseconds, sizes in bytes. */
 const EntrySettings = z.strictObject({
   entry: EntryId,
   region: RegionId,
   availabilityZone: AvailabilityZoneId,
-  callers: Listener,
-  peers: Listener,
-  administration: Listener.extend({ tokenFile: z.string().min(1) }),
+  callers: ListenAddress,
+  peers: ListenAddress,
+  administration: ListenAddress.extend({ tokenFile: z.string().min(1) }),
   /** `host:port` of the platform's services. */
   platformAddress: z.string().min(3),
   /** Peer addresses to join by. One that answers is enough. */
--- a/packages/fleet-entry/src/lib/FleetEntrySettings.ts
+++ b/packages/fleet-entry/src/lib/FleetEntrySettings.ts
@@ -1,5 +1,6 @@
-import type { AvailabilityZoneId, EntryId, RegionId } from '@dandelionlane/core';
-import type ListenAddress from './ListenAddress.js';
+import type {
+  AvailabilityZoneId, EntryId, ListenAddress, RegionId,
+} from '@dandelionlane/core';
 
 /** Settings of an entry process. */
 export default interface FleetEntrySettings {
--- a/packages/fleet-entry/src/lib/listenHono.ts
+++ b/packages/fleet-entry/src/lib/listenHono.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
 import type { Hono } from 'hono';
-import type ListenAddress from './ListenAddress.js';
+import type { ListenAddress } from '@dandelionlane/core';
 
 /** Serves an application at an address. An address of null serves nothing. */
 export default function listenHono(application: Hono, address: ListenAddress | null): Server | null {
