Take turns at a target in cold start where entries outnumber its rate

Each entry allowed itself one request a second at least, so entries above the rate of a target overran it together.

Change: where a target bears less than one request a second of each entry, entries take turns that begin at a random time, at 0.7 of the rate. Otherwise as before.

--- a/packages/gateway/src/lib/choice/chooseTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseTarget.ts
@@ -20,9 +20,9 @@
 }
 
 function isTooCold(candidate: Candidate, input: ChoiceInput): boolean {
-  const isCold = candidate.entry.coldUntil > input.now && input.coldRequestsPerSecond > 0;
-  const share = Math.max(1, Math.floor(input.coldRequestsPerSecond / input.entries));
-  return isCold && candidate.state.sentLastSecond >= share;
+  const { coldRequestsPerSecond: requestsPerSecond, entries } = input;
+  const { coldUntil } = candidate.entry;
+  return !candidate.state.cold.admits({ coldUntil, requestsPerSecond, entries }, input.now, input.random);
 }
 
 /** Chooses among the targets that are whole, reachable and warm enough. */
--- /dev/null
+++ b/packages/gateway/src/lib/targets/ColdPacer.ts
@@ -0,0 +1,58 @@
+import type { RandomSource } from '@dandelionlane/core';
+
+/** Window in which requests to a cold target are counted, in ms. */
+const WINDOW_MILLISECONDS = 1_000;
+
+/** Factor above its rate that a cold target bears in a second (`cold_over` of the platform). */
+const TOLERANCE = 1.5;
+
+/** Part of the rate that entries use whose turns come at random: turns come in clusters. */
+const RANDOM_TURNS_SHARE = 0.7;
+
+/** What a target in cold start bears, and who shares it. */
+interface ColdLimit {
+  /** Monotonic time at which the target is warm, in ms. */
+  readonly coldUntil: number;
+  readonly requestsPerSecond: number;
+  /** Live entries, this one included. */
+  readonly entries: number;
+}
+
+/**
+ * Keeps the requests of all entries together to what a target in cold start bears, although no
+ * entry sees what the others send. Where there is less than one request a second for each entry,
+ * entries take turns that begin at a random time.
+ */
+export default class ColdPacer {
+  #sends: number[] = [];
+
+  /** This entry's turns in a cold start; null outside of one, and while turns are not needed. */
+  #turns: { readonly until: number; readonly nextAt: number; readonly period: number } | null = null;
+
+  /** Notes a request sent at a monotonic time, in ms. */
+  sent(now: number): void {
+    this.#sends = this.#sends.filter((at) => now - at < WINDOW_MILLISECONDS);
+    this.#sends.push(now);
+    if (this.#turns !== null) {
+      this.#turns = { ...this.#turns, nextAt: now + this.#turns.period };
+    }
+  }
+
+  /** Whether the target bears another request of this entry at a monotonic time, in ms. */
+  admits({ coldUntil, requestsPerSecond, entries }: ColdLimit, now: number, random: RandomSource): boolean {
+    if (coldUntil <= now || requestsPerSecond <= 0) {
+      return true;
+    }
+    const share = requestsPerSecond / entries;
+    if (share * TOLERANCE >= 1) {
+      this.#turns = null;
+      const sent = this.#sends.filter((at) => now - at < WINDOW_MILLISECONDS).length;
+      return sent < Math.max(1, Math.floor(share));
+    }
+    const period = WINDOW_MILLISECONDS / (share * RANDOM_TURNS_SHARE);
+    const isBegun = this.#turns !== null && this.#turns.until > now;
+    const nextAt = isBegun && this.#turns !== null ? this.#turns.nextAt : now + random.next() * period;
+    this.#turns = { until: coldUntil, nextAt, period };
+    return now >= nextAt;
+  }
+}
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@dandelionlane/core';
 import type ReportedLoad from '../wire/ReportedLoad.js';
+import ColdPacer from './ColdPacer.js';
 import type RunningStream from './RunningStream.js';
 
 /** Age from which a reported load says little, in ms: a stream lasts about a second. */
@@ -23,9 +24,6 @@
 /** Time for which a doubt is told to the holder of the lease, in ms: two messages. */
 const DOUBT_MILLISECONDS = 250;
 
-/** Window in which requests to a cold target are counted, in ms. */
-const COLD_WINDOW_MILLISECONDS = 1_000;
-
 /** What this process knows of one target from its own requests. */
 export default class TargetState {
   readonly #clock: Clock;
@@ -36,6 +34,8 @@
   /** Streams of this process that run on the target. */
   readonly streams = new Set<RunningStream>();
 
+  readonly cold = new ColdPacer();
+
   /** Share of requests that failed at the target, recent ones more. */
   failureRate = 0;
 
@@ -72,8 +72,6 @@
 
   #doubtedFormation = '';
 
-  #recentSends: number[] = [];
-
   constructor(clock: Clock) {
     this.#clock = clock;
   }
@@ -182,15 +180,7 @@
 
   /** Notes that a request is sent. */
   sending(): void {
-    const now = this.#now();
-    this.#recentSends = this.#recentSends.filter((at) => now - at < COLD_WINDOW_MILLISECONDS);
-    this.#recentSends.push(now);
-  }
-
-  /** Requests sent in the last second. */
-  get sentLastSecond(): number {
-    const now = this.#now();
-    return this.#recentSends.filter((at) => now - at < COLD_WINDOW_MILLISECONDS).length;
+    this.cold.sent(this.#now());
   }
 
   #now(): number {
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -333,6 +333,37 @@
   expect(choose([cold], clock).kind).toBe('chosen');
 });
 
+/** Rate of `choose` times `cold_over`, and `cold_slack`, as the platform's sites have them. */
+const COLD_BOUND = 4 * 1.5 + 5;
+
+const COLD_STEP_MILLISECONDS = 20;
+
+/** Most requests in a second to a target that is cold twice, from entries that send whenever they may. */
+function mostInOneSecond(entries: number, seed: number): number {
+  const clock = new ManualClock();
+  const random = new SeededRandom(seed);
+  const cold = Array.from({ length: entries }, () => candidate(new TargetStates(clock), 'one'));
+  const sends: number[] = [];
+  Array.from({ length: 10_000 / COLD_STEP_MILLISECONDS }).forEach(() => {
+    const now = clock.monotonicMilliseconds();
+    const coldUntil = now < 4_000 ? 4_000 : 10_000;
+    cold.filter(() => now < 4_000 || now > 6_000).forEach((target) => {
+      if (choose([{ ...target, entry: { ...target.entry, coldUntil } }], clock, null, random, entries).kind === 'chosen') {
+        target.state.sending();
+        sends.push(now);
+      }
+    });
+    clock.advance(COLD_STEP_MILLISECONDS);
+  });
+  return Math.max(...sends.map((from) => sends.filter((at) => at >= from && at < from + 1_000).length));
+}
+
+test.each([1, 3, 4, 6, 7, 9, 20, 63, 87])('%i entries together spare a cold target', (entries) => {
+  [1, 2, 3, 4, 5].forEach((seed) => {
+    expect(mostInOneSecond(entries, seed)).toBeLessThanOrEqual(COLD_BOUND);
+  });
+});
+
 test('a plain target that fails its requests is avoided', () => {
   const clock = new ManualClock();
   const states = new TargetStates(clock);
