Form groups by the models' shares of the work

Cause: the configuration gives each model's share of the work, and the adapter left it out; counts of groups were kept equal.

Ruled out: an overtaxed holder or late configuration; requests that found a place were on time with both models.

Tests: planNewGroups.test.ts; 8 domains of 27 gave 11 and 10 groups before, 8 and 16 now. The set-up of the hand-over model gets shares in proportion to its group sizes, which keeps its groups as they were; its checks are unchanged.

--- a/packages/fleet/src/lib/configuration/ModelProfile.ts
+++ b/packages/fleet/src/lib/configuration/ModelProfile.ts
@@ -7,4 +7,6 @@
   readonly groupSize: number;
   /** Factor on all times of a replica. */
   readonly pace: number;
+  /** Part of the service's work that the model is expected to have: of the workers, not of the replicas. */
+  readonly workShare: number;
 }
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -222,7 +222,9 @@
         coldRequestsPerSecond: 0,
         engine: kind.kind !== 'stream' ? null : {
           slots: 4,
-          models: [{ name: MODEL, groupSize: 1, pace: 1 }],
+          models: [{
+            name: MODEL, groupSize: 1, pace: 1, workShare: 1,
+          }],
           loadsPerSecond: 1,
           promptTokensPerSecond: 1_000,
           stepMilliseconds: 1,
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -115,7 +115,9 @@
 
 const ENGINE: EngineProfile = {
   slots: 10,
-  models: [{ name: ModelName.parse('m'), groupSize: 2, pace: 1 }],
+  models: [{
+    name: ModelName.parse('m'), groupSize: 2, pace: 1, workShare: 1,
+  }],
   loadsPerSecond: 1,
   promptTokensPerSecond: 1_000,
   stepMilliseconds: 5,
--- a/packages/groups/src/lib/plan/planNewGroups.ts
+++ b/packages/groups/src/lib/plan/planNewGroups.ts
@@ -20,13 +20,18 @@
   readonly domainSizes: ReadonlyMap<FabricDomainId | null, number>;
 }
 
-/** Models by their groups, fewest first; of equals the larger one, as it is harder to fit. */
-function byCount(
+/**
+ * Models by their workers for their share of the work, fewest first; of equals the larger one, as
+ * it is harder to fit.
+ */
+function bySupply(
   models: readonly ModelProfile[],
   counts: ReadonlyMap<string, number>,
 ): readonly ModelProfile[] {
-  const countOf = ({ name }: ModelProfile) => counts.get(name) ?? 0;
-  return [...models].sort((left, right) => countOf(left) - countOf(right)
+  const supplyOf = ({ name, groupSize, workShare }: ModelProfile) => (
+    ((counts.get(name) ?? 0) * groupSize) / workShare
+  );
+  return [...models].sort((left, right) => supplyOf(left) - supplyOf(right)
     || right.groupSize - left.groupSize);
 }
 
@@ -42,7 +47,7 @@
   records.filter((record) => record.service === service)
     .forEach(({ model }) => counts.set(model, (counts.get(model) ?? 0) + 1));
   const steps: GroupStep[] = [];
-  const placeOne = (): boolean => byCount(engine.models, counts).some((model) => (
+  const placeOne = (): boolean => bySupply(engine.models, counts).some((model) => (
     [...pool.domains()]
       .sort((left, right) => pool.inDomain(left).length - pool.inDomain(right).length)
       .some((domain) => {
--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -14,9 +14,9 @@
 const ENGINE: EngineProfile = {
   slots: 4,
   models: [{
-    name: ModelName.parse('large'), groupSize: 3, pace: 1,
+    name: ModelName.parse('large'), groupSize: 3, pace: 1, workShare: 0.6,
   }, {
-    name: ModelName.parse('small'), groupSize: 2, pace: 1,
+    name: ModelName.parse('small'), groupSize: 2, pace: 1, workShare: 0.4,
   }],
   loadsPerSecond: 100,
   promptTokensPerSecond: 1,
--- /dev/null
+++ b/packages/groups/src/test/planNewGroups.test.ts
@@ -0,0 +1,82 @@
+import { expect, test } from 'vitest';
+import {
+  FabricDomainId, FencingNumber, ModelName, ServiceId, WorkerId,
+} from '@dandelionlane/core';
+import type { EngineProfile } from '@dandelionlane/fleet';
+import { GroupWorker } from '@dandelionlane/standin';
+import FleetObservation from '../lib/observation/FleetObservation.js';
+import type ObservedWorker from '../lib/observation/ObservedWorker.js';
+import EpochSource from '../lib/plan/EpochSource.js';
+import WorkerPool from '../lib/plan/WorkerPool.js';
+import planNewGroups from '../lib/plan/planNewGroups.js';
+
+const LARGE = ModelName.parse('large');
+const SMALL = ModelName.parse('small');
+
+function observe(id: string, domain: FabricDomainId): [WorkerId, ObservedWorker] {
+  const member = new GroupWorker(WorkerId.parse(id), 0);
+  return [member.id, {
+    worker: { ...member.worker(), domain },
+    registered: true,
+    report: member.report(),
+    ended: false,
+    misses: 0,
+    silentMilliseconds: 0,
+    groupStateMilliseconds: 0,
+    lastModel: null,
+    opening: false,
+    ordering: false,
+  }];
+}
+
+/** Replicas of each model that are formed of free workers: of 12 and of 6 workers. */
+function countGroups(
+  domains: number,
+  domainSize: number,
+  shares: readonly [number, number],
+): Map<ModelName, number> {
+  const engine: EngineProfile = {
+    slots: 4,
+    models: [
+      {
+        name: LARGE, groupSize: 12, pace: 1, workShare: shares[0],
+      },
+      {
+        name: SMALL, groupSize: 6, pace: 0.6, workShare: shares[1],
+      },
+    ],
+    loadsPerSecond: 100,
+    promptTokensPerSecond: 1,
+    stepMilliseconds: 1,
+    stepMillisecondsPerRequest: 0,
+    stepsPerPass: 1,
+    reportLagMilliseconds: 0,
+  };
+  const names = Array.from({ length: domains }, (_, index) => FabricDomainId.parse(`domain-${index}`));
+  const observed = new Map(names.flatMap((domain) => (
+    Array.from({ length: domainSize }, (_, index) => observe(`${domain}-${index}`, domain))
+  )));
+  const observation = new FleetObservation(observed, 10_000);
+  const counts = new Map<ModelName, number>();
+  planNewGroups({
+    service: ServiceId.parse('model'),
+    engine,
+    records: [],
+    pool: new WorkerPool(observation, [], [...observed.keys()]),
+    epochs: new EpochSource(FencingNumber.parse(1)),
+    domainSizes: new Map(names.map((name) => [name, domainSize])),
+  }).forEach((step) => {
+    if (step.kind === 'write') {
+      counts.set(step.record.model, (counts.get(step.record.model) ?? 0) + 1);
+    }
+  });
+  return counts;
+}
+
+test('models get workers by their share of the work', () => {
+  expect(countGroups(8, 27, [0.5, 0.5])).toEqual(new Map([[LARGE, 8], [SMALL, 16]]));
+});
+
+test('shares as the sizes give equal numbers of replicas', () => {
+  expect(countGroups(6, 20, [0.67, 0.33])).toEqual(new Map([[LARGE, 6], [SMALL, 6]]));
+});
--- a/packages/soak/src/lib/createConfiguration.ts
+++ b/packages/soak/src/lib/createConfiguration.ts
@@ -10,7 +10,9 @@
 function createEngine(groupSize: number): EngineProfile {
   return {
     slots: 8,
-    models: [{ name: ModelName.parse(SOAK_NAMES.model), groupSize, pace: 1 }],
+    models: [{
+      name: ModelName.parse(SOAK_NAMES.model), groupSize, pace: 1, workShare: 1,
+    }],
     loadsPerSecond: 20,
     promptTokensPerSecond: 50_000,
     stepMilliseconds: 10,
