--- a/packages/controller/src/lib/startController.ts
+++ b/packages/controller/src/lib/startController.ts
@@ -4,7 +4,7 @@
 import { repeatWork, SystemClock } from '@dandelionlane/core';
 import { DEFAULT_PLACEMENT_LIMITS } from '@dandelionlane/placement';
 import { HTTPTableStore, LeaseKeeper, ORDER_TIMEOUT_MILLISECONDS } from '@dandelionlane/platform';
-import { createLog, createMetrics } from '@dandelionlane/telemetry';
+import { createLog, createMetrics, logRoundFailure } from '@dandelionlane/telemetry';
 import LiveEntries from './grants/LiveEntries.js';
 import RegionController from './RegionController.js';
 import type RunningController from './RunningController.js';
@@ -61,7 +61,7 @@
     log,
     metrics,
   });
-  const failed = (cause: unknown): void => log.error('Round failed.', { detail: String(cause) });
+  const failed = logRoundFailure(log);
   const stopLease = repeatWork(() => lease.step(), timing.leaseTermMilliseconds / RENEWALS_PER_TERM, failed);
   const stopRounds = repeatWork(() => controller.step(), timing.planPeriodMilliseconds, failed);
   const health = createServer((request, response) => {
--- a/packages/entry/src/lib/startup/startRounds.ts
+++ b/packages/entry/src/lib/startup/startRounds.ts
@@ -1,4 +1,5 @@
 import { repeatWork, type ServiceId } from '@dandelionlane/core';
+import { logRoundFailure } from '@dandelionlane/telemetry';
 import type RequestServer from '../requests/RequestServer.js';
 import type EntryParts from './EntryParts.js';
 import type EntryRuntime from './EntryRuntime.js';
@@ -15,7 +16,7 @@
   const homeServices = (): readonly ServiceId[] => [...release.definitions()]
     .map(({ service }) => service)
     .filter((service) => group.isHome(service));
-  const failed = (cause: unknown): void => log.error('Round failed.', { detail: String(cause) });
+  const failed = logRoundFailure(log);
   const stops = [
     repeatWork(() => targets.readRows(homeServices()), pollPeriodMilliseconds, failed),
     repeatWork(() => targets.readReports(), reportPeriodMilliseconds, failed),
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -1,7 +1,7 @@
 import { ControllerId, repeatWork } from '@dandelionlane/core';
 import { GroupController } from '@dandelionlane/groups';
 import { LeaseKeeper } from '@dandelionlane/platform';
-import type { Log } from '@dandelionlane/telemetry';
+import { logRoundFailure, type Log } from '@dandelionlane/telemetry';
 import type EntryRuntime from './EntryRuntime.js';
 import type FleetView from './FleetView.js';
 import type HolderSign from './HolderSign.js';
@@ -96,9 +96,11 @@
     this.#beginning = setInterval(() => {
       if (this.leadership.mayContend) {
         clearInterval(this.#beginning);
-        this.#stopLease = repeatWork(() => this.#keepLease(), LEASE_PERIOD_MILLISECONDS, (cause) => {
-          this.#log.error('Round failed.', { detail: String(cause) });
-        });
+        this.#stopLease = repeatWork(
+          () => this.#keepLease(),
+          LEASE_PERIOD_MILLISECONDS,
+          logRoundFailure(this.#log),
+        );
       }
     }, ELIGIBILITY_PERIOD_MILLISECONDS);
   }
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -1,7 +1,7 @@
 import {
   isFarStronger, repeatWork, type AvailabilityZoneId, type Clock, type EntryId, type TableStore,
 } from '@dandelionlane/core';
-import type { Log } from '@dandelionlane/telemetry';
+import { logRoundFailure, type Log } from '@dandelionlane/telemetry';
 import EntryRecord from './EntryRecord.js';
 import type KnownEntry from './KnownEntry.js';
 import type SeenEntry from './SeenEntry.js';
@@ -69,9 +69,7 @@
   }
 
   start(): void {
-    this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS, (cause) => {
-      this.#options.log.error('Round failed.', { detail: String(cause) });
-    });
+    this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS, logRoundFailure(this.#options.log));
   }
 
   /** Ends the heartbeats and deletes the own row. */
