--- a/packages/gateway/src/lib/targets/ColdPacer.ts
+++ b/packages/gateway/src/lib/targets/ColdPacer.ts
@@ -50,8 +50,8 @@
       return sent < Math.max(1, Math.floor(share));
     }
     const period = WINDOW_MILLISECONDS / (share * RANDOM_TURNS_SHARE);
-    const isBegun = this.#turns !== null && this.#turns.until > now;
-    const nextAt = isBegun && this.#turns !== null ? this.#turns.nextAt : now + random.next() * period;
+    const begun = this.#turns !== null && this.#turns.until > now ? this.#turns : null;
+    const nextAt = begun?.nextAt ?? now + random.next() * period;
     this.#turns = { until: coldUntil, nextAt, period };
     return now >= nextAt;
   }
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -9,6 +9,7 @@
 import planFaults from './faults/planFaults.js';
 import type RequestKind from './journal/RequestKind.js';
 import findViolations from './journal/findViolations.js';
+import isServed from './journal/isServed.js';
 
 const GROUP_SIZE = 2;
 
@@ -28,9 +29,8 @@
   let missing = KINDS;
   while (missing.length > 0 && performance.now() - from < SERVED_MILLISECONDS) {
     await Promise.all(missing.map((kind) => caller.send(kind)));
-    const served = [...journal.requests.values()].filter(({ sentAt, outcome }) => (
-      sentAt >= from && outcome?.kind === 'answered' && outcome.status === 200 && outcome.whole
-    ));
+    const served = [...journal.requests.values()]
+      .filter((request) => request.sentAt >= from && isServed(request));
     missing = KINDS.filter((kind) => !served.some((request) => request.kind === kind));
     await sleep(POLL_MILLISECONDS);
   }
@@ -69,9 +69,7 @@
   return {
     seed: options.seed,
     requests: requests.length,
-    served: requests.filter(({ outcome }) => (
-      outcome?.kind === 'answered' && outcome.status === 200 && outcome.whole
-    )).length,
+    served: requests.filter(isServed).length,
     runs: journal.runs.length,
     faults,
     violations: findViolations(journal),
