--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -90,6 +90,7 @@
 
 test('bytes that are no message are an error', () => {
   expect(decodeFrame(EntryStatus, Buffer.from('no message')).isErr()).toBe(true);
+  expect(decodeFrame(EntryStatus, Buffer.from('\0no message')).isErr()).toBe(true);
   expect(decodeFrame(EntryStatus, Buffer.from([0, 0xc1])).isErr()).toBe(true);
   expect(decodeFrame(EntryStatus, Buffer.from([1, 2, 3])).isErr()).toBe(true);
   expect(decodeFrame(EntryStatus, Buffer.of()).isErr()).toBe(true);
