Save the groups of a large fleet in transactions that the store takes

Orders wait for the records, so none was sent.

Change: 50 records a transaction, as many transactions as it takes.

The new tests fail before (the store refuses the save) and pass now.

--- a/packages/groups/src/lib/control/GroupStore.ts
+++ b/packages/groups/src/lib/control/GroupStore.ts
@@ -7,8 +7,8 @@
 
 const TABLE = 'groups';
 
-/** Rows of one transaction (platform's limit). */
-const MAXIMUM_ROWS = 100;
+/** Records of one transaction: each takes a condition and a write of the 100 entries that the platform allows. */
+const MAXIMUM_RECORDS = 50;
 
 /** A record with the version of its row. A record of null is to be deleted. */
 interface HeldRecord {
@@ -72,11 +72,17 @@
   }
 
   /**
-   * Writes unsaved changes in one transaction. Errors: `lease-lost` when another process has
-   * written one of the records; those of the table service, when a later `save` tries again.
+   * Writes all unsaved changes, as many in a transaction as it may hold. Errors: `lease-lost` when
+   * another process has written one of the records; those of the table service, when a later `save`
+   * goes on with the rest.
    */
   async save(): Promise<Result<void, ServingError>> {
-    const unsaved = [...this.#records].filter(([, { saved }]) => !saved).slice(0, MAXIMUM_ROWS);
+    const saved = await this.#saveSome();
+    return saved.isErr() || this.saved ? saved : this.save();
+  }
+
+  async #saveSome(): Promise<Result<void, ServingError>> {
+    const unsaved = [...this.#records].filter(([, { saved }]) => !saved).slice(0, MAXIMUM_RECORDS);
     if (unsaved.length === 0) {
       return ok(undefined);
     }
--- /dev/null
+++ b/packages/groups/src/test/GroupStore.test.ts
@@ -0,0 +1,62 @@
+import { errAsync } from 'neverthrow';
+import { expect, test } from 'vitest';
+import {
+  Epoch, GroupName, MemoryTableStore, ModelName, ServiceId, ServingError, type TableTransaction,
+} from '@dandelionlane/core';
+import GroupStore from '../lib/control/GroupStore.js';
+import type GroupRecord from '../lib/plan/GroupRecord.js';
+
+const LOG = {
+  debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
+};
+
+/** Entries of one transaction that the platform's store takes. */
+const MAXIMUM_ENTRIES = 100;
+
+/** A store that refuses transactions with too many conditions and writes, as the platform's does. */
+class LimitedStore extends MemoryTableStore {
+  transactions = 0;
+
+  override commit(transaction: TableTransaction) {
+    this.transactions += 1;
+    return transaction.conditions.length + transaction.writes.length > MAXIMUM_ENTRIES
+      ? errAsync(new ServingError('too many entries', { kind: 'platform-answer-invalid' }))
+      : super.commit(transaction);
+  }
+}
+
+function recordOf(index: number): GroupRecord {
+  return {
+    name: GroupName.parse(`g${index}`),
+    service: ServiceId.parse('s'),
+    model: ModelName.parse('m'),
+    epoch: Epoch.parse(index + 1),
+    members: [{
+      id: `w${index}`, bornAt: 1, address: '127.0.0.1:1', zone: 'z', domain: null,
+    }] as unknown as GroupRecord['members'],
+    formerHeads: [],
+  };
+}
+
+test('the groups of a large fleet are saved in transactions that the store takes', async () => {
+  const rows = new LimitedStore();
+  const store = new GroupStore(rows, LOG);
+  store.change(Array.from({ length: 130 }, (_, index) => recordOf(index)), []);
+  expect((await store.save()).isOk()).toBe(true);
+  expect(store.saved).toBe(true);
+  expect(rows.transactions).toBe(3);
+  const next = new GroupStore(rows, LOG);
+  await next.load();
+  expect(next.records).toHaveLength(130);
+});
+
+test('records that could not be saved are saved later', async () => {
+  const rows = new LimitedStore();
+  const store = new GroupStore(rows, LOG);
+  store.change(Array.from({ length: 60 }, (_, index) => recordOf(index)), []);
+  rows.setFault('unavailable');
+  expect((await store.save()).isErr()).toBe(true);
+  rows.setFault('none');
+  expect((await store.save()).isOk()).toBe(true);
+  expect(store.saved).toBe(true);
+});
