Bound what the holder asks and orders in a round, and form groups of settled domains

Each entry also logged each of the 875 registrations: 171,550 of 178,000 lines.

Change: a round asks 20 workers and sends 40 orders at most, urgent ones first; above 250 workers the intervals grow with the fleet. Registrations are logged in one line a change.

The new test of that start found a second fault: the first workers to answer were all given to the model with the smallest groups (200 groups of 4, none of 16). Groups are formed in a domain once all of its workers have answered or fallen silent. It fails before with either change taken out.

--- a/packages/fleet/src/lib/feed/WorkerSink.ts
+++ b/packages/fleet/src/lib/feed/WorkerSink.ts
@@ -4,6 +4,9 @@
 import type FleetRows from './FleetRows.js';
 import type RowSink from './RowSink.js';
 
+/** Workers that one line names: a start registers hundreds at every entry. */
+const LOGGED_WORKERS = 5;
+
 /** Takes the registrations of workers. */
 export default class WorkerSink implements RowSink {
   readonly #rows: FleetRows;
@@ -26,7 +29,7 @@
   }
 
   reset(rows: readonly TableRow[]): void {
-    const present = new Set(rows.flatMap((row): WorkerId[] => this.#take(row) ?? []));
+    const present = this.#takeAll(rows);
     this.#table.all()
       .filter(({ worker }) => !present.has(worker.id))
       .forEach(({ worker }) => this.#table.remove(worker.id));
@@ -38,13 +41,27 @@
   }
 
   change(rows: readonly TableRow[]): void {
-    rows.forEach((row) => this.#take(row));
+    this.#takeAll(rows);
   }
 
   storeReturned(): void {
     this.#table.storeReturned();
   }
 
+  /** Takes rows in and returns the workers that they register. */
+  #takeAll(rows: readonly TableRow[]): ReadonlySet<WorkerId> {
+    const known = new Set(this.#table.all().map(({ worker }) => worker.id));
+    const present = new Set(rows.flatMap((row): WorkerId[] => this.#take(row) ?? []));
+    const registered = [...present].filter((id) => !known.has(id));
+    if (this.#loaded && registered.length > 0) {
+      this.#log.info('Workers registered.', {
+        count: registered.length,
+        workers: registered.slice(0, LOGGED_WORKERS).join(','),
+      });
+    }
+    return present;
+  }
+
   /** The worker that the row registers, in a list; null when it registers none. */
   #take(row: TableRow): [WorkerId] | null {
     const decoded = this.#rows.readWorkerRow(row);
@@ -68,9 +85,7 @@
 
   #note(id: WorkerId, draining: boolean): void {
     const known = this.#table.get(id);
-    if (known === undefined && this.#loaded) {
-      this.#log.info('Worker registered.', { worker: id });
-    } else if (known !== undefined && draining && !known.worker.draining) {
+    if (known !== undefined && draining && !known.worker.draining) {
       this.#log.info('Worker is leaving.', { worker: id });
     }
   }
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -26,6 +26,9 @@
 /** Pause after records could not be written or read, in ms: each call is priced. */
 const SAVE_PAUSE_MILLISECONDS = 300;
 
+/** Orders of one round: the first orders of a large fleet would otherwise hold the process up at once. */
+const ORDERS_PER_ROUND = 40;
+
 /** Time between two rounds above which what is known of the workers is out of date, in ms. */
 const STALE_ROUND_MILLISECONDS = 800;
 
@@ -246,11 +249,10 @@
     if (!this.#store.saved && this.#options.isStoreInTouch()) {
       return;
     }
-    steps.forEach((step) => {
-      if (step.kind === 'order') {
-        const expectedSequence = observation.workers.get(step.worker)?.report?.orderSequence ?? 0;
-        this.#send(step, { fencing: lease.fencing, expectedSequence });
-      }
+    // What is left out is planned again in the next round.
+    steps.filter((step) => step.kind === 'order').slice(0, ORDERS_PER_ROUND).forEach((step) => {
+      const expectedSequence = observation.workers.get(step.worker)?.report?.orderSequence ?? 0;
+      this.#send(step, { fencing: lease.fencing, expectedSequence });
     });
   }
 
--- a/packages/groups/src/lib/control/GroupStore.ts
+++ b/packages/groups/src/lib/control/GroupStore.ts
@@ -7,7 +7,7 @@
 
 const TABLE = 'groups';
 
-/** Records of one transaction: each takes a condition and a write of the 100 entries that the platform allows. */
+/** Records of one transaction: each is a condition and a write of the 100 that the platform allows. */
 const MAXIMUM_RECORDS = 50;
 
 /** A record with the version of its row. A record of null is to be deleted. */
--- a/packages/groups/src/lib/observation/FleetObservation.ts
+++ b/packages/groups/src/lib/observation/FleetObservation.ts
@@ -1,4 +1,4 @@
-import type { WorkerId } from '@dandelionlane/core';
+import type { GroupName, WorkerId } from '@dandelionlane/core';
 import type Liveness from './Liveness.js';
 import type MemberReference from '../plan/MemberReference.js';
 import assessLiveness from './assessLiveness.js';
@@ -11,11 +11,20 @@
   /** Time since the last worker was registered, in ms. */
   readonly steadyMilliseconds: number;
 
+  /** Made when first asked for. */
+  #byGroup: ReadonlyMap<GroupName, readonly ObservedWorker[]> | null = null;
+
   constructor(workers: ReadonlyMap<WorkerId, ObservedWorker>, steadyMilliseconds: number) {
     this.workers = workers;
     this.steadyMilliseconds = steadyMilliseconds;
   }
 
+  /** Workers that report to be in a group, in whichever formation of it. */
+  inGroup(name: GroupName): readonly ObservedWorker[] {
+    this.#byGroup ??= FleetObservation.#indexByGroup(this.workers);
+    return this.#byGroup.get(name) ?? [];
+  }
+
   /** The worker, if it is still in the life that the reference names. */
   find(reference: MemberReference): ObservedWorker | undefined {
     const observed = this.workers.get(reference.id);
@@ -38,6 +47,24 @@
     return assessLiveness(observed);
   }
 
+  static #indexByGroup(
+    workers: ReadonlyMap<WorkerId, ObservedWorker>,
+  ): ReadonlyMap<GroupName, readonly ObservedWorker[]> {
+    const byGroup = new Map<GroupName, ObservedWorker[]>();
+    workers.forEach((observed) => {
+      const name = observed.report?.group?.name;
+      if (name !== undefined) {
+        const members = byGroup.get(name);
+        if (members === undefined) {
+          byGroup.set(name, [observed]);
+        } else {
+          members.push(observed);
+        }
+      }
+    });
+    return byGroup;
+  }
+
   static #isOtherLife(reference: MemberReference, observed: ObservedWorker): boolean {
     const bornAt = observed.worker.bornAt ?? observed.report?.bornAt ?? null;
     return bornAt !== null && reference.bornAt !== null && bornAt > reference.bornAt;
--- a/packages/groups/src/lib/observation/Sighting.ts
+++ b/packages/groups/src/lib/observation/Sighting.ts
@@ -119,8 +119,18 @@
     return this.#worker.bornAt === bornAt && this.#worker.address === address;
   }
 
-  isDue(now: number): boolean {
-    return !this.asking && now - this.#askedAt >= this.#interval();
+  /**
+   * Time since it should have been asked, in ms; null while it is being asked or is not due.
+   * @param stretch Factor of the intervals at which workers are asked whose state is not in question.
+   */
+  overdueMilliseconds(now: number, stretch: number): number | null {
+    const overdue = now - this.#askedAt - this.#interval(stretch);
+    return this.asking || overdue < 0 ? null : overdue;
+  }
+
+  /** Whether its answer decides what becomes of a group now: it may stand still, or is in doubt. */
+  get isUrgent(): boolean {
+    return this.#expedited || (this.#misses > 0 && !this.isSilent);
   }
 
   /** Has it asked at the next round, unless it has just answered. */
@@ -230,7 +240,7 @@
   }
 
   /** Time between two questions, in ms: the more hangs on the answer, the shorter. */
-  #interval(): number {
+  #interval(stretch: number): number {
     if (this.isSilent) {
       return SILENT_INTERVAL_MILLISECONDS;
     }
@@ -241,6 +251,6 @@
     if (this.#order !== 'none' || group?.state === 'joining' || group?.state === 'closing') {
       return CHANGING_INTERVAL_MILLISECONDS;
     }
-    return group === null && !busy ? SPARE_INTERVAL_MILLISECONDS : MEMBER_INTERVAL_MILLISECONDS;
+    return stretch * (group === null && !busy ? SPARE_INTERVAL_MILLISECONDS : MEMBER_INTERVAL_MILLISECONDS);
   }
 }
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -7,6 +7,7 @@
 import type ObservedWorker from './ObservedWorker.js';
 import type ReportedGroup from './ReportedGroup.js';
 import Sighting from './Sighting.js';
+import chooseQuestions from './chooseQuestions.js';
 
 /** Time after which a question counts as unanswered, in ms: a report needs no place and takes about 2 ms. */
 const REPORT_TIMEOUT_MILLISECONDS = 250;
@@ -87,7 +88,7 @@
     const now = this.#now();
     const delayed = this.#lastRoundAt !== null && now - this.#lastRoundAt > LOOP_DELAY_MILLISECONDS;
     this.#lastRoundAt = now;
-    [...this.#sightings.values()].filter((sighting) => sighting.isDue(now))
+    chooseQuestions([...this.#sightings.values()], now)
       .forEach((sighting) => void this.#ask(sighting, now, delayed));
   }
 
--- a/packages/groups/src/lib/plan/WorkerPool.ts
+++ b/packages/groups/src/lib/plan/WorkerPool.ts
@@ -8,7 +8,7 @@
 
 /** Workers of one service that belong to no group and can be given to one. */
 export default class WorkerPool {
-  readonly #free: Set<ObservedWorker>;
+  readonly #free = new Map<FabricDomainId | null, Set<ObservedWorker>>();
 
   constructor(
     observation: FleetObservation,
@@ -18,22 +18,30 @@
     const taken = new Set(records.flatMap(({ members }) => members
       .filter((member) => observation.find(member) !== undefined)
       .map(({ id }) => id)));
-    this.#free = new Set(candidates
-      .map((id) => observation.workers.get(id))
+    candidates.map((id) => observation.workers.get(id))
       .filter((observed) => observed !== undefined)
       .filter((observed) => assessLiveness(observed) === 'alive' && !taken.has(observed.worker.id))
       .filter((observed) => observed.report?.group === null || isWarmingUp(observed))
-      .filter(({ report }) => report !== null && report.slowdown < STRAGGLER_SLOWDOWN));
+      .filter(({ report }) => report !== null && report.slowdown < STRAGGLER_SLOWDOWN)
+      .forEach((observed) => {
+        const free = this.#free.get(observed.worker.domain) ?? new Set();
+        this.#free.set(observed.worker.domain, free.add(observed));
+      });
   }
 
   /** Free workers of a domain. */
   inDomain(domain: FabricDomainId | null): readonly ObservedWorker[] {
-    return [...this.#free].filter(({ worker }) => worker.domain === domain);
+    return [...this.#free.get(domain) ?? []];
+  }
+
+  /** Number of free workers of a domain. */
+  countIn(domain: FabricDomainId | null): number {
+    return this.#free.get(domain)?.size ?? 0;
   }
 
   /** Domains that have free workers. */
   domains(): readonly (FabricDomainId | null)[] {
-    return [...new Set([...this.#free].map(({ worker }) => worker.domain))];
+    return [...this.#free].filter(([, { size }]) => size > 0).map(([domain]) => domain);
   }
 
   /** Takes workers of a domain out, those that have the model's weights first; null when too few are left. */
@@ -45,7 +53,7 @@
     const staged = workers.filter((observed) => WorkerPool.isStaged(observed, model));
     const others = workers.filter((observed) => !WorkerPool.isStaged(observed, model));
     const chosen = [...staged, ...others].slice(0, count);
-    chosen.forEach((observed) => this.#free.delete(observed));
+    chosen.forEach((observed) => this.#free.get(domain)?.delete(observed));
     return chosen;
   }
 
--- a/packages/groups/src/lib/plan/findHead.ts
+++ b/packages/groups/src/lib/plan/findHead.ts
@@ -8,10 +8,10 @@
   { name, epoch }: GroupMembership,
   observation: FleetObservation,
 ): ObservedWorker | undefined {
-  return [...observation.workers.values()].find((observed) => {
+  return observation.inGroup(name).find((observed) => {
     const group = observed.report?.group ?? null;
     const liveness = assessLiveness(observed);
-    return group !== null && group.rank === 0 && group.name === name && group.epoch === epoch
+    return group !== null && group.rank === 0 && group.epoch === epoch
       && (liveness === 'alive' || liveness === 'leaving');
   });
 }
--- a/packages/groups/src/lib/plan/findUnrecorded.ts
+++ b/packages/groups/src/lib/plan/findUnrecorded.ts
@@ -14,9 +14,9 @@
 ): readonly FormerHead[] {
   const known = new Set<number>([record.epoch, ...record.formerHeads.map(({ epoch }) => epoch)]);
   const found = new Map<number, FormerHead>();
-  observation.workers.forEach(({ report }) => {
+  observation.inGroup(record.name).forEach(({ report }) => {
     const group = report?.group ?? null;
-    if (group === null || group.name !== record.name || known.has(group.epoch)) {
+    if (group === null || known.has(group.epoch)) {
       return;
     }
     const head = findHead(group, observation);
--- a/packages/groups/src/lib/plan/planGroups.ts
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -4,6 +4,7 @@
 import type EpochSource from './EpochSource.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
+import assessLiveness from '../observation/assessLiveness.js';
 import isAbandoned from './isAbandoned.js';
 import planDissolution from './planDissolution.js';
 import planFormation from './planFormation.js';
@@ -31,15 +32,25 @@
   readonly candidates: readonly WorkerId[];
 }
 
-function countByDomain(
+/**
+ * Sizes of the domains whose workers have all answered or been found silent. In the others the
+ * first to answer would all go to the model with the smallest groups.
+ */
+function sizeSettledDomains(
   observation: FleetObservation,
   candidates: readonly WorkerId[],
 ): ReadonlyMap<FabricDomainId | null, number> {
   const sizes = new Map<FabricDomainId | null, number>();
+  const unsettled = new Set<FabricDomainId | null>();
   candidates.forEach((id) => {
-    const domain = observation.workers.get(id)?.worker.domain ?? null;
+    const observed = observation.workers.get(id);
+    const domain = observed?.worker.domain ?? null;
     sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
+    if (assessLiveness(observed) === 'unknown') {
+      unsettled.add(domain);
+    }
   });
+  unsettled.forEach((domain) => sizes.delete(domain));
   return sizes;
 }
 
@@ -70,7 +81,7 @@
   });
   // Groups that are formed while workers still register would be the small ones.
   const created = observation.steadyMilliseconds < SETTLE_MILLISECONDS ? [] : planNewGroups({
-    service, engine, records, pool, epochs, domainSizes: countByDomain(observation, candidates),
+    service, engine, records, pool, epochs, domainSizes: sizeSettledDomains(observation, candidates),
   });
   const all = [...records, ...created.flatMap((step) => (step.kind === 'write' ? [step.record] : []))];
   const staging = pool.domains().flatMap((domain) => planStaging(domain, all, pool, epochs));
--- a/packages/groups/src/lib/plan/planNewGroups.ts
+++ b/packages/groups/src/lib/plan/planNewGroups.ts
@@ -16,7 +16,7 @@
   readonly records: readonly GroupRecord[];
   readonly pool: WorkerPool;
   readonly epochs: EpochSource;
-  /** Workers in each domain, in groups or free. */
+  /** Workers in each domain, in groups or free. New groups are formed in these domains only. */
   readonly domainSizes: ReadonlyMap<FabricDomainId | null, number>;
 }
 
@@ -49,10 +49,11 @@
   const steps: GroupStep[] = [];
   const placeOne = (): boolean => bySupply(engine.models, counts).some((model) => (
     [...pool.domains()]
-      .sort((left, right) => pool.inDomain(left).length - pool.inDomain(right).length)
+      .sort((left, right) => pool.countIn(left) - pool.countIn(right))
       .some((domain) => {
-        const reserve = Math.floor((domainSizes.get(domain) ?? 0) / WORKERS_PER_SPARE);
-        if (pool.inDomain(domain).length < model.groupSize + reserve) {
+        const size = domainSizes.get(domain);
+        const reserve = Math.floor((size ?? 0) / WORKERS_PER_SPARE);
+        if (size === undefined || pool.countIn(domain) < model.groupSize + reserve) {
           return false;
         }
         const workers = pool.take(domain, model.name, model.groupSize);
