Remember which workers withdrew, whichever process leads next

Cause: after an outage of the store, members of groups without a registration count as registered for 2.2 s, since registrations that lapsed return.

Change: the worker table keeps the lives whose registration ended for good: by a notice, while the store was steady, or by not returning in time. Such a life is neither held by a holder nor taken back by an entry, and the first message of a link tells the others. After a restart of all processes nobody knows; then no machine has been up for the stable window yet.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -207,7 +207,9 @@
 
   #lead(leadingSince: number): void {
     const {
-      settings, registry, view: { workerRows, workerFollower, operatorFollower },
+      settings, registry, view: {
+        workers, workerRows, workerFollower, operatorFollower,
+      },
       control: { controller, lease }, quietLimit,
     } = this.#options;
     const others = this.#server.statuses()
@@ -248,13 +250,16 @@
         group,
         model,
       })),
+      withdrawn: [],
       rows: [...workerRows.takeChanges()],
       whole: false,
       returned: workerRows.takeReturned(),
       version: workerRows.version,
     };
     this.#toldEntries = told;
-    this.#server.broadcast(state, () => ({ rows: [...workerRows.all()], entries }));
+    this.#server.broadcast(state, () => ({
+      rows: [...workerRows.all()], entries, withdrawn: [...workers.withdrawn()],
+    }));
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
     applyShared(state, this.#options);
@@ -262,7 +267,11 @@
   }
 
   #takeState(state: FleetState): void {
-    const { view: { workerRows, workerFollower, operatorFollower }, control } = this.#options;
+    const {
+      view: {
+        workers, workerRows, workerFollower, operatorFollower,
+      }, control,
+    } = this.#options;
     this.#linkedHolder = { entry: state.holder, renewing: state.lease !== null };
     if (state.lease !== null) {
       control.lease.announced(state.lease);
@@ -272,6 +281,7 @@
     }
     if (state.whole) {
       workerRows.reset(state.rows.filter(({ value }) => value !== null), state.version);
+      workers.noteWithdrawn(state.withdrawn);
     } else {
       workerRows.change(state.rows);
     }
--- a/packages/fleet/src/lib/workers/WorkerTable.ts
+++ b/packages/fleet/src/lib/workers/WorkerTable.ts
@@ -2,8 +2,10 @@
   Clock, ModelName, ServiceId, WorkerId,
 } from '@dandelionlane/core';
 import type GroupMembership from './GroupMembership.js';
+import Withdrawals from './Withdrawals.js';
 import type Worker from './Worker.js';
 import type WorkerEntry from './WorkerEntry.js';
+import type WorkerLife from './WorkerLife.js';
 
 /**
  * After an outage of the store, registrations that lapsed meanwhile return within about two
@@ -19,6 +21,8 @@
 
   readonly #byService = new Map<ServiceId, Map<WorkerId, WorkerEntry>>();
 
+  readonly #withdrawals = new Withdrawals();
+
   readonly #listeners: ((worker: WorkerId) => void)[] = [];
 
   #storeReturnedAt = Number.NEGATIVE_INFINITY;
@@ -55,6 +59,7 @@
   }
 
   put(worker: Worker): void {
+    this.#withdrawals.forget(worker.id);
     const coldUntil = this.#clock.monotonicMilliseconds() + worker.coldMilliseconds;
     const previous = this.#entries.get(worker.id);
     if (previous !== undefined && previous.worker.service !== worker.service) {
@@ -73,12 +78,27 @@
     }
   }
 
+  /** Whether this life of a worker has withdrawn its registration, so that it does not return. */
+  isWithdrawn(life: WorkerLife): boolean {
+    return this.#withdrawals.has(life);
+  }
+
+  /** Lives of workers that have withdrawn, for processes that have not seen it. */
+  withdrawn(): readonly WorkerLife[] {
+    return this.#withdrawals.all();
+  }
+
+  /** Takes over what another process knows of withdrawals. */
+  noteWithdrawn(lives: readonly WorkerLife[]): void {
+    lives.filter(({ id }) => !this.#entries.has(id)).forEach((life) => this.#withdrawals.note(life));
+  }
+
   /**
    * Takes in a worker that answers the holder of the lease and whose registration is missing here. It
-   * counts only while registrations may be missing that return.
+   * counts only while registrations may be missing that return, and not after it has withdrawn.
    */
   putUnregistered(worker: Worker, group: GroupMembership | null, model: ModelName | null): void {
-    if (this.isUnsteady && !this.#entries.has(worker.id)) {
+    if (this.isUnsteady && !this.#entries.has(worker.id) && !this.isWithdrawn(worker)) {
       const now = this.#clock.monotonicMilliseconds();
       this.#set({
         worker, group, models: model === null ? [] : [model], coldUntil: now, lapsedAt: now,
@@ -115,6 +135,7 @@
   }
 
   #drop(entry: WorkerEntry): void {
+    this.#withdrawals.note(entry.worker);
     this.#entries.delete(entry.worker.id);
     this.#byService.get(entry.worker.service)?.delete(entry.worker.id);
     this.#listeners.forEach((listener) => listener(entry.worker.id));
--- a/packages/fleet/src/test/WorkerTable.test.ts
+++ b/packages/fleet/src/test/WorkerTable.test.ts
@@ -46,3 +46,60 @@
   table.putUnregistered(WORKER, GROUP, MODEL);
   expect(table.ofService(SERVICE)).toEqual([]);
 });
+
+test('a worker that has withdrawn does not return with the store', () => {
+  const clock = new ManualClock(50_000);
+  const table = new WorkerTable(clock);
+  table.put({ ...WORKER, draining: true, group: GROUP });
+  table.remove(WORKER.id);
+  table.storeReturned();
+  table.putUnregistered(WORKER, GROUP, MODEL);
+  expect(table.ofService(SERVICE)).toEqual([]);
+  expect(table.isWithdrawn(WORKER)).toBe(true);
+});
+
+test('a worker that left without notice does not return with the store', () => {
+  const table = new WorkerTable(new ManualClock(50_000));
+  table.put(WORKER);
+  table.remove(WORKER.id);
+  table.storeReturned();
+  table.putUnregistered(WORKER, GROUP, MODEL);
+  expect(table.ofService(SERVICE)).toEqual([]);
+});
+
+test('a registration that lapsed with the store away is no withdrawal', () => {
+  const table = new WorkerTable(new ManualClock(50_000));
+  table.put(WORKER);
+  table.storeReturned();
+  table.remove(WORKER.id);
+  expect(table.isWithdrawn(WORKER)).toBe(false);
+});
+
+test('a process learns of withdrawals that it has not seen', () => {
+  const clock = new ManualClock(50_000);
+  const [holder, entry] = [new WorkerTable(clock), new WorkerTable(clock)];
+  holder.put(WORKER);
+  holder.remove(WORKER.id);
+  entry.noteWithdrawn(holder.withdrawn());
+  entry.storeReturned();
+  entry.putUnregistered(WORKER, GROUP, MODEL);
+  expect(entry.ofService(SERVICE)).toEqual([]);
+});
+
+test('a worker that registers again after a withdrawal counts', () => {
+  const table = new WorkerTable(new ManualClock(50_000));
+  table.put(WORKER);
+  table.remove(WORKER.id);
+  table.put(WORKER);
+  expect(table.isWithdrawn(WORKER)).toBe(false);
+  expect(table.isWithdrawn({ ...WORKER, bornAt: 2 })).toBe(false);
+});
+
+test('a later life is not taken for one that withdrew', () => {
+  const table = new WorkerTable(new ManualClock(50_000));
+  table.put(WORKER);
+  table.remove(WORKER.id);
+  table.storeReturned();
+  table.putUnregistered({ ...WORKER, bornAt: 2 }, GROUP, MODEL);
+  expect(table.ofService(SERVICE)).toHaveLength(1);
+});
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -2,8 +2,8 @@
   Clock, FencingNumber, ModelName, ServiceId, TableStore,
 } from '@dandelionlane/core';
 import {
-  toUnregisteredWorker, type ConfigurationHolder, type EngineProfile, type OrderStamp, type WorkerPort,
-  type WorkerTable,
+  toUnregisteredWorker, type ConfigurationHolder, type EngineProfile, type OrderStamp, type Worker,
+  type WorkerPort, type WorkerTable,
 } from '@dandelionlane/fleet';
 import type { HeldLease } from '@dandelionlane/platform';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
@@ -189,14 +189,17 @@
 
   #follow(): void {
     const { workers } = this.#options;
-    const { isUnsteady } = workers;
     const registered = this.#engines()
       .flatMap(([service]) => workers.ofService(service).map(({ worker }) => worker));
     const unregistered = this.#store.records.flatMap(({ service, members, formerHeads }) => (
       [...members, ...formerHeads.map(({ head }) => head)]
-        .map((reference) => ({ ...toUnregisteredWorker({ ...reference, service }), draining: !isUnsteady }))
+        .map((reference) => toUnregisteredWorker({ ...reference, service }))
     ));
-    this.#observer.follow(registered, unregistered, isUnsteady);
+    const mayReturn = (worker: Worker) => workers.isUnsteady && !workers.isWithdrawn(worker);
+    this.#observer.follow(registered, {
+      lapsed: unregistered.filter(mayReturn),
+      gone: unregistered.filter((worker) => !mayReturn(worker)),
+    });
   }
 
   #resignIfCutOff(): boolean {
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -30,6 +30,14 @@
   readonly reportLagMilliseconds: () => number;
 }
 
+/** Members of groups that have no registration. */
+interface UnregisteredMembers {
+  readonly lapsed: readonly Worker[];
+  readonly gone: readonly Worker[];
+}
+
+const NO_MEMBERS: UnregisteredMembers = { lapsed: [], gone: [] };
+
 /** Addresses are used again: an answer may come from another life than the registered one. */
 function isOtherLife(worker: Worker, report: WorkerReport): boolean {
   return worker.bornAt !== null && report.bornAt !== null && worker.bornAt !== report.bornAt;
@@ -51,21 +59,23 @@
   }
 
   /**
-   * Sets which workers are observed: the registered ones, and members whose registration is gone.
-   * @param isUnsteady Whether registrations may be missing that return: they count until then.
+   * Sets which workers are observed: the registered ones, and members without a registration. One
+   * that has lapsed may return and counts until then; one that is gone does not.
    */
-  follow(registered: readonly Worker[], unregistered: readonly Worker[], isUnsteady = false): void {
+  follow(registered: readonly Worker[], { lapsed, gone }: UnregisteredMembers = NO_MEMBERS): void {
     const now = this.#now();
     const wanted = new Set<WorkerId>();
     registered.forEach((worker) => {
       wanted.add(worker.id);
       this.#note(worker, true, now);
     });
-    unregistered.filter(({ id }) => !wanted.has(id)).forEach((worker) => {
+    const noteMember = (worker: Worker, isRegistered: boolean) => {
       wanted.add(worker.id);
-      const known = this.#sightings.get(worker.id)?.worker;
-      this.#note(known === undefined ? worker : { ...known, draining: worker.draining }, isUnsteady, now);
-    });
+      const known = this.#sightings.get(worker.id)?.worker ?? worker;
+      this.#note({ ...known, draining: !isRegistered }, isRegistered, now);
+    };
+    lapsed.filter(({ id }) => !wanted.has(id)).forEach((worker) => noteMember(worker, true));
+    gone.filter(({ id }) => !wanted.has(id)).forEach((worker) => noteMember(worker, false));
     [...this.#sightings.keys()].filter((id) => !wanted.has(id)).forEach((id) => this.#sightings.delete(id));
   }
 
--- /dev/null
+++ b/packages/groups/src/test/ControlledFleet.ts
@@ -0,0 +1,150 @@
+import { okAsync } from 'neverthrow';
+import { vi } from 'vitest';
+import {
+  FencingNumber, ManualClock, MemoryTableStore, ModelName, RowVersion, type FabricDomainId, type WorkerId,
+} from '@dandelionlane/core';
+import { ConfigurationHolder, WorkerTable, type WorkerPort } from '@dandelionlane/fleet';
+import { GroupWorker } from '@dandelionlane/standin';
+import GroupController from '../lib/control/GroupController.js';
+
+/** Period of the control loop, in ms. */
+const PERIOD_MILLISECONDS = 40;
+
+const LOG = {
+  debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
+};
+const METRICS = {
+  count: () => undefined, gauge: () => undefined, timing: () => undefined, close: () => Promise.resolve(),
+};
+
+function configure(): ConfigurationHolder {
+  const configuration = new ConfigurationHolder();
+  const { service } = new GroupWorker('any', 1).worker();
+  configuration.accept({
+    version: 1,
+    routes: [],
+    teams: [],
+    limits: {
+      maximumHeadBytes: 1, maximumBodyBytes: 1, headMilliseconds: 1, idleMilliseconds: 1,
+    },
+    services: new Map([[service, {
+      id: service,
+      maximumConnections: 10,
+      coldRequestsPerSecond: 0,
+      engine: {
+        slots: 9,
+        models: [
+          {
+            name: ModelName.parse('large'), groupSize: 16, pace: 1, workShare: 0.5,
+          },
+          {
+            name: ModelName.parse('small'), groupSize: 4, pace: 0.6, workShare: 0.5,
+          },
+        ],
+        loadsPerSecond: 100,
+        promptTokensPerSecond: 1,
+        stepMilliseconds: 1,
+        stepMillisecondsPerRequest: 0,
+        stepsPerPass: 1,
+        reportLagMilliseconds: 0,
+      },
+    }]]),
+  } as unknown as Parameters<ConfigurationHolder['accept']>[0]);
+  return configuration;
+}
+
+/** A holder of the lease before stand-in workers, round by round. Fake timers must be in use. */
+export default class ControlledFleet {
+  readonly clock = new ManualClock(50_000);
+
+  readonly workers = new WorkerTable(this.clock);
+
+  readonly fleet = new Map<WorkerId, GroupWorker>();
+
+  /** Calls to workers since the last round began. */
+  calls = 0;
+
+  readonly #rows = new MemoryTableStore();
+
+  #controller = this.#createController(1);
+
+  /** Registers a new worker in a domain. */
+  add(id: string, domain: FabricDomainId): GroupWorker {
+    const worker = new GroupWorker(id, 1);
+    this.fleet.set(worker.id, worker);
+    this.register(worker, domain);
+    return worker;
+  }
+
+  register(worker: GroupWorker, domain: FabricDomainId): void {
+    this.workers.put({ ...worker.worker(), domain, address: `127.0.0.1:${this.fleet.size}` });
+  }
+
+  /** Another holder follows, with what the store has. */
+  takeOver(fencing: number): void {
+    this.#controller.stop();
+    this.#controller = this.#createController(fencing);
+    this.#controller.start();
+  }
+
+  start(): void {
+    this.#controller.start();
+  }
+
+  stop(): void {
+    this.#controller.stop();
+  }
+
+  async round(): Promise<void> {
+    this.calls = 0;
+    this.clock.advance(PERIOD_MILLISECONDS);
+    await vi.advanceTimersByTimeAsync(PERIOD_MILLISECONDS);
+  }
+
+  /** Sizes of the groups that serve. */
+  servingSizes(): readonly number[] {
+    return [...this.fleet.values()].filter(({ isServing }) => isServing).map(({ members }) => members.length);
+  }
+
+  #createController(fencing: number): GroupController {
+    const port: WorkerPort = {
+      report: ({ id, domain }) => {
+        this.calls += 1;
+        const worker = this.#answering(id);
+        worker.settle();
+        return okAsync({ ...worker.report(), domain });
+      },
+      order: ({ id }, order, stamp) => {
+        this.calls += 1;
+        return okAsync(this.#answering(id).take(order, stamp));
+      },
+    };
+    const lease = {
+      fencing: FencingNumber.parse(fencing),
+      version: RowVersion.parse(1),
+      actUntilMilliseconds: Number.POSITIVE_INFINITY,
+    };
+    return new GroupController({
+      store: this.#rows,
+      port,
+      workers: this.workers,
+      configuration: configure(),
+      lease: () => lease,
+      isLeaseHeld: () => true,
+      isStoreInTouch: () => true,
+      resign: () => undefined,
+      clock: this.clock,
+      log: LOG,
+      metrics: METRICS,
+      isBootstrapping: () => true,
+    });
+  }
+
+  #answering(id: WorkerId): GroupWorker {
+    const worker = this.fleet.get(id);
+    if (worker === undefined) {
+      throw new RangeError(`no worker ${id}`);
+    }
+    return worker;
+  }
+}
--- a/packages/groups/src/test/WorkerObserver.test.ts
+++ b/packages/groups/src/test/WorkerObserver.test.ts
@@ -23,7 +23,7 @@
     port, clock, log: LOG, reportLagMilliseconds: () => lag,
   });
   const round = async () => {
-    observer.follow([worker], []);
+    observer.follow([worker]);
     observer.round();
     await new Promise((resolve) => {
       setImmediate(resolve);
@@ -89,7 +89,7 @@
   await round();
   observer.groupAccepted(worker.id, null, null);
   const registered = { ...worker.worker(), group: { ...MEMBERSHIP, state: 'open' as const } };
-  observer.follow([registered], []);
+  observer.follow([registered]);
   expect(observer.observation().workers.get(worker.id)?.report?.group).toBeNull();
 });
 
@@ -118,8 +118,8 @@
   const { observer, round } = await observe(worker.worker(), () => worker.report());
   await round();
   const reference = (draining: boolean) => ({ ...worker.worker(), draining });
-  observer.follow([], [reference(false)], true);
+  observer.follow([], { lapsed: [reference(false)], gone: [] });
   expect(assessLiveness(observer.observation().workers.get(worker.id))).toBe('alive');
-  observer.follow([], [reference(true)], false);
+  observer.follow([], { lapsed: [], gone: [reference(true)] });
   expect(assessLiveness(observer.observation().workers.get(worker.id))).toBe('leaving');
 });
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -40,6 +40,8 @@
       state: z.enum(['joining', 'ready', 'open', 'closing', 'broken']),
     }).nullable(),
   })),
+  /** Lives of workers that have withdrawn, with `whole` only: rows do not tell them from lapsed ones. */
+  withdrawn: z.array(z.object({ id: WorkerId, bornAt: z.number().nullable() })),
   /** Registrations that changed. With `whole`, which begins each link, all registrations. */
   rows: z.array(TableRow),
   whole: z.boolean(),
--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -72,7 +72,7 @@
    * Sends the state to all links. A new link gets all of it in place of the changes.
    * @param unchanged What the state leaves out as unchanged. Called once at most, for new links.
    */
-  broadcast(state: FleetState, unchanged: () => Pick<FleetState, 'rows' | 'entries'>): void {
+  broadcast(state: FleetState, unchanged: () => Pick<FleetState, 'rows' | 'entries' | 'withdrawn'>): void {
     const frame = encodeFrame(this.#packr, state);
     let wholeFrame: Buffer | null = null;
     this.#links.forEach((link) => {
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -55,6 +55,7 @@
   loads: [],
   stalled: [],
   groups: [],
+  withdrawn: [],
   rows: [],
   whole: false,
   returned: false,
@@ -133,7 +134,7 @@
   const row = {
     table: 't', key: 'k', version: RowVersion.parse(1), value: { a: 1 },
   };
-  const unchanged = () => ({ rows: [row], entries: [KNOWN] });
+  const unchanged = () => ({ rows: [row], entries: [KNOWN], withdrawn: [] });
   server.broadcast(STATE, unchanged);
   server.broadcast(STATE, unchanged);
   await vi.waitFor(() => expect(states).toHaveLength(2));
