--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,9 +39,9 @@
     },
   },
   {
-    files: ['platform/build/**'],
+    files: ['platform/build/**', 'packages/launcher/src/*.js'],
     rules: {
-      // Steps of the build run one after the other, and the rule needs types that scripts do not have.
+      // Steps of a script run one after the other, and the rule needs types that scripts do not have.
       'n/no-sync': 'off',
       // The starter of a CommonJS bundle is CommonJS itself.
       '@typescript-eslint/no-require-imports': 'off',
