--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,7 +39,7 @@
     },
   },
   {
-    files: ['platform/build/**', 'packages/launcher/src/*.js'],
+    files: ['.ci/**', 'platform/build/**', 'packages/launcher/src/*.js'],
     rules: {
       // Steps of a script run one after the other, and the rule needs types that scripts do not have.
       'n/no-sync': 'off',
