--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -4,7 +4,7 @@
 import { quietLimitMilliseconds } from '@dandelionlane/fleet';
 import {
   CallerPatience, EntryRegistry, ModelTimings, RepeatBudget, RequestServer, StallDetector, TargetConnections,
-  TargetAbsence, TargetStates, WaitingRoom,
+  TargetStates, WaitingRoom,
   createDirectoryApplication, createMetricsApplication, createReadinessApplication,
 } from '@dandelionlane/gateway';
 import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
@@ -97,7 +97,6 @@
     timings: new ModelTimings(),
     patience: new CallerPatience(clock),
     waitingRoom: new WaitingRoom(clock),
-    absence: new TargetAbsence(clock),
     closedZones: () => view.operatorSink.closedZones,
     countEntries: () => registry.count(),
     clock,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,7 +9,6 @@
 export { default as CallerPatience } from './lib/requests/CallerPatience.js';
 export { type default as GatewayParts } from './lib/requests/GatewayParts.js';
 export { default as RequestServer } from './lib/requests/RequestServer.js';
-export { default as TargetAbsence } from './lib/requests/TargetAbsence.js';
 export { default as WaitingRoom } from './lib/requests/WaitingRoom.js';
 export { default as StallDetector } from './lib/targets/StallDetector.js';
 export { default as TargetConnections } from './lib/targets/TargetConnections.js';
--- a/packages/gateway/src/lib/choice/Choice.ts
+++ b/packages/gateway/src/lib/choice/Choice.ts
@@ -11,6 +11,6 @@
   readonly prediction: Prediction | null;
   readonly candidates: number;
 }
-  | { readonly kind: 'none'; readonly reason: 'no-target' | 'absent' | 'all-suspected' | 'all-full' | 'all-cold' };
+  | { readonly kind: 'none'; readonly reason: 'no-target' | 'all-suspected' | 'all-full' | 'all-cold' };
 
 export default Choice;
--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -88,29 +88,19 @@
 
   /** Chooses a target, and waits for one where none is free. */
   async #choose(signal: AbortSignal): Promise<Choice> {
-    const { clock, waitingRoom, absence } = this.#parts;
-    const {
-      said, service, receivedAt, onTimeUntil, deadlineAt, log,
-    } = this.#call;
-    const queue = `${service}/${said.model ?? ''}`;
-    const choose = () => {
-      const made = pickTarget(this.#parts, this.#call, this.#excluded, this.#goesOn);
-      if (this.#excluded.size === 0) {
-        absence.note(queue, made.kind === 'chosen' || made.reason !== 'no-target');
-      }
-      return made;
-    };
+    const choose = () => pickTarget(this.#parts, this.#call, this.#excluded, this.#goesOn);
     const choice = choose();
     if (choice.kind === 'chosen') {
       return choice;
     }
-    if (!this.#hasBegun() && absence.isLasting(queue)) {
-      return { kind: 'none', reason: 'absent' };
-    }
+    const { clock, waitingRoom } = this.#parts;
+    const {
+      said, service, receivedAt, onTimeUntil, deadlineAt, log,
+    } = this.#call;
     const startedAt = clock.monotonicMilliseconds();
     const until = (this.#hasBegun() ? startedAt : receivedAt) + MAXIMUM_WAIT_MILLISECONDS;
     const found = await waitingRoom.wait({
-      queue,
+      queue: `${service}/${said.model ?? ''}`,
       // A stream that has begun comes before late ones, and after those that can still be on time.
       onTimeUntil: this.#hasBegun() ? until : onTimeUntil,
       until: Math.min(deadlineAt, until),
--- a/packages/gateway/src/lib/requests/GatewayParts.ts
+++ b/packages/gateway/src/lib/requests/GatewayParts.ts
@@ -9,7 +9,6 @@
 import type TargetStates from '../targets/TargetStates.js';
 import type GatewayWire from '../wire/GatewayWire.js';
 import type CallerPatience from './CallerPatience.js';
-import type TargetAbsence from './TargetAbsence.js';
 import type WaitingRoom from './WaitingRoom.js';
 
 /** What all requests share. */
@@ -24,7 +23,6 @@
   readonly timings: ModelTimings;
   readonly patience: CallerPatience;
   readonly waitingRoom: WaitingRoom;
-  readonly absence: TargetAbsence;
   /** Zones that are out of service now. */
   readonly closedZones: () => ReadonlySet<AvailabilityZoneId>;
   /** Live entries, this one included. */
--- a/packages/gateway/src/lib/requests/refuseChoice.ts
+++ b/packages/gateway/src/lib/requests/refuseChoice.ts
@@ -7,12 +7,6 @@
 /** When a group that is being formed anew is likely to serve, in seconds. */
 const GROUP_RETRY_SECONDS = 0.8;
 
-/**
- * When callers of a model without any group had better return, in seconds. Loads of weights take
- * longer, but callers wait for a third of their time at most, which is 2 to 3 s.
- */
-const LOAD_RETRY_SECONDS = 2.5;
-
 /** The refusal for a choice that found no target. The request has not run. */
 export default function refuseChoice(choice: Extract<Choice, { kind: 'none' }>): ServingError {
   switch (choice.reason) {
@@ -21,10 +15,6 @@
       return new ServingError(`no target: ${choice.reason}`, {
         kind: 'no-whole-replica', retryAfterSeconds: GROUP_RETRY_SECONDS,
       });
-    case 'absent':
-      return new ServingError('no target: weights are being loaded', {
-        kind: 'no-whole-replica', retryAfterSeconds: LOAD_RETRY_SECONDS,
-      });
     case 'all-full':
     case 'all-cold':
       return new ServingError(`no target: ${choice.reason}`, {
--- a/packages/gateway/src/test/StreamCourse.test.ts
+++ b/packages/gateway/src/test/StreamCourse.test.ts
@@ -153,11 +153,3 @@
   gateway.leave(60_000, 1_000);
   expect((await gateway.call()).status).toBe(200);
 });
-
-test('a stream for a model that stays without a group is refused at once', async () => {
-  gateway = await TestGateway.start(RESUMABLE, []);
-  const waited = await gateway.call();
-  const refused = await gateway.call();
-  expect([waited.status, waited.retryAfter]).toEqual([503, '0.8']);
-  expect([refused.status, refused.retryAfter]).toEqual([503, '2.5']);
-});
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -15,7 +15,6 @@
 import RepeatBudget from '../lib/choice/RepeatBudget.js';
 import CallerPatience from '../lib/requests/CallerPatience.js';
 import RequestServer from '../lib/requests/RequestServer.js';
-import TargetAbsence from '../lib/requests/TargetAbsence.js';
 import WaitingRoom from '../lib/requests/WaitingRoom.js';
 import TargetConnections from '../lib/targets/TargetConnections.js';
 import TargetStates from '../lib/targets/TargetStates.js';
@@ -170,7 +169,6 @@
       timings: new ModelTimings(),
       patience: new CallerPatience(this.#clock),
       waitingRoom: new WaitingRoom(this.#clock),
-      absence: new TargetAbsence(this.#clock),
       closedZones: () => new Set(),
       countEntries: () => 1,
       clock: this.#clock,
