Take no member for lost because its process was busy; count only reports asked for after the check began

The stand-in now counts only time in which its process ran; a member that never answers is lost as before.

Ruled out as the cause, but a gap of the entry's own check: a report that was asked for before a check began and came late counted for it, so a member that ended in between passed. AnswerChecker counts reports by when they were asked for.

--- a/packages/entry/src/lib/dispatch/AnswerChecker.ts
+++ b/packages/entry/src/lib/dispatch/AnswerChecker.ts
@@ -82,6 +82,6 @@
     this.#rounds.delete(slot);
     const askedAt = this.#clock.monotonicMilliseconds();
     await Promise.all(members.map((member) => this.#table.ask(member)));
-    return this.#table.sightingsOf(members).filter(({ seenAtMilliseconds }) => seenAtMilliseconds >= askedAt);
+    return this.#table.sightingsSince(members, askedAt);
   }
 }
--- a/packages/entry/src/lib/targets/TargetTable.ts
+++ b/packages/entry/src/lib/targets/TargetTable.ts
@@ -119,6 +119,16 @@
       .filter((sighting) => sighting !== undefined);
   }
 
+  /**
+   * Sightings whose questions went out at this monotonic time or later. When an answer came says
+   * nothing: it may have been made before that time and have been late.
+   */
+  sightingsSince(members: readonly ReplicaMember[], monotonicMilliseconds: number): readonly VMSighting[] {
+    return this.sightingsOf(members.filter(({ vm }) => (
+      (this.#sightingAskedAt.get(vm) ?? -Infinity) >= monotonicMilliseconds
+    )));
+  }
+
   #askedAtOf(members: readonly ReplicaMember[]): number {
     return Math.min(...members.map(({ vm }) => this.#sightingAskedAt.get(vm) ?? -Infinity));
   }
--- a/packages/standin/src/lib/engine/probeMember.ts
+++ b/packages/standin/src/lib/engine/probeMember.ts
@@ -1,16 +1,19 @@
 import { request, type Dispatcher } from 'undici';
 import MemberReport from './MemberReport.js';
+import timeoutOfRunningTime from './timeoutOfRunningTime.js';
 
 async function fetchReport(
   address: string,
   timeoutMilliseconds: number,
   dispatcher: Dispatcher,
 ): Promise<unknown> {
-  const answer = await request(`http://${address}/v1/report`, {
-    dispatcher,
-    signal: AbortSignal.timeout(timeoutMilliseconds),
-  });
-  return answer.body.json();
+  const timeout = timeoutOfRunningTime(timeoutMilliseconds);
+  try {
+    const answer = await request(`http://${address}/v1/report`, { dispatcher, signal: timeout.signal });
+    return await answer.body.json();
+  } finally {
+    timeout.clear();
+  }
 }
 
 /** The report of another member; undefined when it does not answer in time. */
