--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -2,7 +2,7 @@
   Clock, EntryId, RandomSource, WorkerId,
 } from '@dandelionlane/core';
 import type {
-  EntryRegistry, KnownEntry, RepeatBudget, TargetStates,
+  EntryRegistry, KnownEntry, RepeatBudget, TargetStates, WaitingRoom,
 } from '@dandelionlane/gateway';
 import {
   LinkClient, LinkServer, findStalled, isOvertaxed, othersReachStore, sumLoads, sumRequests, type EntryStatus,
@@ -15,6 +15,7 @@
 import HolderSearch from './HolderSearch.js';
 import type HolderSign from './HolderSign.js';
 import applyShared from './applyShared.js';
+import measureDemand from './measureDemand.js';
 import readOwnStatus from './readOwnStatus.js';
 
 /** Time between two messages on a link, in ms. */
@@ -42,6 +43,7 @@
   readonly registry: EntryRegistry;
   readonly states: TargetStates;
   readonly budget: RepeatBudget;
+  readonly waitingRoom: WaitingRoom;
   readonly view: FleetView;
   readonly control: GroupControl;
   readonly isReady: () => boolean;
@@ -264,10 +266,20 @@
     }));
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
+    this.#noteDemand(state.loads, statuses.flatMap(({ status }) => status.waiting));
     applyShared(state, this.#options);
     this.#handOver(leadingSince, others);
   }
 
+  #noteDemand(loads: FleetState['loads'], waiting: EntryStatus['waiting']): void {
+    const { control, view: { configuration: { table }, workers, operatorSink } } = this.#options;
+    if (table !== null) {
+      control.controller.noteDemand(measureDemand({
+        configuration: table.configuration, workers, closedZones: operatorSink.closedZones, loads, waiting,
+      }));
+    }
+  }
+
   #takeState(state: FleetState): void {
     const {
       view: {
--- a/packages/fleet-entry/src/lib/readOwnStatus.ts
+++ b/packages/fleet-entry/src/lib/readOwnStatus.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@dandelionlane/core';
-import type { RepeatBudget, TargetStates } from '@dandelionlane/gateway';
+import type { RepeatBudget, TargetStates, WaitingRoom } from '@dandelionlane/gateway';
 import type { EntryStatus } from '@dandelionlane/links';
 import type FleetEntrySettings from './FleetEntrySettings.js';
 import type FleetView from './FleetView.js';
@@ -12,6 +12,7 @@
   readonly settings: FleetEntrySettings;
   readonly states: TargetStates;
   readonly budget: RepeatBudget;
+  readonly waitingRoom: WaitingRoom;
   readonly view: FleetView;
   readonly isReady: () => boolean;
   readonly clock: Clock;
@@ -24,7 +25,7 @@
  */
 export default function readOwnStatus(
   {
-    settings, states, budget, view: { workers }, isReady, clock,
+    settings, states, budget, waitingRoom, view: { workers }, isReady, clock,
   }: StatusSources,
   storeAgeMilliseconds: number,
 ): EntryStatus {
@@ -55,6 +56,7 @@
     storeAgeMilliseconds: Math.round(Math.min(storeAgeMilliseconds, LONGEST_SILENCE_MILLISECONDS)),
     leaving: [...workers.announcedLeaving()],
     requests: [...budget.counts()],
+    waiting: [...waitingRoom.countByModel()].map(([model, requests]) => ({ model, requests })),
     targets,
   };
 }
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -88,6 +88,7 @@
     extra: settings.repeatExtra,
     windowMilliseconds: settings.repeatWindowMilliseconds,
   });
+  const waitingRoom = new WaitingRoom(clock);
   const requests = new RequestServer({
     wire: ports.wire,
     zone: settings.zone,
@@ -98,7 +99,7 @@
     budget,
     timings: new ModelTimings(),
     patience: new CallerPatience(clock),
-    waitingRoom: new WaitingRoom(clock),
+    waitingRoom,
     closedZones: () => view.operatorSink.closedZones,
     countEntries: () => registry.count(),
     clock,
@@ -116,7 +117,7 @@
   };
   const stalls = new StallDetector({ states, clock, quietLimit });
   coordinator = new Coordinator({
-    settings, registry, states, budget, view, control, isReady, quietLimit, clock, random, log: logFor('links'),
+    settings, registry, states, budget, waitingRoom, view, control, isReady, quietLimit, clock, random, log: logFor('links'),
   });
 
   const callers = createCallerServer(requests, configuration);
--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -105,6 +105,7 @@
     }
     const found = await waitingRoom.wait({
       queue: `${service}/${said.model ?? ''}`,
+      model: said.model,
       // A stream that has begun comes before late ones, and after those that can still be on time.
       onTimeUntil: this.#hasBegun() ? until : onTimeUntil,
       until,
--- a/packages/gateway/src/lib/requests/WaitingRoom.ts
+++ b/packages/gateway/src/lib/requests/WaitingRoom.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@dandelionlane/core';
+import type { Clock, ModelName } from '@dandelionlane/core';
 import type Choice from '../choice/Choice.js';
 
 /** Time between two rounds, in ms: a place becomes free every 50 ms or so. */
@@ -11,6 +11,8 @@
 interface WaitingRequest {
   /** Requests of one queue are after the same targets. */
   readonly queue: string;
+  /** Model that it is for. */
+  readonly model: ModelName | null;
   /** Monotonic time until which it is on time, in ms. */
   readonly onTimeUntil: number;
   /** Monotonic time until which it waits, in ms. */
@@ -45,6 +47,17 @@
     return this.#tickets.length;
   }
 
+  /** Requests that wait for each model. */
+  countByModel(): ReadonlyMap<ModelName, number> {
+    const counts = new Map<ModelName, number>();
+    this.#tickets.forEach(({ model }) => {
+      if (model !== null) {
+        counts.set(model, (counts.get(model) ?? 0) + 1);
+      }
+    });
+    return counts;
+  }
+
   /** Waits for a target. Null: none was free in time, the caller left, or too many wait already. */
   wait(request: WaitingRequest): Promise<Choice | null> {
     if (this.#tickets.length >= MAXIMUM_WAITING) {
--- a/packages/gateway/src/test/WaitingRoom.test.ts
+++ b/packages/gateway/src/test/WaitingRoom.test.ts
@@ -20,7 +20,7 @@
     until = 10_000, queue = 'q', signal = new AbortController().signal,
   } = {}): Promise<void> {
     const choice = await this.room.wait({
-      queue, onTimeUntil, until, signal, choose: () => (this.free > 0 ? CHOSEN : NONE),
+      queue, model: null, onTimeUntil, until, signal, choose: () => (this.free > 0 ? CHOSEN : NONE),
     });
     this.free -= choice === null ? 0 : 1;
     this.served.push(choice === null ? `${name} gave up` : name);
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -11,6 +11,7 @@
 import type ReportedGroup from '../observation/ReportedGroup.js';
 import WorkerObserver from '../observation/WorkerObserver.js';
 import EpochSource from '../plan/EpochSource.js';
+import ModelDemand from '../plan/ModelDemand.js';
 import planGroups from '../plan/planGroups.js';
 import type GroupRecord from '../plan/GroupRecord.js';
 import type OrderStep from '../plan/OrderStep.js';
@@ -64,6 +65,8 @@
 
   readonly #sender: OrderSender;
 
+  readonly #demand: ModelDemand;
+
   #fencing: FencingNumber | null = null;
 
   #epochs: { readonly fencing: FencingNumber; readonly source: EpochSource } | null = null;
@@ -81,6 +84,7 @@
   constructor(options: GroupControllerOptions) {
     this.#options = options;
     this.#store = new GroupStore(options.store, options.log);
+    this.#demand = new ModelDemand(options.clock);
     this.#observer = new WorkerObserver({
       port: options.port,
       clock: options.clock,
@@ -121,6 +125,15 @@
     }));
   }
 
+  /** Takes in the share of each model's places that is in use or waited for now. */
+  noteDemand(shares: ReadonlyMap<ModelName, number>): void {
+    const before = new Set(this.#demand.short);
+    this.#demand.note(shares);
+    [...this.#demand.short].filter((model) => !before.has(model)).forEach((model) => {
+      this.#options.log.info('Model is short of replicas.', { model, share: shares.get(model) });
+    });
+  }
+
   /** A formation seems to stand still: its members are asked at once. */
   formationStalled(formation: string): void {
     this.#observer.expedite(formation);
@@ -133,6 +146,7 @@
         this.#options.log.info('Term ended.', { fencing: this.#fencing });
         this.#fencing = null;
         this.#observer.clear();
+        this.#demand.clear();
       }
       return;
     }
@@ -236,6 +250,7 @@
       records: this.#store.records,
       observation,
       candidates: this.#options.workers.ofService(service).map(({ worker }) => worker.id),
+      short: this.#demand.short,
     }));
     if (!isConfirmed && epochs.isSuperseded) {
       this.#options.log.warn('Workers are in groups of a later term, giving the lease up.', { fencing: lease.fencing });
--- a/packages/groups/src/lib/plan/planGroups.ts
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -1,4 +1,6 @@
-import type { FabricDomainId, ServiceId, WorkerId } from '@dandelionlane/core';
+import type {
+  FabricDomainId, ModelName, ServiceId, WorkerId,
+} from '@dandelionlane/core';
 import type { EngineProfile } from '@dandelionlane/fleet';
 import type FleetObservation from '../observation/FleetObservation.js';
 import type EpochSource from './EpochSource.js';
@@ -30,6 +32,8 @@
   readonly observation: FleetObservation;
   /** Workers of the service. */
   readonly candidates: readonly WorkerId[];
+  /** Models that are short of replicas. */
+  readonly short: ReadonlySet<ModelName>;
 }
 
 /**
@@ -61,7 +65,7 @@
  */
 export default function planGroups(input: GroupPlanInput): readonly GroupStep[] {
   const {
-    service, engine, observation, candidates, epochs, isConfirmed,
+    service, engine, observation, candidates, epochs, isConfirmed, short,
   } = input;
   const records = input.records.filter((record) => record.service === service);
   const pool = new WorkerPool(observation, records, candidates);
@@ -81,7 +85,7 @@
   });
   // Groups that are formed while workers still register would be the small ones.
   const created = observation.steadyMilliseconds < SETTLE_MILLISECONDS ? [] : planNewGroups({
-    service, engine, records, pool, epochs, domainSizes: sizeSettledDomains(observation, candidates),
+    service, engine, records, pool, epochs, short, domainSizes: sizeSettledDomains(observation, candidates),
   });
   const all = [...records, ...created.flatMap((step) => (step.kind === 'write' ? [step.record] : []))];
   const staging = pool.domains().flatMap((domain) => planStaging(domain, all, pool, epochs));
--- a/packages/groups/src/lib/plan/planNewGroups.ts
+++ b/packages/groups/src/lib/plan/planNewGroups.ts
@@ -1,4 +1,6 @@
-import { GroupName, type FabricDomainId, type ServiceId } from '@dandelionlane/core';
+import {
+  GroupName, type FabricDomainId, type ModelName, type ServiceId,
+} from '@dandelionlane/core';
 import type { EngineProfile, ModelProfile } from '@dandelionlane/fleet';
 import type EpochSource from './EpochSource.js';
 import type GroupRecord from './GroupRecord.js';
@@ -9,6 +11,9 @@
 /** Workers of a domain for which one is kept as a spare. */
 const WORKERS_PER_SPARE = 10;
 
+/** Least workers of a domain of which one is kept as a spare. */
+const LEAST_WORKERS_WITH_SPARE = 8;
+
 /** What `planNewGroups` decides with. */
 interface NewGroupsInput {
   readonly service: ServiceId;
@@ -18,20 +23,29 @@
   readonly epochs: EpochSource;
   /** Workers in each domain, in groups or free. New groups are formed in these domains only. */
   readonly domainSizes: ReadonlyMap<FabricDomainId | null, number>;
+  /** Models that are short of replicas: spares are given to them. */
+  readonly short: ReadonlySet<ModelName>;
+}
+
+/** Spares that a domain keeps while no model is short of replicas. */
+function countReserve(domainSize: number): number {
+  return domainSize < LEAST_WORKERS_WITH_SPARE ? 0 : Math.max(1, Math.floor(domainSize / WORKERS_PER_SPARE));
 }
 
 /**
- * Models by their workers for their share of the work, fewest first; of equals the larger one, as
- * it is harder to fit.
+ * Models that are short of replicas first; then by their workers for their share of the work, fewest
+ * first; of equals the larger one, as it is harder to fit.
  */
-function bySupply(
+function byNeed(
   models: readonly ModelProfile[],
   counts: ReadonlyMap<string, number>,
+  short: ReadonlySet<ModelName>,
 ): readonly ModelProfile[] {
   const supplyOf = ({ name, groupSize, workShare }: ModelProfile) => (
     ((counts.get(name) ?? 0) * groupSize) / workShare
   );
-  return [...models].sort((left, right) => supplyOf(left) - supplyOf(right)
+  return [...models].sort((left, right) => Number(short.has(right.name)) - Number(short.has(left.name))
+    || supplyOf(left) - supplyOf(right)
     || right.groupSize - left.groupSize);
 }
 
@@ -41,18 +55,18 @@
  */
 export default function planNewGroups(input: NewGroupsInput): readonly GroupStep[] {
   const {
-    service, engine, records, pool, epochs, domainSizes,
+    service, engine, records, pool, epochs, domainSizes, short,
   } = input;
   const counts = new Map<string, number>();
   records.filter((record) => record.service === service)
     .forEach(({ model }) => counts.set(model, (counts.get(model) ?? 0) + 1));
   const steps: GroupStep[] = [];
-  const placeOne = (): boolean => bySupply(engine.models, counts).some((model) => (
+  const placeOne = (): boolean => byNeed(engine.models, counts, short).some((model) => (
     [...pool.domains()]
       .sort((left, right) => pool.countIn(left) - pool.countIn(right))
       .some((domain) => {
         const size = domainSizes.get(domain);
-        const reserve = Math.floor((size ?? 0) / WORKERS_PER_SPARE);
+        const reserve = short.has(model.name) ? 0 : countReserve(size ?? 0);
         if (size === undefined || pool.countIn(domain) < model.groupSize + reserve) {
           return false;
         }
--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -119,6 +119,7 @@
       records: [...this.#records.values()],
       observation: new FleetObservation(observed, 10_000),
       candidates: [...registered],
+      short: new Set(),
     });
     steps.forEach((step) => {
       switch (step.kind) {
--- a/packages/groups/src/test/planNewGroups.test.ts
+++ b/packages/groups/src/test/planNewGroups.test.ts
@@ -65,6 +65,7 @@
     pool: new WorkerPool(observation, [], [...observed.keys()]),
     epochs: new EpochSource(FencingNumber.parse(1)),
     domainSizes: new Map(names.map((name) => [name, domainSize])),
+    short: new Set(),
   }).forEach((step) => {
     if (step.kind === 'write') {
       counts.set(step.record.model, (counts.get(step.record.model) ?? 0) + 1);
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
-import { EntryId, ServiceId, WorkerId } from '@dandelionlane/core';
+import {
+  EntryId, ModelName, ServiceId, WorkerId,
+} from '@dandelionlane/core';
 import WorkerLifeSchema from './WorkerLifeSchema.js';
 
 /** What an entry tells the holder of the lease, several times a second. */
@@ -17,6 +19,8 @@
   leaving: z.array(WorkerLifeSchema),
   /** Its requests in the window of the repeat budget. */
   requests: z.array(z.object({ service: ServiceId, requests: z.number() })),
+  /** Its requests that wait for a target, by model. */
+  waiting: z.array(z.object({ model: ModelName, requests: z.number() })),
   /** Model targets that it has requests at. */
   targets: z.array(z.object({
     worker: WorkerId,
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -32,6 +32,7 @@
     storeAgeMilliseconds: 0,
     leaving: [],
     requests: [],
+    waiting: [],
     targets: [{
       worker: HEAD,
       formation: 'g/1',
