Give a model that is short of replicas as many spares as its requests take

Change: the holder measures requests (running and waiting, mean over 1 s) and works out the replicas that they take at 0.7 of their places; groups that lost members or are in a zone out of service do not count; spares go to the domains where they are staged for the model.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -296,10 +296,10 @@
   }
 
   #noteDemand(loads: FleetState['loads'], waiting: EntryStatus['waiting']): void {
-    const { control, view: { configuration: { table }, workers, operatorSink } } = this.#options;
+    const { control, view: { configuration: { table }, workers } } = this.#options;
     if (table !== null) {
       control.controller.noteDemand(measureDemand({
-        configuration: table.configuration, workers, closedZones: operatorSink.closedZones, loads, waiting,
+        configuration: table.configuration, workers, loads, waiting,
       }));
     }
   }
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -88,6 +88,7 @@
       clock: wakefulClock,
       log: this.#log,
       metrics,
+      closedZones: () => view.operatorSink.closedZones,
       isBootstrapping: () => settings.bootstrap
         && clock.monotonicMilliseconds() - startedAt < BOOTSTRAP_MILLISECONDS,
     });
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -1,5 +1,5 @@
 import type {
-  Clock, FencingNumber, ModelName, ServiceId, TableStore,
+  AvailabilityZoneId, Clock, FencingNumber, ModelName, ServiceId, TableStore,
 } from '@dandelionlane/core';
 import {
   toUnregisteredWorker, type ConfigurationHolder, type EngineProfile, type OrderStamp, type Worker,
@@ -51,6 +51,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Zones that are out of service. */
+  readonly closedZones: () => ReadonlySet<AvailabilityZoneId>;
   /** Whether weights may be loaded without a limit: before the first traffic loads are cheap. */
   readonly isBootstrapping: () => boolean;
 }
@@ -137,13 +139,9 @@
     this.#fencing = null;
   }
 
-  /** Takes in the share of each model's places that is in use or waited for now. */
-  noteDemand(shares: ReadonlyMap<ModelName, number>): void {
-    const before = new Set(this.#demand.short);
-    this.#demand.note(shares);
-    [...this.#demand.short].filter((model) => !before.has(model)).forEach((model) => {
-      this.#options.log.info('Model is short of replicas.', { model, share: shares.get(model) });
-    });
+  /** Takes in the requests that run at each model or wait for it now. */
+  noteDemand(requests: ReadonlyMap<ModelName, number>): void {
+    this.#demand.note(requests);
   }
 
   /** A formation seems to stand still: its members are asked at once. */
@@ -266,7 +264,8 @@
       records: this.#store.records,
       observation,
       candidates: this.#options.workers.ofService(service).map(({ worker }) => worker.id),
-      short: this.#demand.short,
+      demand: this.#demand,
+      closedZones: this.#options.closedZones(),
     }));
     if (!isConfirmed && epochs.isSuperseded) {
       this.#options.log.warn('Workers are in groups of a later term, giving the lease up.', { fencing: lease.fencing });
--- a/packages/groups/src/lib/plan/planGroups.ts
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -1,5 +1,5 @@
 import type {
-  FabricDomainId, ModelName, ServiceId, WorkerId,
+  AvailabilityZoneId, FabricDomainId, ServiceId, WorkerId,
 } from '@dandelionlane/core';
 import type { EngineProfile } from '@dandelionlane/fleet';
 import type FleetObservation from '../observation/FleetObservation.js';
@@ -7,6 +7,7 @@
 import type EpochSource from './EpochSource.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
+import type ModelDemand from './ModelDemand.js';
 import assessLiveness from '../observation/assessLiveness.js';
 import isAbandoned from './isAbandoned.js';
 import planAdoption from './planAdoption.js';
@@ -34,8 +35,9 @@
   readonly observation: FleetObservation;
   /** Workers of the service. */
   readonly candidates: readonly WorkerId[];
-  /** Models that are short of replicas. */
-  readonly short: ReadonlySet<ModelName>;
+  readonly demand: ModelDemand;
+  /** Zones that are out of service. */
+  readonly closedZones: ReadonlySet<AvailabilityZoneId>;
 }
 
 /**
@@ -85,7 +87,7 @@
  */
 export default function planGroups(input: GroupPlanInput): readonly GroupStep[] {
   const {
-    service, engine, observation, candidates, epochs, isConfirmed, short,
+    service, engine, observation, candidates, epochs, isConfirmed, demand, closedZones,
   } = input;
   const recorded = input.records.filter((record) => record.service === service);
   const adoption = planAdoption({
@@ -114,7 +116,7 @@
   });
   // Groups that are formed while workers still register would be the small ones.
   const created = observation.steadyMilliseconds < SETTLE_MILLISECONDS ? [] : planNewGroups({
-    service, engine, records, pool, epochs, short, domainSizes,
+    service, engine, records, observation, pool, epochs, domainSizes, demand, closedZones,
   });
   const all = [...records, ...created.flatMap((step) => (step.kind === 'write' ? [step.record] : []))];
   const staging = pool.domains().flatMap((domain) => planStaging(domain, all, pool, epochs));
--- a/packages/groups/src/lib/plan/planNewGroups.ts
+++ b/packages/groups/src/lib/plan/planNewGroups.ts
@@ -1,10 +1,15 @@
-import { GroupName, type ModelName, type ServiceId } from '@dandelionlane/core';
+import {
+  GroupName, type AvailabilityZoneId, type FabricDomainId, type ModelName, type ServiceId,
+} from '@dandelionlane/core';
 import type { EngineProfile, ModelProfile } from '@dandelionlane/fleet';
+import type FleetObservation from '../observation/FleetObservation.js';
 import type DomainSizes from './DomainSizes.js';
 import type EpochSource from './EpochSource.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
-import type WorkerPool from './WorkerPool.js';
+import type ModelDemand from './ModelDemand.js';
+import WorkerPool from './WorkerPool.js';
+import findFaultyMembers from './findFaultyMembers.js';
 import toReference from './toReference.js';
 
 /** Workers of a domain for which one is kept as a spare. */
@@ -17,13 +22,16 @@
 interface NewGroupsInput {
   readonly service: ServiceId;
   readonly engine: EngineProfile;
+  /** Records of the service. */
   readonly records: readonly GroupRecord[];
+  readonly observation: FleetObservation;
   readonly pool: WorkerPool;
   readonly epochs: EpochSource;
   /** New groups are formed in these domains only. */
   readonly domainSizes: DomainSizes;
-  /** Models that are short of replicas: spares are given to them. */
-  readonly short: ReadonlySet<ModelName>;
+  readonly demand: ModelDemand;
+  /** Zones that are out of service: groups there serve nobody. */
+  readonly closedZones: ReadonlySet<AvailabilityZoneId>;
 }
 
 /** Spares that a domain keeps while no model is short of replicas. */
@@ -31,67 +39,116 @@
   return domainSize < LEAST_WORKERS_WITH_SPARE ? 0 : Math.max(1, Math.floor(domainSize / WORKERS_PER_SPARE));
 }
 
+function countByModel(records: readonly GroupRecord[]): Map<ModelName, number> {
+  const counts = new Map<ModelName, number>();
+  records.forEach(({ model }) => counts.set(model, (counts.get(model) ?? 0) + 1));
+  return counts;
+}
+
+/** Whether a group serves or is about to. */
+function isCounted(
+  record: GroupRecord,
+  { observation, closedZones }: Pick<NewGroupsInput, 'observation' | 'closedZones'>,
+): boolean {
+  const [head] = record.members;
+  return head !== undefined && !closedZones.has(head.zone) && findFaultyMembers(record, observation).length === 0;
+}
+
 /**
- * Models that are short of replicas first; then by their workers for their share of the work, fewest
- * first; of equals the larger one, as it is harder to fit.
+ * Models by their workers for their share of the work, fewest first; of equals the larger one, as
+ * it is harder to fit.
  */
-function byNeed(
+function bySupply(
   models: readonly ModelProfile[],
-  counts: ReadonlyMap<string, number>,
-  short: ReadonlySet<ModelName>,
+  counts: ReadonlyMap<ModelName, number>,
 ): readonly ModelProfile[] {
   const supplyOf = ({ name, groupSize, workShare }: ModelProfile) => (
     ((counts.get(name) ?? 0) * groupSize) / workShare
   );
-  return [...models].sort((left, right) => Number(short.has(right.name)) - Number(short.has(left.name))
-    || supplyOf(left) - supplyOf(right)
+  return [...models].sort((left, right) => supplyOf(left) - supplyOf(right)
     || right.groupSize - left.groupSize);
 }
 
+/** One group of free workers of a domain, or null where they are too few. */
+function form(
+  { service, pool, epochs }: NewGroupsInput,
+  model: ModelProfile,
+  domain: FabricDomainId | null,
+  reason: string,
+): Extract<GroupStep, { kind: 'write' }> | null {
+  const workers = pool.take(domain, model.name, model.groupSize);
+  if (workers === null) {
+    return null;
+  }
+  const epoch = epochs.next();
+  return {
+    kind: 'write',
+    record: {
+      name: GroupName.parse(`g${epoch}`),
+      service,
+      model: model.name,
+      epoch,
+      members: workers.map(toReference),
+      formerHeads: [],
+    },
+    reason,
+  };
+}
+
+/** Gives spares to models whose replicas are too few for their requests, where they are ready soonest. */
+function formForDemand(input: NewGroupsInput): readonly GroupStep[] {
+  const {
+    engine, records, pool, domainSizes, demand, closedZones,
+  } = input;
+  const counts = countByModel(records.filter((record) => isCounted(record, input)));
+  return bySupply(engine.models, counts).flatMap((model) => {
+    const missing = demand.countReplicas(model.name, engine.slots) - (counts.get(model.name) ?? 0);
+    const steps: GroupStep[] = [];
+    const stagedIn = (domain: FabricDomainId | null) => (
+      pool.inDomain(domain).filter((spare) => WorkerPool.isStaged(spare, model.name)).length
+    );
+    [...pool.domains()]
+      .filter((domain) => domainSizes.has(domain)
+        && !pool.inDomain(domain).some(({ worker }) => closedZones.has(worker.zone)))
+      .sort((left, right) => stagedIn(right) - stagedIn(left))
+      .forEach((domain) => {
+        const step = steps.length < missing ? form(input, model, domain, 'demand') : null;
+        steps.push(...(step === null ? [] : [step]));
+      });
+    return steps;
+  });
+}
+
 /**
- * Forms groups of the workers that are free, each within one domain, and keeps spares. Takes the
- * domain with the fewest free workers that fits, so that larger groups find room in the others.
+ * Forms groups of the workers that are free, each within one domain, and keeps spares, but for models
+ * that are short of replicas. Takes the domain with the fewest free workers that fits, so that larger
+ * groups find room in the others.
  */
 export default function planNewGroups(input: NewGroupsInput): readonly GroupStep[] {
   const {
-    service, engine, records, pool, epochs, domainSizes, short,
+    engine, records, pool, domainSizes,
   } = input;
-  const counts = new Map<string, number>();
-  records.filter((record) => record.service === service)
-    .forEach(({ model }) => counts.set(model, (counts.get(model) ?? 0) + 1));
+  const counts = countByModel(records);
   const steps: GroupStep[] = [];
-  const placeOne = (): boolean => byNeed(engine.models, counts, short).some((model) => (
+  const placeOne = (): boolean => bySupply(engine.models, counts).some((model) => (
     [...pool.domains()]
       .sort((left, right) => pool.countIn(left) - pool.countIn(right))
       .some((domain) => {
         const size = domainSizes.get(domain);
-        const reserve = short.has(model.name) ? 0 : countReserve(size ?? 0);
-        if (size === undefined || pool.countIn(domain) < model.groupSize + reserve) {
-          return false;
-        }
-        const workers = pool.take(domain, model.name, model.groupSize);
-        if (workers === null) {
+        if (size === undefined || pool.countIn(domain) < model.groupSize + countReserve(size)) {
           return false;
         }
-        const epoch = epochs.next();
-        steps.push({
-          kind: 'write',
-          record: {
-            name: GroupName.parse(`g${epoch}`),
-            service,
-            model: model.name,
-            epoch,
-            members: workers.map(toReference),
-            formerHeads: [],
-          },
-          reason: 'new-group',
-        });
-        counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
-        return true;
+        const step = form(input, model, domain, 'new-group');
+        steps.push(...(step === null ? [] : [step]));
+        counts.set(model.name, (counts.get(model.name) ?? 0) + (step === null ? 0 : 1));
+        return step !== null;
       })
   ));
   while (placeOne()) {
     // Places one group at a time until nothing fits.
   }
-  return steps;
+  return [...steps, ...formForDemand({
+    ...input,
+    records: [...records, ...steps.flatMap((step) => (step.kind === 'write' ? [step.record] : []))],
+  })];
 }
--- a/packages/groups/src/test/ControlledFleet.ts
+++ b/packages/groups/src/test/ControlledFleet.ts
@@ -147,6 +147,7 @@
       clock: this.clock,
       log: LOG,
       metrics: METRICS,
+      closedZones: () => new Set(),
       isBootstrapping: () => true,
     });
   }
--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -1,5 +1,5 @@
 import {
-  FencingNumber, ModelName, ServiceId, type GroupName, type WorkerId,
+  FencingNumber, ManualClock, ModelName, ServiceId, type GroupName, type WorkerId,
 } from '@dandelionlane/core';
 import type {
   EngineProfile, OrderStamp, WorkerOrder, WorkerReport,
@@ -8,6 +8,7 @@
 import FleetObservation from '../lib/observation/FleetObservation.js';
 import type ObservedWorker from '../lib/observation/ObservedWorker.js';
 import EpochSource from '../lib/plan/EpochSource.js';
+import ModelDemand from '../lib/plan/ModelDemand.js';
 import planGroups from '../lib/plan/planGroups.js';
 import type GroupRecord from '../lib/plan/GroupRecord.js';
 
@@ -119,7 +120,8 @@
       records: [...this.#records.values()],
       observation: new FleetObservation(observed, 10_000),
       candidates: [...registered],
-      short: new Set(),
+      demand: new ModelDemand(new ManualClock()),
+      closedZones: new Set(),
     });
     steps.forEach((step) => {
       switch (step.kind) {
--- a/packages/groups/src/test/planNewGroups.test.ts
+++ b/packages/groups/src/test/planNewGroups.test.ts
@@ -1,12 +1,13 @@
 import { expect, test } from 'vitest';
 import {
-  FabricDomainId, FencingNumber, ModelName, ServiceId, WorkerId,
+  FabricDomainId, FencingNumber, ManualClock, ModelName, ServiceId, WorkerId,
 } from '@dandelionlane/core';
 import type { EngineProfile } from '@dandelionlane/fleet';
 import { GroupWorker } from '@dandelionlane/standin';
 import FleetObservation from '../lib/observation/FleetObservation.js';
 import type ObservedWorker from '../lib/observation/ObservedWorker.js';
 import EpochSource from '../lib/plan/EpochSource.js';
+import ModelDemand from '../lib/plan/ModelDemand.js';
 import WorkerPool from '../lib/plan/WorkerPool.js';
 import planNewGroups from '../lib/plan/planNewGroups.js';
 
@@ -65,7 +66,9 @@
     pool: new WorkerPool(observation, [], [...observed.keys()]),
     epochs: new EpochSource(FencingNumber.parse(1)),
     domainSizes: new Map(names.map((name) => [name, domainSize])),
-    short: new Set(),
+    observation,
+    demand: new ModelDemand(new ManualClock()),
+    closedZones: new Set(),
   }).forEach((step) => {
     if (step.kind === 'write') {
       counts.set(step.record.model, (counts.get(step.record.model) ?? 0) + 1);
