Bound what is read of an answer of the store or of a worker's report

A server in trouble may send bytes without end. Calls that expect JSON looked at the announced length only, and read a chunked body for as long as the call's timeout lasted. They now stop at 16 MiB and close the connection.

--- a/packages/platform/src/lib/http/sendJSON.ts
+++ b/packages/platform/src/lib/http/sendJSON.ts
@@ -6,7 +6,23 @@
 import isNeverSent from './isNeverSent.js';
 import startTimeout from './startTimeout.js';
 
-const MAXIMUM_ANSWER_BYTES = 64 * 1_024 * 1_024;
+/** Largest answer that is read, in bytes: several times what a page of rows or a conflict may hold. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1_024 * 1_024;
+
+/** Reads a body to its end. A server in trouble may send one that has none. */
+async function readText(body: Dispatcher.ResponseData['body']): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    size += (chunk as Buffer).length;
+    if (size > MAXIMUM_ANSWER_BYTES) {
+      // Leaving the loop closes the connection.
+      throw new RangeError(`answer is larger than ${MAXIMUM_ANSWER_BYTES} bytes`);
+    }
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
 
 async function exchange(
   dispatcher: Dispatcher,
@@ -26,12 +42,7 @@
     },
     ...(request.body === undefined ? {} : { body: JSON.stringify(request.body) }),
   });
-  const length = Number(answer.headers['content-length'] ?? 0);
-  if (length > MAXIMUM_ANSWER_BYTES) {
-    await answer.body.dump();
-    throw new Error(`answer of ${length} bytes is too large`);
-  }
-  const text = await answer.body.text();
+  const text = await readText(answer.body);
   const isJSON = String(answer.headers['content-type'] ?? '').includes('json');
   const data: unknown = text === '' || !isJSON ? null : JSON.parse(text);
   return { status: answer.statusCode, headers: answer.headers, data };
--- a/packages/platform/src/test/sendJSON.test.ts
+++ b/packages/platform/src/test/sendJSON.test.ts
@@ -70,3 +70,30 @@
   await thread.terminate();
   expect(answer.map(({ data }) => data)._unsafeUnwrap()).toEqual({ here: true });
 });
+
+test('an answer without end is given up, and its connection closed', async () => {
+  let sent = 0;
+  let closed = false;
+  const origin = await listen((_incoming, outgoing) => {
+    const chunk = Buffer.alloc(256 * 1_024, 0x20);
+    outgoing.writeHead(200, { 'content-type': 'application/json' });
+    const pour = () => {
+      while (!closed && outgoing.write(chunk)) {
+        sent += chunk.length;
+      }
+    };
+    outgoing.on('drain', pour);
+    outgoing.on('close', () => {
+      closed = true;
+    });
+    pour();
+  });
+  const answer = await sendJSON(agent, {
+    method: 'GET', origin, path: '/', timeoutMilliseconds: 60_000,
+  });
+  expect(answer._unsafeUnwrapErr().kind).toBe('store-outcome-unknown');
+  while (!closed) {
+    await new Promise(setImmediate);
+  }
+  expect(sent).toBeLessThan(64 * 1_024 * 1_024);
+});
