Refuse a stream at once where more wait before it than can be served in its time

Cause: streams without a place waited for 1.5 s, were refused, came back and were refused again; the users ask that what surely can't be served is rejected at once. Change: the waiting room measures how many requests of a queue are served a second while requests wait (over half a second at least), counts those that go before a new one, and where that takes longer than the new one may wait, refuses it with the time that it takes as Retry-After. What is not known turns nobody away.

Test of the load: WaitingRoom.test.ts.

--- a/packages/gateway/src/lib/choice/Choice.ts
+++ b/packages/gateway/src/lib/choice/Choice.ts
@@ -14,8 +14,9 @@
   | { readonly kind: 'none'; readonly reason: 'no-target' | 'all-suspected' | 'all-full' | 'all-cold' }
   | {
     readonly kind: 'none';
-    readonly reason: 'all-held-off';
-    /** Time until the first target takes requests again, in ms. */
+    /** `queue-full`: more requests wait than can be served in the time of this one. */
+    readonly reason: 'all-held-off' | 'queue-full';
+    /** Time after which a target is likely to take the request, in ms. */
     readonly retryAfterMilliseconds: number;
   };
 
--- a/packages/gateway/src/lib/relay/StreamCourse.ts
+++ b/packages/gateway/src/lib/relay/StreamCourse.ts
@@ -103,7 +103,7 @@
     if (choice.reason === 'all-held-off' && startedAt + choice.retryAfterMilliseconds >= until) {
       return choice;
     }
-    const found = await waitingRoom.wait({
+    const waited = await waitingRoom.wait({
       queue: `${service}/${said.model ?? ''}`,
       model: said.model,
       // A stream that has begun comes before late ones, and after those that can still be on time.
@@ -113,7 +113,16 @@
       choose,
     });
     log.set('waitedMilliseconds', Math.round(clock.monotonicMilliseconds() - startedAt));
-    return found ?? choice;
+    switch (waited.kind) {
+      case 'served':
+        return waited.choice;
+      case 'unserved':
+        return choice;
+      case 'hopeless':
+        return { kind: 'none', reason: 'queue-full', retryAfterMilliseconds: waited.retryAfterMilliseconds };
+      default:
+        return waited satisfies never;
+    }
   }
 
   /** Whether a target has begun the stream, so that it has to go on at once. */
--- a/packages/gateway/src/lib/requests/WaitingRoom.ts
+++ b/packages/gateway/src/lib/requests/WaitingRoom.ts
@@ -1,5 +1,7 @@
 import type { Clock, ModelName } from '@dandelionlane/core';
 import type Choice from '../choice/Choice.js';
+import ServiceRate from './ServiceRate.js';
+import type WaitOutcome from './WaitOutcome.js';
 
 /** Time between two rounds, in ms: a place becomes free every 50 ms or so. */
 const PERIOD_MILLISECONDS = 20;
@@ -24,7 +26,7 @@
 
 /** A waiting request with what resolves it. */
 interface Ticket extends WaitingRequest {
-  readonly resolve: (choice: Choice | null) => void;
+  readonly resolve: (outcome: WaitOutcome) => void;
 }
 
 /**
@@ -36,6 +38,8 @@
 
   #tickets: Ticket[] = [];
 
+  readonly #rates = new Map<string, ServiceRate>();
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(clock: Clock) {
@@ -58,11 +62,18 @@
     return counts;
   }
 
-  /** Waits for a target. Null: none was free in time, the caller left, or too many wait already. */
-  wait(request: WaitingRequest): Promise<Choice | null> {
+  /** Waits for a target, unless it is known that none will be free in time. */
+  wait(request: WaitingRequest): Promise<WaitOutcome> {
     if (this.#tickets.length >= MAXIMUM_WAITING) {
-      return Promise.resolve(null);
+      return Promise.resolve({ kind: 'unserved' });
+    }
+    const now = this.#clock.monotonicMilliseconds();
+    const rate = this.#rateOf(request.queue);
+    const expected = rate.estimateMilliseconds(this.#countBefore(request, now) + 1, now);
+    if (expected !== null && now + expected > request.until) {
+      return Promise.resolve({ kind: 'hopeless', retryAfterMilliseconds: expected });
     }
+    rate.begun(now);
     return new Promise((resolve) => {
       this.#tickets.push({ ...request, resolve });
       this.#timer ??= setInterval(() => this.#round(new Set()), PERIOD_MILLISECONDS);
@@ -73,12 +84,13 @@
   #round(blocked: Set<string>): void {
     const now = this.#clock.monotonicMilliseconds();
     this.#tickets.filter((ticket) => ticket.signal.aborted || now >= ticket.until)
-      .forEach((ticket) => this.#end(ticket, null));
+      .forEach((ticket) => this.#end(ticket, { kind: 'unserved' }));
     for (const ticket of this.#inOrder(now)) {
       if (!blocked.has(ticket.queue)) {
         const choice = ticket.choose();
         if (choice.kind === 'chosen') {
-          this.#end(ticket, choice);
+          this.#rateOf(ticket.queue).served(now);
+          this.#end(ticket, { kind: 'served', choice });
           setImmediate(() => this.#round(blocked));
           return;
         }
@@ -93,12 +105,28 @@
     return [...urgent, ...this.#tickets.filter(({ onTimeUntil }) => onTimeUntil <= now)];
   }
 
-  #end(ticket: Ticket, choice: Choice | null): void {
+  #rateOf(queue: string): ServiceRate {
+    const rate = this.#rates.get(queue) ?? new ServiceRate();
+    this.#rates.set(queue, rate);
+    return rate;
+  }
+
+  /** Waiting requests of the same queue that go before a new one. */
+  #countBefore({ queue, onTimeUntil }: WaitingRequest, now: number): number {
+    const isOnTime = onTimeUntil > now;
+    return this.#tickets.filter((ticket) => ticket.queue === queue
+      && (!isOnTime || (ticket.onTimeUntil > now && ticket.onTimeUntil <= onTimeUntil))).length;
+  }
+
+  #end(ticket: Ticket, outcome: WaitOutcome): void {
     this.#tickets = this.#tickets.filter((other) => other !== ticket);
+    if (!this.#tickets.some(({ queue }) => queue === ticket.queue)) {
+      this.#rateOf(ticket.queue).emptied();
+    }
     if (this.#tickets.length === 0) {
       clearInterval(this.#timer);
       this.#timer = undefined;
     }
-    ticket.resolve(choice);
+    ticket.resolve(outcome);
   }
 }
--- a/packages/gateway/src/lib/requests/refuseChoice.ts
+++ b/packages/gateway/src/lib/requests/refuseChoice.ts
@@ -23,7 +23,8 @@
         kind: 'overloaded', retryAfterSeconds: PLACE_RETRY_SECONDS,
       });
     case 'all-held-off':
-      return new ServingError('no target: each one asked for a pause', {
+    case 'queue-full':
+      return new ServingError(`no target: ${choice.reason}`, {
         kind: 'overloaded', retryAfterSeconds: choice.retryAfterMilliseconds / MILLISECONDS_PER_SECOND,
       });
     default:
--- a/packages/gateway/src/test/WaitingRoom.test.ts
+++ b/packages/gateway/src/test/WaitingRoom.test.ts
@@ -6,6 +6,8 @@
 const NONE: Choice = { kind: 'none', reason: 'all-full' };
 const CHOSEN = { kind: 'chosen' } as unknown as Choice;
 
+const TOLD = { unserved: 'gave up', hopeless: 'was turned away' };
+
 /** A waiting room with a number of free places. */
 class Room {
   readonly clock = new ManualClock();
@@ -19,11 +21,11 @@
   async wait(name: string, onTimeUntil: number, {
     until = 10_000, queue = 'q', signal = new AbortController().signal,
   } = {}): Promise<void> {
-    const choice = await this.room.wait({
+    const outcome = await this.room.wait({
       queue, model: null, onTimeUntil, until, signal, choose: () => (this.free > 0 ? CHOSEN : NONE),
     });
-    this.free -= choice === null ? 0 : 1;
-    this.served.push(choice === null ? `${name} gave up` : name);
+    this.free -= outcome.kind === 'served' ? 1 : 0;
+    this.served.push(outcome.kind === 'served' ? name : `${name} ${TOLD[outcome.kind]}`);
   }
 }
 
@@ -66,3 +68,45 @@
   room.clock.advance(100);
   await Promise.all(waits);
 });
+
+/** Serves one request every so often while 20 of them wait. */
+async function overload(room: Room, milliseconds: number): Promise<void> {
+  Array.from({ length: 20 }, (_, index) => void room.wait(`w${index}`, 0, { until: 60_000 }));
+  for (let served = 0; served < 10; served += 1) {
+    room.clock.advance(milliseconds);
+    Object.assign(room, { free: 1 });
+    const before = room.served.length;
+    while (room.served.length === before) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 5);
+      });
+    }
+  }
+}
+
+test('overload: a request that cannot be served in its time is turned away at once', async () => {
+  const room = new Room();
+  await overload(room, 100);
+  const now = room.clock.monotonicMilliseconds();
+  // Ten wait before it, and ten are served a second.
+  await room.wait('hopeless', 0, { until: now + 800 });
+  expect(room.served.at(-1)).toBe('hopeless was turned away');
+  void room.wait('hopeful', 0, { until: now + 1_500 });
+  expect(room.room.size).toBe(11);
+});
+
+test('overload: a request on time waits for those on time only', async () => {
+  const room = new Room();
+  await overload(room, 100);
+  const now = room.clock.monotonicMilliseconds();
+  void room.wait('on time', now + 300, { until: now + 800 });
+  expect(room.room.size).toBe(11);
+});
+
+test('overload: what is not known yet turns nobody away', async () => {
+  const room = new Room();
+  Array.from({ length: 20 }, (_, index) => void room.wait(`w${index}`, 0, { until: 60_000 }));
+  room.clock.advance(2_000);
+  void room.wait('one more', 0, { until: 2_100 });
+  expect(room.room.size).toBe(21);
+});
