--- a/packages/groups/src/lib/observation/Sighting.ts
+++ b/packages/groups/src/lib/observation/Sighting.ts
@@ -13,6 +13,12 @@
 /** Time between two questions to a worker whose state is about to change, in ms. */
 const CHANGING_INTERVAL_MILLISECONDS = 80;
 
+/** Time in which a worker that joins has brought weights from its host; longer ones are loaded, in ms. */
+const WARM_JOIN_MILLISECONDS = 2_000;
+
+/** Time between two questions to a worker that loads weights, in ms: its registration tells the end too. */
+const LOADING_INTERVAL_MILLISECONDS = 400;
+
 /** Time between two questions to a worker that has been silent for long, in ms. */
 const SILENT_INTERVAL_MILLISECONDS = 700;
 
@@ -124,7 +130,7 @@
    * @param stretch Factor of the intervals at which workers are asked whose state is not in question.
    */
   overdueMilliseconds(now: number, stretch: number): number | null {
-    const overdue = now - this.#askedAt - this.#interval(stretch);
+    const overdue = now - this.#askedAt - this.#interval(stretch, now);
     return this.asking || overdue < 0 ? null : overdue;
   }
 
@@ -240,7 +246,7 @@
   }
 
   /** Time between two questions, in ms: the more hangs on the answer, the shorter. */
-  #interval(stretch: number): number {
+  #interval(stretch: number, now: number): number {
     if (this.isSilent) {
       return SILENT_INTERVAL_MILLISECONDS;
     }
@@ -248,6 +254,10 @@
       return 0;
     }
     const { group, busy } = this.#report;
+    const isLoading = group?.state === 'joining' && now - this.#groupChangedAt > WARM_JOIN_MILLISECONDS;
+    if (isLoading && this.#order === 'none') {
+      return LOADING_INTERVAL_MILLISECONDS;
+    }
     if (this.#order !== 'none' || group?.state === 'joining' || group?.state === 'closing') {
       return CHANGING_INTERVAL_MILLISECONDS;
     }
--- a/packages/groups/src/lib/plan/planNewGroups.ts
+++ b/packages/groups/src/lib/plan/planNewGroups.ts
@@ -51,7 +51,8 @@
   { observation, closedZones }: Pick<NewGroupsInput, 'observation' | 'closedZones'>,
 ): boolean {
   const [head] = record.members;
-  return head !== undefined && !closedZones.has(head.zone) && findFaultyMembers(record, observation).length === 0;
+  const isWhole = findFaultyMembers(record, observation).length === 0;
+  return head !== undefined && !closedZones.has(head.zone) && isWhole;
 }
 
 /**
--- a/packages/groups/src/test/WorkerObserver.test.ts
+++ b/packages/groups/src/test/WorkerObserver.test.ts
@@ -6,6 +6,7 @@
 import type { Worker, WorkerPort, WorkerReport } from '@dandelionlane/fleet';
 import { GroupWorker } from '@dandelionlane/standin';
 import assessLiveness from '../lib/observation/assessLiveness.js';
+import Sighting from '../lib/observation/Sighting.js';
 import WorkerObserver from '../lib/observation/WorkerObserver.js';
 
 const LOG = {
@@ -152,3 +153,19 @@
   await round();
   expect(told).toEqual([]);
 });
+
+test('a worker that loads weights is asked less often than one that joins with them', () => {
+  const worker = new GroupWorker('w', 5);
+  worker.group = {
+    name: GroupName.parse('g'), epoch: Epoch.parse(1), rank: 0, state: 'joining',
+  };
+  const sighting = new Sighting(worker.worker(), true, 0);
+  sighting.answered(worker.report(), 0, 0, false);
+  sighting.asked(100);
+  sighting.asking = false;
+  expect(sighting.overdueMilliseconds(180, 1)).toBe(0);
+  sighting.asked(3_000);
+  sighting.asking = false;
+  expect(sighting.overdueMilliseconds(3_080, 1)).toBeNull();
+  expect(sighting.overdueMilliseconds(3_400, 1)).toBe(0);
+});
