Have the soak's store return from copies, and tell of it with lines of a run

The store of the soak takes a copy, is away for 0.4 s and comes back from it with its era raised; operators and workers write again 0.4 s later. Drawn apart from the other faults, so that seeds draw those as before.

--- a/packages/soak/src/dandelionlane-soak.ts
+++ b/packages/soak/src/dandelionlane-soak.ts
@@ -13,6 +13,7 @@
   readonly seconds: string | number;
   readonly entries: string | number;
   readonly rate: string | number;
+  readonly restorations: string | number;
   readonly out: string;
 }
 
@@ -37,6 +38,7 @@
       seconds: Number(options.seconds),
       entries: Number(options.entries),
       rate: Number(options.rate),
+      restorations: Number(options.restorations),
       directory,
     });
     await writeFile(join(directory, 'report.json'), JSON.stringify(report, null, 2));
@@ -62,6 +64,7 @@
   .option('--seconds', 'Time in which faults begin', 15)
   .option('--entries', 'Entry processes', 4)
   .option('--rate', 'Requests a second', 40)
+  .option('--restorations', 'Returns of the store from a copy', 1)
   .option('--out', 'Directory for settings, logs and reports', 'target/soak')
   .action(run)
   .parse(process.argv);
--- a/packages/soak/src/lib/SoakOptions.ts
+++ b/packages/soak/src/lib/SoakOptions.ts
@@ -7,6 +7,8 @@
   readonly entries: number;
   /** Requests a second. */
   readonly rate: number;
+  /** Returns of the store from a copy. */
+  readonly restorations: number;
   /** Where settings files and logs of the processes go. */
   readonly directory: string;
 }
--- a/packages/soak/src/lib/faults/FaultInjector.ts
+++ b/packages/soak/src/lib/faults/FaultInjector.ts
@@ -7,6 +7,9 @@
 import type PlannedFault from './PlannedFault.js';
 import type SoakFault from './SoakFault.js';
 
+/** Time for which a store that is restored is away, and then without what is written again, in ms. */
+const AWAY_MILLISECONDS = 400;
+
 /** Brings faults about and takes them back. A fault at something that another one holds is left out. */
 export default class FaultInjector {
   readonly #topology: SoakTopology;
@@ -64,6 +67,8 @@
       case 'store-forgets':
       case 'configuration-changes':
         return [fault.kind];
+      case 'store-restored':
+        return [fault.kind, 'store-fails'];
       default:
         return fault satisfies never;
     }
@@ -98,6 +103,9 @@
       case 'store-forgets':
         tables.forgetHistory();
         return;
+      case 'store-restored':
+        await this.#restoreStore(milliseconds);
+        return;
       case 'store-link':
       case 'caller-link': {
         const { storeLink, callerLink } = this.#entry(fault.entry);
@@ -137,6 +145,20 @@
     }
   }
 
+  /** The store is away for a moment and comes back from a copy; operators and workers write again. */
+  async #restoreStore(ageMilliseconds: number): Promise<void> {
+    const { store, tables, workers } = this.#topology;
+    const restore = tables.copy();
+    await sleep(ageMilliseconds);
+    store.fault = 'silent';
+    await sleep(AWAY_MILLISECONDS);
+    restore();
+    store.fault = 'none';
+    await sleep(AWAY_MILLISECONDS);
+    await writeConfiguration(tables, createConfiguration(this.#version, this.#groupSize));
+    workers.forEach((worker) => worker.registerAgain());
+  }
+
   #entry(index: number): SoakEntry {
     const entry = this.#topology.entries[index];
     if (entry === undefined) {
--- a/packages/soak/src/lib/faults/SoakFault.ts
+++ b/packages/soak/src/lib/faults/SoakFault.ts
@@ -9,6 +9,8 @@
   | { readonly kind: 'all-entries-killed' }
   | { readonly kind: 'store-fails'; readonly fault: StoreFault }
   | { readonly kind: 'store-forgets' }
+  /** It returns from a copy that is as old as the fault lasts. */
+  | { readonly kind: 'store-restored' }
   | { readonly kind: 'store-link'; readonly entry: number; readonly state: LinkState }
   | { readonly kind: 'caller-link'; readonly entry: number; readonly state: LinkState }
   | { readonly kind: 'worker-link'; readonly worker: number; readonly state: LinkState }
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -7,6 +7,7 @@
 import createTopology from './createTopology.js';
 import FaultInjector from './faults/FaultInjector.js';
 import planFaults from './faults/planFaults.js';
+import planRestorations from './faults/planRestorations.js';
 import type RequestKind from './journal/RequestKind.js';
 import findViolations from './journal/findViolations.js';
 import isServed from './journal/isServed.js';
@@ -48,7 +49,11 @@
   const random = new SeededRandom(options.seed);
   const topology = await createTopology(options, GROUP_SIZE);
   const { journal, entries, workers } = topology;
-  const faults = planFaults(options.seconds * 1_000, entries.length, workers.length, random);
+  const milliseconds = options.seconds * 1_000;
+  const faults = [
+    ...planFaults(milliseconds, entries.length, workers.length, random),
+    ...planRestorations(milliseconds, options.restorations, new SeededRandom(options.seed + 3)),
+  ];
   const caller = new SoakCaller(journal, entries, new SeededRandom(options.seed + 2));
   const unserved = await waitUntilServed(caller, topology);
   if (unserved.length > 0) {
--- a/packages/soak/src/lib/store/SoakTables.ts
+++ b/packages/soak/src/lib/store/SoakTables.ts
@@ -16,8 +16,15 @@
   /** Versions up to this one are no longer in the history. */
   #forgotten = RowVersion.parse(0);
 
+  #era = 1;
+
   readonly #watchers = new Set<() => void>();
 
+  /** Rises with each return from a copy. */
+  get era(): number {
+    return this.#era;
+  }
+
   /** Newest version of the store. */
   get version(): RowVersion {
     return this.#version;
@@ -50,6 +57,18 @@
       .andThen(() => okAsync(this.#changesSince(table, after)));
   }
 
+  /** Returns a way back to the rows as they are now. */
+  copy(): () => void {
+    const rows = this.#store.copy();
+    const version = this.#version;
+    return () => {
+      this.#store.restore(rows);
+      this.#era += 1;
+      this.#version = version;
+      this.forgetHistory();
+    };
+  }
+
   forgetHistory(): void {
     this.#history = [];
     this.#forgotten = this.#version;
@@ -64,7 +83,7 @@
   }
 
   #changesSince(table: string, after: RowVersion): TableChanges {
-    return after < this.#forgotten ? { kind: 'history-lost' } : {
+    return after < this.#forgotten || after > this.#version ? { kind: 'history-lost' } : {
       kind: 'changes', rows: this.#history.filter((row) => row.table === table && row.version > after),
     };
   }
--- a/packages/soak/src/lib/store/StoreServer.ts
+++ b/packages/soak/src/lib/store/StoreServer.ts
@@ -89,7 +89,7 @@
   }
 
   #answer(outgoing: ServerResponse, answer: StoreAnswer): void {
-    const { status, body } = encodeStoreAnswer(answer, this.#tables.version);
-    outgoing.writeHead(status, { 'content-type': 'application/json' }).end(body);
+    const { status, headers, body } = encodeStoreAnswer(answer, this.#tables);
+    outgoing.writeHead(status, headers).end(body);
   }
 }
--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -127,6 +127,15 @@
     this.#writeRow(null);
   }
 
+  /** Writes its registration again, after the store has lost it; that of an ended life lapses again. */
+  registerAgain(): void {
+    if (this.alive) {
+      this.#register();
+    } else {
+      this.#writeRow(null);
+    }
+  }
+
   async close(): Promise<void> {
     this.#closed = true;
     this.#life += 1;
