Show two more guards of a restored store by tests

Two more are found now: lease versions of before the return (a lease renewed many times after the copy stayed taken for ever) and the holder's own records (a formation under way was begun anew). One is not: the wait for all workers of a domain before a serving formation without a record is closed.

--- a/packages/groups/src/test/restoredStore.test.ts
+++ b/packages/groups/src/test/restoredStore.test.ts
@@ -100,3 +100,33 @@
   fleet.stop();
   expect(await recorded(fleet)).not.toContain(name);
 });
+
+test('a formation under way goes on after a return of the store', async () => {
+  const fleet = new ControlledFleet();
+  const empty = fleet.rows.copy();
+  for (let index = 0; index < WORKERS; index += 1) {
+    fleet.add(`w${index}`, DOMAIN);
+  }
+  fleet.start();
+  while ((await recorded(fleet)).length === 0) {
+    await fleet.round();
+  }
+  const names = await recorded(fleet);
+  fleet.restoreStore(empty, true);
+  await rounds(fleet, 60);
+  fleet.stop();
+  expect(await recorded(fleet)).toEqual(names);
+});
+
+test('a whole group whose member answers late is not closed before it is adopted', async () => {
+  const { fleet, empty, formed } = await formGroups();
+  const member = [...fleet.fleet.values()].find(({ group }) => group?.rank === 1);
+  fleet.restoreStore(empty, false);
+  Object.assign(member ?? {}, { alive: false });
+  fleet.takeOver(2);
+  await rounds(fleet, 2);
+  Object.assign(member ?? {}, { alive: true });
+  await rounds(fleet, 60);
+  fleet.stop();
+  expect(serving(fleet)).toEqual(formed);
+});
--- a/packages/platform/src/test/restoredLease.test.ts
+++ b/packages/platform/src/test/restoredLease.test.ts
@@ -98,6 +98,26 @@
   expect((await readRow(store)).holder).toBe('two');
 });
 
+test('a lease that was renewed many times after the copy does not stay taken', async () => {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock(10_000);
+  const [one, two] = ['one', 'two'].map((name, seed) => new Process(name, store, clock, seed)) as [Process, Process];
+  await one.lease.step();
+  const copy = store.copy();
+  for (let round = 0; round < 30; round += 1) {
+    clock.advance(STEP_MILLISECONDS);
+    await one.lease.step();
+    await two.lease.step();
+  }
+  store.restore(copy);
+  for (let round = 0; round < 8; round += 1) {
+    await two.lease.step();
+    clock.advance(STEP_MILLISECONDS);
+  }
+  await two.lease.step();
+  expect(two.lease.held()).not.toBeNull();
+});
+
 test('whatever is restored when, no number is given out twice and one process at most holds the lease', async () => {
   const action = fc.oneof(
     { weight: 12, arbitrary: fc.record({ kind: fc.constant('step' as const), process: fc.nat(PROCESSES - 1) }) },
