--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -14,6 +14,7 @@
 import type GroupControl from './GroupControl.js';
 import HolderSearch from './HolderSearch.js';
 import type HolderSign from './HolderSign.js';
+import RegistrationSharing from './RegistrationSharing.js';
 import applyShared from './applyShared.js';
 import measureDemand from './measureDemand.js';
 import readOwnStatus from './readOwnStatus.js';
@@ -70,6 +71,8 @@
 
   readonly #search: HolderSearch;
 
+  readonly #registrations: RegistrationSharing;
+
   #linkedEntries: readonly KnownEntry[] | null = null;
 
   /** Entries whose link worked in the last round of the holder. */
@@ -81,9 +84,6 @@
   /** The holder that spoke last on the link, and whether it renewed its lease then. */
   #linkedHolder: { readonly entry: EntryId; readonly renewing: boolean } | null = null;
 
-  /** Era of the registrations that were last told. */
-  #toldEra: number | null = null;
-
   /** Entries as they were last told, in a form to compare. */
   #toldEntries = '';
 
@@ -103,6 +103,7 @@
       lost: () => this.#unlinked(),
     });
     this.#search = new HolderSearch(options.clock, options.random);
+    this.#registrations = new RegistrationSharing({ ...options, outdated: () => this.#server.sendWhole() });
   }
 
   start(): void {
@@ -214,7 +215,7 @@
   #lead(leadingSince: number): void {
     const {
       settings, registry, view: {
-        workers, workerRows, workerFollower, operatorFollower,
+        workers, workerFollower, operatorFollower,
       },
       control: { controller, lease }, quietLimit,
     } = this.#options;
@@ -237,7 +238,7 @@
     const state: FleetState = {
       kind: 'state',
       holder: settings.entry,
-      era: this.#eraOfRows(),
+      ...this.#registrations.changes(),
       lease: lease.announcement(),
       ageMilliseconds: Math.round(workerFollower.ageMilliseconds),
       operators: {
@@ -260,14 +261,11 @@
       })),
       withdrawn: [],
       leaving: [...workers.announcedLeaving()],
-      rows: [...workerRows.takeChanges()],
       whole: false,
-      returned: workerRows.takeReturned(),
-      version: workerRows.version,
     };
     this.#toldEntries = told;
     this.#server.broadcast(state, () => ({
-      rows: this.#registeredRows(), entries, withdrawn: [...workers.withdrawn()],
+      ...this.#registrations.whole(), entries,
     }));
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
@@ -276,25 +274,6 @@
     this.#handOver(leadingSince, others);
   }
 
-  /** All rows of the registrations, without those that a copy of the store holds of withdrawn workers. */
-  #registeredRows(): FleetState['rows'] {
-    const { workers, workerRows } = this.#options.view;
-    const withdrawn = new Set<string>(workers.withdrawn().map(({ id }) => id));
-    return workerRows.all().filter(({ key }) => !withdrawn.has(key));
-  }
-
-  /** Era of the registrations that this process knows; links get all of them anew when it changes. */
-  #eraOfRows(): number | null {
-    const { era, view: { workerRows } } = this.#options;
-    const told = workerRows.isRestoring ? this.#toldEra : era.current;
-    if (told !== this.#toldEra) {
-      this.#toldEra = told;
-      workerRows.takeChanges();
-      this.#server.sendWhole();
-    }
-    return told;
-  }
-
   #noteDemand(loads: FleetState['loads'], waiting: EntryStatus['waiting']): void {
     const { control, view: { configuration: { table }, workers } } = this.#options;
     if (table !== null) {
@@ -306,16 +285,13 @@
 
   #takeState(state: FleetState): void {
     const {
-      view: { workers, workerFollower, operatorFollower }, control, era,
+      view: { workers, workerFollower, operatorFollower }, control,
     } = this.#options;
-    era.observe(state.era);
+    this.#registrations.take(state);
     this.#linkedHolder = { entry: state.holder, renewing: state.lease !== null };
     if (state.lease !== null) {
       control.lease.announced(state.lease);
     }
-    if (state.era === era.current) {
-      this.#takeRows(state);
-    }
     state.leaving.forEach((life) => workers.noteLeaving(life));
     if (state.ageMilliseconds < STALE_MILLISECONDS) {
       workerFollower.pause();
@@ -332,20 +308,6 @@
     applyShared(state, this.#options);
   }
 
-  /** Takes registrations in. Those of an earlier era of the store would hide later ones. */
-  #takeRows(state: FleetState): void {
-    const { view: { workers, workerRows } } = this.#options;
-    if (state.returned) {
-      workerRows.storeReturned();
-    }
-    if (state.whole) {
-      workers.noteWithdrawn(state.withdrawn);
-      workerRows.reset(state.rows.filter(({ value }) => value !== null), state.version);
-    } else {
-      workerRows.change(state.rows);
-    }
-  }
-
   #unlinked(): void {
     this.#linkedEntries = null;
     this.#options.view.workerFollower.resume();
--- a/packages/platform/src/lib/lease/LeaseKeeper.ts
+++ b/packages/platform/src/lib/lease/LeaseKeeper.ts
@@ -3,6 +3,7 @@
   type Clock, type ControllerId, type RandomSource, type RegionId, type TableCondition, type TableRow,
   type TableStore,
 } from '@dandelionlane/core';
+import FencingSource from './FencingSource.js';
 import type HeldLease from './HeldLease.js';
 import type LeaseAnnouncement from './LeaseAnnouncement.js';
 import type LeaseObservation from './LeaseObservation.js';
@@ -10,12 +11,6 @@
 import isLeaseFree from './isLeaseFree.js';
 import observeLease from './observeLease.js';
 
-/**
- * Fencing numbers that are left out for each return of the store from a copy: above the holders that
- * may have followed each other between the copy and the return.
- */
-const NUMBERS_PER_RESTORATION = 1_000;
-
 function parseRecord(row: TableRow): LeaseRecord | null {
   const parsed = LeaseRecord.safeParse(row.value);
   return parsed.success ? parsed.data : null;
@@ -52,8 +47,7 @@
 
   #answeredAt = Number.NEGATIVE_INFINITY;
 
-  /** Highest fencing number that this process has seen: the store may have lost it. */
-  #highestFencing = 0;
+  readonly #fencing: FencingSource;
 
   /** Whether the lease is known from before the store returned from a copy only. */
   #isRestored = false;
@@ -69,6 +63,7 @@
 
   constructor(options: LeaseKeeperOptions) {
     this.#options = options;
+    this.#fencing = new FencingSource(options.random);
   }
 
   /** The lease, if this process may act on it now. */
@@ -111,7 +106,7 @@
    * begins it and not where this process next reads the row.
    */
   announced({ record, version, ageMilliseconds }: LeaseAnnouncement): void {
-    this.#noteFencing(record);
+    this.#fencing.observe(record);
     if (record.era !== this.#era()) {
       return;
     }
@@ -185,7 +180,7 @@
     const record = parseRecord(row);
     if (this.#reclaims && (record === null || record.era !== this.#era() || record.holder === controller)) {
       const copied = { record, version: row.version, firstSeenMilliseconds: now };
-      await this.#write(copied, this.#nextFencing(record), false);
+      await this.#write(copied, this.#fencing.next(record, this.#era()), false);
       return;
     }
     this.#reclaims = false;
@@ -199,7 +194,7 @@
     const isOwn = settings.reclaimsOwn === true && observation.record?.holder === controller;
     const isFree = isOwn || isLeaseFree(observation, now, this.#options.defersMilliseconds?.() ?? 0);
     if (isFree && now >= this.#leftUntil && this.#isOfThisEra(observation, now)) {
-      await this.#write(observation, this.#nextFencing(observation.record), false);
+      await this.#write(observation, this.#fencing.next(observation.record, this.#era()), false);
     }
   }
 
@@ -215,24 +210,10 @@
   #observe(record: LeaseRecord | null, version: RowVersion, seenAt: number): LeaseObservation {
     this.#observation = observeLease(this.#isRestored ? null : this.#observation, record, version, seenAt);
     this.#isRestored = false;
-    this.#noteFencing(record);
+    this.#fencing.observe(record);
     return this.#observation;
   }
 
-  #noteFencing(record: LeaseRecord | null): void {
-    this.#highestFencing = Math.max(this.#highestFencing, record?.fencing ?? 0);
-  }
-
-  /** A number above all that were given out, also by holders that a copy of the store doesn't know. */
-  #nextFencing(record: LeaseRecord | null): FencingNumber {
-    const era = this.#era();
-    const restorations = Math.max(0, (era ?? 0) - (record?.era ?? era ?? 0));
-    const random = this.#options.random?.next() ?? 0;
-    const lost = restorations === 0
-      ? 0 : Math.floor((restorations + random) * NUMBERS_PER_RESTORATION);
-    return FencingNumber.parse(Math.max(this.#highestFencing, record?.fencing ?? 0) + lost + 1);
-  }
-
   #era(): number | null {
     return this.#options.era?.() ?? null;
   }
@@ -306,7 +287,7 @@
     this.#observation = { record, version, firstSeenMilliseconds: clock.monotonicMilliseconds() };
     this.#isRestored = false;
     this.#reclaims = false;
-    this.#noteFencing(record);
+    this.#fencing.observe(record);
     this.#held = {
       fencing: record.fencing,
       version,
--- a/packages/platform/src/test/restoredLease.test.ts
+++ b/packages/platform/src/test/restoredLease.test.ts
@@ -30,15 +30,23 @@
   }
 }
 
+function createTwo() {
+  const store = new MemoryTableStore();
+  const clock = new ManualClock(10_000);
+  return {
+    store, clock, one: new Process('one', store, clock, 1), two: new Process('two', store, clock, 2),
+  };
+}
+
 async function readRow(store: MemoryTableStore): Promise<LeaseRecord> {
   const rows = await store.read([{ table: TABLE_NAMES.leases, key: REGION }]);
   return LeaseRecord.parse(rows._unsafeUnwrap()[0]?.value);
 }
 
 test('the holder takes the lease again at once, under a number that nobody has had', async () => {
-  const store = new MemoryTableStore();
-  const clock = new ManualClock(10_000);
-  const [one, two] = ['one', 'two'].map((name, seed) => new Process(name, store, clock, seed)) as [Process, Process];
+  const {
+    store, clock, one, two,
+  } = createTwo();
   await one.lease.step();
   const copy = store.copy();
   for (let round = 0; round < 3; round += 1) {
@@ -60,9 +68,9 @@
 });
 
 test('a former holder that the copy names does not take the lease at once', async () => {
-  const store = new MemoryTableStore();
-  const clock = new ManualClock(10_000);
-  const [one, two] = ['one', 'two'].map((name, seed) => new Process(name, store, clock, seed)) as [Process, Process];
+  const {
+    store, clock, one, two,
+  } = createTwo();
   await one.lease.step();
   const copy = store.copy();
   await one.lease.release();
@@ -81,9 +89,9 @@
 });
 
 test('with nobody left another process follows after a term', async () => {
-  const store = new MemoryTableStore();
-  const clock = new ManualClock(10_000);
-  const [one, two] = ['one', 'two'].map((name, seed) => new Process(name, store, clock, seed)) as [Process, Process];
+  const {
+    store, clock, one, two,
+  } = createTwo();
   await one.lease.step();
   await two.lease.step();
   const copy = store.copy();
@@ -99,9 +107,9 @@
 });
 
 test('a lease that was renewed many times after the copy does not stay taken', async () => {
-  const store = new MemoryTableStore();
-  const clock = new ManualClock(10_000);
-  const [one, two] = ['one', 'two'].map((name, seed) => new Process(name, store, clock, seed)) as [Process, Process];
+  const {
+    store, clock, one, two,
+  } = createTwo();
   await one.lease.step();
   const copy = store.copy();
   for (let round = 0; round < 30; round += 1) {
