--- a/packages/groups/src/lib/plan/planAdoption.ts
+++ b/packages/groups/src/lib/plan/planAdoption.ts
@@ -5,11 +5,9 @@
 import type ObservedWorker from '../observation/ObservedWorker.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
+import MAXIMUM_FORMER_HEADS from './MAXIMUM_FORMER_HEADS.js';
 import toReference from './toReference.js';
 
-/** Earlier heads that a record keeps. Members return from older formations only after a long cut. */
-const MAXIMUM_FORMER_HEADS = 8;
-
 /** A worker with the group that it reports. */
 interface ReportingWorker {
   readonly observed: ObservedWorker;
--- a/packages/groups/src/lib/plan/planReform.ts
+++ b/packages/groups/src/lib/plan/planReform.ts
@@ -2,6 +2,7 @@
 import type EpochSource from './EpochSource.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
+import MAXIMUM_FORMER_HEADS from './MAXIMUM_FORMER_HEADS.js';
 import type MemberReference from './MemberReference.js';
 import WorkerPool from './WorkerPool.js';
 import findFaultyMembers from './findFaultyMembers.js';
@@ -10,9 +11,6 @@
 import isMemberOf from './isMemberOf.js';
 import toReference from './toReference.js';
 
-/** Earlier heads that a record keeps. Members return from older formations only after a long cut. */
-const MAXIMUM_FORMER_HEADS = 8;
-
 /** What `planReform` decides with. */
 interface ReformInput {
   readonly record: GroupRecord;
