Take no member for lost that only the holder cannot reach while its group is at work

Operators of similar systems saw a machine that was only silent or slow to report have its running work started again elsewhere. It could happen here: a member whose reports did not come for half a second was replaced, and the streams of its group were cut and went on elsewhere, also where they went on well and only the path to the holder was cut. Entries tell the holder of the streams that they have at each formation; a member that is silent and registered is not replaced while a stream of its formation brought an event a moment ago, as that takes all members. A lost member is replaced as before: its group's events stop.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -5,7 +5,7 @@
   EntryRegistry, KnownEntry, RepeatBudget, TargetStates, WaitingRoom,
 } from '@dandelionlane/gateway';
 import {
-  LinkClient, LinkServer, findStalled, isOvertaxed, othersReachStore, sumLoads, sumRequests, type EntryStatus,
+  LinkClient, LinkServer, findProgressing, findStalled, isOvertaxed, othersReachStore, sumLoads, sumRequests, type EntryStatus,
   type FleetState,
 } from '@dandelionlane/links';
 import type { Log } from '@dandelionlane/telemetry';
@@ -267,6 +267,10 @@
     this.#server.broadcast(state, () => ({
       ...this.#registrations.whole(), entries,
     }));
+    controller.formationsProgressed(findProgressing(
+      statuses.filter(({ ageMilliseconds }) => ageMilliseconds <= 2 * PERIOD_MILLISECONDS)
+        .map(({ status }) => status),
+    ));
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...doubted].forEach(({ formation }) => controller.formationStalled(formation));
     this.#noteDemand(state.loads, statuses.flatMap(({ status }) => status.waiting));
--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -144,6 +144,11 @@
     this.#demand.note(requests);
   }
 
+  /** Streams of formations, named `name/epoch`, have brought events a moment ago. */
+  formationsProgressed(formations: readonly string[]): void {
+    this.#observer.formationsProgressed(formations);
+  }
+
   /** A formation seems to stand still: its members are asked at once. */
   formationStalled(formation: string): void {
     this.#observer.expedite(formation);
--- a/packages/groups/src/lib/observation/FleetObservation.ts
+++ b/packages/groups/src/lib/observation/FleetObservation.ts
@@ -1,4 +1,5 @@
 import type { GroupName, WorkerId } from '@dandelionlane/core';
+import type { GroupMembership } from '@dandelionlane/fleet';
 import type Liveness from './Liveness.js';
 import type MemberReference from '../plan/MemberReference.js';
 import assessLiveness from './assessLiveness.js';
@@ -11,12 +12,25 @@
   /** Time since the last worker was registered, in ms. */
   readonly steadyMilliseconds: number;
 
+  /** Formations whose streams go on, as `name/epoch`. */
+  readonly #progressing: ReadonlySet<string>;
+
   /** Made when first asked for. */
   #byGroup: ReadonlyMap<GroupName, readonly ObservedWorker[]> | null = null;
 
-  constructor(workers: ReadonlyMap<WorkerId, ObservedWorker>, steadyMilliseconds: number) {
+  constructor(
+    workers: ReadonlyMap<WorkerId, ObservedWorker>,
+    steadyMilliseconds: number,
+    progressing: ReadonlySet<string> = new Set(),
+  ) {
     this.workers = workers;
     this.steadyMilliseconds = steadyMilliseconds;
+    this.#progressing = progressing;
+  }
+
+  /** Whether streams of a formation brought events a moment ago: all its members are at work then. */
+  progresses({ name, epoch }: Pick<GroupMembership, 'name' | 'epoch'>): boolean {
+    return this.#progressing.has(`${name}/${epoch}`);
   }
 
   /** Workers that report to be in a group, in whichever formation of it. */
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -21,6 +21,9 @@
 /** Loop delay above which unanswered questions are put down to this process, in ms. */
 const LOOP_DELAY_MILLISECONDS = 120;
 
+/** Time for which word of a stream's progress holds, in ms: two messages of the links. */
+const PROGRESS_MILLISECONDS = 240;
+
 /** What a `WorkerObserver` needs from outside. */
 interface WorkerObserverOptions {
   readonly port: WorkerPort;
@@ -51,6 +54,9 @@
 
   readonly #sightings = new Map<WorkerId, Sighting>();
 
+  /** When streams of a formation were last heard to go on, in monotonic ms. */
+  readonly #progressedAt = new Map<string, number>();
+
   #lastRoundAt: number | null = null;
 
   /** Monotonic time at which the last worker was noted, in ms. */
@@ -89,9 +95,16 @@
       .forEach((sighting) => sighting.expedite(now, RECENT_ANSWER_MILLISECONDS));
   }
 
+  /** Streams of formations, named `name/epoch`, have brought events a moment ago. */
+  formationsProgressed(formations: readonly string[]): void {
+    const now = this.#now();
+    formations.forEach((formation) => this.#progressedAt.set(formation, now));
+  }
+
   /** Forgets everything, before a new term. */
   clear(): void {
     this.#sightings.clear();
+    this.#progressedAt.clear();
     this.#lastRoundAt = null;
   }
 
@@ -137,7 +150,7 @@
     const workers = new Map([...this.#sightings].map(([id, sighting]): [WorkerId, ObservedWorker] => [
       id, sighting.toObserved(now),
     ]));
-    return new FleetObservation(workers, now - this.#newestAt);
+    return new FleetObservation(workers, now - this.#newestAt, this.#progressing(now));
   }
 
   /** Workers whose reports name another group than their registrations. */
@@ -150,6 +163,15 @@
     return this.#options.clock.monotonicMilliseconds();
   }
 
+  #progressing(now: number): ReadonlySet<string> {
+    this.#progressedAt.forEach((at, formation) => {
+      if (now - at > PROGRESS_MILLISECONDS) {
+        this.#progressedAt.delete(formation);
+      }
+    });
+    return new Set(this.#progressedAt.keys());
+  }
+
   #note(worker: Worker, registered: boolean, now: number): void {
     const sighting = this.#sightings.get(worker.id);
     if (sighting?.isSameLife(worker) === true) {
--- a/packages/groups/src/test/ControlledFleet.ts
+++ b/packages/groups/src/test/ControlledFleet.ts
@@ -1,7 +1,8 @@
-import { okAsync } from 'neverthrow';
+import { errAsync, okAsync } from 'neverthrow';
 import { vi } from 'vitest';
 import {
-  FencingNumber, ManualClock, MemoryTableStore, ModelName, RowVersion, type FabricDomainId, type WorkerId,
+  FencingNumber, ManualClock, MemoryTableStore, ModelName, RowVersion, ServingError, type FabricDomainId,
+  type WorkerId,
 } from '@dandelionlane/core';
 import { ConfigurationHolder, WorkerTable, type WorkerPort } from '@dandelionlane/fleet';
 import { GroupWorker } from '@dandelionlane/standin';
@@ -98,6 +99,11 @@
     }
   }
 
+  /** Streams of a head's group go on, as entries tell. */
+  progress(head: GroupWorker): void {
+    this.#controller.formationsProgressed([`${head.group?.name}/${head.group?.epoch}`]);
+  }
+
   start(): void {
     this.#controller.start();
   }
@@ -122,6 +128,9 @@
       report: ({ id, domain }) => {
         this.calls += 1;
         const worker = this.#answering(id);
+        if (!worker.alive) {
+          return errAsync(new ServingError('no answer', { kind: 'target-lost' }));
+        }
         worker.settle();
         return okAsync({ ...worker.report(), domain });
       },
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -5,6 +5,7 @@
 export { default as LinkClient } from './lib/LinkClient.js';
 export { default as LinkServer } from './lib/LinkServer.js';
 export { default as decodeMessage } from './lib/decodeMessage.js';
+export { default as findProgressing } from './lib/findProgressing.js';
 export { default as findStalled } from './lib/findStalled.js';
 export { default as isOvertaxed } from './lib/isOvertaxed.js';
 export { default as othersReachStore } from './lib/othersReachStore.js';
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -12,6 +12,7 @@
 import decodeFrame from '../lib/decodeFrame.js';
 import encodeFrame from '../lib/encodeFrame.js';
 import findStalled from '../lib/findStalled.js';
+import findProgressing from '../lib/findProgressing.js';
 import othersReachStore from '../lib/othersReachStore.js';
 import isOvertaxed from '../lib/isOvertaxed.js';
 import sumRequests from '../lib/sumRequests.js';
@@ -201,3 +202,10 @@
   await vi.waitFor(() => expect(addresses).toEqual(['10.0.0.1:7341']));
   expect([client.idle, client.working, server.statuses().length]).toEqual([true, false, 0]);
 });
+
+test('a formation is at work when any entry has just had an event of it', () => {
+  const quiet = { started: 1, silentMilliseconds: 400 };
+  expect(findProgressing([status('a', quiet), status('b', { started: 1, silentMilliseconds: 20 })])).toEqual(['g/1']);
+  expect(findProgressing([status('a', quiet)])).toEqual([]);
+  expect(findProgressing([status('a', { started: 0, silentMilliseconds: 20 })])).toEqual([]);
+});
