--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -5,8 +5,8 @@
   EntryRegistry, KnownEntry, RepeatBudget, TargetStates, WaitingRoom,
 } from '@dandelionlane/gateway';
 import {
-  LinkClient, LinkServer, findProgressing, findStalled, isOvertaxed, othersReachStore, sumLoads, sumRequests, type EntryStatus,
-  type FleetState,
+  LinkClient, LinkServer, findProgressing, findStalled, isOvertaxed, othersReachStore, sumLoads, sumRequests,
+  type EntryStatus, type FleetState,
 } from '@dandelionlane/links';
 import type { Log } from '@dandelionlane/telemetry';
 import type FleetEntrySettings from './FleetEntrySettings.js';
