--- a/packages/groups/src/lib/plan/planNewGroups.ts
+++ b/packages/groups/src/lib/plan/planNewGroups.ts
@@ -15,7 +15,7 @@
 /** Workers of a domain for which one is kept as a spare. */
 const WORKERS_PER_SPARE = 10;
 
-/** Least workers of a domain of which one is kept as a spare. */
+/** Least workers of a domain of which one is kept as a spare: of fewer it would be too large a share. */
 const LEAST_WORKERS_WITH_SPARE = 8;
 
 /** What `planNewGroups` decides with. */
