--- a/packages/gateway/src/lib/targets/noteAnswerHead.ts
+++ b/packages/gateway/src/lib/targets/noteAnswerHead.ts
@@ -7,6 +7,9 @@
 /** Statuses with which a target turns requests away for a while. */
 const TURNED_AWAY: ReadonlySet<number> = new Set([429, 503]);
 
+/** Longest pause that counts, in ms: a target that names a longer one is asked hourly. */
+const LONGEST_PAUSE_MILLISECONDS = 3_600_000;
+
 /** Largest part that is added to the time that a target names, so that entries come back one by one. */
 const LONGEST_DELAY_SHARE = 0.1;
 
@@ -34,6 +37,7 @@
     workers.noteLeaving(worker);
   }
   if (TURNED_AWAY.has(status) && head.retryAfterMilliseconds !== null) {
-    state.holdOff(worker.bornAt, head.retryAfterMilliseconds * (1 + random.next() * LONGEST_DELAY_SHARE));
+    const pause = Math.min(head.retryAfterMilliseconds, LONGEST_PAUSE_MILLISECONDS);
+    state.holdOff(worker.bornAt, pause * (1 + random.next() * LONGEST_DELAY_SHARE));
   }
 }
--- a/packages/gateway/src/test/departures.test.ts
+++ b/packages/gateway/src/test/departures.test.ts
@@ -111,3 +111,14 @@
   await gateway.call();
   expect(gateway.received).toEqual([1, 2]);
 });
+
+test.each([[0, 0], [1e15, 3_600_000]])('a pause of %i ms counts as %i ms', async (told, counted) => {
+  gateway = preferFirst(await TestGateway.start(PLAIN, [(_incoming, outgoing) => {
+    outgoing.writeHead(503, { 'x-not-executed': '1', 'x-pause': String(told) });
+    outgoing.end();
+  }, answering()]));
+  await gateway.call();
+  const pauseMilliseconds = gateway.states.of('w0' as never).heldOffMilliseconds(1);
+  expect(pauseMilliseconds).toBeLessThanOrEqual(counted * 1.1);
+  expect(pauseMilliseconds).toBeGreaterThanOrEqual(counted * 0.99);
+});
