Announce a departure that the copy of the store has not seen

A worker that had registered its departure before the store came back from an older copy stands in the copy as staying. Processes that know of the departure kept it for themselves: new ones, which read the copy, would have offered it work. They now announce it on the links. Shown by a test that failed before.

--- a/packages/fleet/src/lib/workers/WorkerTable.ts
+++ b/packages/fleet/src/lib/workers/WorkerTable.ts
@@ -99,7 +99,8 @@
     if (known === undefined || (registration.bornAt ?? 0) > (known.worker.bornAt ?? 0)) {
       this.put(registration);
     } else if (known.worker.bornAt === registration.bornAt) {
-      this.#set({ ...known, lapsedAt: null });
+      const isUnaware = known.worker.draining && !registration.draining;
+      this.#set({ ...known, lapsedAt: null, hasAnnounced: known.hasAnnounced || isUnaware });
       if (registration.draining) {
         this.noteLeaving(registration);
       }
--- a/packages/fleet/src/test/WorkerTable.test.ts
+++ b/packages/fleet/src/test/WorkerTable.test.ts
@@ -178,3 +178,12 @@
   table.putRestored({ ...WORKER, draining: true });
   expect(table.get(WORKER.id)?.worker.draining).toBe(true);
 });
+
+test('a departure that the copy of the store has not seen is announced', () => {
+  const table = new WorkerTable(new ManualClock(50_000));
+  table.put({ ...WORKER, draining: true });
+  expect(table.announcedLeaving()).toEqual([]);
+  table.putRestored(WORKER);
+  expect(table.get(WORKER.id)?.worker.draining).toBe(true);
+  expect(table.announcedLeaving()).toEqual([{ id: WORKER.id, bornAt: 1 }]);
+});
