Share the engine and the rounds of the tests of groups

The profile of a fast engine stood in three test files, adding workers, playing rounds and finding serving heads in four. The assertions are the same.

--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -119,7 +119,19 @@
   };
   const stalls = new StallDetector({ states, clock, quietLimit });
   coordinator = new Coordinator({
-    settings, era: ports.era, registry, states, budget, waitingRoom, view, control, isReady, quietLimit, clock, random, log: logFor('links'),
+    settings,
+    era: ports.era,
+    registry,
+    states,
+    budget,
+    waitingRoom,
+    view,
+    control,
+    isReady,
+    quietLimit,
+    clock,
+    random,
+    log: logFor('links'),
   });
 
   ports.era.onRestored(({ from, to }) => {
--- a/packages/groups/src/test/ControlledFleet.ts
+++ b/packages/groups/src/test/ControlledFleet.ts
@@ -7,6 +7,7 @@
 import { ConfigurationHolder, WorkerTable, type WorkerPort } from '@dandelionlane/fleet';
 import { GroupWorker } from '@dandelionlane/standin';
 import GroupController from '../lib/control/GroupController.js';
+import createEngine from './createEngine.js';
 
 /** Period of the control loop, in ms. */
 const PERIOD_MILLISECONDS = 40;
@@ -32,23 +33,14 @@
       id: service,
       maximumConnections: 10,
       coldRequestsPerSecond: 0,
-      engine: {
-        slots: 9,
-        models: [
-          {
-            name: ModelName.parse('large'), groupSize: 16, pace: 1, workShare: 0.5,
-          },
-          {
-            name: ModelName.parse('small'), groupSize: 4, pace: 0.6, workShare: 0.5,
-          },
-        ],
-        loadsPerSecond: 100,
-        promptTokensPerSecond: 1,
-        stepMilliseconds: 1,
-        stepMillisecondsPerRequest: 0,
-        stepsPerPass: 1,
-        reportLagMilliseconds: 0,
-      },
+      engine: createEngine(9, [
+        {
+          name: ModelName.parse('large'), groupSize: 16, pace: 1, workShare: 0.5,
+        },
+        {
+          name: ModelName.parse('small'), groupSize: 4, pace: 0.6, workShare: 0.5,
+        },
+      ]),
     }]]),
   } as unknown as Parameters<ConfigurationHolder['accept']>[0]);
   return configuration;
@@ -69,6 +61,11 @@
 
   #controller = this.#createController(1);
 
+  /** Registers a number of new workers in a domain. */
+  addAll(count: number, domain: FabricDomainId): readonly GroupWorker[] {
+    return Array.from({ length: count }, (_, index) => this.add(`w${index}`, domain));
+  }
+
   /** Registers a new worker in a domain. */
   add(id: string, domain: FabricDomainId): GroupWorker {
     const worker = new GroupWorker(id, 1);
@@ -118,9 +115,15 @@
     await vi.advanceTimersByTimeAsync(PERIOD_MILLISECONDS);
   }
 
-  /** Sizes of the groups that serve. */
-  servingSizes(): readonly number[] {
-    return [...this.fleet.values()].filter(({ isServing }) => isServing).map(({ members }) => members.length);
+  async rounds(count: number): Promise<void> {
+    for (let round = 0; round < count; round += 1) {
+      await this.round();
+    }
+  }
+
+  /** Heads of the groups that serve. */
+  serving(): readonly GroupWorker[] {
+    return [...this.fleet.values()].filter(({ isServing }) => isServing);
   }
 
   #createController(fencing: number): GroupController {
--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -1,9 +1,7 @@
 import {
   FencingNumber, ManualClock, ModelName, ServiceId, type GroupName, type WorkerId,
 } from '@dandelionlane/core';
-import type {
-  EngineProfile, OrderStamp, WorkerOrder, WorkerReport,
-} from '@dandelionlane/fleet';
+import type { OrderStamp, WorkerOrder, WorkerReport } from '@dandelionlane/fleet';
 import type { GroupWorker } from '@dandelionlane/standin';
 import FleetObservation from '../lib/observation/FleetObservation.js';
 import type ObservedWorker from '../lib/observation/ObservedWorker.js';
@@ -11,21 +9,16 @@
 import ModelDemand from '../lib/plan/ModelDemand.js';
 import planGroups from '../lib/plan/planGroups.js';
 import type GroupRecord from '../lib/plan/GroupRecord.js';
+import createEngine from './createEngine.js';
 
-const ENGINE: EngineProfile = {
-  slots: 4,
-  models: [{
+const ENGINE = createEngine(4, [
+  {
     name: ModelName.parse('large'), groupSize: 3, pace: 1, workShare: 0.6,
-  }, {
+  },
+  {
     name: ModelName.parse('small'), groupSize: 2, pace: 1, workShare: 0.4,
-  }],
-  loadsPerSecond: 100,
-  promptTokensPerSecond: 1,
-  stepMilliseconds: 1,
-  stepMillisecondsPerRequest: 0,
-  stepsPerPass: 1,
-  reportLagMilliseconds: 0,
-};
+  },
+]);
 
 /** Rows of the groups, which all holders share, with a version each. */
 export type GroupRows = Map<GroupName, { readonly record: GroupRecord; readonly version: number }>;
--- /dev/null
+++ b/packages/groups/src/test/createEngine.ts
@@ -0,0 +1,15 @@
+import type { EngineProfile } from '@dandelionlane/fleet';
+
+/** An engine that loads at once, with the models given. */
+export default function createEngine(slots: number, models: EngineProfile['models']): EngineProfile {
+  return {
+    slots,
+    models,
+    loadsPerSecond: 100,
+    promptTokensPerSecond: 1,
+    stepMilliseconds: 1,
+    stepMillisecondsPerRequest: 0,
+    stepsPerPass: 1,
+    reportLagMilliseconds: 0,
+  };
+}
--- a/packages/groups/src/test/largeStart.test.ts
+++ b/packages/groups/src/test/largeStart.test.ts
@@ -30,7 +30,7 @@
     mostCalls = Math.max(mostCalls, fleet.calls);
   }
   fleet.stop();
-  const sizes = fleet.servingSizes();
+  const sizes = fleet.serving().map(({ members }) => members.length);
   expect(sizes.filter((size) => size === 16)).toHaveLength(25);
   expect(sizes.filter((size) => size === 4)).toHaveLength(100);
   expect(mostCalls).toBeLessThanOrEqual(CALLS_PER_ROUND);
--- a/packages/groups/src/test/planNewGroups.test.ts
+++ b/packages/groups/src/test/planNewGroups.test.ts
@@ -2,7 +2,6 @@
 import {
   FabricDomainId, FencingNumber, ManualClock, ModelName, ServiceId, WorkerId,
 } from '@dandelionlane/core';
-import type { EngineProfile } from '@dandelionlane/fleet';
 import { GroupWorker } from '@dandelionlane/standin';
 import FleetObservation from '../lib/observation/FleetObservation.js';
 import type ObservedWorker from '../lib/observation/ObservedWorker.js';
@@ -10,6 +9,7 @@
 import ModelDemand from '../lib/plan/ModelDemand.js';
 import WorkerPool from '../lib/plan/WorkerPool.js';
 import planNewGroups from '../lib/plan/planNewGroups.js';
+import createEngine from './createEngine.js';
 
 const LARGE = ModelName.parse('large');
 const SMALL = ModelName.parse('small');
@@ -36,23 +36,14 @@
   domainSize: number,
   shares: readonly [number, number],
 ): Map<ModelName, number> {
-  const engine: EngineProfile = {
-    slots: 4,
-    models: [
-      {
-        name: LARGE, groupSize: 12, pace: 1, workShare: shares[0],
-      },
-      {
-        name: SMALL, groupSize: 6, pace: 0.6, workShare: shares[1],
-      },
-    ],
-    loadsPerSecond: 100,
-    promptTokensPerSecond: 1,
-    stepMilliseconds: 1,
-    stepMillisecondsPerRequest: 0,
-    stepsPerPass: 1,
-    reportLagMilliseconds: 0,
-  };
+  const engine = createEngine(4, [
+    {
+      name: LARGE, groupSize: 12, pace: 1, workShare: shares[0],
+    },
+    {
+      name: SMALL, groupSize: 6, pace: 0.6, workShare: shares[1],
+    },
+  ]);
   const names = Array.from({ length: domains }, (_, index) => FabricDomainId.parse(`domain-${index}`));
   const observed = new Map(names.flatMap((domain) => (
     Array.from({ length: domainSize }, (_, index) => observe(`${domain}-${index}`, domain))
--- a/packages/groups/src/test/restoredStore.test.ts
+++ b/packages/groups/src/test/restoredStore.test.ts
@@ -15,16 +15,9 @@
   vi.useRealTimers();
 });
 
-async function rounds(fleet: ControlledFleet, count: number): Promise<void> {
-  for (let round = 0; round < count; round += 1) {
-    await fleet.round();
-  }
-}
-
 /** Formations that serve, with the orders that their heads have taken. */
 function serving(fleet: ControlledFleet): readonly string[] {
-  return [...fleet.fleet.values()].filter(({ isServing }) => isServing)
-    .map(({ id, group, sequence }) => `${id} ${group?.name}/${group?.epoch} ${sequence}`);
+  return fleet.serving().map(({ id, group, sequence }) => `${id} ${group?.name}/${group?.epoch} ${sequence}`);
 }
 
 async function recorded(fleet: ControlledFleet): Promise<readonly string[]> {
@@ -34,11 +27,9 @@
 async function formGroups() {
   const fleet = new ControlledFleet();
   const empty = fleet.rows.copy();
-  for (let index = 0; index < WORKERS; index += 1) {
-    fleet.add(`w${index}`, DOMAIN);
-  }
+  fleet.addAll(WORKERS, DOMAIN);
   fleet.start();
-  await rounds(fleet, 60);
+  await fleet.rounds(60);
   const formed = serving(fleet);
   expect(formed.length).toBeGreaterThan(1);
   return { fleet, empty, formed };
@@ -49,7 +40,7 @@
   const names = await recorded(fleet);
   fleet.restoreStore(empty, true);
   expect(await recorded(fleet)).toEqual([]);
-  await rounds(fleet, 60);
+  await fleet.rounds(60);
   fleet.stop();
   expect(serving(fleet)).toEqual(formed);
   expect(await recorded(fleet)).toEqual(names);
@@ -60,7 +51,7 @@
   const names = await recorded(fleet);
   fleet.restoreStore(empty, false);
   fleet.takeOver(2);
-  await rounds(fleet, 60);
+  await fleet.rounds(60);
   fleet.stop();
   expect(serving(fleet)).toEqual(formed);
   expect(await recorded(fleet)).toEqual(names);
@@ -74,12 +65,12 @@
   if (member !== undefined) {
     fleet.register(member, DOMAIN);
   }
-  await rounds(fleet, 120);
+  await fleet.rounds(120);
   const present = serving(fleet);
   expect(present).not.toEqual(formed);
   fleet.restoreStore(copy, false);
   fleet.takeOver(2);
-  await rounds(fleet, 120);
+  await fleet.rounds(120);
   fleet.stop();
   expect(serving(fleet)).toEqual(present);
 });
@@ -92,11 +83,11 @@
     worker.restart(2);
     fleet.register(worker, DOMAIN);
   });
-  await rounds(fleet, 60);
+  await fleet.rounds(60);
   expect(await recorded(fleet)).not.toContain(name);
   fleet.restoreStore(copy, true);
   expect(await recorded(fleet)).toContain(name);
-  await rounds(fleet, 60);
+  await fleet.rounds(60);
   fleet.stop();
   expect(await recorded(fleet)).not.toContain(name);
 });
@@ -104,16 +95,14 @@
 test('a formation under way goes on after a return of the store', async () => {
   const fleet = new ControlledFleet();
   const empty = fleet.rows.copy();
-  for (let index = 0; index < WORKERS; index += 1) {
-    fleet.add(`w${index}`, DOMAIN);
-  }
+  fleet.addAll(WORKERS, DOMAIN);
   fleet.start();
   while ((await recorded(fleet)).length === 0) {
     await fleet.round();
   }
   const names = await recorded(fleet);
   fleet.restoreStore(empty, true);
-  await rounds(fleet, 60);
+  await fleet.rounds(60);
   fleet.stop();
   expect(await recorded(fleet)).toEqual(names);
 });
@@ -124,9 +113,9 @@
   fleet.restoreStore(empty, false);
   Object.assign(member ?? {}, { alive: false });
   fleet.takeOver(2);
-  await rounds(fleet, 2);
+  await fleet.rounds(2);
   Object.assign(member ?? {}, { alive: true });
-  await rounds(fleet, 60);
+  await fleet.rounds(60);
   fleet.stop();
   expect(serving(fleet)).toEqual(formed);
 });
--- a/packages/groups/src/test/silentMember.test.ts
+++ b/packages/groups/src/test/silentMember.test.ts
@@ -16,28 +16,13 @@
   vi.useRealTimers();
 });
 
-async function rounds(
-  fleet: ControlledFleet,
-  count: number,
-  progressing: GroupWorker | null = null,
-): Promise<void> {
-  for (let round = 0; round < count; round += 1) {
-    if (progressing !== null) {
-      fleet.progress(progressing);
-    }
-    await fleet.round();
-  }
-}
-
 /** A fleet with a group of which one member stops answering the holder. */
 async function silenceMember() {
   const fleet = new ControlledFleet();
-  for (let index = 0; index < WORKERS; index += 1) {
-    fleet.add(`w${index}`, DOMAIN);
-  }
+  fleet.addAll(WORKERS, DOMAIN);
   fleet.start();
-  await rounds(fleet, 60);
-  const head = [...fleet.fleet.values()].find(({ isServing }) => isServing) as GroupWorker;
+  await fleet.rounds(60);
+  const head = fleet.serving()[0] as GroupWorker;
   const formation = head.group?.epoch;
   const member = fleet.fleet.get(head.members[1] as GroupWorker['id']) as GroupWorker;
   member.alive = false;
@@ -46,17 +31,20 @@
 
 test('a member that only the holder cannot reach stays while its group is at work', async () => {
   const { fleet, head, formation } = await silenceMember();
-  await rounds(fleet, 100, head);
+  for (let round = 0; round < 100; round += 1) {
+    fleet.progress(head);
+    await fleet.round();
+  }
   expect(head.group?.epoch).toBe(formation);
   expect(head.isServing).toBe(true);
-  await rounds(fleet, 100);
+  await fleet.rounds(100);
   fleet.stop();
   expect(head.group?.epoch).not.toBe(formation);
 });
 
 test('a member that is lost with its group at a stand is replaced', async () => {
   const { fleet, head, formation } = await silenceMember();
-  await rounds(fleet, 100);
+  await fleet.rounds(100);
   fleet.stop();
   expect(head.group?.epoch).not.toBe(formation);
   expect(head.isServing).toBe(true);
--- a/packages/groups/src/test/withdrawnMember.test.ts
+++ b/packages/groups/src/test/withdrawnMember.test.ts
@@ -16,12 +16,10 @@
 
 test('a member that withdrew is replaced by a holder that follows an outage', async () => {
   const fleet = new ControlledFleet();
-  const members = Array.from({ length: 4 }, (_, index) => fleet.add(`w${index}`, DOMAIN));
+  fleet.addAll(4, DOMAIN);
   fleet.start();
-  for (let round = 0; round < 60; round += 1) {
-    await fleet.round();
-  }
-  const [leaver] = members.filter(({ isServing }) => isServing);
+  await fleet.rounds(60);
+  const [leaver] = fleet.serving();
   expect(leaver).toBeDefined();
   fleet.workers.remove(leaver!.id);
   await fleet.round();
@@ -29,12 +27,10 @@
   fleet.workers.storeReturned();
   fleet.takeOver(2);
   fleet.add('spare', DOMAIN);
-  for (let round = 0; round < 40; round += 1) {
-    await fleet.round();
-  }
+  await fleet.rounds(40);
   fleet.stop();
   expect(leaver!.isServing).toBe(false);
-  const serving = [...fleet.fleet.values()].filter(({ isServing }) => isServing);
+  const serving = fleet.serving();
   expect(serving.flatMap(({ members: list }) => list)).not.toContain(leaver!.id);
   expect(serving).toHaveLength(1);
 });
--- a/packages/platform/src/test/restoredLease.test.ts
+++ b/packages/platform/src/test/restoredLease.test.ts
@@ -38,6 +38,16 @@
   };
 }
 
+/** Lets processes try for the lease in turn, so many times. */
+async function contend(count: number, clock: ManualClock, ...processes: readonly Process[]): Promise<void> {
+  for (let round = 0; round < count; round += 1) {
+    clock.advance(STEP_MILLISECONDS);
+    for (const { lease } of processes) {
+      await lease.step();
+    }
+  }
+}
+
 async function readRow(store: MemoryTableStore): Promise<LeaseRecord> {
   const rows = await store.read([{ table: TABLE_NAMES.leases, key: REGION }]);
   return LeaseRecord.parse(rows._unsafeUnwrap()[0]?.value);
@@ -49,21 +59,13 @@
   } = createTwo();
   await one.lease.step();
   const copy = store.copy();
-  for (let round = 0; round < 3; round += 1) {
-    clock.advance(STEP_MILLISECONDS);
-    await one.lease.step();
-    await two.lease.step();
-  }
+  await contend(3, clock, one, two);
   store.restore(copy);
   await two.lease.step();
   await one.lease.step();
   await one.lease.step();
   expect(one.lease.held()?.fencing).toBeGreaterThan(1_000);
-  for (let round = 0; round < 6; round += 1) {
-    clock.advance(STEP_MILLISECONDS);
-    await two.lease.step();
-    await one.lease.step();
-  }
+  await contend(6, clock, two, one);
   expect(two.lease.held()).toBeNull();
 });
 
@@ -112,11 +114,7 @@
   } = createTwo();
   await one.lease.step();
   const copy = store.copy();
-  for (let round = 0; round < 30; round += 1) {
-    clock.advance(STEP_MILLISECONDS);
-    await one.lease.step();
-    await two.lease.step();
-  }
+  await contend(30, clock, one, two);
   store.restore(copy);
   for (let round = 0; round < 8; round += 1) {
     await two.lease.step();
