Entry: poll the VMs of a replica at once when its row says that it serves

Cause: an entry learns of a replica that has come into service from its row, read every second, and then from reports of its VMs, polled every second. So it refused calls for up to 2 s after the controller had decided to serve: the first booking of the demo beside load ended with 503.

Ruled out: a report that is too old for a check (the freshness bound is 2.5 s), a delayed timer alone (the two periods suffice).

Now a read of the rows polls the VMs of those replicas that serve by their row and not by their reports. What is left is the period of the rows.

--- a/packages/entry/src/lib/targets/ServiceTargets.ts
+++ b/packages/entry/src/lib/targets/ServiceTargets.ts
@@ -49,6 +49,14 @@
     return [...this.#replicaTargets.values()].flatMap((target) => target.replica.members);
   }
 
+  /** Members of the replicas that serve according to the row, but are not whole by the reports. */
+  unconfirmedMembers(): readonly ReplicaMember[] {
+    return [...this.#replicaTargets.values()].filter((target) => {
+      const assessment = target.assess();
+      return assessment.kind === 'not-whole' && assessment.reason !== 'replica-not-serving';
+    }).flatMap((target) => target.replica.members);
+  }
+
   /**
    * Applies a placement row from a read that began at `readAtMilliseconds` on the monotonic
    * clock. Ignores a row older than the one already applied (a stale read) and a missing row.
--- a/packages/entry/src/lib/targets/TargetTable.ts
+++ b/packages/entry/src/lib/targets/TargetTable.ts
@@ -67,7 +67,11 @@
     return this.#services.values();
   }
 
-  /** Reads the placement rows of the home services in one call, and evicts other services. */
+  /**
+   * Reads the placement rows of the home services in one call, and evicts other services. Polls the VMs
+   * of replicas that serve according to their rows only: the next round of polls would come up to a
+   * period later, and requests would be refused until then.
+   */
   async readRows(homeServices: readonly ServiceId[]): Promise<void> {
     this.#evictOtherServices(new Set(homeServices));
     const { store, region, clock } = this.#options;
@@ -88,6 +92,17 @@
       this.#options.onCapacityChange(targets);
     });
     this.#evictObservations();
+    this.#services.forEach((targets) => void this.#pollUnconfirmed(targets));
+  }
+
+  /** Polls the VMs of replicas that serve according to their rows, but not according to their reports. */
+  async #pollUnconfirmed(targets: ServiceTargets): Promise<void> {
+    const members = targets.unconfirmedMembers();
+    if (members.length > 0) {
+      await Promise.all(members.map((member) => this.poll(member)));
+      targets.assess();
+      this.#options.onCapacityChange(targets);
+    }
   }
 
   /** Polls every VM of the tracked services for its report. Slow VMs do not delay the others. */
