Store: pace the calls of entries without a link by the age that their view may have

At a start each of 73 entries made 13 calls in its first second (947 in all): it polled two feeds every 0.4 s and wrote a heartbeat before it was ready. All entries wrote the free lease at once. In an outage each called in vain every 0.4 s, and a lost link made all read the tables at once, although a new holder is mostly linked 1 s later.

Change: the pause follows from the time within which an entry has to follow a change (config_apply_ms, drain_ms: the smaller one, a third of it); back-off of entries that are not the holder up to 1.6 s; tables are read when a link has been lost for a third of that time; the first heartbeat is written when the entry is ready; the lease row names its holder's address, so that an entry need not read the rows of all.

--- a/packages/core/src/lib/records/LeaseRecord.ts
+++ b/packages/core/src/lib/records/LeaseRecord.ts
@@ -12,6 +12,8 @@
   termMilliseconds: z.number().int().positive(),
   /** Whether the holder has released the lease; a contender need not wait for the term to expire. */
   released: z.boolean(),
+  /** Address at which other processes reach the holder; null if it does not give one. */
+  address: z.string().nullable().default(null),
   /** Era of the table service in which the row was written; null if the service reports none. */
   era: z.number().int().nullable().default(null),
 });
--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -19,6 +19,7 @@
 import applyFleetState from './applyFleetState.js';
 import measureDemand from './measureDemand.js';
 import createEntryStatus from './createEntryStatus.js';
+import unlinkedPeriodMilliseconds from './unlinkedPeriodMilliseconds.js';
 
 /** Period of the messages on a link, in ms. */
 const MESSAGE_PERIOD_MILLISECONDS = 120;
@@ -88,6 +89,9 @@
   /** Holder that sent the last message on the link, and whether it was renewing its lease. */
   #linkedHolder: { readonly entry: EntryId; readonly isRenewing: boolean } | null = null;
 
+  /** Monotonic time at which the last state of the holder was received, in ms. */
+  #stateReceivedAt = Number.NEGATIVE_INFINITY;
+
   /** Entries as last sent to the links, serialised for comparison. */
   #sentEntries = '';
 
@@ -176,7 +180,8 @@
     const holder = lease.holder();
     const isOther = holder !== null && String(holder) !== String(settings.entry);
     return this.#holderLocator.locate({
-      holderAddress: isOther ? registry.linkAddressOf(String(holder) as EntryId) ?? null : null,
+      holderAddress: isOther
+        ? lease.observed()?.address ?? registry.linkAddressOf(String(holder) as EntryId) ?? null : null,
       otherAddresses: registry.linkAddresses(),
       isLinked: this.#client.isHealthy && String(this.#linkedHolder?.entry) === String(holder),
       hasConnection: !this.#client.isIdle,
@@ -294,6 +299,7 @@
   }
 
   #applyState(state: FleetState): void {
+    this.#stateReceivedAt = this.#options.clock.monotonicMilliseconds();
     const {
       view: { workers, workerFollower, operatorFollower }, control,
     } = this.#options;
@@ -318,7 +324,13 @@
     applyFleetState(state, this.#options);
   }
 
+  /** Reads the store again once the last state of the holder is too old, unless a link is up by then. */
   #handleLinkLoss(): void {
+    const { clock, settings } = this.#options;
+    const silentMilliseconds = clock.monotonicMilliseconds() - this.#stateReceivedAt;
+    if (silentMilliseconds < unlinkedPeriodMilliseconds(settings)) {
+      return;
+    }
     this.#fleetEntries = null;
     this.#options.view.workerFollower.resume();
     this.#options.view.operatorFollower.resume();
--- a/packages/fleet-entry/src/lib/FleetEntrySettings.ts
+++ b/packages/fleet-entry/src/lib/FleetEntrySettings.ts
@@ -19,6 +19,8 @@
   readonly bootstrap: boolean;
   /** Time between SIGTERM and the end of the process, in ms. */
   readonly graceMilliseconds: number;
+  /** Time within which an entry has to follow a change that the store has acknowledged, in ms. */
+  readonly maximumViewAgeMilliseconds: number;
   /** Budget for repeats at a service over all entries: a share of its requests, and a fixed number on top. */
   readonly repeatRatio: number;
   readonly repeatExtra: number;
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -1,4 +1,6 @@
-import { ControllerId, repeatWork, type RandomSource } from '@dandelionlane/core';
+import {
+  ControllerId, repeatWork, type Clock, type RandomSource,
+} from '@dandelionlane/core';
 import { GroupController } from '@dandelionlane/groups';
 import { LeaseKeeper } from '@dandelionlane/platform';
 import { logRoundFailure, type Log } from '@dandelionlane/telemetry';
@@ -14,6 +16,12 @@
 /** Number of such pauses between two steps while the link shows a holder that does not renew the lease. */
 const LINKED_LEASE_PERIOD_ROUNDS = 10;
 
+/** Number of such pauses between two steps of an entry without a link but with stronger peers. */
+const UNLINKED_LEASE_PERIOD_ROUNDS = 2;
+
+/** Time over which the entries of a new system spread their first steps, in ms: else all write at once. */
+const FIRST_STEP_SPREAD_MILLISECONDS = 400;
+
 /** Time for which a free lease is left to stronger entries, in ms: one of their steps and its answer. */
 const DEFERRAL_MILLISECONDS = 600;
 
@@ -45,6 +53,11 @@
 
   readonly #log: Log;
 
+  readonly #clock: Clock;
+
+  /** Monotonic time of the first step of the lease, in ms. */
+  readonly #firstStepAt: number;
+
   #rounds = 0;
 
   #eligibilityTimer: NodeJS.Timeout | undefined;
@@ -58,6 +71,9 @@
     const { view, isLeaving } = options;
     const startedAt = clock.monotonicMilliseconds();
     this.#options = options;
+    this.#clock = clock;
+    this.#firstStepAt = startedAt
+      + (settings.bootstrap ? options.random.next() * FIRST_STEP_SPREAD_MILLISECONDS : 0);
     this.#log = logFor('groups');
     this.lease = new LeaseKeeper({
       store: ports.store,
@@ -66,6 +82,7 @@
       region: settings.region,
       settings: LEASE_SETTINGS,
       acquisitionDelayMilliseconds: () => (options.hasStrongerEntry() ? DEFERRAL_MILLISECONDS : 0),
+      address: `${settings.links.host}:${settings.links.port}`,
       era: () => ports.era.current,
       random: options.random,
     });
@@ -98,7 +115,7 @@
     this.controller.start();
     // Checked often, as after a restart of all entries the groups have no holder yet.
     this.#eligibilityTimer = setInterval(() => {
-      if (this.leadership.canContend) {
+      if (this.leadership.canContend && this.#clock.monotonicMilliseconds() >= this.#firstStepAt) {
         clearInterval(this.#eligibilityTimer);
         this.#stopLease = repeatWork(
           () => this.#stepLease(),
@@ -143,7 +160,7 @@
       case 'alive':
         return this.#rounds % LINKED_LEASE_PERIOD_ROUNDS === 0;
       case 'silent':
-        return true;
+        return !this.#options.hasStrongerEntry() || this.#rounds % UNLINKED_LEASE_PERIOD_ROUNDS === 1;
       default:
         return liveness satisfies never;
     }
--- a/packages/fleet-entry/src/lib/createFleetView.ts
+++ b/packages/fleet-entry/src/lib/createFleetView.ts
@@ -3,6 +3,7 @@
 } from '@dandelionlane/fleet';
 import type EntryRuntime from './EntryRuntime.js';
 import type FleetView from './FleetView.js';
+import unlinkedPeriodMilliseconds from './unlinkedPeriodMilliseconds.js';
 
 /** Pause between two answers of the operators' feed, in ms. */
 const OPERATOR_FEED_PAUSE_MILLISECONDS = 100;
@@ -10,12 +11,11 @@
 /** Pause between two answers of the workers' feed, in ms. */
 const WORKER_FEED_PAUSE_MILLISECONDS = 150;
 
-/**
- * Pause between two answers of a feed for an entry without a link, in ms. Well below the time limits
- * for stopping work to a leaving worker and for putting a configuration into force. Not shorter, as
- * at times all entries are without a link, and each call to the store is billed.
- */
-const UNLINKED_FEED_PAUSE_MILLISECONDS = 400;
+/** Maximum backoff of the holder of the lease, in ms: others learn from it that the store is back. */
+const HOLDER_BACKOFF_MILLISECONDS = 400;
+
+/** Maximum backoff of the other entries, in ms: during an outage all of them call in vain. */
+const FOLLOWER_BACKOFF_MILLISECONDS = 1_600;
 
 /** Longest wait for a change of the operators' table, in ms: bounds the age of the holder's view. */
 const OPERATOR_FEED_WAIT_MILLISECONDS = 500;
@@ -28,7 +28,9 @@
  * @param isLeading Whether this process reads the tables for all entries.
  */
 export default function createFleetView(
-  { ports, clock, logFor }: EntryRuntime,
+  {
+    settings, ports, clock, logFor,
+  }: EntryRuntime,
   isLeading: () => boolean,
 ): FleetView {
   const configuration = new ConfigurationHolder();
@@ -36,6 +38,10 @@
   const operatorRowHandler = new OperatorRowHandler(ports.rows, configuration, clock, logFor('operators'));
   const workerRowHandler = new WorkerRowHandler(ports.rows, workers, logFor('workers'));
   const workerRows = new RowCache(workerRowHandler);
+  const maximumBackoffMilliseconds = () => (
+    isLeading() ? HOLDER_BACKOFF_MILLISECONDS : FOLLOWER_BACKOFF_MILLISECONDS
+  );
+  const unlinkedPauseMilliseconds = unlinkedPeriodMilliseconds(settings);
   return {
     configuration,
     workers,
@@ -49,7 +55,8 @@
       clock,
       log: logFor('store'),
       pollPauseMilliseconds: () => (isLeading()
-        ? OPERATOR_FEED_PAUSE_MILLISECONDS : UNLINKED_FEED_PAUSE_MILLISECONDS),
+        ? OPERATOR_FEED_PAUSE_MILLISECONDS : unlinkedPauseMilliseconds),
+      maximumBackoffMilliseconds,
       waitMilliseconds: OPERATOR_FEED_WAIT_MILLISECONDS,
     }),
     workerFollower: new TableFollower({
@@ -59,7 +66,8 @@
       clock,
       log: logFor('store'),
       pollPauseMilliseconds: () => (isLeading()
-        ? WORKER_FEED_PAUSE_MILLISECONDS : UNLINKED_FEED_PAUSE_MILLISECONDS),
+        ? WORKER_FEED_PAUSE_MILLISECONDS : unlinkedPauseMilliseconds),
+      maximumBackoffMilliseconds,
       waitMilliseconds: WORKER_FEED_WAIT_MILLISECONDS,
     }),
   };
--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -8,9 +8,6 @@
 /** Initial backoff after a failure, in ms; doubles with each further one. */
 const INITIAL_BACKOFF_MILLISECONDS = 100;
 
-/** Maximum backoff, in ms: limits the cost of calls, yet detects soon that the store has recovered. */
-const MAXIMUM_BACKOFF_MILLISECONDS = 400;
-
 /** Minimum duration of failures that counts as an outage of the store, in ms. */
 const MINIMUM_OUTAGE_MILLISECONDS = 1_000;
 
@@ -29,6 +26,8 @@
   readonly log: Log;
   /** Pause between an answer and the next call, in ms: each call has a cost. */
   readonly pollPauseMilliseconds: () => number;
+  /** Maximum backoff after failures, in ms: each call has a cost, also to a store that is unavailable. */
+  readonly maximumBackoffMilliseconds: () => number;
   /** Maximum wait of a long poll, in ms, which bounds how long a dead connection goes unnoticed. */
   readonly waitMilliseconds: number;
 }
@@ -151,7 +150,7 @@
     if (!this.#isStopped) {
       const pause = succeeded ? this.#options.pollPauseMilliseconds() : this.#backoff;
       this.#backoff = succeeded ? INITIAL_BACKOFF_MILLISECONDS
-        : Math.min(this.#backoff * 2, MAXIMUM_BACKOFF_MILLISECONDS);
+        : Math.min(this.#backoff * 2, this.#options.maximumBackoffMilliseconds());
       this.#timer = setTimeout(() => void this.#round(), pause);
     }
   }
--- a/packages/fleet/src/test/TableFollower.test.ts
+++ b/packages/fleet/src/test/TableFollower.test.ts
@@ -55,6 +55,7 @@
     },
     clock: new ManualClock(),
     log: LOG,
+    maximumBackoffMilliseconds: () => 400,
     pollPauseMilliseconds: () => 0,
     waitMilliseconds: 10,
   });
@@ -97,6 +98,7 @@
     },
     clock,
     log: LOG,
+    maximumBackoffMilliseconds: () => 400,
     pollPauseMilliseconds: () => 0,
     waitMilliseconds: 10,
   });
@@ -168,6 +170,7 @@
     },
     clock: new ManualClock(),
     log: LOG,
+    maximumBackoffMilliseconds: () => 400,
     pollPauseMilliseconds: () => 0,
     waitMilliseconds: 10,
   });
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -13,6 +13,12 @@
 /** Time between two heartbeats, in ms. */
 const HEARTBEAT_MILLISECONDS = 1_000;
 
+/** Period of the check whether a starting entry is ready, in ms. */
+const READINESS_CHECK_PERIOD_MILLISECONDS = 30;
+
+/** Longest time for which a starting entry waits for its readiness before the first heartbeat, in ms. */
+const MAXIMUM_READINESS_WAIT_MILLISECONDS = 1_000;
+
 /**
  * Silence after which an entry counts as dead, in ms: longer than the time between two heartbeats and
  * a slow answer of the store. Together with the silence of a link, a heartbeat of the holder and the
@@ -78,16 +84,27 @@
 
   #stop: (() => Promise<void>) | null = null;
 
+  #readinessTimer: NodeJS.Timeout | undefined;
+
   constructor(options: EntryRegistryOptions) {
     this.#options = options;
   }
 
+  /** Starts the heartbeats, the first one when this entry is ready: each write to the store has a cost. */
   start(): void {
-    this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS, logRoundFailure(this.#options.log));
+    const { clock, isReady, log } = this.#options;
+    const startedAt = clock.monotonicMilliseconds();
+    this.#readinessTimer = setInterval(() => {
+      if (isReady() || clock.monotonicMilliseconds() - startedAt >= MAXIMUM_READINESS_WAIT_MILLISECONDS) {
+        clearInterval(this.#readinessTimer);
+        this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS, logRoundFailure(log));
+      }
+    }, READINESS_CHECK_PERIOD_MILLISECONDS);
   }
 
   /** Stops the heartbeats and deletes this entry's row. */
   async stop(): Promise<void> {
+    clearInterval(this.#readinessTimer);
     await this.#stop?.();
     const { store, entry, log } = this.#options;
     const deletion = { table: TABLE, key: entry, value: null };
--- a/packages/platform/src/lib/lease/LeaseKeeper.ts
+++ b/packages/platform/src/lib/lease/LeaseKeeper.ts
@@ -23,6 +23,8 @@
   readonly controller: ControllerId;
   readonly region: RegionId;
   readonly settings: LeaseSettings;
+  /** Address at which other processes reach this one; null by default. */
+  readonly address?: string;
   /** Time for which a free lease is left to other contenders, in ms; 0 by default. */
   readonly acquisitionDelayMilliseconds?: () => number;
   /** Current era of the store; null, the default, if the store reports none. */
@@ -251,7 +253,7 @@
   /** Returns false if another process has written the row. */
   async #write(observation: LeaseObservation, fencing: FencingNumber, released: boolean): Promise<boolean> {
     const {
-      store, clock, controller, region, settings,
+      store, clock, controller, region, settings, address = null,
     } = this.#options;
     const startedAt = clock.monotonicMilliseconds();
     const era = this.#era();
@@ -261,6 +263,7 @@
       renewal: createNonce(),
       termMilliseconds: settings.termMilliseconds,
       released,
+      address,
       era,
     };
     const outcome = await store.commit({
--- a/packages/soak/src/lib/entries/SoakEntry.ts
+++ b/packages/soak/src/lib/entries/SoakEntry.ts
@@ -150,6 +150,7 @@
         processorCores: 1,
         bootstrap: true,
         graceMilliseconds: GRACE_MILLISECONDS,
+        maximumViewAgeMilliseconds: 2_000,
         repeatRatio: 0.2,
         repeatExtra: 50,
         repeatWindowMilliseconds: 10_000,
