Entries tell each other which targets are absent from their addresses

Each 421 is an arrival and takes from the budget of repeats.

Change: a refused connection and an answer 421 mark the instance and its formation as absent for 1 s; a newer instance or formation is not affected. Targets where nobody listens do not count against the limit of four refusals.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -5,7 +5,8 @@
   EntryRegistry, LiveEntry, RetryBudget, TargetStates, AdmissionQueue,
 } from '@dandelionlane/gateway';
 import {
-  LinkClient, LinkServer, canOthersReachStore, findProgressingFormations, findStalledFormations,
+  LinkClient, LinkServer, canOthersReachStore, findAbsentTargets, findProgressingFormations,
+  findStalledFormations,
   isHolderUndersized, sumLoads, sumRequests,
   type EntryStatus, type FleetState,
 } from '@dandelionlane/links';
@@ -259,6 +260,7 @@
       entries: serialisedEntries === this.#sentEntries ? null : entries,
       loads: sumLoads(statuses.map(({ status }) => status)),
       requests: sumRequests(statuses.map(({ status }) => status)),
+      absent: [...findAbsentTargets(statuses.map(({ status }) => status))],
       stalled: findStalledFormations(statuses, (worker, unread) => stallThreshold(worker, unread)),
       groups: controller.unregisteredGroups().map(({ worker, group, model }) => ({
         worker: worker.id,
@@ -283,7 +285,8 @@
         .map(({ status }) => status),
     ));
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
-    [...state.stalled, ...doubted].forEach(({ formation }) => controller.probeFormation(formation));
+    [...state.stalled, ...state.absent, ...doubted]
+      .forEach(({ formation }) => controller.probeFormation(formation));
     this.#reportDemand(state.loads, statuses.flatMap(({ status }) => status.waiting));
     applyFleetState(state, this.#options);
     this.#handOverIfNeeded(leadingSince, others);
--- a/packages/fleet-entry/src/lib/applyFleetState.ts
+++ b/packages/fleet-entry/src/lib/applyFleetState.ts
@@ -13,10 +13,10 @@
   readonly view: FleetView;
 }
 
-/** Applies the request counts, groups, loads and stalled formations that the holder has collected. */
+/** Applies what the holder has collected: requests, groups, loads, absent targets and stalled formations. */
 export default function applyFleetState(
   {
-    loads, requests, stalled, groups,
+    loads, requests, absent, stalled, groups,
   }: FleetState,
   { states, budget, view: { workers } }: LocalState,
 ): void {
@@ -30,6 +30,7 @@
   loads.forEach(({ worker, outstanding, unreadTokens }) => {
     states.of(worker).recordSharedLoad(outstanding, unreadTokens);
   });
+  absent.forEach(({ id, ...instance }) => states.of(id).avoidAbsent(instance));
   stalled.forEach(({ worker, formation }) => {
     const target = states.of(worker);
     target.suspect(formation, SUSPICION_MILLISECONDS);
--- a/packages/fleet-entry/src/lib/createEntryStatus.ts
+++ b/packages/fleet-entry/src/lib/createEntryStatus.ts
@@ -55,6 +55,9 @@
     callerAddress: `${settings.callers.host}:${settings.callers.port}`,
     processorCores: settings.processorCores,
     storeAgeMilliseconds: Math.round(Math.min(storeAgeMilliseconds, MAXIMUM_REPORTED_MILLISECONDS)),
+    absent: [...states.entries()].flatMap(([id, { observedAbsence }]) => (
+      observedAbsence === null ? [] : [{ id, ...observedAbsence }]
+    )),
     leaving: [...workers.announcedLeaving()],
     requests: [...budget.countRequests()],
     waiting: [...admissionQueue.countByModel()].map(([model, requests]) => ({ model, requests })),
--- a/packages/gateway/src/lib/choice/chooseTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseTarget.ts
@@ -26,7 +26,7 @@
     .admits({ coldUntil, requestsPerSecond, entries }, input.now, input.random);
 }
 
-/** Chooses among reachable targets that are neither held off nor suspected nor at their cold-start limit. */
+/** Chooses among reachable targets that are not held off, absent, suspected or at their cold-start limit. */
 export default function chooseTarget(input: ChoiceInput): Choice {
   if (input.candidates.length === 0) {
     return { kind: 'none', reason: 'no-target' };
@@ -38,8 +38,8 @@
     return { kind: 'none', reason: 'all-held-off', retryAfterMilliseconds };
   }
   const reachable = input.candidates
-    .filter(({ state, formation }, index) => heldOff[index] === 0
-      && !state.isUnreachable && !state.isSuspected(formation));
+    .filter(({ state, formation, entry: { worker: { bornAt } } }, index) => heldOff[index] === 0
+      && !state.isUnreachable && !state.isAbsent({ bornAt, formation }) && !state.isSuspected(formation));
   if (reachable.length === 0) {
     return { kind: 'none', reason: 'all-suspected' };
   }
--- a/packages/gateway/src/lib/relay/PlainRelay.ts
+++ b/packages/gateway/src/lib/relay/PlainRelay.ts
@@ -6,6 +6,7 @@
 import createRefusal from '../requests/createRefusal.js';
 import timerUntil from '../requests/timerUntil.js';
 import writeRefusal from '../requests/writeRefusal.js';
+import isRefusedConnection from '../targets/isRefusedConnection.js';
 import type AnswerClassification from './AnswerClassification.js';
 import MISDIRECTED_STATUS from './MISDIRECTED_STATUS.js';
 import type ExchangeOutcome from './ExchangeOutcome.js';
@@ -17,7 +18,7 @@
 /** Timeout of an attempt at an idempotent request, in target latencies; another target is tried after it. */
 const ATTEMPT_TIMEOUT_FACTOR = 3;
 
-/** Limit on targets that are tried and do not run the request. */
+/** Limit on targets that are tried and do not run the request, besides those where nobody listens. */
 const MAXIMUM_REFUSALS = 3;
 
 /** Time after which a target that refused may accept the request, in s. */
@@ -146,11 +147,15 @@
 
   /** Records an attempt that did not end with the target's own answer. */
   #recordFailedAttempt(
-    { candidate: { state, entry } }: Chosen,
+    { candidate: { state, entry: { worker }, formation } }: Chosen,
     answer: ExchangeOutcome,
     classification: AnswerClassification | null,
   ): void {
-    this.#excluded.add(entry.worker.id);
+    if (answer.kind === 'failed' && !answer.sent && isRefusedConnection(answer.reason)) {
+      state.recordAbsence({ bornAt: worker.bornAt, formation });
+      return;
+    }
+    this.#excluded.add(worker.id);
     if (answer.kind === 'failed' && !answer.sent) {
       state.recordUnreachable();
       this.#refusals += 1;
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -1,5 +1,6 @@
 import { ServingError, type WorkerId } from '@dandelionlane/core';
 import type Candidate from '../choice/Candidate.js';
+import isRefusedConnection from '../targets/isRefusedConnection.js';
 import type Choice from '../choice/Choice.js';
 import type Call from '../requests/Call.js';
 import type GatewayContext from '../requests/GatewayContext.js';
@@ -13,7 +14,7 @@
 import StreamAttempt from './StreamAttempt.js';
 import StreamTiming from './StreamTiming.js';
 
-/** Limit on targets that are tried and do not run the request. */
+/** Limit on targets that are tried and do not run the request, besides those where nobody listens. */
 const MAXIMUM_REFUSALS = 4;
 
 /**
@@ -186,6 +187,10 @@
   /** Records how an attempt ended. Returns the outcome, or null to try another target. */
   #recordOutcome(end: StreamAttemptOutcome, candidate: Candidate): string | null {
     const { state, entry: { worker } } = candidate;
+    if (end.kind === 'unsent' && isRefusedConnection(end.reason)) {
+      state.recordAbsence({ bornAt: worker.bornAt, formation: candidate.formation });
+      return null;
+    }
     this.#excluded.add(worker.id);
     switch (end.kind) {
       case 'complete':
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -21,9 +21,23 @@
 /** Maximum backoff, in ms. */
 const MAXIMUM_BACKOFF_MILLISECONDS = 2_000;
 
+/** Time for which a target that is absent from its address gets no requests, in ms. */
+const ABSENCE_MILLISECONDS = 1_000;
+
+/** Time for which an observed absence is reported to the other entries, in ms: two messages. */
+const ABSENCE_REPORT_MILLISECONDS = 250;
+
 /** Time for which a doubt is reported to the holder of the lease, in ms: two messages. */
 const DOUBT_MILLISECONDS = 250;
 
+/** What was expected at the address of a target. */
+interface AbsentInstance {
+  /** Start of the instance; null where targets do not report it. */
+  readonly bornAt: number | null;
+  /** Formation of its group; empty for a plain target. */
+  readonly formation: string;
+}
+
 /** State of one target as this process knows it. */
 export default class TargetState {
   readonly #clock: Clock;
@@ -72,6 +86,11 @@
 
   #doubtedFormation = '';
 
+  /** What was found absent from the address of the target, and until when that counts. */
+  #absent: AbsentInstance & { readonly until: number } | null = null;
+
+  #absenceObservedAt = Number.NEGATIVE_INFINITY;
+
   /** Instance of the target that asked for no requests, by its `bornAt`, and until when. */
   #heldOff: { readonly bornAt: number | null; readonly until: number } | null = null;
 
@@ -162,6 +181,35 @@
     return this.#now() < this.#unreachableUntil;
   }
 
+  /**
+   * Records that a connection was refused, or that another instance or formation answers at the address.
+   * The target gets no requests for a while. Newer instances and formations are not affected.
+   */
+  recordAbsence(instance: AbsentInstance): void {
+    this.#absenceObservedAt = this.#now();
+    this.avoidAbsent(instance);
+  }
+
+  /** Avoids a target that other entries have found absent from its address. */
+  avoidAbsent({ bornAt, formation }: AbsentInstance): void {
+    this.#absent = { bornAt, formation, until: this.#now() + ABSENCE_MILLISECONDS };
+  }
+
+  /** Whether an instance with a formation was recently found absent from the address. */
+  isAbsent({ bornAt, formation }: AbsentInstance): boolean {
+    return this.#absent !== null && this.#absent.bornAt === bornAt
+      && this.#absent.formation === formation && this.#now() < this.#absent.until;
+  }
+
+  /** What this process itself has just found absent, or null. */
+  get observedAbsence(): AbsentInstance | null {
+    if (this.#absent === null || this.#now() - this.#absenceObservedAt >= ABSENCE_REPORT_MILLISECONDS) {
+      return null;
+    }
+    const { bornAt, formation } = this.#absent;
+    return { bornAt, formation };
+  }
+
   /** Holds off requests for a while, as the target asked; it applies to this instance of the target. */
   holdOff(bornAt: number | null, milliseconds: number): void {
     const until = this.#now() + milliseconds;
--- a/packages/gateway/src/lib/targets/recordAnswerHead.ts
+++ b/packages/gateway/src/lib/targets/recordAnswerHead.ts
@@ -22,12 +22,13 @@
 /** Records what the head of an answer says about the target itself. */
 export default function recordAnswerHead(
   { workers, random }: RecordingContext,
-  { entry: { worker }, state }: Candidate,
+  { entry: { worker }, state, formation }: Candidate,
   status: number,
   head: AnswerHead,
 ): void {
   if (status === MISDIRECTED_STATUS) {
-    // Another worker has answered at this address.
+    // Another worker has answered, or one that is not the head of the formation.
+    state.recordAbsence({ bornAt: worker.bornAt, formation });
     return;
   }
   if (head.load !== null) {
--- a/packages/gateway/src/test/StreamRelay.test.ts
+++ b/packages/gateway/src/test/StreamRelay.test.ts
@@ -125,6 +125,32 @@
   expect(gateway.received).toEqual([0]);
 });
 
+test('targets where nobody listens are passed over, however many', async () => {
+  const lost = 6;
+  gateway = await TestGateway.start(RESUMABLE, Array.from({ length: lost + 1 }, () => whole));
+  for (let index = 0; index < lost; index += 1) {
+    gateway.stopTarget(index);
+  }
+  // Each call finds some of them; none fails.
+  for (let call = 0; call < lost; call += 1) {
+    expect(await gateway.call()).toMatchObject({ status: 200, body: all() });
+  }
+  expect(gateway.received.at(-1)).toBe(lost);
+});
+
+test('a target that is not the head of its group gets no more requests', async () => {
+  gateway = preferFirst(await TestGateway.start(RESUMABLE, [(_incoming, outgoing) => {
+    outgoing.writeHead(421, { 'x-id': 'r1' });
+    outgoing.end();
+  }, whole]));
+  await gateway.call();
+  const [tried] = gateway.received;
+  await gateway.call();
+  await gateway.call();
+  expect(tried).toBe(1);
+  expect(gateway.received).toEqual([1, 3]);
+});
+
 test('a stream that broke before its first event takes any slot', async () => {
   gateway = preferFirst(await TestGateway.start(RESUMABLE, [breakAfter(0), whole]));
   Object.assign(gateway.states.of('w1' as never), { outstanding: 5 });
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -142,6 +142,13 @@
     this.#requests?.leave({ acceptsForMilliseconds, endsInMilliseconds });
   }
 
+  /** Stops a target: connections to it are refused. */
+  stopTarget(index: number): void {
+    const server = this.#servers[index];
+    server?.closeAllConnections();
+    server?.close();
+  }
+
   stop(): void {
     this.#connections.close();
     this.#servers.forEach((server) => {
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -5,6 +5,7 @@
 export { default as LinkClient } from './lib/LinkClient.js';
 export { default as LinkServer } from './lib/LinkServer.js';
 export { default as decodeMessage } from './lib/decodeMessage.js';
+export { default as findAbsentTargets } from './lib/findAbsentTargets.js';
 export { default as findProgressingFormations } from './lib/findProgressingFormations.js';
 export { default as findStalledFormations } from './lib/findStalledFormations.js';
 export { default as isHolderUndersized } from './lib/isHolderUndersized.js';
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -2,6 +2,7 @@
 import {
   EntryId, ModelName, ServiceId, WorkerId,
 } from '@dandelionlane/core';
+import AbsentTargetSchema from './AbsentTargetSchema.js';
 import WorkerInstanceSchema from './WorkerInstanceSchema.js';
 
 /** Status report of an entry to the holder of the lease, sent several times a second. */
@@ -17,6 +18,8 @@
   storeAgeMilliseconds: z.number(),
   /** Instances of workers that announced their departure to the entry, but not in their registrations. */
   leaving: z.array(WorkerInstanceSchema),
+  /** Targets that the entry has just found absent from their addresses. */
+  absent: z.array(AbsentTargetSchema).default([]),
   /** The entry's requests in the window of the repeat budget. */
   requests: z.array(z.object({ service: ServiceId, requests: z.number() })),
   /** The entry's requests that wait for a target, by model. */
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -4,6 +4,7 @@
   WorkerId,
 } from '@dandelionlane/core';
 import { LeaseAnnouncement } from '@dandelionlane/platform';
+import AbsentTargetSchema from './AbsentTargetSchema.js';
 import WorkerInstanceSchema from './WorkerInstanceSchema.js';
 
 /** State of the fleet that the holder of the lease sends to the entries, several times a second. */
@@ -26,6 +27,8 @@
   requests: z.array(z.object({ service: ServiceId, requests: z.number() })),
   /** Formations that have stalled according to the statuses of all entries. */
   stalled: z.array(z.object({ worker: WorkerId, formation: z.string() })),
+  /** Targets that several entries have just found absent from their addresses. */
+  absent: z.array(AbsentTargetSchema).default([]),
   /** Groups that workers report, where their registrations differ: the store may be unavailable. */
   groups: z.array(z.object({
     worker: WorkerId,
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -32,6 +32,7 @@
     processorCores: 1,
     storeAgeMilliseconds: 0,
     leaving: [],
+    absent: [],
     requests: [],
     waiting: [],
     targets: [{
@@ -57,6 +58,7 @@
   operators: { newestRow: RowVersion.parse(0), wholeReads: 1, ageMilliseconds: 0 },
   entries: null,
   loads: [],
+  absent: [],
   stalled: [],
   groups: [],
   withdrawn: [],
