Admit streams by what all entries have, and judge a stalled target by what all receive

After the restart of all entries 270 late streams took the slots of 316 new ones, of which 81 were on time. With the store paced, weak entries won the lease again and again.

Changes, each with its test without network: - Entries tell their waiting and late streams and the rate of new ones. Where more wait than fit, each entry draws for its share.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -2,12 +2,12 @@
   Clock, EntryId, RandomSource, StoreEra, WorkerId,
 } from '@dandelionlane/core';
 import type {
-  EntryRegistry, LiveEntry, RetryBudget, TargetStates, AdmissionQueue,
+  AdmissionQueue, EntryRegistry, LiveEntry, RetryBudget, SharedTraffic, TargetStates, TrafficMeter,
 } from '@dandelionlane/gateway';
 import {
   LinkClient, LinkServer, canOthersReachStore, findAbsentTargets, findProgressingFormations,
   findStalledFormations,
-  isHolderUndersized, sumLoads, sumRequests,
+  isHolderUndersized, sumLoads, sumRequests, sumTraffic,
   type EntryStatus, type FleetState,
 } from '@dandelionlane/links';
 import type { Log } from '@dandelionlane/telemetry';
@@ -52,6 +52,8 @@
   readonly states: TargetStates;
   readonly budget: RetryBudget;
   readonly admissionQueue: AdmissionQueue;
+  readonly trafficMeter: TrafficMeter;
+  readonly sharedTraffic: SharedTraffic;
   readonly view: FleetView;
   readonly control: GroupControl;
   readonly isReady: () => boolean;
@@ -243,9 +245,17 @@
     });
     this.#connectedEntries = new Set(linked.keys());
     const entries = [
-      ...[...linked.values()].map(({ entry, ready, callerAddress }) => ({ entry, ready, callerAddress })),
+      ...[...linked.values()].map(({
+        entry, ready, callerAddress, processorCores,
+      }) => ({
+        entry, ready, callerAddress, processorCores,
+      })),
       ...registry.live().filter(({ entry }) => !linked.has(entry)),
     ];
+    const progressing = findProgressingFormations(
+      statuses.filter(({ ageMilliseconds }) => ageMilliseconds <= 2 * MESSAGE_PERIOD_MILLISECONDS)
+        .map(({ status }) => status),
+    );
     const serialisedEntries = JSON.stringify(entries);
     const state: FleetState = {
       kind: 'state',
@@ -260,7 +270,9 @@
       entries: serialisedEntries === this.#sentEntries ? null : entries,
       loads: sumLoads(statuses.map(({ status }) => status)),
       requests: sumRequests(statuses.map(({ status }) => status)),
+      traffic: sumTraffic(statuses.map(({ status }) => status)),
       absent: [...findAbsentTargets(statuses.map(({ status }) => status))],
+      progressing: [...progressing],
       stalled: findStalledFormations(statuses, (worker, unread) => stallThreshold(worker, unread)),
       groups: controller.unregisteredGroups().map(({ worker, group, model }) => ({
         worker: worker.id,
@@ -280,10 +292,7 @@
     this.#server.broadcast(state, () => ({
       ...this.#registrations.snapshot(), entries,
     }));
-    controller.recordProgress(findProgressingFormations(
-      statuses.filter(({ ageMilliseconds }) => ageMilliseconds <= 2 * MESSAGE_PERIOD_MILLISECONDS)
-        .map(({ status }) => status),
-    ));
+    controller.recordProgress(progressing);
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
     [...state.stalled, ...state.absent, ...doubted]
       .forEach(({ formation }) => controller.probeFormation(formation));
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -19,8 +19,11 @@
 /** Number of such pauses between two steps of an entry without a link but with stronger peers. */
 const UNLINKED_LEASE_PERIOD_ROUNDS = 2;
 
-/** Time over which the entries of a new system spread their first steps, in ms: else all write at once. */
-const FIRST_STEP_SPREAD_MILLISECONDS = 400;
+/**
+ * Delay of the first step in a new system on one core, in ms; the fewer cores, the longer. Otherwise all
+ * entries would write the free lease at once, and a weak one might hold it.
+ */
+const FIRST_STEP_DELAY_MILLISECONDS = 150;
 
 /** Time for which a free lease is left to stronger entries, in ms: one of their steps and its answer. */
 const DEFERRAL_MILLISECONDS = 600;
@@ -72,8 +75,8 @@
     const startedAt = clock.monotonicMilliseconds();
     this.#options = options;
     this.#clock = clock;
-    this.#firstStepAt = startedAt
-      + (settings.bootstrap ? options.random.next() * FIRST_STEP_SPREAD_MILLISECONDS : 0);
+    const coreDelay = FIRST_STEP_DELAY_MILLISECONDS / settings.processorCores;
+    this.#firstStepAt = startedAt + (settings.bootstrap ? coreDelay * (0.5 + options.random.next()) : 0);
     this.#log = logFor('groups');
     this.lease = new LeaseKeeper({
       store: ports.store,
--- a/packages/fleet-entry/src/lib/applyFleetState.ts
+++ b/packages/fleet-entry/src/lib/applyFleetState.ts
@@ -1,5 +1,5 @@
 import { toUnregisteredWorker } from '@dandelionlane/fleet';
-import type { RetryBudget, TargetStates } from '@dandelionlane/gateway';
+import type { RetryBudget, SharedTraffic, TargetStates } from '@dandelionlane/gateway';
 import type { FleetState } from '@dandelionlane/links';
 import type FleetView from './FleetView.js';
 
@@ -10,15 +10,18 @@
 interface LocalState {
   readonly states: TargetStates;
   readonly budget: RetryBudget;
+  readonly sharedTraffic: SharedTraffic;
   readonly view: FleetView;
 }
 
 /** Applies what the holder has collected: requests, groups, loads, absent targets and stalled formations. */
 export default function applyFleetState(
   {
-    loads, requests, absent, stalled, groups,
+    loads, requests, traffic, absent, progressing, stalled, groups,
   }: FleetState,
-  { states, budget, view: { workers } }: LocalState,
+  {
+    states, budget, sharedTraffic, view: { workers },
+  }: LocalState,
 ): void {
   requests.forEach(({ service, requests: count }) => budget.recordSharedRequests(service, count));
   groups.forEach(({
@@ -27,9 +30,9 @@
     workers.updateGroup(worker, group, model);
     workers.putUnregistered(toUnregisteredWorker({ id: worker, ...location }), group, model);
   });
-  loads.forEach(({ worker, outstanding, unreadTokens }) => {
-    states.of(worker).recordSharedLoad(outstanding, unreadTokens);
-  });
+  states.recordSharedLoads(loads);
+  sharedTraffic.record(new Map(traffic.map(({ model, ...streams }) => [model, streams])));
+  states.recordSharedProgress(progressing);
   absent.forEach(({ id, ...instance }) => states.of(id).avoidAbsent(instance));
   stalled.forEach(({ worker, formation }) => {
     const target = states.of(worker);
--- a/packages/fleet-entry/src/lib/createEntryStatus.ts
+++ b/packages/fleet-entry/src/lib/createEntryStatus.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '@dandelionlane/core';
-import type { RetryBudget, TargetStates, AdmissionQueue } from '@dandelionlane/gateway';
+import {
+  measureTraffic, type AdmissionQueue, type RetryBudget, type TargetStates, type TrafficMeter,
+} from '@dandelionlane/gateway';
 import type { EntryStatus } from '@dandelionlane/links';
 import type FleetEntrySettings from './FleetEntrySettings.js';
 import type FleetView from './FleetView.js';
@@ -13,6 +15,7 @@
   readonly states: TargetStates;
   readonly budget: RetryBudget;
   readonly admissionQueue: AdmissionQueue;
+  readonly trafficMeter: TrafficMeter;
   readonly view: FleetView;
   readonly isReady: () => boolean;
   readonly clock: Clock;
@@ -26,7 +29,7 @@
  */
 export default function createEntryStatus(
   {
-    settings, states, budget, admissionQueue, view: { workers }, isReady, clock,
+    settings, states, budget, admissionQueue, trafficMeter, view: { workers }, isReady, clock,
   }: StatusSources,
   storeAgeMilliseconds: number,
 ): EntryStatus {
@@ -48,6 +51,9 @@
         doubted: state.isDoubted(formation),
       };
     });
+  const traffic = trafficMeter.models.map((model) => (
+    { model, ...measureTraffic({ trafficMeter, admissionQueue }, model) }
+  ));
   return {
     kind: 'status',
     entry: settings.entry,
@@ -60,7 +66,10 @@
     )),
     leaving: [...workers.announcedLeaving()],
     requests: [...budget.countRequests()],
-    waiting: [...admissionQueue.countByModel()].map(([model, requests]) => ({ model, requests })),
+    waiting: traffic.map(({ model, onTimeWaiting, lateWaiting }) => (
+      { model, requests: onTimeWaiting + lateWaiting }
+    )),
+    traffic,
     targets,
   };
 }
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -4,7 +4,7 @@
 import { stallThresholdMilliseconds } from '@dandelionlane/fleet';
 import {
   SpentTimeEstimator, EntryRegistry, ModelTimings, RetryBudget, RequestServer, StallDetector,
-  TargetConnections, TargetStates, AdmissionQueue,
+  SharedTraffic, TargetConnections, TargetStates, TrafficMeter, AdmissionQueue,
   createDirectoryApplication, createMetricsApplication, createReadinessApplication,
 } from '@dandelionlane/gateway';
 import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
@@ -92,6 +92,8 @@
     windowMilliseconds: settings.repeatWindowMilliseconds,
   });
   const admissionQueue = new AdmissionQueue(clock);
+  const trafficMeter = new TrafficMeter(clock);
+  const sharedTraffic = new SharedTraffic(clock);
   const requests = new RequestServer({
     wire: ports.wire,
     zone: settings.zone,
@@ -103,6 +105,8 @@
     timings: new ModelTimings(),
     spentTimeEstimator: new SpentTimeEstimator(clock),
     admissionQueue,
+    trafficMeter,
+    sharedTraffic,
     closedZones: () => view.operatorRowHandler.closedZones,
     countEntries: () => registry.count(),
     clock,
@@ -126,6 +130,8 @@
     states,
     budget,
     admissionQueue,
+    trafficMeter,
+    sharedTraffic,
     view,
     control,
     isReady,
--- a/packages/gateway/src/lib/choice/RetryBudget.ts
+++ b/packages/gateway/src/lib/choice/RetryBudget.ts
@@ -1,10 +1,13 @@
 import type { Clock, ServiceId } from '@dandelionlane/core';
 
-/** Length of one bucket, in ms. */
+/** Length of one bucket of requests, in ms. */
 const BUCKET_MILLISECONDS = 1_000;
 
-/** Share of the budget that is used, as the windows of the entries are not aligned. */
-const SAFETY_SHARE = 0.7;
+/** Share of the budget that is used, as entries differ for a moment in what they know of each other. */
+const SAFETY_SHARE = 0.9;
+
+/** Time by which a retry may reach its target later than another one that was sent with it, in ms. */
+const DELIVERY_SPREAD_MILLISECONDS = 500;
 
 /** Age up to which a shared request count is used, in ms: several messages. */
 const SHARED_AGE_MILLISECONDS = 1_000;
@@ -15,11 +18,10 @@
   readonly at: number;
 }
 
-/** Requests and retries that began within one second. */
+/** Requests that arrived within one second. */
 interface Bucket {
   readonly startedAt: number;
   requests: number;
-  retries: number;
 }
 
 /** Bound on retries that all entries share. */
@@ -44,6 +46,9 @@
 
   readonly #buckets = new Map<ServiceId, Bucket[]>();
 
+  /** Monotonic times of the retries of this entry in the window, in ms. */
+  readonly #retriedAt = new Map<ServiceId, readonly number[]>();
+
   readonly #sharedRequests = new Map<ServiceId, SharedRequests>();
 
   constructor(clock: Clock, settings: RetryBudgetSettings) {
@@ -72,16 +77,14 @@
    * @param entries Number of live entries, including this one.
    */
   tryRetry(service: ServiceId, entries: number): boolean {
-    const current = this.#currentBucket(service);
-    const buckets = this.#buckets.get(service) ?? [];
-    const retries = buckets.reduce((sum, bucket) => sum + bucket.retries, 0);
-    const { ratio, extra } = this.#settings;
+    const now = this.#clock.monotonicMilliseconds();
+    const { ratio, extra, windowMilliseconds } = this.#settings;
+    const retriedAt = (this.#retriedAt.get(service) ?? [])
+      .filter((at) => now - at < windowMilliseconds + DELIVERY_SPREAD_MILLISECONDS);
     const requests = this.#shareOfAllRequests(service, entries) ?? this.#countOwnRequests(service);
-    if (retries + 1 > (ratio * requests + extra / entries) * SAFETY_SHARE) {
-      return false;
-    }
-    current.retries += 1;
-    return true;
+    const isAllowed = retriedAt.length + 1 <= (ratio * requests + extra / entries) * SAFETY_SHARE;
+    this.#retriedAt.set(service, isAllowed ? [...retriedAt, now] : retriedAt);
+    return isAllowed;
   }
 
   /** This entry's share of the requests of all entries, or null where these are not known. */
@@ -107,7 +110,7 @@
       this.#buckets.set(service, buckets);
       return last;
     }
-    const bucket: Bucket = { startedAt: now, requests: 0, retries: 0 };
+    const bucket: Bucket = { startedAt: now, requests: 0 };
     buckets.push(bucket);
     this.#buckets.set(service, buckets);
     return bucket;
--- a/packages/gateway/src/lib/choice/chooseStreamTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseStreamTarget.ts
@@ -2,7 +2,10 @@
 import type Choice from './Choice.js';
 import type LoadedCandidate from './LoadedCandidate.js';
 import type LatencyPrediction from './LatencyPrediction.js';
+import type StreamChoiceContext from './StreamChoiceContext.js';
 import type StreamRequirements from './StreamRequirements.js';
+import admitLateStream from './admitLateStream.js';
+import drawSlot from './drawSlot.js';
 import predictLatency from './predictLatency.js';
 
 /** Requests beyond its slots that a target may be given: load reports lag by some hundred ms. */
@@ -11,12 +14,6 @@
 /** Share of the slots that is reserved for streams that can still be on time. */
 const RESERVED_SHARE = 1 / 3;
 
-/** Share of the slots up to which a target accepts late streams without restriction. */
-const UNRESTRICTED_SHARE = 1 / 2;
-
-/** Tries of a queued stream between two load reports. */
-const TRIES_PER_LOAD_REPORT = 6;
-
 /** Penalty for each request of load, in ms: it leaves less capacity for later requests. */
 const LOAD_PENALTY_MILLISECONDS = 6;
 
@@ -65,20 +62,9 @@
   return [...drawn, ...draw(items.filter((item) => !drawn.includes(item)))];
 }
 
-/**
- * Whether a late stream may take one of the slots that no stream on time is likely to need. All
- * entries see the same free slots at once, so each takes its share of them at random.
- */
-function canTakeSpareSlot(
-  { candidate: { slots }, load }: PredictedCandidate,
-  entries: number,
-  random: RandomSource,
-): boolean {
-  if (load + 1 <= slots * UNRESTRICTED_SHARE) {
-    return true;
-  }
-  const spare = slots * (1 - RESERVED_SHARE) - load;
-  return spare >= 1 && random.next() * entries * TRIES_PER_LOAD_REPORT < spare;
+/** Slots that streams of one kind may still take at some targets. */
+function countFreeSlots(targets: readonly PredictedCandidate[], share: number): number {
+  return targets.reduce((sum, { candidate: { slots }, load }) => sum + Math.max(0, slots * share - load), 0);
 }
 
 /** Returns the first of two lists that is not empty. */
@@ -96,10 +82,9 @@
 export default function chooseStreamTarget(
   loaded: readonly LoadedCandidate[],
   requirements: StreamRequirements,
-  {
-    zone, entries, random,
-  }: { readonly zone: AvailabilityZoneId; readonly entries: number; readonly random: RandomSource },
+  context: StreamChoiceContext,
 ): Choice {
+  const { zone, random, traffic: { own, all } } = context;
   const predicted = loaded
     .filter(({ candidate, load }) => load < candidate.slots + QUEUE_ALLOWANCE)
     .map((item) => ({ ...item, prediction: predictLatency(item, requirements) }));
@@ -107,14 +92,24 @@
     load < 1
     || prediction.pauseMilliseconds <= (requirements.targetGapMilliseconds ?? Number.POSITIVE_INFINITY)
   ));
-  const eligible = requirements.firstEventBudgetMilliseconds === Number.POSITIVE_INFINITY
+  const onTime = requirements.firstEventBudgetMilliseconds === Number.POSITIVE_INFINITY
     ? firstNonEmpty(withinPauseLimit, predicted)
-    : firstNonEmpty(
-      withinPauseLimit.filter(({ prediction }) => (
-        prediction.firstEventMilliseconds <= requirements.firstEventBudgetMilliseconds
-      )),
-      withinPauseLimit.filter((item) => canTakeSpareSlot(item, entries, random)),
-    );
+    : withinPauseLimit.filter(({ prediction }) => (
+      prediction.firstEventMilliseconds <= requirements.firstEventBudgetMilliseconds
+    ));
+  const spare = withinPauseLimit
+    .filter(({ candidate: { slots }, load }) => load + 1 <= slots * (1 - RESERVED_SHARE));
+  const canTake = onTime.length > 0
+    ? drawSlot({
+      free: countFreeSlots(onTime, 1), own: own.onTimeWaiting, all: all.onTimeWaiting, random,
+    })
+    : admitLateStream({
+      targets: loaded,
+      spareSlots: countFreeSlots(spare, 1 - RESERVED_SHARE),
+      streamMilliseconds: requirements.timing.streamMilliseconds,
+      context,
+    });
+  const eligible = canTake ? firstNonEmpty(onTime, spare) : [];
   const [first, ...rest] = sample(eligible, zone, random)
     .map((item) => ({ ...item, score: score(item, zone, random) }));
   if (first === undefined) {
--- a/packages/gateway/src/lib/choice/chooseTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseTarget.ts
@@ -1,5 +1,6 @@
 import type { AvailabilityZoneId, RandomSource } from '@dandelionlane/core';
 import type Candidate from './Candidate.js';
+import type ModelTraffic from './ModelTraffic.js';
 import type Choice from './Choice.js';
 import type StreamRequirements from './StreamRequirements.js';
 import choosePlainTarget from './choosePlainTarget.js';
@@ -15,6 +16,10 @@
   readonly random: RandomSource;
   /** Requests per second that a target in cold start can sustain. */
   readonly coldRequestsPerSecond: number;
+  /** Time for which the loads of the other entries have not been known, in ms; 0 while they are known. */
+  readonly unsharedMilliseconds: number;
+  /** Traffic of the model at this entry and at all entries. */
+  readonly traffic: { readonly own: ModelTraffic; readonly all: ModelTraffic };
   /** Requirements of the stream; null for a request to a plain target. */
   readonly requirements: StreamRequirements | null;
 }
@@ -48,8 +53,10 @@
     return { kind: 'none', reason: 'all-cold' };
   }
   const { requirements, zone, random } = input;
+  const isShared = requirements !== null && input.unsharedMilliseconds === 0;
+  // A target without a shared load has no requests of others while loads are shared.
   const meanOf = (count: (candidate: Candidate) => number) => (
-    warm.reduce((sum, candidate) => sum + count(candidate), 0) / warm.length
+    isShared ? 0 : warm.reduce((sum, candidate) => sum + count(candidate), 0) / warm.length
   );
   const meanOutstanding = meanOf(({ state }) => state.outstanding);
   const othersUnreadTokens = meanOf(({ state }) => state.unreadTokens) * (input.entries - 1);
@@ -60,5 +67,5 @@
   }));
   return requirements === null
     ? choosePlainTarget(loaded, zone, random)
-    : chooseStreamTarget(loaded, requirements, { zone, entries: input.entries, random });
+    : chooseStreamTarget(loaded, requirements, input);
 }
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -19,6 +19,15 @@
 /** Longest time for which a starting entry waits for its readiness before the first heartbeat, in ms. */
 const MAXIMUM_READINESS_WAIT_MILLISECONDS = 1_000;
 
+/**
+ * Time for which the strength of entries that the holder reported is taken into account after its link, in
+ * ms: linked entries write no heartbeats, and the lease is free soon after the holder is lost.
+ */
+const REPORT_LIFETIME_MILLISECONDS = 10_000;
+
+/** Number of entries that is assumed before the rows have been read: a limit must not be used alone. */
+const ASSUMED_ENTRIES = 100;
+
 /**
  * Silence after which an entry counts as dead, in ms: longer than the time between two heartbeats and
  * a slow answer of the store. Together with the silence of a link, a heartbeat of the holder and the
@@ -86,20 +95,31 @@
 
   #readinessTimer: NodeJS.Timeout | undefined;
 
+  #hasBegunHeartbeats = false;
+
+  /** Live entries as the holder of the lease last reported them. */
+  #lastReported: readonly LiveEntry[] = [];
+
+  #reportedAt = Number.NEGATIVE_INFINITY;
+
+  #hasReadRows = false;
+
   constructor(options: EntryRegistryOptions) {
     this.#options = options;
   }
 
-  /** Starts the heartbeats, the first one when this entry is ready: each write to the store has a cost. */
+  /** Starts to read the rows. The first heartbeat follows when this entry is ready: each write has a cost. */
   start(): void {
     const { clock, isReady, log } = this.#options;
-    const startedAt = clock.monotonicMilliseconds();
+    const waitsUntil = clock.monotonicMilliseconds() + MAXIMUM_READINESS_WAIT_MILLISECONDS;
     this.#readinessTimer = setInterval(() => {
-      if (isReady() || clock.monotonicMilliseconds() - startedAt >= MAXIMUM_READINESS_WAIT_MILLISECONDS) {
+      if (isReady() || clock.monotonicMilliseconds() >= waitsUntil) {
         clearInterval(this.#readinessTimer);
-        this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS, logRoundFailure(log));
+        this.#hasBegunHeartbeats = true;
+        void this.announce();
       }
     }, READINESS_CHECK_PERIOD_MILLISECONDS);
+    this.#stop = repeatWork(() => this.#round(), HEARTBEAT_MILLISECONDS, logRoundFailure(log));
   }
 
   /** Stops the heartbeats and deletes this entry's row. */
@@ -153,10 +173,11 @@
 
   /** Number of entries that may be alive, including this one; at least 1. Shared limits are split by it. */
   count(): number {
-    return Math.max(
-      1,
-      this.#options.reportedByHolder()?.length ?? this.#live(SHARING_TIMEOUT_MILLISECONDS).length,
-    );
+    const reported = this.#options.reportedByHolder();
+    if (reported === null && !this.#hasReadRows) {
+      return ASSUMED_ENTRIES;
+    }
+    return Math.max(1, reported?.length ?? this.#live(SHARING_TIMEOUT_MILLISECONDS).length);
   }
 
   /** Live entries according to their rows, except those whose link ended after their last heartbeat. */
@@ -166,14 +187,24 @@
       .filter(({ record, lastSeenAt }) => (
         (this.#linkLostAt.get(record.entry) ?? Number.NEGATIVE_INFINITY) < lastSeenAt
       ))
-      .map(({ record: { entry, ready, callerAddress } }) => ({ entry, ready, callerAddress }));
+      .map(({
+        record: {
+          entry, ready, callerAddress, processorCores,
+        },
+      }) => ({
+        entry, ready, callerAddress, processorCores,
+      }));
   }
 
   /** Whether an entry that may be alive has far more processor time: it is the better lease holder. */
   get hasStrongerPeer(): boolean {
-    const { processorCores } = this.#options;
-    return this.#live(LIVENESS_TIMEOUT_MILLISECONDS)
-      .some(({ record }) => hasSignificantlyMoreCores(record.processorCores, processorCores));
+    const { clock, processorCores } = this.#options;
+    const isReportRecent = clock.monotonicMilliseconds() - this.#reportedAt < REPORT_LIFETIME_MILLISECONDS;
+    const peers = [
+      ...this.#live(LIVENESS_TIMEOUT_MILLISECONDS).map(({ record }) => record.processorCores),
+      ...(isReportRecent ? this.#lastReported : []).map((entry) => entry.processorCores ?? 0),
+    ];
+    return peers.some((cores) => hasSignificantlyMoreCores(cores, processorCores));
   }
 
   /** Address at which an entry listens for links; undefined where it has no row. */
@@ -232,6 +263,8 @@
     } = this.#options;
     const reported = reportedByHolder();
     if (reported !== null) {
+      this.#lastReported = reported;
+      this.#reportedAt = clock.monotonicMilliseconds();
       this.#stopReadingRows();
       this.#removeUnreported(reported);
       // To the holder, the link shows that this entry is alive.
@@ -241,7 +274,10 @@
       }
       return;
     }
-    const [, rows] = await Promise.all([this.announce(), store.scan(TABLE, '')]);
+    const [, rows] = await Promise.all([
+      this.#hasBegunHeartbeats ? this.announce() : undefined,
+      store.scan(TABLE, ''),
+    ]);
     if (rows.isErr()) {
       log.debug('Entry rows were not read.', { reason: rows.error.message });
       this.#stopReadingRows();
@@ -251,6 +287,7 @@
     const now = clock.monotonicMilliseconds();
     const lastSeenAt = this.#isReadingRows ? now : this.#rowsUnreadAt ?? now;
     this.#isReadingRows = true;
+    this.#hasReadRows = true;
     const seen = new Map<EntryId, ObservedEntry>();
     rows.value.forEach((row) => {
       const parsed = EntryRecord.safeParse(row.value);
--- a/packages/gateway/src/lib/entries/LiveEntry.ts
+++ b/packages/gateway/src/lib/entries/LiveEntry.ts
@@ -7,4 +7,6 @@
   readonly ready: boolean;
   /** Host and port that callers connect to. */
   readonly callerAddress: string;
+  /** Processor time that it may use, in cores; null if unknown. */
+  readonly processorCores: number | null;
 }
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -56,6 +56,10 @@
 
   /** Serves the stream to its end. Returns the outcome for the log. */
   async serve(signal: AbortSignal): Promise<string> {
+    const { metadata: { model }, onTimeUntil } = this.#call;
+    if (model !== null && onTimeUntil > this.#context.clock.monotonicMilliseconds()) {
+      this.#context.trafficMeter.recordArrival(model);
+    }
     const outcome = await this.#serveAttempts(signal);
     const { firstEventAt, longestPauseMilliseconds } = this.#timing;
     if (firstEventAt !== null) {
@@ -146,6 +150,11 @@
     return this.#call.deadlineAt - this.#context.clock.monotonicMilliseconds();
   }
 
+  /** Whether its first event can no longer be on time. */
+  #isLate(): boolean {
+    return !this.#hasStarted && this.#call.onTimeUntil <= this.#context.clock.monotonicMilliseconds();
+  }
+
   /** Whether a target may have run the request. */
   #mayHaveRun(): boolean {
     return this.#executions > 0;
@@ -153,6 +162,8 @@
 
   async #attempt(choice: Extract<Choice, { kind: 'chosen' }>, signal: AbortSignal): Promise<StreamAttemptOutcome> {
     const { candidate } = choice;
+    const { trafficMeter } = this.#context;
+    const lateModel = this.#isLate() ? this.#call.metadata.model : null;
     const startedAt = this.#context.clock.monotonicMilliseconds();
     const attempt = new StreamAttempt({
       context: this.#context,
@@ -164,7 +175,13 @@
       usesNewConnection: !this.#isResumable,
       canMove: () => this.#canRetry() && this.#hasAlternative(candidate),
     });
+    if (lateModel !== null) {
+      trafficMeter.recordLateStart(lateModel);
+    }
     const end = await attempt.serve(timerUntil(this.#context.clock, this.#call.deadlineAt), signal);
+    if (lateModel !== null) {
+      trafficMeter.recordLateEnd(lateModel);
+    }
     const durationMilliseconds = Math.round(this.#context.clock.monotonicMilliseconds() - startedAt);
     const formation = candidate.formation === '' ? '' : `@${candidate.formation}`;
     const expected = choice.prediction === null
--- a/packages/gateway/src/lib/requests/AdmissionQueue.ts
+++ b/packages/gateway/src/lib/requests/AdmissionQueue.ts
@@ -1,4 +1,5 @@
 import type { Clock, ModelName } from '@dandelionlane/core';
+import type ModelTraffic from '../choice/ModelTraffic.js';
 import type Choice from '../choice/Choice.js';
 import ServiceRate from './ServiceRate.js';
 import type WaitOutcome from './WaitOutcome.js';
@@ -51,15 +52,12 @@
     return this.#waiting.length;
   }
 
-  /** Number of waiting requests by model. */
-  countByModel(): ReadonlyMap<ModelName, number> {
-    const counts = new Map<ModelName, number>();
-    this.#waiting.forEach(({ model }) => {
-      if (model !== null) {
-        counts.set(model, (counts.get(model) ?? 0) + 1);
-      }
-    });
-    return counts;
+  /** Numbers of requests of a model that wait. */
+  count(model: ModelName): Pick<ModelTraffic, 'onTimeWaiting' | 'lateWaiting'> {
+    const now = this.#clock.monotonicMilliseconds();
+    const waiting = this.#waiting.filter((queued) => queued.model === model);
+    const lateWaiting = waiting.filter(({ onTimeUntil }) => onTimeUntil <= now).length;
+    return { onTimeWaiting: waiting.length - lateWaiting, lateWaiting };
   }
 
   /** Waits for a target, unless it is known that none will be free in time. */
--- a/packages/gateway/src/lib/requests/GatewayContext.ts
+++ b/packages/gateway/src/lib/requests/GatewayContext.ts
@@ -3,6 +3,8 @@
 } from '@dandelionlane/core';
 import type { ConfigurationHolder, WorkerTable } from '@dandelionlane/fleet';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
+import type SharedTraffic from '../choice/SharedTraffic.js';
+import type TrafficMeter from '../choice/TrafficMeter.js';
 import type ModelTimings from '../choice/ModelTimings.js';
 import type RetryBudget from '../choice/RetryBudget.js';
 import type TargetConnections from '../targets/TargetConnections.js';
@@ -23,6 +25,8 @@
   readonly timings: ModelTimings;
   readonly spentTimeEstimator: SpentTimeEstimator;
   readonly admissionQueue: AdmissionQueue;
+  readonly trafficMeter: TrafficMeter;
+  readonly sharedTraffic: SharedTraffic;
   /** Zones that are out of service now. */
   readonly closedZones: () => ReadonlySet<AvailabilityZoneId>;
   /** Number of live entries, including this one. */
--- a/packages/gateway/src/lib/requests/pickTarget.ts
+++ b/packages/gateway/src/lib/requests/pickTarget.ts
@@ -1,6 +1,8 @@
 import type { WorkerId } from '@dandelionlane/core';
 import type Choice from '../choice/Choice.js';
 import type StreamRequirements from '../choice/StreamRequirements.js';
+import NO_TRAFFIC from '../choice/NO_TRAFFIC.js';
+import measureTraffic from './measureTraffic.js';
 import chooseTarget from '../choice/chooseTarget.js';
 import listCandidates from '../choice/listCandidates.js';
 import type Call from './Call.js';
@@ -37,10 +39,15 @@
     closedZones: context.closedZones(),
     excluded,
   });
+  const { model } = call.metadata;
+  const entries = context.countEntries();
+  const own = model === null ? NO_TRAFFIC : measureTraffic(context, model);
   return chooseTarget({
     candidates,
     zone: context.zone,
-    entries: context.countEntries(),
+    entries,
+    unsharedMilliseconds: context.states.unsharedMilliseconds,
+    traffic: { own, all: model === null ? own : context.sharedTraffic.estimate(model, own, entries) },
     now: context.clock.monotonicMilliseconds(),
     random: context.random,
     coldRequestsPerSecond: call.profile.coldRequestsPerSecond,
--- a/packages/gateway/src/lib/targets/StallDetector.ts
+++ b/packages/gateway/src/lib/targets/StallDetector.ts
@@ -78,6 +78,7 @@
   }
 
   #checkTarget(worker: WorkerId, state: TargetState, now: number): void {
+    const { states, stallThreshold } = this.#options;
     const streams = [...state.streams].filter(({ paused }) => !paused);
     const started = streams.filter(({ lastEventAt }) => lastEventAt !== null);
     const [first] = streams;
@@ -85,10 +86,12 @@
       return;
     }
     const oldest = Math.min(...streams.map(({ sentAt }) => sentAt));
-    const silence = now - Math.max(oldest, state.lastProgressAt);
+    // A target that delivers events to other entries has not stalled: it has not read these prompts yet.
+    const sharedProgressAt = started.length === 0 ? states.sharedProgressAt(first.formation) : oldest;
+    const silence = now - Math.max(oldest, state.lastProgressAt, sharedProgressAt);
     const limit = started.length === 0
       ? Math.max(MINIMUM_UNSTARTED_MILLISECONDS, first.expectedFirstEventMilliseconds * UNSTARTED_FACTOR)
-      : this.#options.stallThreshold(worker, state.estimateUnreadTokens());
+      : stallThreshold(worker, state.estimateUnreadTokens());
     if (silence > limit * DOUBT_SHARE) {
       state.doubt(first.formation);
     }
--- a/packages/gateway/src/lib/targets/TargetStates.ts
+++ b/packages/gateway/src/lib/targets/TargetStates.ts
@@ -1,6 +1,19 @@
 import type { Clock, WorkerId } from '@dandelionlane/core';
 import TargetState from './TargetState.js';
 
+/** Age up to which the loads shared by all entries are used, in ms: several messages. */
+const SHARED_AGE_MILLISECONDS = 600;
+
+/** Time for which shared progress is remembered, in ms: longer than any silence that is still usual. */
+const PROGRESS_MEMORY_MILLISECONDS = 10_000;
+
+/** Requests of all entries at a target. */
+interface SharedLoad {
+  readonly worker: WorkerId;
+  readonly outstanding: number;
+  readonly unreadTokens: number;
+}
+
 /** States of all targets that this process has used. */
 export default class TargetStates {
   readonly #clock: Clock;
@@ -10,8 +23,44 @@
   /** Targets that are gone and whose state is kept for a while. */
   readonly #dropped = new Set<WorkerId>();
 
+  /** Monotonic time at which progress of each formation was last shared, in ms. */
+  readonly #progressedAt = new Map<string, number>();
+
+  /** Monotonic time since which the loads of the other entries are not known, in ms. */
+  #unsharedSince: number;
+
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.#unsharedSince = clock.monotonicMilliseconds();
+  }
+
+  /** Records the requests of all entries, including this one. Model targets that are not listed have none. */
+  recordSharedLoads(loads: readonly SharedLoad[]): void {
+    this.#unsharedSince = this.#clock.monotonicMilliseconds() + SHARED_AGE_MILLISECONDS;
+    loads.forEach(({ worker, outstanding, unreadTokens }) => {
+      this.of(worker).recordSharedLoad(outstanding, unreadTokens);
+    });
+  }
+
+  /** Records that streams of these formations, named `name/epoch`, just delivered events to any entry. */
+  recordSharedProgress(formations: readonly string[]): void {
+    const now = this.#clock.monotonicMilliseconds();
+    this.#progressedAt.forEach((at, formation) => {
+      if (now - at > PROGRESS_MEMORY_MILLISECONDS) {
+        this.#progressedAt.delete(formation);
+      }
+    });
+    formations.forEach((formation) => this.#progressedAt.set(formation, now));
+  }
+
+  /** Monotonic time at which progress of a formation at any entry was last shared, in ms. */
+  sharedProgressAt(formation: string): number {
+    return this.#progressedAt.get(formation) ?? Number.NEGATIVE_INFINITY;
+  }
+
+  /** Time for which the loads of the other entries have not been known, in ms; 0 while they are known. */
+  get unsharedMilliseconds(): number {
+    return Math.max(0, this.#clock.monotonicMilliseconds() - this.#unsharedSince);
   }
 
   of(worker: WorkerId): TargetState {
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -139,7 +139,7 @@
   const clock = new ManualClock();
   const holder = create('holder', store, clock);
   const entries: readonly LiveEntry[] = ['one', 'holder'].map((name) => ({
-    entry: EntryId.parse(name), ready: true, callerAddress: `${name}:1`,
+    entry: EntryId.parse(name), ready: true, callerAddress: `${name}:1`, processorCores: 1,
   }));
   let linked: readonly LiveEntry[] | null = null;
   const one = create('one', store, clock, () => linked);
@@ -199,7 +199,9 @@
   await rounds(3, clock);
   expect(one.readyAddresses()).toEqual(['one:1', 'ended:1']);
   await crash(ended);
-  linked = [{ entry: EntryId.parse('one'), ready: true, callerAddress: 'one:1' }];
+  linked = [{
+    entry: EntryId.parse('one'), ready: true, callerAddress: 'one:1', processorCores: 1,
+  }];
   await rounds(6, clock);
   linked = null;
   expect(one.readyAddresses()).toEqual(['one:1']);
@@ -211,7 +213,9 @@
   vi.useFakeTimers();
   const store = new MemoryTableStore();
   const clock = new ManualClock();
-  const known: readonly LiveEntry[] = [{ entry: EntryId.parse('one'), ready: true, callerAddress: 'one:1' }];
+  const known: readonly LiveEntry[] = [{
+    entry: EntryId.parse('one'), ready: true, callerAddress: 'one:1', processorCores: 1,
+  }];
   const one = create('one', store, clock, () => known);
   one.start();
   await rounds(1, clock);
@@ -254,6 +258,23 @@
   expect(weak.hasStrongerPeer).toBe(false);
 });
 
+test('an entry whose link has ended still knows that a stronger one may be alive', async () => {
+  vi.useFakeTimers();
+  const clock = new ManualClock();
+  const peers = [{
+    entry: EntryId.parse('strong'), ready: true, callerAddress: 'strong:1', processorCores: 1.35,
+  }];
+  let linked: readonly LiveEntry[] | null = peers;
+  const weak = create('weak', new MemoryTableStore(), clock, () => linked, () => [], 0.3);
+  weak.start();
+  await rounds(2, clock);
+  linked = null;
+  await rounds(2, clock);
+  expect(weak.hasStrongerPeer).toBe(true);
+  await rounds(10, clock);
+  expect(weak.hasStrongerPeer).toBe(false);
+});
+
 test('rows restored from a copy of the store do not count as heartbeats', async () => {
   const { clock, one, ended } = await startThree();
   await crash(ended);
@@ -269,7 +290,9 @@
   vi.useFakeTimers();
   const store = new MemoryTableStore();
   const clock = new ManualClock();
-  const known = [{ entry: EntryId.parse('one'), ready: true, callerAddress: 'one:1' }];
+  const known = [{
+    entry: EntryId.parse('one'), ready: true, callerAddress: 'one:1', processorCores: 1,
+  }];
   const one = create('one', store, clock, () => known);
   const copy = store.backUp();
   one.start();
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -13,6 +13,8 @@
 import { MetricsRegistry, type Log } from '@dandelionlane/telemetry';
 import ModelTimings from '../lib/choice/ModelTimings.js';
 import RetryBudget from '../lib/choice/RetryBudget.js';
+import SharedTraffic from '../lib/choice/SharedTraffic.js';
+import TrafficMeter from '../lib/choice/TrafficMeter.js';
 import SpentTimeEstimator from '../lib/requests/SpentTimeEstimator.js';
 import RequestServer from '../lib/requests/RequestServer.js';
 import AdmissionQueue from '../lib/requests/AdmissionQueue.js';
@@ -178,6 +180,8 @@
       timings: new ModelTimings(),
       spentTimeEstimator: new SpentTimeEstimator(this.#clock),
       admissionQueue: new AdmissionQueue(this.#clock),
+      trafficMeter: new TrafficMeter(this.#clock),
+      sharedTraffic: new SharedTraffic(this.#clock),
       closedZones: () => new Set(),
       countEntries: () => 1,
       clock: this.#clock,
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -11,6 +11,7 @@
 import type StreamRequirements from '../lib/choice/StreamRequirements.js';
 import ModelTimings from '../lib/choice/ModelTimings.js';
 import RetryBudget from '../lib/choice/RetryBudget.js';
+import NO_TRAFFIC from '../lib/choice/NO_TRAFFIC.js';
 import chooseTarget from '../lib/choice/chooseTarget.js';
 import EventSequence from '../lib/relay/EventSequence.js';
 import SpentTimeEstimator from '../lib/requests/SpentTimeEstimator.js';
@@ -141,6 +142,7 @@
   requirements: StreamRequirements | null = REQUIREMENTS,
   random: RandomSource = new SeededRandom(7),
   entries = 1,
+  traffic = { own: NO_TRAFFIC, all: NO_TRAFFIC },
 ) {
   return chooseTarget({
     candidates,
@@ -149,6 +151,8 @@
     now: clock.monotonicMilliseconds(),
     random,
     coldRequestsPerSecond: 4,
+    unsharedMilliseconds: entries === 1 ? 0 : 1_000,
+    traffic,
     requirements,
   });
 }
@@ -276,10 +280,12 @@
   target.state.recordStatusSent();
   target.state.recordSharedLoad(9, 0);
   const random = new SeededRandom(3);
-  const tries = 6;
+  const tries = 10;
   const rounds = 200;
-  const taken = Array.from({ length: rounds * tries * 9 }, () => choose([target], clock, late, random, 9))
-    .filter(({ kind }) => kind === 'chosen').length;
+  const traffic = { own: { ...NO_TRAFFIC, lateWaiting: 1 }, all: { ...NO_TRAFFIC, lateWaiting: 9 } };
+  const taken = Array.from({ length: rounds * tries * 9 }, () => (
+    choose([target], clock, late, random, 9, traffic)
+  )).filter(({ kind }) => kind === 'chosen').length;
   expect(taken / rounds).toBeLessThanOrEqual(3 * 1.1);
 });
 
@@ -437,6 +443,31 @@
   expect(moved).toBe(true);
 });
 
+test('a target that is slow to start a stream but delivers to other entries has not stalled', () => {
+  const clock = new ManualClock();
+  const states = new TargetStates(clock);
+  let moved = false;
+  states.of(WorkerId.parse('w')).streams.add(runningStream({
+    stalled: () => {
+      moved = true;
+    },
+  }));
+  const detector = new StallDetector({ states, clock, stallThreshold: () => 170 });
+  const wait = (milliseconds: number, formations: readonly string[]) => {
+    for (let waited = 0; waited < milliseconds; waited += 40) {
+      clock.advance(40);
+      states.recordSharedProgress(formations);
+      detector.check();
+    }
+  };
+  wait(1_200, ['g/1']);
+  expect(moved).toBe(false);
+  wait(400, ['g/2']);
+  expect(moved).toBe(false);
+  wait(120, ['g/2']);
+  expect(moved).toBe(true);
+});
+
 test('a stall of this process does not count as silence of a target', () => {
   const clock = new ManualClock();
   const states = new TargetStates(clock);
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -12,3 +12,4 @@
 export { default as canOthersReachStore } from './lib/canOthersReachStore.js';
 export { default as sumLoads } from './lib/sumLoads.js';
 export { default as sumRequests } from './lib/sumRequests.js';
+export { default as sumTraffic } from './lib/sumTraffic.js';
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -3,6 +3,7 @@
   EntryId, ModelName, ServiceId, WorkerId,
 } from '@dandelionlane/core';
 import AbsentTargetSchema from './AbsentTargetSchema.js';
+import ModelTrafficSchema from './ModelTrafficSchema.js';
 import WorkerInstanceSchema from './WorkerInstanceSchema.js';
 
 /** Status report of an entry to the holder of the lease, sent several times a second. */
@@ -24,6 +25,8 @@
   requests: z.array(z.object({ service: ServiceId, requests: z.number() })),
   /** The entry's requests that wait for a target, by model. */
   waiting: z.array(z.object({ model: ModelName, requests: z.number() })),
+  /** The entry's streams, by model. */
+  traffic: z.array(ModelTrafficSchema).default([]),
   /** Model targets with requests from the entry. */
   targets: z.array(z.object({
     worker: WorkerId,
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -5,6 +5,7 @@
 } from '@dandelionlane/core';
 import { LeaseAnnouncement } from '@dandelionlane/platform';
 import AbsentTargetSchema from './AbsentTargetSchema.js';
+import ModelTrafficSchema from './ModelTrafficSchema.js';
 import WorkerInstanceSchema from './WorkerInstanceSchema.js';
 
 /** State of the fleet that the holder of the lease sends to the entries, several times a second. */
@@ -20,11 +21,20 @@
   /** Position of the holder in the operators' table, and the time since the store last answered, in ms. */
   operators: z.object({ newestRow: RowVersion, wholeReads: z.number(), ageMilliseconds: z.number() }),
   /** Entries linked to the holder, including the holder; null if unchanged, except with `whole`. */
-  entries: z.array(z.object({ entry: EntryId, ready: z.boolean(), callerAddress: z.string() })).nullable(),
+  entries: z.array(z.object({
+    entry: EntryId,
+    ready: z.boolean(),
+    callerAddress: z.string(),
+    processorCores: z.number().nullable().default(null),
+  })).nullable(),
   /** Requests of all entries at model targets. */
   loads: z.array(z.object({ worker: WorkerId, outstanding: z.number(), unreadTokens: z.number() })),
   /** Requests of all entries in the window of the repeat budget. */
   requests: z.array(z.object({ service: ServiceId, requests: z.number() })),
+  /** Streams of all entries, by model. */
+  traffic: z.array(ModelTrafficSchema).default([]),
+  /** Formations that have just delivered events to any entry. */
+  progressing: z.array(z.string()).default([]),
   /** Formations that have stalled according to the statuses of all entries. */
   stalled: z.array(z.object({ worker: WorkerId, formation: z.string() })),
   /** Targets that several entries have just found absent from their addresses. */
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -35,6 +35,7 @@
     absent: [],
     requests: [],
     waiting: [],
+    traffic: [],
     targets: [{
       worker: HEAD,
       formation: 'g/1',
@@ -58,7 +59,9 @@
   operators: { newestRow: RowVersion.parse(0), wholeReads: 1, ageMilliseconds: 0 },
   entries: null,
   loads: [],
+  traffic: [],
   absent: [],
+  progressing: [],
   stalled: [],
   groups: [],
   withdrawn: [],
@@ -69,7 +72,9 @@
   version: RowVersion.parse(0),
 };
 
-const LINKED_ENTRY = { entry: EntryId.parse('a'), ready: true, callerAddress: 'a:1' };
+const LINKED_ENTRY = {
+  entry: EntryId.parse('a'), ready: true, callerAddress: 'a:1', processorCores: 1,
+};
 
 const closing: (() => void)[] = [];
 
