Replicate the operators' table over the links

Cause: each change of the operators' table cost one read at each of 73 entries. An entry that the store turned away served by an old configuration although its link was up.

Change: the holder sends changed rows with its next message, the whole table after a read of the whole table, and the table again to each new link. An entry reads only when the rows do not continue what it has. All entries without a link look at the lease every 450 ms again, since what they save costs a later takeover. The time for which a lost link is tolerated is a share of the permitted age of a view.

Ruled out: sending changes alone, since a deletion during a read of the whole table was missed. Longer pauses of weak entries between looks at the lease, since they find a new holder later.

--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -16,11 +16,11 @@
 import type GroupControl from './GroupControl.js';
 import HolderLocator from './HolderLocator.js';
 import type HolderLiveness from './HolderLiveness.js';
+import OperatorRowReplicator from './OperatorRowReplicator.js';
 import RegistrationReplicator from './RegistrationReplicator.js';
 import applyFleetState from './applyFleetState.js';
 import measureDemand from './measureDemand.js';
 import createEntryStatus from './createEntryStatus.js';
-import unlinkedPeriodMilliseconds from './unlinkedPeriodMilliseconds.js';
 
 /** Period of the messages on a link, in ms. */
 const MESSAGE_PERIOD_MILLISECONDS = 120;
@@ -35,6 +35,12 @@
 /** Age of the holder's last message from which the holder counts as silent, in ms: 2.5 message periods. */
 const HOLDER_TIMEOUT_MILLISECONDS = 300;
 
+/**
+ * Share of the age that a view may have after which an entry that has lost its link reads the store: a new
+ * holder has mostly taken over by then.
+ */
+const LINK_LOSS_SHARE = 0.45;
+
 /** Age of an entry's last status from which its link counts as lost, in ms. */
 const ENTRY_TIMEOUT_MILLISECONDS = 1_000;
 
@@ -81,6 +87,8 @@
 
   readonly #registrations: RegistrationReplicator;
 
+  readonly #operatorRows: OperatorRowReplicator;
+
   #fleetEntries: readonly LiveEntry[] | null = null;
 
   /** Entries whose link was up in the last round of the holder. */
@@ -114,6 +122,7 @@
       onLost: () => this.#handleLinkLoss(),
     });
     this.#holderLocator = new HolderLocator(options.clock, options.random);
+    this.#operatorRows = new OperatorRowReplicator(options);
     this.#registrations = new RegistrationReplicator({
       ...options, onSnapshotRequired: () => this.#server.scheduleSnapshot(),
     });
@@ -169,6 +178,7 @@
     this.#leadingSince = null;
     // Discards the changes, as only the holder sends them on.
     view.workerRows.takeChanges();
+    this.#operatorRows.reset();
     const address = this.#holderAddress();
     this.#client.maintain(address);
     if (!this.#client.isHealthy) {
@@ -228,10 +238,7 @@
 
   #lead(leadingSince: number): void {
     const {
-      settings, registry, view: {
-        workers, workerFollower, operatorFollower,
-      },
-      control: { controller, lease }, stallThreshold,
+      settings, registry, view: { workers, workerFollower }, control: { controller, lease }, stallThreshold,
     } = this.#options;
     const others = this.#server.statuses()
       .filter(({ ageMilliseconds }) => ageMilliseconds < ENTRY_TIMEOUT_MILLISECONDS);
@@ -263,10 +270,7 @@
       ...this.#registrations.takeChanges(),
       lease: lease.announcement(),
       ageMilliseconds: Math.round(workerFollower.ageMilliseconds),
-      operators: {
-        ...operatorFollower.position,
-        ageMilliseconds: Math.round(operatorFollower.ageMilliseconds),
-      },
+      operators: this.#operatorRows.takeChanges(),
       entries: serialisedEntries === this.#sentEntries ? null : entries,
       loads: sumLoads(statuses.map(({ status }) => status)),
       requests: sumRequests(statuses.map(({ status }) => status)),
@@ -290,7 +294,7 @@
     };
     this.#sentEntries = serialisedEntries;
     this.#server.broadcast(state, () => ({
-      ...this.#registrations.snapshot(), entries,
+      ...this.#registrations.snapshot(), entries, operators: this.#operatorRows.snapshot(),
     }));
     controller.recordProgress(progressing);
     const doubted = statuses.flatMap(({ status: { targets } }) => targets.filter((target) => target.doubted));
@@ -326,12 +330,13 @@
     } else {
       workerFollower.resume();
     }
-    if (state.operators.ageMilliseconds < STALE_VIEW_MILLISECONDS) {
+    const isFresh = state.operators.ageMilliseconds < STALE_VIEW_MILLISECONDS;
+    if (isFresh) {
       operatorFollower.pause();
-      operatorFollower.catchUp(state.operators);
     } else {
       operatorFollower.resume();
     }
+    this.#operatorRows.apply(state, isFresh);
     this.#fleetEntries = state.entries ?? this.#fleetEntries;
     applyFleetState(state, this.#options);
   }
@@ -340,7 +345,7 @@
   #handleLinkLoss(): void {
     const { clock, settings } = this.#options;
     const silentMilliseconds = clock.monotonicMilliseconds() - this.#stateReceivedAt;
-    if (silentMilliseconds < unlinkedPeriodMilliseconds(settings)) {
+    if (silentMilliseconds < settings.maximumViewAgeMilliseconds * LINK_LOSS_SHARE) {
       return;
     }
     this.#fleetEntries = null;
--- a/packages/fleet-entry/src/lib/FleetView.ts
+++ b/packages/fleet-entry/src/lib/FleetView.ts
@@ -7,6 +7,7 @@
   readonly configuration: ConfigurationHolder;
   readonly workers: WorkerTable;
   readonly operatorRowHandler: OperatorRowHandler;
+  readonly operatorRows: RowCache;
   readonly workerRowHandler: WorkerRowHandler;
   readonly workerRows: RowCache;
   readonly operatorFollower: TableFollower;
--- a/packages/fleet-entry/src/lib/GroupControl.ts
+++ b/packages/fleet-entry/src/lib/GroupControl.ts
@@ -16,9 +16,6 @@
 /** Number of such pauses between two steps while the link shows a holder that does not renew the lease. */
 const LINKED_LEASE_PERIOD_ROUNDS = 10;
 
-/** Number of such pauses between two steps of an entry without a link but with stronger peers. */
-const UNLINKED_LEASE_PERIOD_ROUNDS = 2;
-
 /**
  * Delay of the first step in a new system on one core, in ms; the fewer cores, the longer. Otherwise all
  * entries would write the free lease at once, and a weak one might hold it.
@@ -163,7 +160,7 @@
       case 'alive':
         return this.#rounds % LINKED_LEASE_PERIOD_ROUNDS === 0;
       case 'silent':
-        return !this.#options.hasStrongerEntry() || this.#rounds % UNLINKED_LEASE_PERIOD_ROUNDS === 1;
+        return true;
       default:
         return liveness satisfies never;
     }
--- a/packages/fleet-entry/src/lib/createFleetView.ts
+++ b/packages/fleet-entry/src/lib/createFleetView.ts
@@ -36,6 +36,7 @@
   const configuration = new ConfigurationHolder();
   const workers = new WorkerTable(clock);
   const operatorRowHandler = new OperatorRowHandler(ports.rows, configuration, clock, logFor('operators'));
+  const operatorRows = new RowCache(operatorRowHandler);
   const workerRowHandler = new WorkerRowHandler(ports.rows, workers, logFor('workers'));
   const workerRows = new RowCache(workerRowHandler);
   const maximumBackoffMilliseconds = () => (
@@ -46,12 +47,13 @@
     configuration,
     workers,
     operatorRowHandler,
+    operatorRows,
     workerRowHandler,
     workerRows,
     operatorFollower: new TableFollower({
       table: ports.rows.operatorTable,
       feed: ports.feed,
-      handler: operatorRowHandler,
+      handler: operatorRows,
       clock,
       log: logFor('store'),
       pollPauseMilliseconds: () => (isLeading()
--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -98,6 +98,18 @@
     return { newestRow: this.#newestRow, wholeReads: this.#wholeReads };
   }
 
+  /** Whether the rows that the process that watches the table has read so far have been handled here, too. */
+  isAt({ newestRow, wholeReads }: TablePosition): boolean {
+    return this.#version !== null && newestRow === this.#newestRow && wholeReads === this.#knownWholeReads;
+  }
+
+  /** While paused: takes over the position of the process that watches the table, with its rows. */
+  adopt({ newestRow, wholeReads }: TablePosition): void {
+    this.#version = newestRow;
+    this.#newestRow = newestRow;
+    this.#knownWholeReads = wholeReads;
+  }
+
   /** While paused: reads the table if the process that watches it is further ahead. */
   catchUp({ newestRow, wholeReads }: TablePosition): void {
     const { clock } = this.#options;
--- a/packages/fleet/src/test/TableFollower.test.ts
+++ b/packages/fleet/src/test/TableFollower.test.ts
@@ -113,6 +113,16 @@
   return { feed, catchUp, follower };
 }
 
+test('while paused, a position that was taken over needs no read', async () => {
+  const { feed, catchUp, follower } = await paused([]);
+  follower.adopt({ newestRow: RowVersion.parse(12), wholeReads: 4 });
+  expect(follower.isAt({ newestRow: RowVersion.parse(12), wholeReads: 4 })).toBe(true);
+  await catchUp(12, 4);
+  expect(feed.requested).toEqual([]);
+  await catchUp(13, 4);
+  expect(feed.requested).toEqual([12]);
+});
+
 test('while paused, reads only when another process is further ahead', async () => {
   const { feed, catchUp, follower } = await paused([{ kind: 'changes', rows: [row('config', 12)] }]);
   await catchUp(10, 1);
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -19,7 +19,18 @@
   /** Time since the holder last read the registrations of workers from the store, in ms. */
   ageMilliseconds: z.number(),
   /** Position of the holder in the operators' table, and the time since the store last answered, in ms. */
-  operators: z.object({ newestRow: RowVersion, wholeReads: z.number(), ageMilliseconds: z.number() }),
+  operators: z.object({
+    newestRow: RowVersion,
+    wholeReads: z.number(),
+    ageMilliseconds: z.number(),
+    /** Newest version known to the holder, also of rows that are gone. */
+    version: RowVersion.default(RowVersion.parse(0)),
+    /** Rows that changed since the last message; all rows with `whole`. */
+    rows: z.array(TableRow).default([]),
+    whole: z.boolean().default(false),
+    /** Newest row in the last message; null if that is not the position before the rows. */
+    after: RowVersion.nullable().default(null),
+  }),
   /** Entries linked to the holder, including the holder; null if unchanged, except with `whole`. */
   entries: z.array(z.object({
     entry: EntryId,
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -56,7 +56,15 @@
   lease: null,
   requests: [],
   ageMilliseconds: 0,
-  operators: { newestRow: RowVersion.parse(0), wholeReads: 1, ageMilliseconds: 0 },
+  operators: {
+    newestRow: RowVersion.parse(0),
+    wholeReads: 1,
+    ageMilliseconds: 0,
+    version: RowVersion.parse(0),
+    rows: [],
+    whole: false,
+    after: null,
+  },
   entries: null,
   loads: [],
   traffic: [],
@@ -146,7 +154,9 @@
   const row = {
     table: 't', key: 'k', version: RowVersion.parse(1), value: { a: 1 },
   };
-  const createSnapshot = () => ({ rows: [row], entries: [LINKED_ENTRY], withdrawn: [] });
+  const createSnapshot = () => ({
+    rows: [row], entries: [LINKED_ENTRY], withdrawn: [], operators: STATE.operators,
+  });
   server.broadcast(STATE, createSnapshot);
   server.broadcast(STATE, createSnapshot);
   await vi.waitFor(() => expect(states).toHaveLength(2));
