Probe members of groups that make progress every three seconds

Cause: the holder asked each of 162 workers for a report each second, although the entries already report each group whose streams advance.

Change: members of such groups are asked every 3 s; all others as often as before. A doubt of an entry still causes a probe at once.

--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -116,7 +116,7 @@
     const now = this.#now();
     const isDelayed = this.#lastRoundAt !== null && now - this.#lastRoundAt > MAXIMUM_LOOP_DELAY_MILLISECONDS;
     this.#lastRoundAt = now;
-    chooseProbes([...this.#trackers.values()], now)
+    chooseProbes([...this.#trackers.values()], now, this.#progressingFormations(now))
       .forEach((tracker) => void this.#probe(tracker, now, isDelayed));
   }
 
--- a/packages/groups/src/lib/observation/WorkerTracker.ts
+++ b/packages/groups/src/lib/observation/WorkerTracker.ts
@@ -7,6 +7,9 @@
 /** Interval between probes of a group member, in ms; its streams reveal a stall sooner. */
 const MEMBER_PROBE_INTERVAL_MILLISECONDS = 1_000;
 
+/** Interval between probes of a member whose group delivers events, in ms: that takes all of its members. */
+const PROGRESSING_PROBE_INTERVAL_MILLISECONDS = 3_000;
+
 /** Interval between probes of a spare, in ms. */
 const SPARE_PROBE_INTERVAL_MILLISECONDS = 2_000;
 
@@ -128,9 +131,14 @@
   /**
    * Time since the next probe was due, in ms; null while a probe is in flight or not due.
    * @param intervalFactor Factor on the probe intervals of workers in a stable state.
+   * @param progressing Formations, named `name/epoch`, that have just delivered events.
    */
-  overdueMilliseconds(now: number, intervalFactor: number): number | null {
-    const overdue = now - this.#probedAt - this.#probeInterval(intervalFactor, now);
+  overdueMilliseconds(
+    now: number,
+    intervalFactor: number,
+    progressing: ReadonlySet<string>,
+  ): number | null {
+    const overdue = now - this.#probedAt - this.#probeInterval(intervalFactor, progressing, now);
     return this.isProbing || overdue < 0 ? null : overdue;
   }
 
@@ -246,7 +254,7 @@
   }
 
   /** Interval between probes in the current state of the worker, in ms. */
-  #probeInterval(intervalFactor: number, now: number): number {
+  #probeInterval(intervalFactor: number, progressing: ReadonlySet<string>, now: number): number {
     if (this.isSilent) {
       return SILENT_PROBE_INTERVAL_MILLISECONDS;
     }
@@ -261,6 +269,12 @@
     if (this.#order !== 'none' || group?.state === 'joining' || group?.state === 'closing') {
       return CHANGING_PROBE_INTERVAL_MILLISECONDS;
     }
+    if (group !== null && progressing.has(`${group.name}/${group.epoch}`)) {
+      return Math.max(
+        PROGRESSING_PROBE_INTERVAL_MILLISECONDS,
+        intervalFactor * MEMBER_PROBE_INTERVAL_MILLISECONDS,
+      );
+    }
     return intervalFactor * (group === null && !busy
       ? SPARE_PROBE_INTERVAL_MILLISECONDS : MEMBER_PROBE_INTERVAL_MILLISECONDS);
   }
--- a/packages/groups/src/lib/observation/chooseProbes.ts
+++ b/packages/groups/src/lib/observation/chooseProbes.ts
@@ -17,10 +17,11 @@
 export default function chooseProbes(
   trackers: readonly WorkerTracker[],
   now: number,
+  progressing: ReadonlySet<string>,
 ): readonly WorkerTracker[] {
   const intervalFactor = Math.max(1, trackers.length / WORKERS_AT_BASE_INTERVALS);
   const due = trackers.flatMap((tracker) => {
-    const overdue = tracker.overdueMilliseconds(now, intervalFactor);
+    const overdue = tracker.overdueMilliseconds(now, intervalFactor, progressing);
     return overdue === null ? [] : [{ tracker, overdue, isUrgent: tracker.isUrgent }];
   });
   const chosen = due.length <= PROBES_PER_ROUND ? due : due
--- a/packages/groups/src/test/WorkerObserver.test.ts
+++ b/packages/groups/src/test/WorkerObserver.test.ts
@@ -163,9 +163,24 @@
   tracker.recordReport(worker.report(), 0, 0, false);
   tracker.recordProbe(100);
   tracker.isProbing = false;
-  expect(tracker.overdueMilliseconds(180, 1)).toBe(0);
+  expect(tracker.overdueMilliseconds(180, 1, new Set())).toBe(0);
   tracker.recordProbe(3_000);
   tracker.isProbing = false;
-  expect(tracker.overdueMilliseconds(3_080, 1)).toBeNull();
-  expect(tracker.overdueMilliseconds(3_400, 1)).toBe(0);
+  expect(tracker.overdueMilliseconds(3_080, 1, new Set())).toBeNull();
+  expect(tracker.overdueMilliseconds(3_400, 1, new Set())).toBe(0);
+});
+
+test('a member is probed less often while its group delivers events', () => {
+  const worker = new GroupWorker('w', 5);
+  worker.group = {
+    name: GroupName.parse('g'), epoch: Epoch.parse(1), rank: 0, state: 'open',
+  };
+  const tracker = new WorkerTracker(worker.worker(), true, 0);
+  tracker.recordReport(worker.report(), 0, 0, false);
+  tracker.recordProbe(0);
+  tracker.isProbing = false;
+  expect(tracker.overdueMilliseconds(1_000, 1, new Set())).toBe(0);
+  expect(tracker.overdueMilliseconds(1_000, 1, new Set(['g/2']))).toBe(0);
+  expect(tracker.overdueMilliseconds(2_900, 1, new Set(['g/1']))).toBeNull();
+  expect(tracker.overdueMilliseconds(3_000, 1, new Set(['g/1']))).toBe(0);
 });
