--- a/packages/gateway/src/test/simulation/SimulatedGateway.ts
+++ b/packages/gateway/src/test/simulation/SimulatedGateway.ts
@@ -55,6 +55,8 @@
 
   readonly #random: SeededRandom;
 
+  #opened = 0;
+
   #sharedAt = Number.NEGATIVE_INFINITY;
 
   constructor(layout: GatewayLayout) {
@@ -77,11 +79,20 @@
   open(count: number): readonly SimulatedTarget[] {
     return Array.from({ length: count }, () => {
       const target = new SimulatedTarget(this.#layout.engine, this.#layout.engine.models[0]?.pace ?? 1);
-      this.#targets.set(WorkerId.parse(`w${this.#targets.size}`), target);
+      this.#opened += 1;
+      this.#targets.set(WorkerId.parse(`w${this.#opened}`), target);
       return target;
     });
   }
 
+  /** Loses targets, the oldest first. Their streams resume at others. */
+  lose(count: number): void {
+    [...this.#targets].slice(0, count).forEach(([worker, target]) => {
+      this.#targets.delete(worker);
+      target.fail();
+    });
+  }
+
   /** Sends a stream to a random entry. Its first event is on time within the given time. */
   send(promptTokens: number, events: number, onTimeMilliseconds: number): SimulatedStream {
     const now = this.clock.monotonicMilliseconds();
@@ -109,14 +120,15 @@
 
   async #serve(entry: SimulatedEntry, stream: SimulatedStream, receivedAt: number): Promise<void> {
     const choose = () => this.#choose(entry, stream);
-    if (stream.onTimeUntil > receivedAt) {
+    if (stream.sentAt === 0 && stream.onTimeUntil > receivedAt) {
       entry.trafficMeter.recordArrival(MODEL);
     }
     const first = choose();
     const waited = first.kind === 'chosen' ? null : await entry.admissionQueue.wait({
       queueKey: 'q',
       model: MODEL,
-      onTimeUntil: stream.onTimeUntil,
+      onTimeUntil: stream.firstEventAt === null
+        ? stream.onTimeUntil : receivedAt + LONGEST_WAIT_MILLISECONDS,
       until: receivedAt + LONGEST_WAIT_MILLISECONDS,
       signal: new AbortController().signal,
       choose,
@@ -154,37 +166,46 @@
         model: MODEL,
         timing: timings.of(engine, MODEL),
         promptTokens: stream.promptTokens,
-        firstEventBudgetMilliseconds: stream.onTimeUntil - now,
+        firstEventBudgetMilliseconds: stream.firstEventAt === null
+          ? stream.onTimeUntil - now : Number.POSITIVE_INFINITY,
         targetGapMilliseconds: GAP_AIM_MILLISECONDS,
       },
     });
   }
 
   #start(
-    { states, timings, trafficMeter }: SimulatedEntry,
+    entry: SimulatedEntry,
     started: SimulatedStream,
     worker: WorkerId,
   ): void {
+    const { states, timings, trafficMeter } = entry;
     const stream = started;
     const state = states.of(worker);
     stream.sentAt = this.clock.monotonicMilliseconds();
-    const isLate = stream.onTimeUntil <= stream.sentAt;
+    const isLate = stream.firstEventAt === null && stream.onTimeUntil <= stream.sentAt;
     if (isLate) {
       trafficMeter.recordLateStart(MODEL);
     }
     state.outstanding += 1;
     state.streams.add(stream);
+    const leave = () => {
+      state.outstanding -= 1;
+      state.streams.delete(stream);
+      if (isLate) {
+        trafficMeter.recordLateEnd(MODEL);
+      }
+    };
     this.#targets.get(worker)?.submit({
       stream,
       onEvent: () => state.recordProgress(),
       onEnd: () => {
-        state.outstanding -= 1;
-        state.streams.delete(stream);
-        if (isLate) {
-          trafficMeter.recordLateEnd(MODEL);
-        }
+        leave();
         timings.recordCompletion(MODEL, this.clock.monotonicMilliseconds() - stream.sentAt);
       },
+      onLost: () => {
+        leave();
+        void this.#serve(entry, stream, this.clock.monotonicMilliseconds());
+      },
     });
   }
 
--- a/packages/gateway/src/test/simulation/SimulatedTarget.ts
+++ b/packages/gateway/src/test/simulation/SimulatedTarget.ts
@@ -6,6 +6,8 @@
   readonly stream: SimulatedStream;
   readonly onEvent: () => void;
   readonly onEnd: () => void;
+  /** The target was lost. */
+  readonly onLost: () => void;
 }
 
 /** A replica that runs streams in passes: it admits up to its slots, prefills their prompts, then decodes. */
@@ -33,6 +35,14 @@
     this.mostStreams = Math.max(this.mostStreams, this.#waiting.length + this.#running.length);
   }
 
+  /** Loses all streams; the target takes no more. */
+  fail(): void {
+    const lost = [...this.#running, ...this.#waiting];
+    this.#running = [];
+    this.#waiting = [];
+    lost.forEach(({ onLost }) => onLost());
+  }
+
   /** Ends the pass that is due and begins the next one. */
   advance(now: number): void {
     if (now < this.#passEndsAt) {
