--- /dev/null
+++ b/packages/fleet-entry/src/lib/CoordinationOptions.ts
@@ -0,0 +1,30 @@
+import type {
+  Clock, RandomSource, StoreEra, WorkerId,
+} from '@dandelionlane/core';
+import type {
+  AdmissionQueue, EntryRegistry, RetryBudget, SharedTraffic, TargetStates, TrafficMeter,
+} from '@dandelionlane/gateway';
+import type { Log } from '@dandelionlane/telemetry';
+import type FleetEntrySettings from './FleetEntrySettings.js';
+import type FleetView from './FleetView.js';
+import type GroupControl from './GroupControl.js';
+
+/** Options of a `Coordinator`, of a `FleetLeader` and of a `FleetFollower`. */
+export default interface CoordinationOptions {
+  readonly settings: FleetEntrySettings;
+  readonly era: StoreEra;
+  readonly registry: EntryRegistry;
+  readonly states: TargetStates;
+  readonly budget: RetryBudget;
+  readonly admissionQueue: AdmissionQueue;
+  readonly trafficMeter: TrafficMeter;
+  readonly sharedTraffic: SharedTraffic;
+  readonly view: FleetView;
+  readonly control: GroupControl;
+  readonly isReady: () => boolean;
+  /** Longest usual silence of a model target, in ms. */
+  readonly stallThreshold: (worker: WorkerId, unreadTokens: number) => number;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+}
--- /dev/null
+++ b/packages/fleet-entry/src/lib/MESSAGE_PERIOD_MILLISECONDS.ts
@@ -0,0 +1,4 @@
+/** Period of the messages on a link, in ms. */
+const MESSAGE_PERIOD_MILLISECONDS = 120;
+
+export default MESSAGE_PERIOD_MILLISECONDS;
