--- a/packages/groups/src/lib/plan/planAdoption.ts
+++ b/packages/groups/src/lib/plan/planAdoption.ts
@@ -88,6 +88,7 @@
           { epoch: record.epoch, head: formerHead, stalled: false },
           ...record.formerHeads,
         ].slice(0, MAXIMUM_FORMER_HEADS),
+        convertsTo: null,
       },
       reason: 'adopted',
     }];
