--- a/packages/fleet/src/lib/configuration/EngineProfile.ts
+++ b/packages/fleet/src/lib/configuration/EngineProfile.ts
@@ -7,8 +7,6 @@
   readonly models: readonly ModelProfile[];
   /** Maximum weight loads from the shared store that may start per second. */
   readonly loadsPerSecond: number;
-  /** Weight loads that the shared store serves at full speed at the same time. */
-  readonly loadsAtOnce: number;
   /** Prompt tokens that one replica prefills per second. */
   readonly promptTokensPerSecond: number;
   /** Duration of one token step without any request, in ms. */
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -239,7 +239,6 @@
             name: MODEL, groupSize: 1, pace: 1, workShare: 1,
           }],
           loadsPerSecond: 1,
-          loadsAtOnce: 20,
           promptTokensPerSecond: 1_000,
           stepMilliseconds: 1,
           stepMillisecondsPerRequest: 0,
--- a/packages/gateway/src/test/admissionLoads.test.ts
+++ b/packages/gateway/src/test/admissionLoads.test.ts
@@ -18,7 +18,6 @@
     name: ModelName.parse('m'), groupSize: 6, pace: 0.6, workShare: 1,
   }],
   loadsPerSecond: 14,
-  loadsAtOnce: 20,
   promptTokensPerSecond: 56_100,
   stepMilliseconds: 6.45,
   stepMillisecondsPerRequest: 0.137,
--- a/packages/gateway/src/test/policies.test.ts
+++ b/packages/gateway/src/test/policies.test.ts
@@ -120,7 +120,6 @@
     name: ModelName.parse('m'), groupSize: 2, pace: 1, workShare: 1,
   }],
   loadsPerSecond: 1,
-  loadsAtOnce: 20,
   promptTokensPerSecond: 1_000,
   stepMilliseconds: 5,
   stepMillisecondsPerRequest: 0.5,
--- a/packages/groups/src/lib/plan/GroupRecord.ts
+++ b/packages/groups/src/lib/plan/GroupRecord.ts
@@ -18,8 +18,6 @@
   members: z.array(MemberReference).min(1),
   /** Newest first. */
   formerHeads: z.array(FormerHead),
-  /** Model whose weights the members load while they serve, to be formed into its groups; mostly null. */
-  convertsTo: ModelName.nullable().default(null),
 });
 type GroupRecord = z.infer<typeof GroupRecord>;
 
--- a/packages/groups/src/lib/plan/orderModels.ts
+++ b/packages/groups/src/lib/plan/orderModels.ts
@@ -4,8 +4,6 @@
 /** Input of `orderModels`. */
 interface ModelOrderInput {
   readonly models: readonly ModelProfile[];
-  /** Share of the workers that each model should have. */
-  readonly shares: ReadonlyMap<ModelName, number>;
   /** Groups of each model. */
   readonly counts: ReadonlyMap<ModelName, number>;
   /** Workers that may be in groups. */
@@ -17,16 +15,13 @@
  * are first, the one with the largest groups before the others, as it is harder to place. The others
  * follow, fewest workers relative to their share first.
  */
-export default function orderModels({
-  models, shares, counts, workers,
-}: ModelOrderInput): readonly ModelProfile[] {
-  const shareOf = ({ name }: ModelProfile) => shares.get(name) ?? 0;
-  const totalShare = models.reduce((sum, model) => sum + shareOf(model), 0);
+export default function orderModels({ models, counts, workers }: ModelOrderInput): readonly ModelProfile[] {
+  const totalShare = models.reduce((sum, { workShare }) => sum + workShare, 0);
   const workersOf = ({ name, groupSize }: ModelProfile) => (counts.get(name) ?? 0) * groupSize;
   const isShort = (model: ModelProfile) => (
-    workersOf(model) + model.groupSize <= (workers * shareOf(model)) / totalShare
+    workersOf(model) + model.groupSize <= (workers * model.workShare) / totalShare
   );
-  const supplyOf = (model: ModelProfile) => workersOf(model) / shareOf(model);
+  const supplyOf = (model: ModelProfile) => workersOf(model) / model.workShare;
   return [
     ...models.filter(isShort).sort((left, right) => right.groupSize - left.groupSize),
     ...models.filter((model) => !isShort(model)).sort((left, right) => supplyOf(left) - supplyOf(right)
--- a/packages/groups/src/lib/plan/planAdoption.ts
+++ b/packages/groups/src/lib/plan/planAdoption.ts
@@ -88,7 +88,6 @@
           { epoch: record.epoch, head: formerHead, stalled: false },
           ...record.formerHeads,
         ].slice(0, MAXIMUM_FORMER_HEADS),
-        convertsTo: null,
       },
       reason: 'adopted',
     }];
--- a/packages/groups/src/lib/plan/planGroups.ts
+++ b/packages/groups/src/lib/plan/planGroups.ts
@@ -11,11 +11,9 @@
 import assessLiveness from '../observation/assessLiveness.js';
 import isAbandoned from './isAbandoned.js';
 import planAdoption from './planAdoption.js';
-import planConversion from './planConversion.js';
 import planDissolution from './planDissolution.js';
 import planFormation from './planFormation.js';
 import planNewGroups from './planNewGroups.js';
-import planNextConversion from './planNextConversion.js';
 import planReformation from './planReformation.js';
 import planReleases from './planReleases.js';
 import planStaging from './planStaging.js';
@@ -110,9 +108,6 @@
     if (isAbandoned(record, observation)) {
       return planDissolution(record, observation);
     }
-    if (record.convertsTo !== null) {
-      return planConversion(record, observation);
-    }
     const reformation = planReformation({
       record, observation, pool, epochs,
     });
@@ -125,9 +120,6 @@
   });
   const all = [...records, ...created.flatMap((step) => (step.kind === 'write' ? [step.record] : []))];
   const staging = pool.domains().flatMap((domain) => planStaging(domain, all, pool, epochs));
-  const conversions = planNextConversion({
-    engine, records: all, observation, demand, closedZones,
-  });
   const orphans = planOrphanRemoval(observation, records, candidates, domainSizes);
-  return [...adoption, ...repairs, ...created, ...conversions, ...orphans, ...staging];
+  return [...adoption, ...repairs, ...created, ...orphans, ...staging];
 }
--- a/packages/groups/src/lib/plan/planNewGroups.ts
+++ b/packages/groups/src/lib/plan/planNewGroups.ts
@@ -8,7 +8,6 @@
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
 import type ModelDemand from './ModelDemand.js';
-import learnShares from './learnShares.js';
 import orderDomains from './orderDomains.js';
 import orderModels from './orderModels.js';
 import FreeWorkerPool from './FreeWorkerPool.js';
@@ -80,7 +79,6 @@
       epoch,
       members: workers.map(toReference),
       formerHeads: [],
-      convertsTo: null,
     },
     reason,
   };
@@ -92,10 +90,7 @@
     engine, records, pool, domainSizes, demand, closedZones,
   } = input;
   const counts = countByModel(records.filter((record) => isServingOrForming(record, input)));
-  const shares = learnShares(engine.models, demand);
-  return orderModels({
-    models: engine.models, shares, counts, workers,
-  }).flatMap((model) => {
+  return orderModels({ models: engine.models, counts, workers }).flatMap((model) => {
     const missing = demand.countReplicas(model.name, engine.slots) - (counts.get(model.name) ?? 0);
     const steps: GroupStep[] = [];
     [...pool.domains()]
@@ -117,9 +112,8 @@
  */
 export default function planNewGroups(input: NewGroupsInput): readonly GroupStep[] {
   const {
-    engine: { models }, records, pool, domainSizes, demand,
+    engine: { models }, records, pool, domainSizes,
   } = input;
-  const shares = learnShares(models, demand);
   const workers = [...domainSizes.values()].reduce((sum, size) => sum + size - countReservedSpares(size), 0);
   const counts = countByModel(records);
   const steps: Extract<GroupStep, { kind: 'write' }>[] = [];
@@ -132,9 +126,7 @@
     pool.countStagedIn(domain, name) >= groupSize
   );
   const placeOne = (isEligible: typeof fits): boolean => (
-    orderModels({
-      models, shares, counts, workers,
-    }).some((model) => {
+    orderModels({ models, counts, workers }).some((model) => {
       const domain = orderDomains(pool, all(), model.name)
         .find((candidate) => fits(model, candidate) && isEligible(model, candidate));
       const step = domain === undefined ? null : formGroup(input, model, domain, 'new-group');
--- a/packages/groups/src/test/FakeHolder.ts
+++ b/packages/groups/src/test/FakeHolder.ts
@@ -20,17 +20,6 @@
   },
 ]);
 
-/** Demand that is known from the first round on: few requests of the one model, many of the other. */
-function createSkewedDemand(): ModelDemand {
-  const clock = new ManualClock();
-  const demand = new ModelDemand(clock);
-  const requests = new Map(ENGINE.models.map(({ name }) => [name, name === 'small' ? 10 : 1]));
-  demand.record(requests);
-  clock.advance(20_000);
-  demand.record(requests);
-  return demand;
-}
-
 /** Rows of the groups with their versions, shared by all holders. */
 export type GroupRows = Map<GroupName, { readonly record: GroupRecord; readonly version: number }>;
 
@@ -66,11 +55,7 @@
   /** Whether another holder has taken over, possibly without this one knowing. */
   replaced = false;
 
-  readonly #demand: ModelDemand;
-
-  /** @param isSkewed Whether one model has most of the requests, so that groups are converted to it. */
-  constructor(fencing: number, rows: GroupRows, isSkewed = false) {
-    this.#demand = isSkewed ? createSkewedDemand() : new ModelDemand(new ManualClock());
+  constructor(fencing: number, rows: GroupRows) {
     this.fencing = FencingNumber.parse(fencing);
     this.#epochs = new EpochSource(this.fencing);
     this.#rows = rows;
@@ -128,7 +113,7 @@
       records: [...this.#records.values()],
       observation: new FleetObservation(observed, 10_000),
       candidates: [...registered],
-      demand: this.#demand,
+      demand: new ModelDemand(new ManualClock()),
       closedZones: new Set(),
     });
     steps.forEach((step) => {
--- a/packages/groups/src/test/GroupStore.test.ts
+++ b/packages/groups/src/test/GroupStore.test.ts
@@ -35,7 +35,6 @@
       id: `w${index}`, bornAt: 1, address: '127.0.0.1:1', zone: 'z', domain: null,
     }] as unknown as GroupRecord['members'],
     formerHeads: [],
-    convertsTo: null,
   };
 }
 
--- a/packages/groups/src/test/createEngine.ts
+++ b/packages/groups/src/test/createEngine.ts
@@ -6,7 +6,6 @@
     slots,
     models,
     loadsPerSecond: 100,
-    loadsAtOnce: 100,
     promptTokensPerSecond: 1,
     stepMilliseconds: 1,
     stepMillisecondsPerRequest: 0,
--- a/packages/groups/src/test/handOver.test.ts
+++ b/packages/groups/src/test/handOver.test.ts
@@ -61,7 +61,7 @@
   /** Members that have been ready in a formation. */
   readonly ready = new Set<string>();
 
-  holder: FakeHolder;
+  holder = new FakeHolder(1, this.rows);
 
   oldHolder: FakeHolder | null = null;
 
@@ -73,14 +73,6 @@
 
   #terms = 1;
 
-  readonly #isSkewed: boolean;
-
-  /** @param isSkewed Whether one model has most of the requests, so that groups are converted to it. */
-  constructor(isSkewed = false) {
-    this.#isSkewed = isSkewed;
-    this.holder = new FakeHolder(1, this.rows, isSkewed);
-  }
-
   apply(event: Event): void {
     switch (event.kind) {
       case 'round':
@@ -122,7 +114,7 @@
         this.#terms += 1;
         this.oldHolder = this.holder;
         this.oldHolder.replaced = true;
-        this.holder = new FakeHolder(this.#terms, this.rows, this.#isSkewed);
+        this.holder = new FakeHolder(this.#terms, this.rows);
         break;
       default:
         event satisfies never;
@@ -206,12 +198,10 @@
   }
 }
 
-test.each([
-  ['groups stay with their models', false], ['groups are converted', true],
-])('no worker changes group under a serving head, no incomplete group opens: %s', (_case, isSkewed) => {
+test('no worker changes group under a serving head, and no incomplete group opens', () => {
   let opened = 0;
   fc.assert(fc.property(fc.array(EVENT, { minLength: 40, maxLength: 160 }), (events) => {
-    const model = new Model(isSkewed);
+    const model = new Model();
     events.forEach((event) => model.apply(event));
     opened += model.opened;
   }), PARAMETERS);
@@ -229,15 +219,6 @@
   expect(model.inFlight).toEqual([]);
 });
 
-test('a group of an idle model becomes groups of a busy one', () => {
-  const model = new Model(true);
-  calmRounds(model, 40);
-  const serving = model.workers.filter(({ isServing }) => isServing).map((head) => head.model);
-  expect(serving.filter((name) => name === 'large')).toHaveLength(1);
-  expect(serving.filter((name) => name === 'small').length).toBeGreaterThanOrEqual(2);
-  expect([...model.rows.values()].every(({ record }) => record.convertsTo === null)).toBe(true);
-});
-
 test('a lost member is replaced by a spare', () => {
   const model = new Model();
   calmRounds(model, 6);
--- a/packages/groups/src/test/simulation/SimulatedFleet.ts
+++ b/packages/groups/src/test/simulation/SimulatedFleet.ts
@@ -338,7 +338,6 @@
             name, groupSize, pace: 1, workShare,
           }))),
           loadsPerSecond: 14,
-          loadsAtOnce: 20,
         },
       }]]),
     } as unknown as Parameters<ConfigurationHolder['accept']>[0]);
--- a/packages/groups/src/test/workerLosses.test.ts
+++ b/packages/groups/src/test/workerLosses.test.ts
@@ -21,13 +21,6 @@
   return items[Math.floor(random.next() * items.length)];
 }
 
-/** Large groups, and so few requests that no group is converted to another model. */
-const UNHURRIED = {
-  ...LAYOUTS.shifted,
-  models: LAYOUTS.shifted.models
-    .map((model) => ({ ...model, requestsPerSecond: model.requestsPerSecond / 2 })),
-};
-
 /** Loses two members of groups every 3 s, one zone after the other, and adds as many empty workers. */
 async function playLosses(fleet: SimulatedFleet, milliseconds: number, seed: number): Promise<void> {
   const random = new SeededRandom(seed);
@@ -64,7 +57,7 @@
 }, 120_000);
 
 test.each([[0, 1], [1, 0]])('domains that return one after the other, %i first, load nothing', async (...order) => {
-  const fleet = new SimulatedFleet(UNHURRIED);
+  const fleet = new SimulatedFleet(LAYOUTS.shifted);
   await fleet.start();
   const zone = fleet.workersOf(0);
   zone.forEach((worker) => fleet.lose(worker));
--- a/packages/soak/src/lib/createConfiguration.ts
+++ b/packages/soak/src/lib/createConfiguration.ts
@@ -14,7 +14,6 @@
       name: ModelName.parse(SOAK_NAMES.model), groupSize, pace: 1, workShare: 1,
     }],
     loadsPerSecond: 20,
-    loadsAtOnce: 20,
     promptTokensPerSecond: 50_000,
     stepMilliseconds: 10,
     stepMillisecondsPerRequest: 0.1,
