Log the parts of a prompt where a connection was lost early

Cause of the change: in the incident of crashing back ends no log line named a part of a prompt, so that a part that crashes workers could not be told from one that stood beside it.

The outcome of an attempt says whether the connection was lost or given up here.

--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -18,6 +18,11 @@
 /** Status of an answer that is a stream. */
 const OK = 200;
 
+/**
+ * Events from which on an attempt counts as under way: the target has outlived the start of the answer.
+ */
+const UNDER_WAY_EVENTS = 2;
+
 /** Largest answer other than a stream that is passed on, in bytes. */
 const MAXIMUM_FAILURE_BYTES = 256 * 1_024;
 
@@ -112,6 +117,11 @@
     }
   }
 
+  /** Whether the target went on after it had begun the answer. */
+  get isUnderWay(): boolean {
+    return this.events >= UNDER_WAY_EVENTS;
+  }
+
   stalled(): void {
     if (!this.#hasEnded && this.#options.canMove()) {
       this.#abandon('target stands still');
@@ -129,7 +139,7 @@
       data: (chunk) => this.#handleData(chunk),
       ended: () => this.#handleEnd(),
       failed: (reason) => this.#finish(this.#attempt?.sent === true
-        ? { kind: 'broken', reason } : { kind: 'unsent', reason }),
+        ? { kind: 'broken', reason, connectionLost: true } : { kind: 'unsent', reason }),
     });
   }
 
@@ -137,7 +147,7 @@
     if (!this.#hasEnded) {
       const sent = this.#attempt?.sent === true;
       this.#attempt?.abandon();
-      this.#finish(sent ? { kind: 'broken', reason } : { kind: 'unsent', reason });
+      this.#finish(sent ? { kind: 'broken', reason, connectionLost: false } : { kind: 'unsent', reason });
     }
   }
 
@@ -260,10 +270,12 @@
     } else if (!this.#isStream) {
       this.#passFailure();
     } else if (this.#splitter.hasPartialEvent) {
-      this.#finish({ kind: 'broken', reason: 'stream ended inside an event' });
+      this.#finish({ kind: 'broken', reason: 'stream ended inside an event', connectionLost: true });
     } else if (this.#head?.framed === false && outgoing.headersSent && outgoing.useChunkedEncodingByDefault) {
       // The framing of the answer to the caller would mark the stream as complete.
-      this.#finish({ kind: 'broken', reason: 'the end of a stream without a length is uncertain' });
+      this.#finish({
+        kind: 'broken', reason: 'the end of a stream without a length is uncertain', connectionLost: true,
+      });
     } else {
       if (!outgoing.headersSent && this.#head !== null) {
         this.#writeHead(this.#head);
@@ -283,7 +295,9 @@
   #passFailure(): void {
     const { call: { outgoing } } = this.#options;
     if (outgoing.headersSent || this.#head === null) {
-      this.#finish({ kind: 'broken', reason: `status ${this.#head?.status ?? 0} for a resumed stream` });
+      this.#finish({
+        kind: 'broken', reason: `status ${this.#head?.status ?? 0} for a resumed stream`, connectionLost: false,
+      });
       return;
     }
     const body = Buffer.concat(this.#failureChunks);
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -188,6 +188,9 @@
       ? '' : ` expected=${Math.round(choice.prediction.firstEventMilliseconds)}ms`;
     this.#call.log.addAttempt(`${candidate.entry.worker.id}${formation} load=${choice.load.toFixed(1)}/${choice.candidates}${expected}`
       + ` ${end.kind}${'reason' in end ? ` (${end.reason})` : ''} events=${attempt.events} ${durationMilliseconds}ms`);
+    if (end.kind === 'broken' && end.connectionLost && !attempt.isUnderWay) {
+      this.#call.log.set('sharedPromptParts', this.#call.metadata.sharedPromptParts.join(' '));
+    }
     return end;
   }
 
--- a/packages/gateway/src/lib/wire/CallMetadata.ts
+++ b/packages/gateway/src/lib/wire/CallMetadata.ts
@@ -1,4 +1,4 @@
-import type { ModelName } from '@dandelionlane/core';
+import type { ModelName, PromptPartId } from '@dandelionlane/core';
 
 /** Decoded headers of a request. Null: absent or not readable. */
 export default interface CallMetadata {
@@ -11,6 +11,8 @@
   readonly promptTokens: number;
   /** Upper bound of the tokens that the request may generate. */
   readonly maximumOutputTokens: number;
+  /** Parts of the prompt without the last one, which belongs to this request or its session. */
+  readonly sharedPromptParts: readonly PromptPartId[];
   /** Id of the last event that the caller has received of a stream that it resumes. */
   readonly lastEventId: string | null;
 }
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -4,8 +4,8 @@
 import type { AddressInfo } from 'node:net';
 import { request as sendRequest } from 'undici';
 import {
-  AvailabilityZoneId, Epoch, FabricDomainId, GroupName, ManualClock, ModelName, SeededRandom, ServiceId,
-  SystemClock, WorkerId, type Clock,
+  AvailabilityZoneId, Epoch, FabricDomainId, GroupName, ManualClock, ModelName, PromptPartId, SeededRandom,
+  ServiceId, SystemClock, WorkerId, type Clock,
 } from '@dandelionlane/core';
 import {
   ConfigurationHolder, WorkerTable, type FleetConfiguration, type RequestKind, type Worker,
@@ -39,6 +39,8 @@
     model: null,
     promptTokens: 10,
     maximumOutputTokens: 10,
+    sharedPromptParts: String(headers['x-parts'] ?? '').split(',').filter((part) => part !== '')
+      .map((part) => PromptPartId.parse(part)),
     lastEventId: typeof headers['last-event-id'] === 'string' ? headers['last-event-id'] : null,
   }),
   targetHeaders: (headers, call) => ({
