--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -45,6 +45,7 @@
   }),
   targetHeaders: (headers, call) => ({
     'x-id': String(headers['x-id'] ?? ''),
+    'x-parts': String(headers['x-parts'] ?? ''),
     ...(call.lastEventId === null ? {} : { 'last-event-id': call.lastEventId }),
   }),
   readAnswer: (headers) => ({
--- /dev/null
+++ b/packages/gateway/src/test/promptPartCrashes.test.ts
@@ -0,0 +1,46 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, expect, test } from 'vitest';
+import TestGateway, { type TargetScript } from './TestGateway.js';
+
+const RESUMABLE = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
+
+/** Crashes after which no more than `ALLOWED_LATER` requests with the part may reach targets. */
+const CRASHES = 5;
+const ALLOWED_LATER = 3;
+
+const TARGETS = 16;
+const CALLS = 40;
+const PAUSE_MILLISECONDS = 60;
+
+let gateway: TestGateway | undefined;
+
+afterEach(() => gateway?.stop());
+
+// Guards against requests with one part in their prompts that crash one back end after the other.
+test('a part that crashes targets is held back, other parts are served', async () => {
+  let crashes = 0;
+  let reachedLater = 0;
+  const script = (index: number): TargetScript => (incoming, outgoing) => {
+    const parts = String(incoming.headers['x-parts']).split(',');
+    if (parts.includes('deadly')) {
+      reachedLater += crashes > CRASHES ? 1 : 0;
+      crashes += 1;
+      // The request of another caller may begin before the target ends.
+      setTimeout(() => gateway?.stopTarget(index), 10);
+      return;
+    }
+    outgoing.writeHead(200, { 'x-id': 'r1', 'x-signed': '1', 'content-type': 'text/event-stream' });
+    outgoing.end('id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+  };
+  gateway = await TestGateway.start(RESUMABLE, Array.from({ length: TARGETS }, (_, index) => script(index)));
+  const sound: number[] = [];
+  for (let call = 0; call < CALLS; call += 1) {
+    const deadly = gateway.call({ 'x-parts': `system,deadly,subject${call}` });
+    sound.push((await gateway.call({ 'x-parts': `system,subject${call}` })).status);
+    await deadly;
+    await sleep(PAUSE_MILLISECONDS);
+  }
+  expect(reachedLater).toBeLessThanOrEqual(ALLOWED_LATER);
+  expect(sound.slice(-10)).toEqual(Array(10).fill(200));
+  expect(await gateway.call({ 'x-parts': 'system,deadly' })).toMatchObject({ status: 503, cut: false });
+});
