Hold back parts of prompts that crash targets, at all entries together

Callers saw: with one request a second that crashes its worker, 1,072 answers of 429, 145 answers cut and 58 of 502 in 44 s, nearly all of them for requests that had no part in it; sound requests of the same route served 17 times of 54.

Cause: each attempt was judged by itself. A request whose worker ended was repeated at the next one and ended that, its caller came back to another entry, and no entry kept what the requests had in common. The class of fault: a repeat after a failure that the request itself causes, with memory neither of the request nor across entries.

Evidence: the logs of a part at each lost connection: one part at all of 24 ends of workers. Ruled out: cold workers and groups formed anew, as the first two ends come 0.34 s apart under one request, before any worker returns.

Fix: a connection that is lost before its second event is followed by one connection to the address; only if that is refused has the worker ended. Then the parts of its unanswered requests are accused. Any later service of a part ends the suspicion. Three ends of distinct processes over a second with no service in between hold a part back; parts that the same ends accuse are held back only together, so that sound requests with the other parts go on. Entries tell each other by the links, the table merges in any order, and every entry has it all, so that it outlives the holder of the lease. A request with such a part is refused at once, not run, with the time to the next trial. After 30 s one request of all entries may try; each failed trial makes the next one four times as rare. An earlier build ignores the new fields and does not forward them: beside an old holder each entry keeps to what it has seen itself.

--- a/packages/core/src/lib/errors/ERROR_ANSWERS.ts
+++ b/packages/core/src/lib/errors/ERROR_ANSWERS.ts
@@ -47,6 +47,9 @@
   'home-unreachable': {
     status: 503, title: 'No home entry reachable', outcome: 'not-run', retryAfterSeconds: 1,
   },
+  'prompt-quarantined': {
+    status: 503, title: 'Prompt crashes targets', outcome: 'not-run', retryAfterSeconds: 30,
+  },
   'target-refused': {
     status: 503, title: 'Target refused', outcome: 'not-run', retryAfterSeconds: 1,
   },
--- a/packages/core/src/lib/errors/ErrorKind.ts
+++ b/packages/core/src/lib/errors/ErrorKind.ts
@@ -20,6 +20,7 @@
   'store-outcome-unknown',
   'entry-leaving',
   'home-unreachable',
+  'prompt-quarantined',
   'target-refused',
   'target-lost',
   'target-timeout',
--- a/packages/fleet-entry/src/lib/CoordinationOptions.ts
+++ b/packages/fleet-entry/src/lib/CoordinationOptions.ts
@@ -2,7 +2,7 @@
   Clock, RandomSource, StoreEra, WorkerId,
 } from '@dandelionlane/core';
 import type {
-  AdmissionQueue, EntryRegistry, RetryBudget, SharedTraffic, TargetStates, TrafficMeter,
+  AdmissionQueue, EntryRegistry, PromptQuarantine, RetryBudget, SharedTraffic, TargetStates, TrafficMeter,
 } from '@dandelionlane/gateway';
 import type { Log } from '@dandelionlane/telemetry';
 import type FleetEntrySettings from './FleetEntrySettings.js';
@@ -15,6 +15,7 @@
   readonly era: StoreEra;
   readonly registry: EntryRegistry;
   readonly states: TargetStates;
+  readonly quarantine: PromptQuarantine;
   readonly budget: RetryBudget;
   readonly admissionQueue: AdmissionQueue;
   readonly trafficMeter: TrafficMeter;
--- a/packages/fleet-entry/src/lib/FleetFollower.ts
+++ b/packages/fleet-entry/src/lib/FleetFollower.ts
@@ -119,7 +119,7 @@
 
   #applyState(state: FleetState): void {
     const {
-      view: { workers, workerFollower, operatorFollower }, control, clock,
+      view: { workers, workerFollower, operatorFollower }, control, quarantine, clock,
     } = this.#options;
     this.#stateReceivedAt = clock.monotonicMilliseconds();
     this.#registrations.apply(state);
@@ -140,6 +140,10 @@
       operatorFollower.resume();
     }
     this.#operatorRows.apply(state, isFresh);
+    quarantine.merge(state.promptParts, { ageMilliseconds: 0, forwards: false });
+    if (state.whole) {
+      quarantine.tellAgain();
+    }
     this.#entries = state.entries ?? this.#entries;
     applyFleetState(state, this.#options);
   }
--- a/packages/fleet-entry/src/lib/FleetLeader.ts
+++ b/packages/fleet-entry/src/lib/FleetLeader.ts
@@ -1,5 +1,6 @@
 import type { EntryId } from '@dandelionlane/core';
 import type { LiveEntry } from '@dandelionlane/gateway';
+import { TrialGrants } from '@dandelionlane/gateway';
 import {
   LinkServer, canOthersReachStore, findAbsentTargets, findProgressingFormations, findStalledFormations,
   isHolderUndersized, sumLoads, sumRequests, sumTraffic,
@@ -42,6 +43,8 @@
 
   readonly #operatorRows: OperatorRowReplicator;
 
+  readonly #trials: TrialGrants;
+
   /** Entries whose link was up in the last round. */
   #connectedEntries = new Set<EntryId>();
 
@@ -54,6 +57,7 @@
       ...options.settings.links, log: options.log, now: () => options.clock.monotonicMilliseconds(),
     });
     this.#operatorRows = new OperatorRowReplicator(options);
+    this.#trials = new TrialGrants(options.clock);
     this.#registrations = new RegistrationReplicator({
       ...options, onSnapshotRequired: () => this.#server.scheduleSnapshot(),
     });
@@ -93,11 +97,14 @@
    * @param leadingSince monotonic time since which this process has held the lease, in ms
    */
   lead(leadingSince: number): void {
-    const { view: { workers }, control: { controller } } = this.#options;
+    const { view: { workers }, control: { controller }, quarantine } = this.#options;
     const others = this.#server.statuses()
       .filter(({ ageMilliseconds }) => ageMilliseconds < ENTRY_TIMEOUT_MILLISECONDS);
+    others.forEach(({ status, ageMilliseconds }) => quarantine.merge(status.promptParts, {
+      ageMilliseconds, forwards: true,
+    }));
     const own = createEntryStatus(this.#options, measureStoreAge(this.#options));
-    const received = [{ status: own, ageMilliseconds: 0 }, ...others];
+    const received: [ReceivedStatus, ...ReceivedStatus[]] = [{ status: own, ageMilliseconds: 0 }, ...others];
     const statuses = received.map(({ status }) => status);
     others.forEach(({ status }) => status.leaving.forEach((instance) => workers.markLeaving(instance)));
     const entries = this.#updateEntries(statuses);
@@ -105,7 +112,10 @@
     const state = this.#createState(received, serialisedEntries === this.#sentEntries ? null : entries);
     this.#sentEntries = serialisedEntries;
     this.#server.broadcast(state, () => ({
-      ...this.#registrations.snapshot(), entries, operators: this.#operatorRows.snapshot(),
+      ...this.#registrations.snapshot(),
+      entries,
+      operators: this.#operatorRows.snapshot(),
+      promptParts: [...quarantine.snapshot()],
     }));
     controller.recordProgress(state.progressing);
     const doubted = statuses.flatMap(({ targets }) => targets.filter((target) => target.doubted));
@@ -133,10 +143,15 @@
     ];
   }
 
-  #createState(received: readonly ReceivedStatus[], entries: LiveEntry[] | null): FleetState {
+  /** @param received statuses of all entries, that of this one first */
+  #createState(
+    received: readonly [ReceivedStatus, ...ReceivedStatus[]],
+    entries: LiveEntry[] | null,
+  ): FleetState {
     const {
       settings, view: { workers, workerFollower }, control: { controller, lease }, stallThreshold,
     } = this.#options;
+    const [own] = received;
     const statuses = received.map(({ status }) => status);
     const recent = received.filter(({ ageMilliseconds }) => ageMilliseconds <= PROGRESS_AGE_MILLISECONDS);
     return {
@@ -150,6 +165,10 @@
       loads: sumLoads(statuses),
       requests: sumRequests(statuses),
       traffic: sumTraffic(statuses),
+      promptParts: own.status.promptParts,
+      trials: [...this.#trials.grant(statuses.flatMap(({ entry, trialsSought }) => (
+        trialsSought.map((part) => ({ part, entry }))
+      )))],
       absent: [...findAbsentTargets(statuses)],
       progressing: [...findProgressingFormations(recent.map(({ status }) => status))],
       stalled: findStalledFormations(received, stallThreshold),
--- a/packages/fleet-entry/src/lib/applyFleetState.ts
+++ b/packages/fleet-entry/src/lib/applyFleetState.ts
@@ -1,6 +1,9 @@
 import { toUnregisteredWorker } from '@dandelionlane/fleet';
-import type { RetryBudget, SharedTraffic, TargetStates } from '@dandelionlane/gateway';
+import type {
+  PromptQuarantine, RetryBudget, SharedTraffic, TargetStates,
+} from '@dandelionlane/gateway';
 import type { FleetState } from '@dandelionlane/links';
+import type FleetEntrySettings from './FleetEntrySettings.js';
 import type FleetView from './FleetView.js';
 
 /** Time for which a formation is avoided after it was last reported as stalled, in ms. */
@@ -8,19 +11,21 @@
 
 /** Local state that the holder's state is applied to. */
 interface LocalState {
+  readonly settings: Pick<FleetEntrySettings, 'entry'>;
   readonly states: TargetStates;
+  readonly quarantine: PromptQuarantine;
   readonly budget: RetryBudget;
   readonly sharedTraffic: SharedTraffic;
   readonly view: FleetView;
 }
 
-/** Applies what the holder has collected: requests, groups, loads, absent targets and stalled formations. */
+/** Applies what the holder has collected from all entries, and the trials that it grants. */
 export default function applyFleetState(
   {
-    loads, requests, traffic, absent, progressing, stalled, groups,
+    loads, requests, traffic, trials, absent, progressing, stalled, groups,
   }: FleetState,
   {
-    states, budget, sharedTraffic, view: { workers },
+    settings, states, quarantine, budget, sharedTraffic, view: { workers },
   }: LocalState,
 ): void {
   requests.forEach(({ service, requests: count }) => budget.recordSharedRequests(service, count));
@@ -30,6 +35,7 @@
     workers.updateGroup(worker, group, model);
     workers.putUnregistered(toUnregisteredWorker({ id: worker, ...location }), group, model);
   });
+  quarantine.grantTrials(trials.filter(({ entry }) => entry === settings.entry).map(({ part }) => part));
   states.recordSharedLoads(loads);
   sharedTraffic.record(new Map(traffic.map(({ model, ...streams }) => [model, streams])));
   states.recordSharedProgress(progressing);
--- a/packages/fleet-entry/src/lib/createEntryStatus.ts
+++ b/packages/fleet-entry/src/lib/createEntryStatus.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@dandelionlane/core';
 import {
-  measureTraffic, type AdmissionQueue, type RetryBudget, type TargetStates, type TrafficMeter,
+  measureTraffic, type AdmissionQueue, type PromptQuarantine, type RetryBudget, type TargetStates,
+  type TrafficMeter,
 } from '@dandelionlane/gateway';
 import type { EntryStatus } from '@dandelionlane/links';
 import type FleetEntrySettings from './FleetEntrySettings.js';
@@ -13,6 +14,7 @@
 interface StatusSources {
   readonly settings: FleetEntrySettings;
   readonly states: TargetStates;
+  readonly quarantine: PromptQuarantine;
   readonly budget: RetryBudget;
   readonly admissionQueue: AdmissionQueue;
   readonly trafficMeter: TrafficMeter;
@@ -29,7 +31,7 @@
  */
 export default function createEntryStatus(
   {
-    settings, states, budget, admissionQueue, trafficMeter, view: { workers }, isReady, clock,
+    settings, states, quarantine, budget, admissionQueue, trafficMeter, view: { workers }, isReady, clock,
   }: StatusSources,
   storeAgeMilliseconds: number,
 ): EntryStatus {
@@ -64,6 +66,8 @@
     absent: [...states.entries()].flatMap(([id, { observedAbsence }]) => (
       observedAbsence === null ? [] : [{ id, ...observedAbsence }]
     )),
+    promptParts: [...quarantine.takeChanges()],
+    trialsSought: [...quarantine.trialsSought()],
     leaving: [...workers.announcedLeaving()],
     requests: [...budget.countRequests()],
     waiting: traffic.map(({ model, onTimeWaiting, lateWaiting }) => (
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -3,9 +3,10 @@
 } from '@dandelionlane/core';
 import { stallThresholdMilliseconds } from '@dandelionlane/fleet';
 import {
-  SpentTimeEstimator, EntryRegistry, ModelTimings, RetryBudget, RequestServer, StallDetector,
-  SharedTraffic, TargetConnections, TargetStates, TrafficMeter, AdmissionQueue,
+  CrashReporter, SpentTimeEstimator, EntryRegistry, ModelTimings, PromptQuarantine, RetryBudget,
+  RequestServer, StallDetector, SharedTraffic, TargetConnections, TargetStates, TrafficMeter, AdmissionQueue,
   createDirectoryApplication, createMetricsApplication, createReadinessApplication,
+  isConnectionRefused,
 } from '@dandelionlane/gateway';
 import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
 import Coordinator from './Coordinator.js';
@@ -91,6 +92,10 @@
     extra: settings.repeatExtra,
     windowMilliseconds: settings.repeatWindowMilliseconds,
   });
+  const quarantine = new PromptQuarantine(clock);
+  const crashReporter = new CrashReporter({
+    quarantine, isRefused: isConnectionRefused, clock, log: logFor('workers'), metrics,
+  });
   const admissionQueue = new AdmissionQueue(clock);
   const trafficMeter = new TrafficMeter(clock);
   const sharedTraffic = new SharedTraffic(clock);
@@ -100,6 +105,8 @@
     configuration,
     workers,
     states,
+    quarantine,
+    crashReporter,
     connections,
     budget,
     timings: new ModelTimings(),
@@ -128,6 +135,7 @@
     era: ports.era,
     registry,
     states,
+    quarantine,
     budget,
     admissionQueue,
     trafficMeter,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,11 @@
 export { type default as GatewayContext } from './lib/requests/GatewayContext.js';
 export { default as RequestServer } from './lib/requests/RequestServer.js';
 export { default as AdmissionQueue } from './lib/requests/AdmissionQueue.js';
+export { default as CrashReporter } from './lib/quarantine/CrashReporter.js';
+export { type default as PartEvidence } from './lib/quarantine/PartEvidence.js';
+export { default as PromptQuarantine } from './lib/quarantine/PromptQuarantine.js';
+export { default as TrialGrants } from './lib/quarantine/TrialGrants.js';
+export { default as isConnectionRefused } from './lib/quarantine/isConnectionRefused.js';
 export { default as StallDetector } from './lib/targets/StallDetector.js';
 export { default as TargetConnections } from './lib/targets/TargetConnections.js';
 export { default as TargetStates } from './lib/targets/TargetStates.js';
--- /dev/null
+++ b/packages/gateway/src/lib/quarantine/findQuarantine.ts
@@ -0,0 +1,39 @@
+import type Quarantine from './Quarantine.js';
+import type TargetCrash from './TargetCrash.js';
+
+/** Crashes of distinct processes, with nothing served in between, after which a part is quarantined. */
+const MINIMUM_CRASHES = 3;
+
+/**
+ * Shortest time from the first to the last of them, in ms. Workers that are lost together take along
+ * requests with the same parts, and it takes several messages to hear that a part is served elsewhere.
+ */
+const MINIMUM_SPAN_MILLISECONDS = 1_000;
+
+/** Time after the start of a quarantine in which requests that were under way may crash targets, in ms. */
+const UNDER_WAY_MILLISECONDS = 3_000;
+
+/** Time from the last crash to a trial, in ms; each failed trial multiplies it. */
+const FIRST_TERM_MILLISECONDS = 30_000;
+
+const TERM_FACTOR = 4;
+
+const LONGEST_TERM_MILLISECONDS = 3_600_000;
+
+/**
+ * Returns the quarantine of a part, or null.
+ * @param crashes Crashes with the part since it was last served, in order of time.
+ */
+export default function findQuarantine(crashes: readonly TargetCrash[]): Quarantine | null {
+  const [first] = crashes;
+  const decisive = crashes.find(({ at }, index) => (
+    index + 1 >= MINIMUM_CRASHES && first !== undefined && at - first.at >= MINIMUM_SPAN_MILLISECONDS
+  ));
+  const last = crashes.at(-1);
+  if (decisive === undefined || last === undefined) {
+    return null;
+  }
+  const failedTrials = crashes.filter(({ at }) => at > decisive.at + UNDER_WAY_MILLISECONDS).length;
+  const term = Math.min(FIRST_TERM_MILLISECONDS * TERM_FACTOR ** failedTrials, LONGEST_TERM_MILLISECONDS);
+  return { since: decisive.at, until: last.at + term };
+}
--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -216,13 +216,22 @@
       if (this.lastEventAt === null) {
         this.#recordFirstEvent(now - this.sentAt);
       }
+      const wasUnderWay = this.isUnderWay;
       this.events += delivered.length;
+      if (this.isUnderWay && !wasUnderWay) {
+        this.#recordServed();
+      }
       this.lastEventAt = now;
       state.recordProgress();
       this.#write(delivered);
     }
   }
 
+  #recordServed(): void {
+    const { context: { quarantine }, call: { metadata } } = this.#options;
+    quarantine.recordServed(metadata.sharedPromptParts);
+  }
+
   /** Skips attempts that were expected to wait for a slot, as the wait is no latency of the target itself. */
   #recordFirstEvent(milliseconds: number): void {
     const { context: { timings }, prediction } = this.#options;
@@ -282,6 +291,7 @@
       }
       outgoing.end(method === 'HEAD' ? undefined : '');
       const { clock, timings } = this.#options.context;
+      this.#recordServed();
       timings.recordCompletion(this.model, clock.monotonicMilliseconds() - this.sentAt);
       this.#finish({ kind: 'complete' });
     }
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -1,7 +1,9 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { ServingError, type WorkerId } from '@dandelionlane/core';
 import type Candidate from '../choice/Candidate.js';
 import isRefusedConnection from '../targets/isRefusedConnection.js';
 import type Choice from '../choice/Choice.js';
+import type HeldBack from '../quarantine/HeldBack.js';
 import type Call from '../requests/Call.js';
 import type GatewayContext from '../requests/GatewayContext.js';
 import pickTarget from '../requests/pickTarget.js';
@@ -23,6 +25,13 @@
  */
 const MAXIMUM_WAIT_MILLISECONDS = 1_500;
 
+/** Time to wait for the permission to try a part whose quarantine is over, in ms: several messages. */
+const TRIAL_GRANT_MILLISECONDS = 500;
+
+const TRIAL_POLL_MILLISECONDS = 50;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /**
  * Serves one stream of events by one or more attempts.
  *
@@ -74,6 +83,10 @@
       if (this.#remainingMilliseconds() <= 0) {
         return this.#fail('deadline passed');
       }
+      const quarantined = await this.#refuseQuarantined();
+      if (quarantined !== null) {
+        return quarantined;
+      }
       const choice = await this.#choose(signal);
       if (signal.aborted) {
         return 'caller-gone';
@@ -81,6 +94,11 @@
       if (choice.kind === 'none') {
         return this.#mayHaveRun() ? this.#fail(choice.reason) : this.#refuse(createRefusal(choice));
       }
+      // A part may have been quarantined while the request waited.
+      const quarantinedMeanwhile = await this.#refuseQuarantined();
+      if (quarantinedMeanwhile !== null) {
+        return quarantinedMeanwhile;
+      }
       if (this.#deliveries > 0 && !this.#tryRetry()) {
         return this.#fail('no repeat left in the budget');
       }
@@ -93,6 +111,35 @@
     return 'caller-gone';
   }
 
+  /**
+   * Ends a request with a part that crashes targets, unless it may be the one that tries the part again.
+   * Returns the outcome, or null if the request may go on.
+   */
+  async #refuseQuarantined(): Promise<string | null> {
+    const { quarantine, clock } = this.#context;
+    const { sharedPromptParts } = this.#call.metadata;
+    const askedUntil = clock.monotonicMilliseconds() + TRIAL_GRANT_MILLISECONDS;
+    let heldBack = quarantine.find(sharedPromptParts);
+    while (heldBack !== null) {
+      quarantine.recordHeldBack(heldBack.part);
+      if (!heldBack.isTrialDue || clock.monotonicMilliseconds() >= askedUntil) {
+        return this.#endQuarantined(heldBack);
+      }
+      await sleep(TRIAL_POLL_MILLISECONDS);
+      heldBack = quarantine.find(sharedPromptParts);
+    }
+    return null;
+  }
+
+  #endQuarantined({ part, retryAfterMilliseconds }: HeldBack): string {
+    this.#call.log.set('quarantinedPart', part);
+    const reason = 'a part of the prompt crashes targets';
+    return this.#mayHaveRun() ? this.#fail(reason) : this.#refuse(new ServingError(reason, {
+      kind: 'prompt-quarantined',
+      retryAfterSeconds: Math.ceil(retryAfterMilliseconds / MILLISECONDS_PER_SECOND),
+    }));
+  }
+
   /** Chooses a target; queues for one where none is free. */
   async #choose(signal: AbortSignal): Promise<Choice> {
     const choose = () => pickTarget(this.#context, this.#call, this.#excluded, this.#hasStarted);
@@ -178,6 +225,7 @@
     if (lateModel !== null) {
       trafficMeter.recordLateStart(lateModel);
     }
+    this.#context.quarantine.recordSend(this.#call.metadata.sharedPromptParts);
     const end = await attempt.serve(timerUntil(this.#context.clock, this.#call.deadlineAt), signal);
     if (lateModel !== null) {
       trafficMeter.recordLateEnd(lateModel);
@@ -189,7 +237,9 @@
     this.#call.log.addAttempt(`${candidate.entry.worker.id}${formation} load=${choice.load.toFixed(1)}/${choice.candidates}${expected}`
       + ` ${end.kind}${'reason' in end ? ` (${end.reason})` : ''} events=${attempt.events} ${durationMilliseconds}ms`);
     if (end.kind === 'broken' && end.connectionLost && !attempt.isUnderWay) {
-      this.#call.log.set('sharedPromptParts', this.#call.metadata.sharedPromptParts.join(' '));
+      const { sharedPromptParts } = this.#call.metadata;
+      this.#call.log.set('sharedPromptParts', sharedPromptParts.join(' '));
+      void this.#context.crashReporter.reportLoss(candidate.entry.worker, sharedPromptParts);
     }
     return end;
   }
--- a/packages/gateway/src/lib/requests/GatewayContext.ts
+++ b/packages/gateway/src/lib/requests/GatewayContext.ts
@@ -7,6 +7,8 @@
 import type TrafficMeter from '../choice/TrafficMeter.js';
 import type ModelTimings from '../choice/ModelTimings.js';
 import type RetryBudget from '../choice/RetryBudget.js';
+import type CrashReporter from '../quarantine/CrashReporter.js';
+import type PromptQuarantine from '../quarantine/PromptQuarantine.js';
 import type TargetConnections from '../targets/TargetConnections.js';
 import type TargetStates from '../targets/TargetStates.js';
 import type GatewayWire from '../wire/GatewayWire.js';
@@ -20,6 +22,8 @@
   readonly configuration: ConfigurationHolder;
   readonly workers: WorkerTable;
   readonly states: TargetStates;
+  readonly quarantine: PromptQuarantine;
+  readonly crashReporter: CrashReporter;
   readonly connections: TargetConnections;
   readonly budget: RetryBudget;
   readonly timings: ModelTimings;
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -1,9 +1,10 @@
 import { z } from 'zod';
 import {
-  EntryId, ModelName, ServiceId, WorkerId,
+  EntryId, ModelName, PromptPartId, ServiceId, WorkerId,
 } from '@dandelionlane/core';
 import AbsentTargetSchema from './AbsentTargetSchema.js';
 import ModelTrafficSchema from './ModelTrafficSchema.js';
+import PartEvidenceSchema from './PartEvidenceSchema.js';
 import WorkerInstanceSchema from './WorkerInstanceSchema.js';
 
 /** Status report of an entry to the holder of the lease, sent several times a second. */
@@ -21,6 +22,10 @@
   leaving: z.array(WorkerInstanceSchema),
   /** Targets that the entry has just found absent from their addresses. */
   absent: z.array(AbsentTargetSchema).default([]),
+  /** Parts of prompts under which workers crashed or that were served after it, where that is news. */
+  promptParts: z.array(PartEvidenceSchema).default([]),
+  /** Quarantined parts of which the entry has a request to try. */
+  trialsSought: z.array(PromptPartId).default([]),
   /** The entry's requests in the window of the repeat budget. */
   requests: z.array(z.object({ service: ServiceId, requests: z.number() })),
   /** The entry's requests that wait for a target, by model. */
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -1,11 +1,12 @@
 import { z } from 'zod';
 import {
-  AvailabilityZoneId, EntryId, Epoch, FabricDomainId, GroupName, ModelName, RowVersion, ServiceId, TableRow,
-  WorkerId,
+  AvailabilityZoneId, EntryId, Epoch, FabricDomainId, GroupName, ModelName, PromptPartId, RowVersion,
+  ServiceId, TableRow, WorkerId,
 } from '@dandelionlane/core';
 import { LeaseAnnouncement } from '@dandelionlane/platform';
 import AbsentTargetSchema from './AbsentTargetSchema.js';
 import ModelTrafficSchema from './ModelTrafficSchema.js';
+import PartEvidenceSchema from './PartEvidenceSchema.js';
 import WorkerInstanceSchema from './WorkerInstanceSchema.js';
 
 /** State of the fleet that the holder of the lease sends to the entries, several times a second. */
@@ -50,6 +51,10 @@
   stalled: z.array(z.object({ worker: WorkerId, formation: z.string() })),
   /** Targets that several entries have just found absent from their addresses. */
   absent: z.array(AbsentTargetSchema).default([]),
+  /** Parts of prompts under which workers crashed, where that is news; all of them with `whole`. */
+  promptParts: z.array(PartEvidenceSchema).default([]),
+  /** Entries that may send one request with a quarantined part. */
+  trials: z.array(z.object({ part: PromptPartId, entry: EntryId })).default([]),
   /** Groups that workers report, where their registrations differ: the store may be unavailable. */
   groups: z.array(z.object({
     worker: WorkerId,
--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -73,7 +73,7 @@
    * @param createSnapshot Creates the parts of the state that it omits if unchanged. Called at most
    * once, for new links.
    */
-  broadcast(state: FleetState, createSnapshot: () => Pick<FleetState, 'rows' | 'entries' | 'withdrawn' | 'operators'>): void {
+  broadcast(state: FleetState, createSnapshot: () => Pick<FleetState, 'rows' | 'entries' | 'withdrawn' | 'operators' | 'promptParts'>): void {
     // Configurations are large and go to all entries at once.
     const frame = encodeFrame(this.#packr, state, state.operators.rows.length > 0 ? 'deflated' : 'messagePack');
     let snapshotFrame: Buffer | null = null;
