Log the limits that workers name

Cause of the change: no log line told that a worker had named a limit, or to whom, so that a limit that nobody reads could not be told from one that is learnt late.

The adapter decodes the limit of an answer. Worker has changed its limit. is logged by each entry that hears of it, and the attempts in Request ended. carry it. Nothing is limited yet.

--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -234,7 +234,10 @@
     const formation = candidate.formation === '' ? '' : `@${candidate.formation}`;
     const expected = choice.prediction === null
       ? '' : ` expected=${Math.round(choice.prediction.firstEventMilliseconds)}ms`;
-    this.#call.log.addAttempt(`${candidate.entry.worker.id}${formation} load=${choice.load.toFixed(1)}/${choice.candidates}${expected}`
+    const { id, bornAt } = candidate.entry.worker;
+    const named = candidate.state.limitRequestsPerSecond(bornAt);
+    const limit = named === null ? '' : ` limit=${named}/s`;
+    this.#call.log.addAttempt(`${id}${formation} load=${choice.load.toFixed(1)}/${choice.candidates}${limit}${expected}`
       + ` ${end.kind}${'reason' in end ? ` (${end.reason})` : ''} events=${attempt.events} ${durationMilliseconds}ms`);
     if (end.kind === 'broken' && end.connectionLost && !attempt.isUnderWay) {
       const { sharedPromptParts } = this.#call.metadata;
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -94,6 +94,9 @@
   /** Instance of the target that asked for no requests, by its `bornAt`, and until when. */
   #heldOff: { readonly bornAt: number | null; readonly until: number } | null = null;
 
+  /** Limit that an instance of the target has named, in requests per second of all entries. */
+  #limit: { readonly bornAt: number | null; readonly requestsPerSecond: number } | null = null;
+
   constructor(clock: Clock) {
     this.#clock = clock;
   }
@@ -228,6 +231,21 @@
     return this.#heldOff !== null && this.#heldOff.until > this.#now();
   }
 
+  /**
+   * Records the limit that an instance of the target has named, or null for none.
+   * Returns whether it has changed.
+   */
+  recordLimit(bornAt: number | null, requestsPerSecond: number | null): boolean {
+    const hasChanged = this.limitRequestsPerSecond(bornAt) !== requestsPerSecond;
+    this.#limit = requestsPerSecond === null ? null : { bornAt, requestsPerSecond };
+    return hasChanged;
+  }
+
+  /** Requests per second that an instance of the target takes from all entries; null without a limit. */
+  limitRequestsPerSecond(bornAt: number | null): number | null {
+    return this.#limit?.bornAt === bornAt ? this.#limit.requestsPerSecond : null;
+  }
+
   /** Excludes the target for a while; a new formation of its group ends the suspicion. */
   suspect(formation: string, milliseconds: number): void {
     this.#suspectedUntil = this.#now() + milliseconds;
--- a/packages/gateway/src/lib/targets/recordAnswerHead.ts
+++ b/packages/gateway/src/lib/targets/recordAnswerHead.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from '@dandelionlane/core';
 import type { WorkerTable } from '@dandelionlane/fleet';
+import type { Log } from '@dandelionlane/telemetry';
 import type Candidate from '../choice/Candidate.js';
 import MISDIRECTED_STATUS from '../relay/MISDIRECTED_STATUS.js';
 import type AnswerHead from '../wire/AnswerHead.js';
@@ -17,11 +18,12 @@
 interface RecordingContext {
   readonly workers: WorkerTable;
   readonly random: RandomSource;
+  readonly log: Log;
 }
 
 /** Records what the head of an answer says about the target itself. */
 export default function recordAnswerHead(
-  { workers, random }: RecordingContext,
+  { workers, random, log }: RecordingContext,
   { entry: { worker }, state, formation }: Candidate,
   status: number,
   head: AnswerHead,
@@ -34,6 +36,13 @@
   if (head.load !== null) {
     state.recordReportedLoad(head.load);
   }
+  // Only an answer that is certainly the target's own can lift a limit.
+  if ((head.limitRequestsPerSecond !== null || head.signed)
+    && state.recordLimit(worker.bornAt, head.limitRequestsPerSecond)) {
+    log.info('Worker has changed its limit.', {
+      worker: worker.id, requestsPerSecond: head.limitRequestsPerSecond,
+    });
+  }
   if (head.leaving) {
     workers.markLeaving(worker);
   }
--- a/packages/gateway/src/lib/wire/AnswerHead.ts
+++ b/packages/gateway/src/lib/wire/AnswerHead.ts
@@ -13,6 +13,8 @@
   readonly leaving: boolean;
   /** Time for which the target asks for no further requests, in ms; null where it specifies none. */
   readonly retryAfterMilliseconds: number | null;
+  /** Requests per second that the target takes from all entries together; null where it names no limit. */
+  readonly limitRequestsPerSecond: number | null;
   /** Whether a content coding was applied that was not requested. */
   readonly encoded: boolean;
   /** Whether the body has a length or is chunked, so that its end can be told from a lost connection. */
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -58,6 +58,7 @@
     load: null,
     leaving: headers['x-leaving'] !== undefined,
     retryAfterMilliseconds: headers['x-pause'] === undefined ? null : Number(headers['x-pause']),
+    limitRequestsPerSecond: headers['x-limit'] === undefined ? null : Number(headers['x-limit']),
     encoded: false,
     framed: headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined,
   }),
