Keep to the limits that workers name, all entries together

Callers saw nothing yet; a worker in need got up to 43 requests in 4 s where it had named a limit of 4.2 a second, and would next have slowed down or ended under them.

Cause: nothing read the limit. The class of fault: a bound that a target sets for all entries together, of which no entry sees more than its own part.

Ruled out: entries that each keep to it, and a limit learnt late.

Fix: each entry takes turns at its share of the limit, from a random time on. An unused turn lapses after a second, so that entries that idled do not return together; many entries leave a quarter of the limit unused, as random turns cluster. Entries tell each other which limits are named or lifted, the newest observation counts, and a new process of the target has none. Without a link an entry keeps to what it has heard from the target itself. A request for which no target has a turn waits as for a slot, or is refused at once with the time of the next turn where that is too late. A limit of nothing is still tried, as only an answer lifts it. An earlier build ignores the new fields.

--- a/packages/fleet-entry/src/lib/FleetFollower.ts
+++ b/packages/fleet-entry/src/lib/FleetFollower.ts
@@ -119,7 +119,7 @@
 
   #applyState(state: FleetState): void {
     const {
-      view: { workers, workerFollower, operatorFollower }, control, quarantine, clock,
+      view: { workers, workerFollower, operatorFollower }, control, quarantine, states, clock,
     } = this.#options;
     this.#stateReceivedAt = clock.monotonicMilliseconds();
     this.#registrations.apply(state);
@@ -141,8 +141,10 @@
     }
     this.#operatorRows.apply(state, isFresh);
     quarantine.merge(state.promptParts, { ageMilliseconds: 0, forwards: false });
+    states.recordSharedLimits(state.limits);
     if (state.whole) {
       quarantine.tellAgain();
+      states.tellLimitsAgain();
     }
     this.#entries = state.entries ?? this.#entries;
     applyFleetState(state, this.#options);
--- a/packages/fleet-entry/src/lib/FleetLeader.ts
+++ b/packages/fleet-entry/src/lib/FleetLeader.ts
@@ -97,12 +97,15 @@
    * @param leadingSince monotonic time since which this process has held the lease, in ms
    */
   lead(leadingSince: number): void {
-    const { view: { workers }, control: { controller }, quarantine } = this.#options;
+    const {
+      view: { workers }, control: { controller }, quarantine, states,
+    } = this.#options;
     const others = this.#server.statuses()
       .filter(({ ageMilliseconds }) => ageMilliseconds < ENTRY_TIMEOUT_MILLISECONDS);
-    others.forEach(({ status, ageMilliseconds }) => quarantine.merge(status.promptParts, {
-      ageMilliseconds, forwards: true,
-    }));
+    others.forEach(({ status, ageMilliseconds }) => {
+      quarantine.merge(status.promptParts, { ageMilliseconds, forwards: true });
+      states.recordSharedLimits(status.limits, ageMilliseconds);
+    });
     const own = createEntryStatus(this.#options, measureStoreAge(this.#options));
     const received: [ReceivedStatus, ...ReceivedStatus[]] = [{ status: own, ageMilliseconds: 0 }, ...others];
     const statuses = received.map(({ status }) => status);
@@ -116,6 +119,7 @@
       entries,
       operators: this.#operatorRows.snapshot(),
       promptParts: [...quarantine.snapshot()],
+      limits: [...states.limitsToTell(true)],
     }));
     controller.recordProgress(state.progressing);
     const doubted = statuses.flatMap(({ targets }) => targets.filter((target) => target.doubted));
@@ -166,6 +170,7 @@
       requests: sumRequests(statuses),
       traffic: sumTraffic(statuses),
       promptParts: own.status.promptParts,
+      limits: own.status.limits,
       trials: [...this.#trials.grant(statuses.flatMap(({ entry, trialsSought }) => (
         trialsSought.map((part) => ({ part, entry }))
       )))],
--- a/packages/fleet-entry/src/lib/createEntryStatus.ts
+++ b/packages/fleet-entry/src/lib/createEntryStatus.ts
@@ -68,6 +68,7 @@
     )),
     promptParts: [...quarantine.takeChanges()],
     trialsSought: [...quarantine.trialsSought()],
+    limits: [...states.limitsToTell()],
     leaving: [...workers.announcedLeaving()],
     requests: [...budget.countRequests()],
     waiting: traffic.map(({ model, onTimeWaiting, lateWaiting }) => (
--- a/packages/gateway/src/lib/choice/Choice.ts
+++ b/packages/gateway/src/lib/choice/Choice.ts
@@ -14,8 +14,11 @@
   | { readonly kind: 'none'; readonly reason: 'no-target' | 'all-suspected' | 'all-full' | 'all-cold' }
   | {
     readonly kind: 'none';
-    /** `queue-full`: the queue is too long for this request to be served in its time. */
-    readonly reason: 'all-held-off' | 'queue-full';
+    /**
+     * `all-limited`: this entry has used its share of what the targets take. `queue-full`: the queue is
+     * too long for this request to be served in its time.
+     */
+    readonly reason: 'all-held-off' | 'all-limited' | 'queue-full';
     /** Time after which a target is likely to accept the request, in ms. */
     readonly retryAfterMilliseconds: number;
   };
--- a/packages/gateway/src/lib/choice/chooseTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseTarget.ts
@@ -31,7 +31,7 @@
     .admits({ coldUntil, requestsPerSecond, entries }, input.now, input.random);
 }
 
-/** Chooses among reachable targets that are not held off, absent, suspected or at their cold-start limit. */
+/** Chooses among reachable targets that are not held off, absent, suspected or at a limit. */
 export default function chooseTarget(input: ChoiceInput): Choice {
   if (input.candidates.length === 0) {
     return { kind: 'none', reason: 'no-target' };
@@ -53,14 +53,21 @@
     return { kind: 'none', reason: 'all-cold' };
   }
   const { requirements, zone, random } = input;
+  const waits = warm.map(({ state, entry: { worker } }) => (
+    state.limitWaitMilliseconds(worker.bornAt, input.entries, random)
+  ));
+  const admitting = warm.filter((_candidate, index) => (waits[index] ?? 0) <= 0);
+  if (admitting.length === 0) {
+    return { kind: 'none', reason: 'all-limited', retryAfterMilliseconds: Math.min(...waits) };
+  }
   const isShared = requirements !== null && input.unsharedMilliseconds === 0;
   // A target without a shared load has no requests of others while loads are shared.
   const meanOf = (count: (candidate: Candidate) => number) => (
-    isShared ? 0 : warm.reduce((sum, candidate) => sum + count(candidate), 0) / warm.length
+    isShared ? 0 : admitting.reduce((sum, candidate) => sum + count(candidate), 0) / admitting.length
   );
   const meanOutstanding = meanOf(({ state }) => state.outstanding);
   const othersUnreadTokens = meanOf(({ state }) => state.unreadTokens) * (input.entries - 1);
-  const loaded = warm.map((candidate) => ({
+  const loaded = admitting.map((candidate) => ({
     candidate,
     load: candidate.state.estimateLoad(input.entries, meanOutstanding),
     unreadTokens: candidate.state.estimateUnreadTokens(othersUnreadTokens),
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -154,7 +154,8 @@
     const startedAt = clock.monotonicMilliseconds();
     const waitStartedAt = this.#mayHaveRun() ? startedAt : receivedAt;
     const until = Math.min(deadlineAt, waitStartedAt + MAXIMUM_WAIT_MILLISECONDS);
-    if (choice.reason === 'all-held-off' && startedAt + choice.retryAfterMilliseconds >= until) {
+    if ((choice.reason === 'all-held-off' || choice.reason === 'all-limited')
+      && startedAt + choice.retryAfterMilliseconds >= until) {
       return choice;
     }
     const waited = await admissionQueue.wait({
--- a/packages/gateway/src/lib/requests/createRefusal.ts
+++ b/packages/gateway/src/lib/requests/createRefusal.ts
@@ -23,6 +23,7 @@
         kind: 'overloaded', retryAfterSeconds: SLOT_RETRY_SECONDS,
       });
     case 'all-held-off':
+    case 'all-limited':
     case 'queue-full':
       return new ServingError(`no target: ${choice.reason}`, {
         kind: 'overloaded', retryAfterSeconds: choice.retryAfterMilliseconds / MILLISECONDS_PER_SECOND,
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -1,7 +1,9 @@
-import type { Clock } from '@dandelionlane/core';
+import type { Clock, RandomSource } from '@dandelionlane/core';
 import type ReportedLoad from '../wire/ReportedLoad.js';
 import ColdStartLimiter from './ColdStartLimiter.js';
+import type NamedLimit from './NamedLimit.js';
 import type RunningStream from './RunningStream.js';
+import SharedRateLimiter from './SharedRateLimiter.js';
 
 /** Age at which a reported load has lost its weight, in ms: a stream lasts about a second. */
 const LOAD_AGE_MILLISECONDS = 1_500;
@@ -27,6 +29,9 @@
 /** Time for which an observed absence is reported to the other entries, in ms: two messages. */
 const ABSENCE_REPORT_MILLISECONDS = 250;
 
+/** Time for which a changed limit is told to the other entries, in ms: several messages. */
+const LIMIT_REPORT_MILLISECONDS = 400;
+
 /** Time for which a doubt is reported to the holder of the lease, in ms: two messages. */
 const DOUBT_MILLISECONDS = 250;
 
@@ -94,8 +99,13 @@
   /** Instance of the target that asked for no requests, by its `bornAt`, and until when. */
   #heldOff: { readonly bornAt: number | null; readonly until: number } | null = null;
 
-  /** Limit that an instance of the target has named, in requests per second of all entries. */
-  #limit: { readonly bornAt: number | null; readonly requestsPerSecond: number } | null = null;
+  /** What the target last said about its limit; null before it has named one. */
+  #limit: (NamedLimit & { readonly heardAt: number }) | null = null;
+
+  /** Monotonic time at which the limit last changed, in ms. */
+  #limitChangedAt = Number.NEGATIVE_INFINITY;
+
+  readonly #limiter = new SharedRateLimiter();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -232,18 +242,56 @@
   }
 
   /**
-   * Records the limit that an instance of the target has named, or null for none.
-   * Returns whether it has changed.
+   * Records the limit that an instance of the target has named. Older observations are ignored.
+   * @param ageMilliseconds Time since it was heard, in ms.
+   * @returns Whether the limit has changed.
    */
-  recordLimit(bornAt: number | null, requestsPerSecond: number | null): boolean {
+  recordLimit({ bornAt, requestsPerSecond }: NamedLimit, ageMilliseconds = 0): boolean {
+    const heardAt = this.#now() - ageMilliseconds;
     const hasChanged = this.limitRequestsPerSecond(bornAt) !== requestsPerSecond;
-    this.#limit = requestsPerSecond === null ? null : { bornAt, requestsPerSecond };
+    if (this.#limit !== null && this.#limit.bornAt === bornAt && this.#limit.heardAt >= heardAt) {
+      return false;
+    }
+    this.#limit = this.#limit === null && requestsPerSecond === null
+      ? null : { bornAt, requestsPerSecond, heardAt };
+    if (hasChanged) {
+      this.#limitChangedAt = this.#now();
+    }
+    if (requestsPerSecond === null) {
+      this.#limiter.reset();
+    }
     return hasChanged;
   }
 
   /** Requests per second that an instance of the target takes from all entries; null without a limit. */
   limitRequestsPerSecond(bornAt: number | null): number | null {
-    return this.#limit?.bornAt === bornAt ? this.#limit.requestsPerSecond : null;
+    return this.#limit !== null && this.#limit.bornAt === bornAt ? this.#limit.requestsPerSecond : null;
+  }
+
+  /** What the target said about its limit, where it has just changed or all is to be told; else null. */
+  limitToTell(tellsAll: boolean): (NamedLimit & { readonly ageMilliseconds: number }) | null {
+    const isNews = this.#now() - this.#limitChangedAt < LIMIT_REPORT_MILLISECONDS;
+    if (this.#limit === null || !(isNews || (tellsAll && this.#limit.requestsPerSecond !== null))) {
+      return null;
+    }
+    const { bornAt, requestsPerSecond, heardAt } = this.#limit;
+    return { bornAt, requestsPerSecond, ageMilliseconds: Math.round(this.#now() - heardAt) };
+  }
+
+  /** Tells the limit again, to an entry that may not know it. */
+  tellLimitAgain(): void {
+    this.#limitChangedAt = this.#now();
+  }
+
+  /**
+   * Time until this entry may send another request to an instance of the target under its limit, in ms;
+   * 0 or less if it may now.
+   * @param entries Number of live entries, including this one.
+   */
+  limitWaitMilliseconds(bornAt: number | null, entries: number, random: RandomSource): number {
+    const requestsPerSecond = this.limitRequestsPerSecond(bornAt);
+    return requestsPerSecond === null
+      ? 0 : this.#limiter.waitMilliseconds({ requestsPerSecond, entries }, this.#now(), random);
   }
 
   /** Excludes the target for a while; a new formation of its group ends the suspicion. */
@@ -269,6 +317,7 @@
   /** Records that a request is sent. */
   recordSend(): void {
     this.coldStart.recordSend(this.#now());
+    this.#limiter.recordSend();
   }
 
   #now(): number {
--- a/packages/gateway/src/lib/targets/TargetStates.ts
+++ b/packages/gateway/src/lib/targets/TargetStates.ts
@@ -1,4 +1,5 @@
 import type { Clock, WorkerId } from '@dandelionlane/core';
+import type TargetLimit from './TargetLimit.js';
 import TargetState from './TargetState.js';
 
 /** Age up to which the loads shared by all entries are used, in ms: several messages. */
@@ -58,6 +59,29 @@
     return this.#progressedAt.get(formation) ?? Number.NEGATIVE_INFINITY;
   }
 
+  /** What targets said about their limits, where that is news for the other entries, or all of it. */
+  limitsToTell(tellsAll = false): readonly TargetLimit[] {
+    return [...this.#states].flatMap(([id, state]) => {
+      const limit = state.limitToTell(tellsAll);
+      return limit === null ? [] : [{ id, ...limit }];
+    });
+  }
+
+  /**
+   * Records what other entries have heard from targets about their limits.
+   * @param ageMilliseconds Time since it was received, in ms.
+   */
+  recordSharedLimits(limits: readonly TargetLimit[], ageMilliseconds = 0): void {
+    limits.forEach(({ id, ageMilliseconds: age, ...limit }) => {
+      this.of(id).recordLimit(limit, age + ageMilliseconds);
+    });
+  }
+
+  /** Tells all limits again: the receiver may not know them. */
+  tellLimitsAgain(): void {
+    this.#states.forEach((state) => state.tellLimitAgain());
+  }
+
   /** Time for which the loads of the other entries have not been known, in ms; 0 while they are known. */
   get unsharedMilliseconds(): number {
     return Math.max(0, this.#clock.monotonicMilliseconds() - this.#unsharedSince);
--- a/packages/links/src/lib/EntryStatus.ts
+++ b/packages/links/src/lib/EntryStatus.ts
@@ -5,6 +5,7 @@
 import AbsentTargetSchema from './AbsentTargetSchema.js';
 import ModelTrafficSchema from './ModelTrafficSchema.js';
 import PartEvidenceSchema from './PartEvidenceSchema.js';
+import TargetLimitSchema from './TargetLimitSchema.js';
 import WorkerInstanceSchema from './WorkerInstanceSchema.js';
 
 /** Status report of an entry to the holder of the lease, sent several times a second. */
@@ -26,6 +27,8 @@
   promptParts: z.array(PartEvidenceSchema).default([]),
   /** Quarantined parts of which the entry has a request to try. */
   trialsSought: z.array(PromptPartId).default([]),
+  /** Limits that workers have named or lifted, where that is news. */
+  limits: z.array(TargetLimitSchema).default([]),
   /** The entry's requests in the window of the repeat budget. */
   requests: z.array(z.object({ service: ServiceId, requests: z.number() })),
   /** The entry's requests that wait for a target, by model. */
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -7,6 +7,7 @@
 import AbsentTargetSchema from './AbsentTargetSchema.js';
 import ModelTrafficSchema from './ModelTrafficSchema.js';
 import PartEvidenceSchema from './PartEvidenceSchema.js';
+import TargetLimitSchema from './TargetLimitSchema.js';
 import WorkerInstanceSchema from './WorkerInstanceSchema.js';
 
 /** State of the fleet that the holder of the lease sends to the entries, several times a second. */
@@ -55,6 +56,8 @@
   promptParts: z.array(PartEvidenceSchema).default([]),
   /** Entries that may send one request with a quarantined part. */
   trials: z.array(z.object({ part: PromptPartId, entry: EntryId })).default([]),
+  /** Limits that workers have named or lifted, where that is news; all that they name with `whole`. */
+  limits: z.array(TargetLimitSchema).default([]),
   /** Groups that workers report, where their registrations differ: the store may be unavailable. */
   groups: z.array(z.object({
     worker: WorkerId,
--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -24,6 +24,9 @@
   readonly now: () => number;
 }
 
+/** Parts of a state that are whole in the first message of a link. */
+type Snapshot = Pick<FleetState, 'rows' | 'entries' | 'withdrawn' | 'operators' | 'promptParts' | 'limits'>;
+
 /** State of the link to one entry. */
 interface Link {
   readonly socket: WebSocket;
@@ -73,7 +76,7 @@
    * @param createSnapshot Creates the parts of the state that it omits if unchanged. Called at most
    * once, for new links.
    */
-  broadcast(state: FleetState, createSnapshot: () => Pick<FleetState, 'rows' | 'entries' | 'withdrawn' | 'operators' | 'promptParts'>): void {
+  broadcast(state: FleetState, createSnapshot: () => Snapshot): void {
     // Configurations are large and go to all entries at once.
     const frame = encodeFrame(this.#packr, state, state.operators.rows.length > 0 ? 'deflated' : 'messagePack');
     let snapshotFrame: Buffer | null = null;
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -35,6 +35,7 @@
     storeAgeMilliseconds: 0,
     promptParts: [],
     trialsSought: [],
+    limits: [],
     leaving: [],
     absent: [],
     requests: [],
@@ -74,6 +75,7 @@
   traffic: [],
   promptParts: [],
   trials: [],
+  limits: [],
   absent: [],
   progressing: [],
   stalled: [],
@@ -161,7 +163,12 @@
     table: 't', key: 'k', version: RowVersion.parse(1), value: { a: 1 },
   };
   const createSnapshot = () => ({
-    rows: [row], entries: [LINKED_ENTRY], withdrawn: [], operators: STATE.operators, promptParts: [],
+    rows: [row],
+    entries: [LINKED_ENTRY],
+    withdrawn: [],
+    operators: STATE.operators,
+    promptParts: [],
+    limits: [],
   });
   server.broadcast(STATE, createSnapshot);
   server.broadcast(STATE, createSnapshot);
@@ -234,12 +241,16 @@
 });
 
 // Guards against links that end as one of the two entries is of an earlier build.
-test('messages of a build without prompt parts are read', () => {
+test('messages of a build without prompt parts and limits are read', () => {
   const packr = new Packr({ useRecords: true });
-  const formerStatus = { ...status('a'), promptParts: undefined, trialsSought: undefined };
-  const formerState = { ...STATE, promptParts: undefined, trials: undefined };
+  const formerStatus = {
+    ...status('a'), promptParts: undefined, trialsSought: undefined, limits: undefined,
+  };
+  const formerState = {
+    ...STATE, promptParts: undefined, trials: undefined, limits: undefined,
+  };
   expect(decodeMessage(EntryStatus, packr.pack(formerStatus))._unsafeUnwrap())
-    .toMatchObject({ promptParts: [], trialsSought: [] });
+    .toMatchObject({ promptParts: [], trialsSought: [], limits: [] });
   expect(decodeMessage(HolderMessage, packr.pack(formerState))._unsafeUnwrap())
-    .toMatchObject({ promptParts: [], trials: [] });
+    .toMatchObject({ promptParts: [], trials: [], limits: [] });
 });
