Let unused turns at a cold target lapse

Found while the cause of the limits that workers name was looked for elsewhere: an entry keeps a turn at a cold target until it uses it, so that entries that had nothing for it send at once when they have.

Evidence: 73, 195 and 300 entries that idle for 3 s and return together send 73, 114 and 118 requests in a second to a target that takes 38, where 62 are allowed; 300 entries 16 where 11 are allowed. With nine entries the bound held.

Fix: a turn that is not used within 300 ms lapses, and the next one comes a period later.

--- a/packages/gateway/src/lib/targets/ColdStartLimiter.ts
+++ b/packages/gateway/src/lib/targets/ColdStartLimiter.ts
@@ -9,6 +9,9 @@
 /** Share of the rate that entries use when they take turns at random times, as such turns cluster. */
 const RANDOM_TURNS_SHARE = 0.7;
 
+/** Age up to which an unused turn stays valid, in ms: bounds the requests of entries that all idled. */
+const TURN_VALIDITY_MILLISECONDS = 300;
+
 /** Rate limit of a target in cold start, and the entries that share it. */
 interface ColdLimit {
   /** Monotonic time at which the target is warm, in ms. */
@@ -21,7 +24,7 @@
 /**
  * Keeps the requests of all entries together within the limit of a target in cold start, although no
  * entry sees what the others send. Where the limit leaves each entry less than one request a second,
- * entries take turns that begin at a random time.
+ * entries take turns that begin at a random time; an unused turn lapses.
  */
 export default class ColdStartLimiter {
   #sends: number[] = [];
@@ -51,7 +54,9 @@
     }
     const period = WINDOW_MILLISECONDS / (share * RANDOM_TURNS_SHARE);
     const begun = this.#turns !== null && this.#turns.until > now ? this.#turns : null;
-    const nextAt = begun?.nextAt ?? now + random.next() * period;
+    const turnAt = begun?.nextAt ?? now + random.next() * period;
+    const missed = Math.max(0, Math.ceil((now - TURN_VALIDITY_MILLISECONDS - turnAt) / period));
+    const nextAt = turnAt + missed * period;
     this.#turns = { until: coldUntil, nextAt, period };
     return now >= nextAt;
   }
