Take a refusal of another request for what it is

Callers saw, or could see, 'not run, try again' for requests that a target ran: a faulty target writes an earlier refusal once more on a connection that is in use again, and its status and its not-executed mark were believed before the id of its request was looked at. Its pause held the target off, and a 421 took it for absent.

Cause: the order of the checks in the classification of answers.

Fix: an answer that names another request is foreign, whatever else it says, and tells nothing about the target. Refusals without an id count as before: they come where the target could not read the request.

--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -11,6 +11,7 @@
 import type StreamAttemptOutcome from './StreamAttemptOutcome.js';
 import writeAnswerHead from './writeAnswerHead.js';
 import classifyAnswer from './classifyAnswer.js';
+import isForeignAnswer from './isForeignAnswer.js';
 import removeHopByHopHeaders from './removeHopByHopHeaders.js';
 import readEventId from './readEventId.js';
 import type StreamTiming from './StreamTiming.js';
@@ -161,7 +162,9 @@
   #handleHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
     const { context, call, candidate } = this.#options;
     const head = context.wire.readAnswer(headers);
-    recordAnswerHead(context, candidate, status, head);
+    if (!isForeignAnswer(head, call.metadata.requestId)) {
+      recordAnswerHead(context, candidate, status, head);
+    }
     const classification = classifyAnswer(status, head, call.metadata.requestId);
     this.#head = { status, headers: removeHopByHopHeaders(headers), framed: head.framed };
     switch (classification) {
--- a/packages/gateway/src/lib/relay/classifyAnswer.ts
+++ b/packages/gateway/src/lib/relay/classifyAnswer.ts
@@ -1,6 +1,7 @@
 import type AnswerHead from '../wire/AnswerHead.js';
 import type AnswerClassification from './AnswerClassification.js';
 import MISDIRECTED_STATUS from './MISDIRECTED_STATUS.js';
+import isForeignAnswer from './isForeignAnswer.js';
 
 const FIRST_FAILURE_STATUS = 500;
 
@@ -13,10 +14,13 @@
   head: AnswerHead,
   requestId: string | null,
 ): AnswerClassification {
+  if (isForeignAnswer(head, requestId)) {
+    return 'foreign';
+  }
   if (head.notExecuted || status === MISDIRECTED_STATUS) {
     return 'not-executed';
   }
-  if (head.encoded || (requestId !== null && head.requestId !== null && head.requestId !== requestId)) {
+  if (head.encoded) {
     return 'foreign';
   }
   if (status < 300 && (!head.signed || head.requestId !== requestId)) {
--- a/packages/gateway/src/test/TargetAttempt.test.ts
+++ b/packages/gateway/src/test/TargetAttempt.test.ts
@@ -119,3 +119,12 @@
   });
   expect(sent).toBe(false);
 });
+
+// Guards against callers that get a 200 without a body, framed as whole, from a half head.
+test.each([
+  HEAD, `${HEAD}Content-Length: 3\r\n`, `${HEAD}Content-Length: 0\r\nConnection: close\r\nX-`,
+])('an answer that ends inside its head is no answer (%j)', async (head) => {
+  const whole = (socket: Socket) => socket.write(`${HEAD}Content-Length: 3\r\n\r\nabc`);
+  expect(await exchange([(socket) => socket.end(head)])).toEqual([' failed']);
+  expect(await exchange([whole, (socket) => socket.end(head)], 2)).toEqual(['200 abc complete', ' failed']);
+});
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -123,6 +123,11 @@
     return gateway;
   }
 
+  /** Host and port that callers connect to. */
+  get address(): string {
+    return this.#address;
+  }
+
   async call(headers: Record<string, string> = {}, body = 'body'): Promise<CallerAnswer> {
     const answer = await sendRequest(`http://${this.#address}/a/b`, {
       method: 'POST', headers: { host: 'h', 'x-id': 'r1', ...headers }, body,
