Take only streams of events for the rest of a stream

Callers could get the text of an error in the middle of their stream, and the stream ended as complete: the next target answered a resumed stream with 200 and a body that is no stream of events, with a blank line at its end.

Cause: an answer of status 200 was taken for events whatever its content type.

Fix: once events have been passed on, an answer of another content type breaks the attempt, and the stream is resumed or cut. A first answer is passed on as before, whatever its type.

--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -169,7 +169,8 @@
     this.#head = { status, headers: removeHopByHopHeaders(headers), framed: head.framed };
     switch (classification) {
       case 'own':
-        this.#isStream = status === OK;
+        // Whatever else a target answers cannot go on with a stream that has begun.
+        this.#isStream = status === OK && (head.eventStream || !call.outgoing.headersSent);
         break;
       case 'failure':
         break;
--- a/packages/gateway/src/lib/wire/AnswerHead.ts
+++ b/packages/gateway/src/lib/wire/AnswerHead.ts
@@ -17,6 +17,8 @@
   readonly limitRequestsPerSecond: number | null;
   /** Whether a content coding was applied that was not requested. */
   readonly encoded: boolean;
+  /** Whether the body is a stream of events, as far as its content type says. */
+  readonly eventStream: boolean;
   /** Whether the body has a length or is chunked, so that its end can be told from a lost connection. */
   readonly framed: boolean;
 }
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -60,6 +60,7 @@
     retryAfterMilliseconds: headers['x-pause'] === undefined ? null : Number(headers['x-pause']),
     limitRequestsPerSecond: headers['x-limit'] === undefined ? null : Number(headers['x-limit']),
     encoded: false,
+    eventStream: String(headers['content-type'] ?? 'text/event-stream').startsWith('text/event-stream'),
     framed: headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined,
   }),
 };
--- a/packages/gateway/src/test/foreignAnswers.test.ts
+++ b/packages/gateway/src/test/foreignAnswers.test.ts
@@ -34,7 +34,7 @@
 
 // Guards against the text of an error in the middle of a stream.
 test.each([
-  [500, 'text/plain', '1'], [503, 'text/plain', undefined],
+  [500, 'text/plain', '1'], [200, 'application/json', '1'], [503, 'text/plain', undefined],
 ])('an answer %i of %s does not go on with a stream that broke off', async (status, type, signed) => {
   const begin: TargetScript = (_incoming, outgoing) => {
     outgoing.writeHead(200, { 'x-id': 'r1', 'x-signed': '1', 'content-type': 'text/event-stream' });
