--- a/packages/gateway/src/lib/quarantine/PromptQuarantine.ts
+++ b/packages/gateway/src/lib/quarantine/PromptQuarantine.ts
@@ -77,11 +77,6 @@
     this.#clock = clock;
   }
 
-  /** Number of parts that are held back. */
-  get size(): number {
-    return [...this.#parts.values()].filter(({ crashes }) => findQuarantine(crashes) !== null).length;
-  }
-
   /** Records that a target has crashed before it had answered a request with these parts. */
   recordCrash(crash: TargetCrash, parts: readonly PromptPartId[]): void {
     new Set(parts).forEach((part) => {
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -1,9 +1,8 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import { ServingError, type WorkerId } from '@dandelionlane/core';
 import type Candidate from '../choice/Candidate.js';
 import isRefusedConnection from '../targets/isRefusedConnection.js';
 import type Choice from '../choice/Choice.js';
-import type HeldBack from '../quarantine/HeldBack.js';
+import askForPassage from '../quarantine/askForPassage.js';
 import type Call from '../requests/Call.js';
 import type GatewayContext from '../requests/GatewayContext.js';
 import pickTarget from '../requests/pickTarget.js';
@@ -25,11 +24,6 @@
  */
 const MAXIMUM_WAIT_MILLISECONDS = 1_500;
 
-/** Time to wait for the permission to try a part whose quarantine is over, in ms: several messages. */
-const TRIAL_GRANT_MILLISECONDS = 500;
-
-const TRIAL_POLL_MILLISECONDS = 50;
-
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
@@ -111,32 +105,19 @@
     return 'caller-gone';
   }
 
-  /**
-   * Ends a request with a part that crashes targets, unless it may be the one that tries the part again.
-   * Returns the outcome, or null if the request may go on.
-   */
+  /** Ends a request with a part that crashes targets. Returns the outcome, or null if it may go on. */
   async #refuseQuarantined(): Promise<string | null> {
     const { quarantine, clock } = this.#context;
-    const { sharedPromptParts } = this.#call.metadata;
-    const askedUntil = clock.monotonicMilliseconds() + TRIAL_GRANT_MILLISECONDS;
-    let heldBack = quarantine.find(sharedPromptParts);
-    while (heldBack !== null) {
-      quarantine.recordHeldBack(heldBack.part);
-      if (!heldBack.isTrialDue || clock.monotonicMilliseconds() >= askedUntil) {
-        return this.#endQuarantined(heldBack);
-      }
-      await sleep(TRIAL_POLL_MILLISECONDS);
-      heldBack = quarantine.find(sharedPromptParts);
+    const { metadata: { sharedPromptParts }, log } = this.#call;
+    const heldBack = await askForPassage(quarantine, sharedPromptParts, clock);
+    if (heldBack === null) {
+      return null;
     }
-    return null;
-  }
-
-  #endQuarantined({ part, retryAfterMilliseconds }: HeldBack): string {
-    this.#call.log.set('quarantinedPart', part);
+    log.set('quarantinedPart', heldBack.part);
     const reason = 'a part of the prompt crashes targets';
     return this.#mayHaveRun() ? this.#fail(reason) : this.#refuse(new ServingError(reason, {
       kind: 'prompt-quarantined',
-      retryAfterSeconds: Math.ceil(retryAfterMilliseconds / MILLISECONDS_PER_SECOND),
+      retryAfterSeconds: Math.ceil(heldBack.retryAfterMilliseconds / MILLISECONDS_PER_SECOND),
     }));
   }
 
