Give the limit of a target a tracker of its own

One change of behaviour, found while reading: an observation of a former process that comes late no longer hides the limit of its successor (a test of its own, which failed before).

--- a/packages/gateway/src/lib/choice/chooseTarget.ts
+++ b/packages/gateway/src/lib/choice/chooseTarget.ts
@@ -54,7 +54,7 @@
   }
   const { requirements, zone, random } = input;
   const waits = warm.map(({ state, entry: { worker } }) => (
-    state.limitWaitMilliseconds(worker.bornAt, input.entries, random)
+    state.limit.waitMilliseconds(worker.bornAt, input.entries, random)
   ));
   const admitting = warm.filter((_candidate, index) => (waits[index] ?? 0) <= 0);
   if (admitting.length === 0) {
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -217,7 +217,7 @@
     const expected = choice.prediction === null
       ? '' : ` expected=${Math.round(choice.prediction.firstEventMilliseconds)}ms`;
     const { id, bornAt } = candidate.entry.worker;
-    const named = candidate.state.limitRequestsPerSecond(bornAt);
+    const named = candidate.state.limit.requestsPerSecond(bornAt);
     const limit = named === null ? '' : ` limit=${named}/s`;
     this.#call.log.addAttempt(`${id}${formation} load=${choice.load.toFixed(1)}/${choice.candidates}${limit}${expected}`
       + ` ${end.kind}${'reason' in end ? ` (${end.reason})` : ''} events=${attempt.events} ${durationMilliseconds}ms`);
--- a/packages/gateway/src/lib/targets/TargetState.ts
+++ b/packages/gateway/src/lib/targets/TargetState.ts
@@ -1,9 +1,8 @@
-import type { Clock, RandomSource } from '@dandelionlane/core';
+import type { Clock } from '@dandelionlane/core';
 import type ReportedLoad from '../wire/ReportedLoad.js';
 import ColdStartLimiter from './ColdStartLimiter.js';
-import type NamedLimit from './NamedLimit.js';
+import LimitTracker from './LimitTracker.js';
 import type RunningStream from './RunningStream.js';
-import SharedRateLimiter from './SharedRateLimiter.js';
 
 /** Age at which a reported load has lost its weight, in ms: a stream lasts about a second. */
 const LOAD_AGE_MILLISECONDS = 1_500;
@@ -29,9 +28,6 @@
 /** Time for which an observed absence is reported to the other entries, in ms: two messages. */
 const ABSENCE_REPORT_MILLISECONDS = 250;
 
-/** Time for which a changed limit is told to the other entries, in ms: several messages. */
-const LIMIT_REPORT_MILLISECONDS = 400;
-
 /** Time for which a doubt is reported to the holder of the lease, in ms: two messages. */
 const DOUBT_MILLISECONDS = 250;
 
@@ -55,6 +51,9 @@
 
   readonly coldStart = new ColdStartLimiter();
 
+  /** Limit that the target has named. */
+  readonly limit: LimitTracker;
+
   /** Share of requests that failed at the target; recent ones weigh more. */
   failureRate = 0;
 
@@ -99,16 +98,9 @@
   /** Instance of the target that asked for no requests, by its `bornAt`, and until when. */
   #heldOff: { readonly bornAt: number | null; readonly until: number } | null = null;
 
-  /** What the target last said about its limit; null before it has named one. */
-  #limit: (NamedLimit & { readonly heardAt: number }) | null = null;
-
-  /** Monotonic time at which the limit last changed, in ms. */
-  #limitChangedAt = Number.NEGATIVE_INFINITY;
-
-  readonly #limiter = new SharedRateLimiter();
-
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.limit = new LimitTracker(clock);
   }
 
   /** Records the load reported with an answer, which includes the requests of this process. */
@@ -241,59 +233,6 @@
     return this.#heldOff !== null && this.#heldOff.until > this.#now();
   }
 
-  /**
-   * Records the limit that an instance of the target has named. Older observations are ignored.
-   * @param ageMilliseconds Time since it was heard, in ms.
-   * @returns Whether the limit has changed.
-   */
-  recordLimit({ bornAt, requestsPerSecond }: NamedLimit, ageMilliseconds = 0): boolean {
-    const heardAt = this.#now() - ageMilliseconds;
-    const hasChanged = this.limitRequestsPerSecond(bornAt) !== requestsPerSecond;
-    if (this.#limit !== null && this.#limit.bornAt === bornAt && this.#limit.heardAt >= heardAt) {
-      return false;
-    }
-    this.#limit = this.#limit === null && requestsPerSecond === null
-      ? null : { bornAt, requestsPerSecond, heardAt };
-    if (hasChanged) {
-      this.#limitChangedAt = this.#now();
-    }
-    if (requestsPerSecond === null) {
-      this.#limiter.reset();
-    }
-    return hasChanged;
-  }
-
-  /** Requests per second that an instance of the target takes from all entries; null without a limit. */
-  limitRequestsPerSecond(bornAt: number | null): number | null {
-    return this.#limit !== null && this.#limit.bornAt === bornAt ? this.#limit.requestsPerSecond : null;
-  }
-
-  /** What the target said about its limit, where it has just changed or all is to be told; else null. */
-  limitToTell(tellsAll: boolean): (NamedLimit & { readonly ageMilliseconds: number }) | null {
-    const isNews = this.#now() - this.#limitChangedAt < LIMIT_REPORT_MILLISECONDS;
-    if (this.#limit === null || !(isNews || (tellsAll && this.#limit.requestsPerSecond !== null))) {
-      return null;
-    }
-    const { bornAt, requestsPerSecond, heardAt } = this.#limit;
-    return { bornAt, requestsPerSecond, ageMilliseconds: Math.round(this.#now() - heardAt) };
-  }
-
-  /** Tells the limit again, to an entry that may not know it. */
-  tellLimitAgain(): void {
-    this.#limitChangedAt = this.#now();
-  }
-
-  /**
-   * Time until this entry may send another request to an instance of the target under its limit, in ms;
-   * 0 or less if it may now.
-   * @param entries Number of live entries, including this one.
-   */
-  limitWaitMilliseconds(bornAt: number | null, entries: number, random: RandomSource): number {
-    const requestsPerSecond = this.limitRequestsPerSecond(bornAt);
-    return requestsPerSecond === null
-      ? 0 : this.#limiter.waitMilliseconds({ requestsPerSecond, entries }, this.#now(), random);
-  }
-
   /** Excludes the target for a while; a new formation of its group ends the suspicion. */
   suspect(formation: string, milliseconds: number): void {
     this.#suspectedUntil = this.#now() + milliseconds;
@@ -317,7 +256,7 @@
   /** Records that a request is sent. */
   recordSend(): void {
     this.coldStart.recordSend(this.#now());
-    this.#limiter.recordSend();
+    this.limit.recordSend();
   }
 
   #now(): number {
--- a/packages/gateway/src/lib/targets/TargetStates.ts
+++ b/packages/gateway/src/lib/targets/TargetStates.ts
@@ -62,7 +62,7 @@
   /** What targets said about their limits, where that is news for the other entries, or all of it. */
   limitsToTell(tellsAll = false): readonly TargetLimit[] {
     return [...this.#states].flatMap(([id, state]) => {
-      const limit = state.limitToTell(tellsAll);
+      const limit = state.limit.toTell(tellsAll);
       return limit === null ? [] : [{ id, ...limit }];
     });
   }
@@ -73,13 +73,13 @@
    */
   recordSharedLimits(limits: readonly TargetLimit[], ageMilliseconds = 0): void {
     limits.forEach(({ id, ageMilliseconds: age, ...limit }) => {
-      this.of(id).recordLimit(limit, age + ageMilliseconds);
+      this.of(id).limit.record(limit, age + ageMilliseconds);
     });
   }
 
   /** Tells all limits again: the receiver may not know them. */
   tellLimitsAgain(): void {
-    this.#states.forEach((state) => state.tellLimitAgain());
+    this.#states.forEach(({ limit }) => limit.tellAgain());
   }
 
   /** Time for which the loads of the other entries have not been known, in ms; 0 while they are known. */
--- a/packages/gateway/src/lib/targets/recordAnswerHead.ts
+++ b/packages/gateway/src/lib/targets/recordAnswerHead.ts
@@ -38,7 +38,7 @@
   }
   // Only an answer that is certainly the target's own can lift a limit.
   if ((head.limitRequestsPerSecond !== null || head.signed)
-    && state.recordLimit({ bornAt: worker.bornAt, requestsPerSecond: head.limitRequestsPerSecond })) {
+    && state.limit.record({ bornAt: worker.bornAt, requestsPerSecond: head.limitRequestsPerSecond })) {
     log.info('Worker has changed its limit.', {
       worker: worker.id, requestsPerSecond: head.limitRequestsPerSecond,
     });
--- a/packages/gateway/src/test/sharedLimits.test.ts
+++ b/packages/gateway/src/test/sharedLimits.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest';
 import { ManualClock, SeededRandom, WorkerId } from '@dandelionlane/core';
 import SharedRateLimiter from '../lib/targets/SharedRateLimiter.js';
-import TargetState from '../lib/targets/TargetState.js';
+import LimitTracker from '../lib/targets/LimitTracker.js';
 import TargetStates from '../lib/targets/TargetStates.js';
 
 const WINDOW_MILLISECONDS = 4_000;
@@ -68,23 +68,30 @@
 test('a limit is told, lifted and told to be lifted', () => {
   const clock = new ManualClock();
   const [holder, entry] = [new TargetStates(clock), new TargetStates(clock)];
-  entry.of(TARGET).recordLimit({ bornAt: 1, requestsPerSecond: 3.4 });
+  entry.of(TARGET).limit.record({ bornAt: 1, requestsPerSecond: 3.4 });
   holder.recordSharedLimits(entry.limitsToTell());
-  expect(holder.of(TARGET).limitRequestsPerSecond(1)).toBe(3.4);
+  expect(holder.of(TARGET).limit.requestsPerSecond(1)).toBe(3.4);
   expect(holder.limitsToTell()).toMatchObject([{ id: TARGET, bornAt: 1, requestsPerSecond: 3.4 }]);
   clock.advance(1_000);
   expect([holder.limitsToTell(), holder.limitsToTell(true).length]).toEqual([[], 1]);
-  entry.of(TARGET).recordLimit({ bornAt: 1, requestsPerSecond: null });
+  entry.of(TARGET).limit.record({ bornAt: 1, requestsPerSecond: null });
   holder.recordSharedLimits(entry.limitsToTell());
-  expect(holder.of(TARGET).limitRequestsPerSecond(1)).toBeNull();
+  expect(holder.of(TARGET).limit.requestsPerSecond(1)).toBeNull();
 });
 
 test('an older observation of a limit is ignored, and a new process has none', () => {
   const clock = new ManualClock(10_000);
-  const state = new TargetState(clock);
-  state.recordLimit({ bornAt: 1, requestsPerSecond: 3 });
-  expect(state.recordLimit({ bornAt: 1, requestsPerSecond: null }, 500)).toBe(false);
-  expect([state.limitRequestsPerSecond(1), state.limitRequestsPerSecond(2)]).toEqual([3, null]);
+  const limit = new LimitTracker(clock);
+  limit.record({ bornAt: 1, requestsPerSecond: 3 });
+  expect(limit.record({ bornAt: 1, requestsPerSecond: null }, 500)).toBe(false);
+  expect([limit.requestsPerSecond(1), limit.requestsPerSecond(2)]).toEqual([3, null]);
+});
+
+test('what was heard of a former process does not hide the limit of its successor', () => {
+  const limit = new LimitTracker(new ManualClock(10_000));
+  limit.record({ bornAt: 2, requestsPerSecond: 3 });
+  limit.record({ bornAt: 1, requestsPerSecond: 5 }, 200);
+  expect(limit.requestsPerSecond(2)).toBe(3);
 });
 
 test('a limit of nothing is still tried now and then', () => {
