--- a/packages/gateway/src/lib/quarantine/PromptQuarantine.ts
+++ b/packages/gateway/src/lib/quarantine/PromptQuarantine.ts
@@ -2,7 +2,7 @@
 import type HeldBack from './HeldBack.js';
 import type PartEvidence from './PartEvidence.js';
 import type TargetCrash from './TargetCrash.js';
-import findQuarantine from './findQuarantine.js';
+import findQuarantineEnd from './findQuarantineEnd.js';
 import isSameCrash from './isSameCrash.js';
 
 /** Parts with crashes that are remembered. */
@@ -109,10 +109,10 @@
     }
     for (const part of parts) {
       const history = this.#parts.get(part);
-      const quarantine = history === undefined ? null : findQuarantine(history.crashes);
-      if (history !== undefined && quarantine !== null && history.trialUntil <= this.#now()
+      const quarantineEnd = history === undefined ? null : findQuarantineEnd(history.crashes);
+      if (history !== undefined && quarantineEnd !== null && history.trialUntil <= this.#now()
         && this.#listAccused(history.crashes).every((accused) => parts.includes(accused))) {
-        const remaining = quarantine.until - this.#now();
+        const remaining = quarantineEnd - this.#now();
         return {
           part,
           retryAfterMilliseconds: Math.max(TRIAL_MILLISECONDS, remaining),
@@ -135,8 +135,8 @@
   trialsSought(): readonly PromptPartId[] {
     const now = this.#now();
     return [...this.#parts].filter(([, { crashes, heldBackAt }]) => {
-      const quarantine = now - heldBackAt < TRIAL_INTEREST_MILLISECONDS ? findQuarantine(crashes) : null;
-      return quarantine !== null && quarantine.until <= now;
+      const end = now - heldBackAt < TRIAL_INTEREST_MILLISECONDS ? findQuarantineEnd(crashes) : null;
+      return end !== null && end <= now;
     }).map(([part]) => part);
   }
 
@@ -282,8 +282,8 @@
     const now = this.#now();
     this.#parts.forEach(({ crashes, servedAt }, part) => {
       const last = crashes.at(-1)?.at ?? Number.NEGATIVE_INFINITY;
-      const until = findQuarantine(crashes)?.until ?? last;
-      if (now > until + MEMORY_MILLISECONDS && now > servedAt + CLEARED_MEMORY_MILLISECONDS) {
+      const end = findQuarantineEnd(crashes) ?? last;
+      if (now > end + MEMORY_MILLISECONDS && now > servedAt + CLEARED_MEMORY_MILLISECONDS) {
         this.#parts.delete(part);
       }
     });
--- a/packages/gateway/src/lib/quarantine/findQuarantine.ts
+++ b/packages/gateway/src/lib/quarantine/findQuarantineEnd.ts
@@ -1,4 +1,3 @@
-import type Quarantine from './Quarantine.js';
 import type TargetCrash from './TargetCrash.js';
 
 /** Crashes of distinct processes, with nothing served in between, after which a part is quarantined. */
@@ -21,10 +20,11 @@
 const LONGEST_TERM_MILLISECONDS = 3_600_000;
 
 /**
- * Returns the quarantine of a part, or null.
+ * Returns the monotonic time until which no request with a part is sent to targets, in ms; null for a part
+ * that is not quarantined. From then on one request may try whether the part still crashes targets.
  * @param crashes Crashes with the part since it was last served, in order of time.
  */
-export default function findQuarantine(crashes: readonly TargetCrash[]): Quarantine | null {
+export default function findQuarantineEnd(crashes: readonly TargetCrash[]): number | null {
   const [first] = crashes;
   const decisive = crashes.find(({ at }, index) => (
     index + 1 >= MINIMUM_CRASHES && first !== undefined && at - first.at >= MINIMUM_SPAN_MILLISECONDS
@@ -35,5 +35,5 @@
   }
   const failedTrials = crashes.filter(({ at }) => at > decisive.at + UNDER_WAY_MILLISECONDS).length;
   const term = Math.min(FIRST_TERM_MILLISECONDS * TERM_FACTOR ** failedTrials, LONGEST_TERM_MILLISECONDS);
-  return { since: decisive.at, until: last.at + term };
+  return last.at + term;
 }
