--- a/packages/gateway/src/test/promptQuarantine.test.ts
+++ b/packages/gateway/src/test/promptQuarantine.test.ts
@@ -62,6 +62,43 @@
   expect(fleet.reachedAt.length).toBe(reached);
 });
 
+/** Plays like `play` for 28 s; an entry repeats a request once, after the end of its target. */
+function playWith(seed: number, disturb: (fleet: SimulatedQuarantines, at: number) => void): SimulatedQuarantines {
+  const fleet = new SimulatedQuarantines(9);
+  fleet.deadly.add(DEADLY);
+  const random = new SeededRandom(seed);
+  for (let at = 0; at < 28_000; at += 50) {
+    disturb(fleet, at);
+    fleet.send(Math.floor(random.next() * 9), [SYSTEM, PromptPartId.parse(`subject${at % 1_000}`)]);
+    if (at % 850 < 50) {
+      fleet.send(Math.floor(random.next() * 9), [SYSTEM, DEADLY, PromptPartId.parse(`subject${at}`)], 1);
+    }
+    fleet.advance(50);
+  }
+  return fleet;
+}
+
+// Guards against a bound that holds only while no link is down, no entry restarts and no holder changes.
+test.each([
+  ['one link is down all the time', (fleet: SimulatedQuarantines) => fleet.unlinked.add(3)],
+  ['entries restart in turn', (fleet: SimulatedQuarantines, at: number) => {
+    if (at % 2_000 === 0) {
+      fleet.restart(1 + ((at / 2_000) % 8));
+    }
+  }],
+  ['the holder changes once a second', (fleet: SimulatedQuarantines, at: number) => {
+    if (at % 1_000 === 0) {
+      fleet.changeHolder((at / 1_000) % 9);
+    }
+  }],
+] as const)('a deadly part is held back while %s', (_name, disturb) => {
+  [1, 2, 3, 4, 5, 6, 7, 8].forEach((seed) => {
+    const fleet = playWith(seed, disturb);
+    expect(countLater(fleet)).toBeLessThanOrEqual(ALLOWED_LATER);
+    expect(fleet.wronglyRefused).toBe(0);
+  });
+});
+
 // Guards against one more crash for each entry that has lost its link.
 test('an entry without a link keeps what it knows', () => {
   const fleet = new SimulatedQuarantines(9);
--- a/packages/gateway/src/test/simulation/SimulatedQuarantines.ts
+++ b/packages/gateway/src/test/simulation/SimulatedQuarantines.ts
@@ -15,6 +15,8 @@
   readonly entry: number;
   readonly parts: readonly PromptPartId[];
   readonly answersAt: number;
+  /** Times that the request is sent again once its target has ended. */
+  readonly repeats: number;
 }
 
 /** The quarantines of many entries, their links to a holder, and targets that some parts crash. */
@@ -55,8 +57,11 @@
     return this.clock.monotonicMilliseconds();
   }
 
-  /** Sends a request to an entry. Returns whether it was passed on to a target. */
-  send(entry: number, parts: readonly PromptPartId[]): boolean {
+  /**
+   * Sends a request to an entry. Returns whether it was passed on to a target.
+   * @param repeats Times that the entry sends it again once its target has ended.
+   */
+  send(entry: number, parts: readonly PromptPartId[], repeats = 0): boolean {
     const quarantine = this.#at(entry);
     const heldBack = quarantine.find(parts);
     const isDeadly = parts.some((part) => this.deadly.has(part));
@@ -69,7 +74,9 @@
     if (isDeadly) {
       this.reachedAt.push(this.now);
     }
-    this.#pending.push({ entry, parts, answersAt: this.now + ANSWER_MILLISECONDS });
+    this.#pending.push({
+      entry, parts, answersAt: this.now + ANSWER_MILLISECONDS, repeats,
+    });
     return true;
   }
 
@@ -115,13 +122,16 @@
   #settleAttempts(): void {
     const due = this.#pending.filter(({ answersAt }) => answersAt <= this.now);
     this.#pending = this.#pending.filter(({ answersAt }) => answersAt > this.now);
-    due.forEach(({ entry, parts }) => {
+    due.forEach(({ entry, parts, repeats }) => {
       if (parts.some((part) => this.deadly.has(part))) {
         this.#crashes += 1;
         this.crashedAt.push(this.now);
         this.#at(entry).recordCrash({
           id: WorkerId.parse(`w${this.#crashes}`), bornAt: 1, at: this.now,
         }, parts);
+        if (repeats > 0) {
+          this.send(entry, parts, repeats - 1);
+        }
       } else {
         this.#at(entry).recordServed(parts);
       }
