Repeat a stream only once it is known whether its target has ended

Callers saw nothing more than a 502 either way. An entry whose link is down, with nothing but its own observations, sent a fourth request with a part that it should have held back after the third end: the repeat left while the address was still being asked.

Fix: a stream that lost its connection before its second event waits for the answer of the address, which takes a few ms where nobody listens and 0.1 s at most where nothing answers (0.2 s before, when nothing waited for it).

--- a/packages/gateway/src/lib/quarantine/isConnectionRefused.ts
+++ b/packages/gateway/src/lib/quarantine/isConnectionRefused.ts
@@ -2,7 +2,7 @@
 import isRefusedConnection from '../targets/isRefusedConnection.js';
 
 /** Time to wait for an answer, in ms: a host without the process refuses within a few ms. */
-const TIMEOUT_MILLISECONDS = 200;
+const TIMEOUT_MILLISECONDS = 100;
 
 /**
  * Whether an address refuses connections. False where it accepts one or is silent.
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -224,7 +224,7 @@
     if (end.kind === 'broken' && end.connectionLost && !attempt.isUnderWay) {
       const { sharedPromptParts } = this.#call.metadata;
       this.#call.log.set('sharedPromptParts', sharedPromptParts.join(' '));
-      void this.#context.crashReporter.reportLoss(candidate.entry.worker, sharedPromptParts);
+      await this.#context.crashReporter.reportLoss(candidate.entry.worker, sharedPromptParts);
     }
     return end;
   }
--- a/packages/gateway/src/test/promptPartCrashes.test.ts
+++ b/packages/gateway/src/test/promptPartCrashes.test.ts
@@ -49,3 +49,17 @@
   expect(sound.slice(-10)).toEqual(Array(10).fill(200));
   expect(await gateway.call({ 'x-parts': 'system,deadly' })).toMatchObject({ status: 503, cut: false });
 });
+
+// Guards against a repeat that leaves before it is known that the target has ended.
+test('a request whose target is the third to end is not repeated', { timeout: 20_000 }, async () => {
+  let reached = 0;
+  const script = (index: number): TargetScript => () => {
+    reached += 1;
+    gateway?.stopTarget(index);
+  };
+  gateway = await TestGateway.start(RESUMABLE, Array.from({ length: TARGETS }, (_, index) => script(index)));
+  const first = await gateway.call({ 'x-parts': 'system,deadly' });
+  await sleep(1_100);
+  const second = await gateway.call({ 'x-parts': 'system,deadly' });
+  expect([first.status, second.status, reached]).toEqual([502, 502, 3]);
+});
