--- a/packages/gateway/src/test/promptQuarantine.test.ts
+++ b/packages/gateway/src/test/promptQuarantine.test.ts
@@ -63,7 +63,10 @@
 });
 
 /** Plays like `play` for 28 s; an entry repeats a request once, after the end of its target. */
-function playWith(seed: number, disturb: (fleet: SimulatedQuarantines, at: number) => void): SimulatedQuarantines {
+function playWith(
+  seed: number,
+  disturb: (fleet: SimulatedQuarantines, at: number) => void,
+): SimulatedQuarantines {
   const fleet = new SimulatedQuarantines(9);
   fleet.deadly.add(DEADLY);
   const random = new SeededRandom(seed);
