--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -34,4 +34,5 @@
 export { type default as WorkerPort } from './lib/workers/WorkerPort.js';
 export { type default as WorkerReport } from './lib/workers/WorkerReport.js';
 export { default as WorkerTable } from './lib/workers/WorkerTable.js';
+export { default as formationName } from './lib/workers/formationName.js';
 export { default as toUnregisteredWorker } from './lib/workers/toUnregisteredWorker.js';
--- a/packages/gateway/src/lib/choice/listCandidates.ts
+++ b/packages/gateway/src/lib/choice/listCandidates.ts
@@ -1,5 +1,7 @@
 import type { AvailabilityZoneId, ModelName, WorkerId } from '@dandelionlane/core';
-import type { ServiceProfile, WorkerEntry, WorkerTable } from '@dandelionlane/fleet';
+import {
+  formationName, type ServiceProfile, type WorkerEntry, type WorkerTable,
+} from '@dandelionlane/fleet';
 import type TargetStates from '../targets/TargetStates.js';
 import type Candidate from './Candidate.js';
 
@@ -16,7 +18,7 @@
 }
 
 function formationOf({ group }: WorkerEntry): string {
-  return group === null ? '' : `${group.name}/${group.epoch}`;
+  return group === null ? '' : formationName(group);
 }
 
 function countByFormation(entries: readonly WorkerEntry[]): ReadonlyMap<string, number> {
--- a/packages/groups/src/lib/observation/FleetObservation.ts
+++ b/packages/groups/src/lib/observation/FleetObservation.ts
@@ -1,5 +1,5 @@
 import type { GroupName, WorkerId } from '@dandelionlane/core';
-import type { GroupMembership } from '@dandelionlane/fleet';
+import { formationName, type GroupMembership } from '@dandelionlane/fleet';
 import type Liveness from './Liveness.js';
 import type MemberReference from '../plan/MemberReference.js';
 import assessLiveness from './assessLiveness.js';
@@ -29,8 +29,8 @@
   }
 
   /** Whether streams of a formation recently delivered events, which takes all its members. */
-  isProgressing({ name, epoch }: Pick<GroupMembership, 'name' | 'epoch'>): boolean {
-    return this.#progressingFormations.has(`${name}/${epoch}`);
+  isProgressing(group: Pick<GroupMembership, 'name' | 'epoch'>): boolean {
+    return this.#progressingFormations.has(formationName(group));
   }
 
   /** Workers that report membership in a group, in any of its formations. */
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -1,6 +1,6 @@
 import type { Clock, ModelName, WorkerId } from '@dandelionlane/core';
-import type {
-  GroupMembership, Worker, WorkerPort, WorkerReport,
+import {
+  formationName, type GroupMembership, type Worker, type WorkerPort, type WorkerReport,
 } from '@dandelionlane/fleet';
 import type { Log } from '@dandelionlane/telemetry';
 import FleetObservation from './FleetObservation.js';
@@ -94,7 +94,7 @@
   probeFormation(formation: string): void {
     const now = this.#now();
     [...this.#trackers.values()]
-      .filter(({ report }) => report?.group != null && `${report.group.name}/${report.group.epoch}` === formation)
+      .filter(({ report }) => report?.group != null && formationName(report.group) === formation)
       .forEach((tracker) => tracker.expedite(now, RECENT_ANSWER_MILLISECONDS));
   }
 
--- a/packages/groups/src/lib/observation/WorkerTracker.ts
+++ b/packages/groups/src/lib/observation/WorkerTracker.ts
@@ -1,5 +1,7 @@
 import type { ModelName } from '@dandelionlane/core';
-import type { GroupMembership, Worker, WorkerReport } from '@dandelionlane/fleet';
+import {
+  formationName, type GroupMembership, type Worker, type WorkerReport,
+} from '@dandelionlane/fleet';
 import MISSES_UNTIL_SILENT from './MISSES_UNTIL_SILENT.js';
 import type ObservedWorker from './ObservedWorker.js';
 import toMembershipKey from './toMembershipKey.js';
@@ -269,7 +271,7 @@
     if (this.#order !== 'none' || group?.state === 'joining' || group?.state === 'closing') {
       return CHANGING_PROBE_INTERVAL_MILLISECONDS;
     }
-    if (group !== null && progressing.has(`${group.name}/${group.epoch}`)) {
+    if (group !== null && progressing.has(formationName(group))) {
       return Math.max(
         PROGRESSING_PROBE_INTERVAL_MILLISECONDS,
         intervalFactor * MEMBER_PROBE_INTERVAL_MILLISECONDS,
--- a/packages/groups/src/lib/observation/toMembershipKey.ts
+++ b/packages/groups/src/lib/observation/toMembershipKey.ts
@@ -1,6 +1,6 @@
-import type { Worker } from '@dandelionlane/fleet';
+import { formationName, type Worker } from '@dandelionlane/fleet';
 
 /** Key that identifies a membership and its state; empty without a group. */
 export default function toMembershipKey({ group }: Pick<Worker, 'group'>): string {
-  return group === null ? '' : `${group.name}/${group.epoch}/${group.state}`;
+  return group === null ? '' : `${formationName(group)}/${group.state}`;
 }
--- a/packages/groups/src/lib/plan/planAdoption.ts
+++ b/packages/groups/src/lib/plan/planAdoption.ts
@@ -1,4 +1,4 @@
-import type { EngineProfile, GroupMembership } from '@dandelionlane/fleet';
+import { formationName, type EngineProfile, type GroupMembership } from '@dandelionlane/fleet';
 import type { GroupName, ServiceId } from '@dandelionlane/core';
 import assessLiveness from '../observation/assessLiveness.js';
 import type FleetObservation from '../observation/FleetObservation.js';
@@ -32,7 +32,7 @@
     const group = observed.report?.group ?? null;
     const isReadyOrOpen = group !== null && (group.state === 'ready' || group.state === 'open');
     if (observed.worker.service === service && isReadyOrOpen && assessLiveness(observed) === 'alive') {
-      const key = `${group.name}/${group.epoch}`;
+      const key = formationName(group);
       formations.set(key, [...formations.get(key) ?? [], { observed, group }]);
     }
   });
