--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -11,7 +11,6 @@
 import type StreamAttemptOutcome from './StreamAttemptOutcome.js';
 import writeAnswerHead from './writeAnswerHead.js';
 import classifyAnswer from './classifyAnswer.js';
-import isForeignAnswer from './isForeignAnswer.js';
 import removeHopByHopHeaders from './removeHopByHopHeaders.js';
 import readEventId from './readEventId.js';
 import type StreamTiming from './StreamTiming.js';
@@ -162,10 +161,9 @@
   #handleHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
     const { context, call, candidate } = this.#options;
     const head = context.wire.readAnswer(headers);
-    if (!isForeignAnswer(head, call.metadata.requestId)) {
-      recordAnswerHead(context, candidate, status, head);
-    }
-    const classification = classifyAnswer(status, head, call.metadata.requestId);
+    const { requestId } = call.metadata;
+    recordAnswerHead(context, candidate, { status, head, requestId });
+    const classification = classifyAnswer(status, head, requestId);
     this.#head = { status, headers: removeHopByHopHeaders(headers), framed: head.framed };
     switch (classification) {
       case 'own':
--- a/packages/gateway/src/lib/relay/exchangePlain.ts
+++ b/packages/gateway/src/lib/relay/exchangePlain.ts
@@ -5,7 +5,6 @@
 import recordAnswerHead from '../targets/recordAnswerHead.js';
 import type AnswerHead from '../wire/AnswerHead.js';
 import type ExchangeOutcome from './ExchangeOutcome.js';
-import isForeignAnswer from './isForeignAnswer.js';
 
 /** Largest answer that is held in memory, in bytes. */
 const MAXIMUM_ANSWER_BYTES = 16 * 1_024 * 1_024;
@@ -52,9 +51,9 @@
         headers = answerHeaders;
         head = context.wire.readAnswer(answerHeaders);
         state.recordProgress();
-        if (!isForeignAnswer(head, call.metadata.requestId)) {
-          recordAnswerHead(context, candidate, answerStatus, head);
-        }
+        recordAnswerHead(context, candidate, {
+          status: answerStatus, head, requestId: call.metadata.requestId,
+        });
       },
       data(chunk) {
         size += chunk.length;
--- a/packages/gateway/src/lib/targets/recordAnswerHead.ts
+++ b/packages/gateway/src/lib/targets/recordAnswerHead.ts
@@ -3,6 +3,7 @@
 import type { Log } from '@dandelionlane/telemetry';
 import type Candidate from '../choice/Candidate.js';
 import MISDIRECTED_STATUS from '../relay/MISDIRECTED_STATUS.js';
+import isForeignAnswer from '../relay/isForeignAnswer.js';
 import type AnswerHead from '../wire/AnswerHead.js';
 
 /** Statuses with which a target asks for no requests for a while. */
@@ -21,13 +22,22 @@
   readonly log: Log;
 }
 
-/** Records what the head of an answer says about the target itself. */
+/** Head of an answer, with the id of the request that it came for. */
+interface ReceivedHead {
+  readonly status: number;
+  readonly head: AnswerHead;
+  readonly requestId: string | null;
+}
+
+/** Records what the head of an answer says about the target itself. A foreign one says nothing. */
 export default function recordAnswerHead(
   { workers, random, log }: RecordingContext,
   { entry: { worker }, state, formation }: Candidate,
-  status: number,
-  head: AnswerHead,
+  { status, head, requestId }: ReceivedHead,
 ): void {
+  if (isForeignAnswer(head, requestId)) {
+    return;
+  }
   if (status === MISDIRECTED_STATUS) {
     // Another worker has answered, or one that is not the head of the formation.
     state.recordAbsence({ bornAt: worker.bornAt, formation });
