--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -6,7 +6,7 @@
   CrashReporter, SpentTimeEstimator, EntryRegistry, ModelTimings, PromptQuarantine, RetryBudget,
   RequestServer, StallDetector, SharedTraffic, TargetConnections, TargetStates, TrafficMeter, AdmissionQueue,
   createDirectoryApplication, createMetricsApplication, createReadinessApplication,
-  isConnectionRefused,
+  refusesConnections,
 } from '@dandelionlane/gateway';
 import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
 import Coordinator from './Coordinator.js';
@@ -94,7 +94,7 @@
   });
   const quarantine = new PromptQuarantine(clock);
   const crashReporter = new CrashReporter({
-    quarantine, isRefused: isConnectionRefused, clock, log: logFor('workers'), metrics,
+    quarantine, refusesConnections, clock, log: logFor('workers'), metrics,
   });
   const admissionQueue = new AdmissionQueue(clock);
   const trafficMeter = new TrafficMeter(clock);
--- a/packages/gateway/src/lib/quarantine/CrashReporter.ts
+++ b/packages/gateway/src/lib/quarantine/CrashReporter.ts
@@ -11,7 +11,7 @@
 interface CrashReporterOptions {
   readonly quarantine: PromptQuarantine;
   /** Whether connections to an address are refused: no process listens there. */
-  readonly isRefused: (address: string) => Promise<boolean>;
+  readonly refusesConnections: (address: string) => Promise<boolean>;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -49,8 +49,8 @@
     if (known !== undefined) {
       return known.hasEnded;
     }
-    const { isRefused, log, metrics } = this.#options;
-    const hasEnded = isRefused(address).then((refused) => {
+    const { refusesConnections, log, metrics } = this.#options;
+    const hasEnded = refusesConnections(address).then((refused) => {
       if (refused) {
         metrics.count('gateway.target_crashes');
         log.warn('Worker has ended under requests.', { worker: id, bornAt });
--- a/packages/gateway/src/lib/quarantine/isConnectionRefused.ts
+++ b/packages/gateway/src/lib/quarantine/refusesConnections.ts
@@ -8,7 +8,7 @@
  * Whether an address refuses connections. False where it accepts one or is silent.
  * @param address Host and port.
  */
-export default function isConnectionRefused(address: string): Promise<boolean> {
+export default function refusesConnections(address: string): Promise<boolean> {
   const [host = '', port = ''] = address.split(':');
   return new Promise((resolve) => {
     const socket = connect({ host, port: Number(port) });
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -17,7 +17,7 @@
 import TrafficMeter from '../lib/choice/TrafficMeter.js';
 import CrashReporter from '../lib/quarantine/CrashReporter.js';
 import PromptQuarantine from '../lib/quarantine/PromptQuarantine.js';
-import isConnectionRefused from '../lib/quarantine/isConnectionRefused.js';
+import refusesConnections from '../lib/quarantine/refusesConnections.js';
 import SpentTimeEstimator from '../lib/requests/SpentTimeEstimator.js';
 import RequestServer from '../lib/requests/RequestServer.js';
 import AdmissionQueue from '../lib/requests/AdmissionQueue.js';
@@ -206,7 +206,7 @@
       states: this.states,
       quarantine,
       crashReporter: new CrashReporter({
-        quarantine, isRefused: isConnectionRefused, clock: this.#clock, log: LOG, metrics,
+        quarantine, refusesConnections, clock: this.#clock, log: LOG, metrics,
       }),
       connections: this.#connections,
       budget: new RetryBudget(new ManualClock(), { ratio: 1, extra: 100, windowMilliseconds: 10_000 }),
