--- a/packages/gateway/src/lib/requests/RequestServer.ts
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -6,6 +6,7 @@
 import type Call from './Call.js';
 import CallLog from './CallLog.js';
 import type GatewayContext from './GatewayContext.js';
+import type ReceivedRequest from './ReceivedRequest.js';
 import admitCall from './admitCall.js';
 import readBody from './readBody.js';
 import writeRefusal from './writeRefusal.js';
@@ -59,12 +60,15 @@
   async handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const { clock, log, metrics } = this.#context;
     const receivedAt = clock.monotonicMilliseconds();
+    const metadata = this.#context.wire.readCall(incoming.headers);
     const callLog = new CallLog();
     this.#inFlight += 1;
     if (this.#departure !== null) {
       outgoing.setHeader('connection', 'close');
     }
-    const outcome = await this.#serve(incoming, outgoing, receivedAt, callLog).catch((cause: unknown) => {
+    const outcome = await this.#serve({
+      incoming, outgoing, metadata, receivedAt, log: callLog,
+    }).catch((cause: unknown) => {
       const error = new ServingError('request failed inside the gateway', { kind: 'internal', cause });
       log.error('Request failed inside the gateway.', { reason: cause instanceof Error ? cause.stack : String(cause) });
       if (outgoing.headersSent) {
@@ -79,7 +83,7 @@
     metrics.count('gateway.requests', 1, [`outcome:${outcome}`]);
     metrics.timing('gateway.request', milliseconds);
     log.info('Request ended.', {
-      request: this.#context.wire.readCall(incoming.headers).requestId,
+      request: metadata.requestId,
       outcome,
       status: outgoing.headersSent ? outgoing.statusCode : undefined,
       milliseconds,
@@ -88,12 +92,8 @@
     });
   }
 
-  async #serve(
-    incoming: IncomingMessage,
-    outgoing: ServerResponse,
-    receivedAt: number,
-    log: CallLog,
-  ): Promise<string> {
+  async #serve(received: Omit<ReceivedRequest, 'table'>): Promise<string> {
+    const { incoming, outgoing } = received;
     const { table } = this.#context.configuration;
     const refuse = (error: ServingError): string => {
       writeRefusal(outgoing, error);
@@ -102,9 +102,7 @@
     if (table === null) {
       return refuse(new ServingError('no configuration is known yet', { kind: 'no-accepted-state', retryAfterSeconds: 0.5 }));
     }
-    const admitted = admitCall(this.#context, {
-      incoming, outgoing, table, receivedAt, log,
-    });
+    const admitted = admitCall(this.#context, { ...received, table });
     const read = await readBody(incoming, table.configuration.limits.maximumBodyBytes);
     if (read.kind === 'cut') {
       return 'caller-gone';
--- a/packages/gateway/src/lib/requests/admitCall.ts
+++ b/packages/gateway/src/lib/requests/admitCall.ts
@@ -1,22 +1,12 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import { ServingError } from '@dandelionlane/core';
 import type { Route, RoutingTable, Team } from '@dandelionlane/fleet';
 import type CallMetadata from '../wire/CallMetadata.js';
 import type Call from './Call.js';
-import type CallLog from './CallLog.js';
 import type GatewayContext from './GatewayContext.js';
+import type ReceivedRequest from './ReceivedRequest.js';
 import pickService from './pickService.js';
 
-/** A request whose head has been read. */
-interface ReceivedRequest {
-  readonly incoming: IncomingMessage;
-  readonly outgoing: ServerResponse;
-  readonly table: RoutingTable;
-  readonly receivedAt: number;
-  readonly log: CallLog;
-}
-
 function identifyTeam(
   table: RoutingTable,
   route: Route,
@@ -33,7 +23,7 @@
 export default function admitCall(
   context: GatewayContext,
   {
-    incoming, outgoing, table, receivedAt, log,
+    incoming, outgoing, table, metadata, receivedAt, log,
   }: ReceivedRequest,
 ): Result<Omit<Call, 'body'>, ServingError> {
   const path = incoming.url ?? '/';
@@ -42,7 +32,6 @@
     return err(new ServingError('no route for this host and path', { kind: 'unknown-path' }));
   }
   const { route } = match;
-  const metadata = context.wire.readCall(incoming.headers);
   return identifyTeam(table, route, metadata).andThen((team): Result<Omit<Call, 'body'>, ServingError> => {
     const service = pickService(route, context.random);
     const profile = service === null ? undefined : table.configuration.services.get(service);
