Take turns at cold and at limited targets by one class

The turns of the limiter for named limits were a second copy of those at a cold target, with small variations, and the lapse of unused turns had to be mended in the first one by hand. RandomTurns serves both. A turn that is used late moves the next one no longer: it comes a period after the turn, not after the request, as at limited targets before. That is up to 0.3 s sooner and never twice in a second.

--- a/packages/gateway/src/lib/targets/ColdStartLimiter.ts
+++ b/packages/gateway/src/lib/targets/ColdStartLimiter.ts
@@ -1,4 +1,5 @@
 import type { RandomSource } from '@dandelionlane/core';
+import RandomTurns from './RandomTurns.js';
 
 /** Window in which requests to a cold target are counted, in ms. */
 const WINDOW_MILLISECONDS = 1_000;
@@ -9,7 +10,7 @@
 /** Share of the rate that entries use when they take turns at random times, as such turns cluster. */
 const RANDOM_TURNS_SHARE = 0.7;
 
-/** Age up to which an unused turn stays valid, in ms: bounds the requests of entries that all idled. */
+/** Age up to which an unused turn stays valid, in ms. */
 const TURN_VALIDITY_MILLISECONDS = 300;
 
 /** Rate limit of a target in cold start, and the entries that share it. */
@@ -29,16 +30,16 @@
 export default class ColdStartLimiter {
   #sends: number[] = [];
 
-  /** Turns of this entry in a cold start; null outside of one, and while turns are not needed. */
-  #turns: { readonly until: number; readonly nextAt: number; readonly period: number } | null = null;
+  readonly #turns = new RandomTurns(TURN_VALIDITY_MILLISECONDS);
+
+  /** Monotonic end of the cold start that the turns belong to, in ms. */
+  #turnsUntil = Number.NEGATIVE_INFINITY;
 
   /** Records a request sent at a monotonic time, in ms. */
   recordSend(now: number): void {
     this.#sends = this.#sends.filter((at) => now - at < WINDOW_MILLISECONDS);
     this.#sends.push(now);
-    if (this.#turns !== null) {
-      this.#turns = { ...this.#turns, nextAt: now + this.#turns.period };
-    }
+    this.#turns.recordSend();
   }
 
   /** Whether this entry may send the target another request at a monotonic time, in ms. */
@@ -48,16 +49,14 @@
     }
     const share = requestsPerSecond / entries;
     if (share * TOLERANCE >= 1) {
-      this.#turns = null;
+      this.#turns.reset();
       const sent = this.#sends.filter((at) => now - at < WINDOW_MILLISECONDS).length;
       return sent < Math.max(1, Math.floor(share));
     }
-    const period = WINDOW_MILLISECONDS / (share * RANDOM_TURNS_SHARE);
-    const begun = this.#turns !== null && this.#turns.until > now ? this.#turns : null;
-    const turnAt = begun?.nextAt ?? now + random.next() * period;
-    const missed = Math.max(0, Math.ceil((now - TURN_VALIDITY_MILLISECONDS - turnAt) / period));
-    const nextAt = turnAt + missed * period;
-    this.#turns = { until: coldUntil, nextAt, period };
-    return now >= nextAt;
+    if (this.#turnsUntil <= now) {
+      this.#turns.reset();
+    }
+    this.#turnsUntil = coldUntil;
+    return this.#turns.waitMilliseconds(WINDOW_MILLISECONDS / (share * RANDOM_TURNS_SHARE), now, random) <= 0;
   }
 }
--- a/packages/gateway/src/lib/targets/SharedRateLimiter.ts
+++ b/packages/gateway/src/lib/targets/SharedRateLimiter.ts
@@ -1,6 +1,7 @@
 import type { RandomSource } from '@dandelionlane/core';
+import RandomTurns from './RandomTurns.js';
 
-/** Age up to which an unused turn stays valid, in ms: bounds the requests of entries that all idled. */
+/** Age up to which an unused turn stays valid, in ms. */
 const TURN_VALIDITY_MILLISECONDS = 1_000;
 
 /** Share of the rate that entries use while each has a turn at least every few seconds. */
@@ -32,34 +33,23 @@
 
 /**
  * Keeps the requests of all entries to a target within a rate, although no entry sees what the others
- * send: each takes turns at its share of the rate, from a random time on.
+ * send: each takes turns at its share of the rate.
  */
 export default class SharedRateLimiter {
-  /** Monotonic time of the first turn that is not used, in ms; null before the first. */
-  #turnAt: number | null = null;
-
-  #period = 0;
+  readonly #turns = new RandomTurns(TURN_VALIDITY_MILLISECONDS);
 
   /** Time from a monotonic time to the next turn, both in ms; 0 or less while there is one. */
   waitMilliseconds(rate: SharedRate, now: number, random: RandomSource): number {
-    this.#period = turnPeriod(rate);
-    if (this.#turnAt === null || this.#turnAt > now + this.#period) {
-      this.#turnAt = now + random.next() * this.#period;
-    }
-    const missed = Math.ceil((now - TURN_VALIDITY_MILLISECONDS - this.#turnAt) / this.#period);
-    this.#turnAt += Math.max(0, missed) * this.#period;
-    return this.#turnAt - now;
+    return this.#turns.waitMilliseconds(turnPeriod(rate), now, random);
   }
 
   /** Records that a request was sent. */
   recordSend(): void {
-    if (this.#turnAt !== null) {
-      this.#turnAt += this.#period;
-    }
+    this.#turns.recordSend();
   }
 
   /** Forgets the turns, once the target has no limit. */
   reset(): void {
-    this.#turnAt = null;
+    this.#turns.reset();
   }
 }
