Keep an entry's trials apart from the evidence on parts

PromptQuarantine held what all entries share and what only this entry does with a part in the same records. PartTrials has the latter.

--- a/packages/gateway/src/lib/quarantine/PromptQuarantine.ts
+++ b/packages/gateway/src/lib/quarantine/PromptQuarantine.ts
@@ -2,6 +2,7 @@
 import type HeldBack from './HeldBack.js';
 import type PartEvidence from './PartEvidence.js';
 import type TargetCrash from './TargetCrash.js';
+import PartTrials from './PartTrials.js';
 import findQuarantineEnd from './findQuarantineEnd.js';
 import isSameCrash from './isSameCrash.js';
 
@@ -32,26 +33,11 @@
 /** Time after which the trial of a part is likely to have ended, in ms. */
 const TRIAL_MILLISECONDS = 2_000;
 
-/** Time for which a granted trial may be used, in ms: the holder of the lease renews it with each message. */
-const GRANT_MILLISECONDS = 1_000;
-
-/** Shortest time between two trials of one entry, in ms: longer than the holder grants one. */
-const TRIAL_PAUSE_MILLISECONDS = 10_000;
-
-/** Time for which an entry asks for a trial after a request has asked for it, in ms: two messages. */
-const TRIAL_INTEREST_MILLISECONDS = 250;
-
 /** Observations of one part. Times are monotonic, in ms. */
 interface PartHistory {
   /** In order of time. */
   crashes: readonly TargetCrash[];
   servedAt: number;
-  /** Time at which this entry last held a request back. */
-  heldBackAt: number;
-  /** Time until which this entry may send one request with the part. */
-  trialUntil: number;
-  /** Last trial by this entry. */
-  triedAt: number;
 }
 
 /**
@@ -73,8 +59,11 @@
   /** Parts with observations that the other entries do not know yet, with the time of the first one. */
   readonly #changedAt = new Map<PromptPartId, number>();
 
+  readonly #trials: PartTrials;
+
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.#trials = new PartTrials(clock);
   }
 
   /** Records that a target has crashed before it had answered a request with these parts. */
@@ -110,7 +99,7 @@
     for (const part of parts) {
       const history = this.#parts.get(part);
       const quarantineEnd = history === undefined ? null : findQuarantineEnd(history.crashes);
-      if (history !== undefined && quarantineEnd !== null && history.trialUntil <= this.#now()
+      if (history !== undefined && quarantineEnd !== null && !this.#trials.isGranted(part)
         && this.#listAccused(history.crashes).every((accused) => parts.includes(accused))) {
         const remaining = quarantineEnd - this.#now();
         return {
@@ -125,42 +114,26 @@
 
   /** Records that a request is held back, so that this entry asks for a trial if one is due. */
   recordHeldBack(part: PromptPartId): void {
-    const history = this.#parts.get(part);
-    if (history !== undefined) {
-      history.heldBackAt = this.#now();
-    }
+    this.#trials.ask(part);
   }
 
   /** Parts that this entry has a request to try with, and whose term is over. */
   trialsSought(): readonly PromptPartId[] {
     const now = this.#now();
-    return [...this.#parts].filter(([, { crashes, heldBackAt }]) => {
-      const end = now - heldBackAt < TRIAL_INTEREST_MILLISECONDS ? findQuarantineEnd(crashes) : null;
+    return [...this.#parts].filter(([part, { crashes }]) => {
+      const end = this.#trials.isSought(part) ? findQuarantineEnd(crashes) : null;
       return end !== null && end <= now;
     }).map(([part]) => part);
   }
 
   /** Allows this entry to send one request with each of these parts. */
   grantTrials(granted: readonly PromptPartId[]): void {
-    const now = this.#now();
-    granted.forEach((part) => {
-      const history = this.#parts.get(part);
-      if (history !== undefined && now - history.triedAt >= TRIAL_PAUSE_MILLISECONDS) {
-        history.trialUntil = now + GRANT_MILLISECONDS;
-      }
-    });
+    granted.filter((part) => this.#parts.has(part)).forEach((part) => this.#trials.grant(part));
   }
 
   /** Uses up the trials that a request with these parts is sent by. */
   recordSend(parts: readonly PromptPartId[]): void {
-    const now = this.#now();
-    parts.forEach((part) => {
-      const history = this.#parts.get(part);
-      if (history !== undefined && history.trialUntil > now) {
-        history.trialUntil = now;
-        history.triedAt = now;
-      }
-    });
+    parts.forEach((part) => this.#trials.use(part));
   }
 
   /**
@@ -251,13 +224,7 @@
     const kept = all.length <= MAXIMUM_CRASHES
       ? all : [...all.slice(0, MAXIMUM_CRASHES / 2), ...all.slice(-MAXIMUM_CRASHES / 2)];
     if (history === undefined) {
-      this.#parts.set(part, {
-        crashes: kept,
-        servedAt,
-        heldBackAt: Number.NEGATIVE_INFINITY,
-        trialUntil: Number.NEGATIVE_INFINITY,
-        triedAt: Number.NEGATIVE_INFINITY,
-      });
+      this.#parts.set(part, { crashes: kept, servedAt });
       this.#forgetLeastSuspect();
     } else {
       history.crashes = kept;
@@ -284,7 +251,7 @@
       const last = crashes.at(-1)?.at ?? Number.NEGATIVE_INFINITY;
       const end = findQuarantineEnd(crashes) ?? last;
       if (now > end + MEMORY_MILLISECONDS && now > servedAt + CLEARED_MEMORY_MILLISECONDS) {
-        this.#parts.delete(part);
+        this.#forget(part);
       }
     });
   }
@@ -299,11 +266,16 @@
       || (left.crashes.at(-1)?.at ?? 0) - (right.crashes.at(-1)?.at ?? 0)
     ));
     if (least !== undefined) {
-      this.#parts.delete(least[0]);
-      this.#changedAt.delete(least[0]);
+      this.#forget(least[0]);
     }
   }
 
+  #forget(part: PromptPartId): void {
+    this.#parts.delete(part);
+    this.#changedAt.delete(part);
+    this.#trials.forget(part);
+  }
+
   #now(): number {
     return this.#clock.monotonicMilliseconds();
   }
