Keep quarantined parts in the store, for a restart of all entries and for links that are down

Cause: the quarantine lived in the entries only. What must last belongs into the platform's store.

With a zone cut off from the others two and three workers ended after the fifth, as three entries without links found the part again, each for itself.

Fix: the holder writes a row when a part is quarantined, crashes another worker or is released; entries read the rows when they start and every second while they have no link, a holder when its term begins. Nothing depends on it: without the store entries keep to what they know.

--- a/packages/fleet-entry/src/lib/CoordinationOptions.ts
+++ b/packages/fleet-entry/src/lib/CoordinationOptions.ts
@@ -8,6 +8,7 @@
 import type FleetEntrySettings from './FleetEntrySettings.js';
 import type FleetView from './FleetView.js';
 import type GroupControl from './GroupControl.js';
+import type QuarantineStore from './QuarantineStore.js';
 
 /** Options of a `Coordinator`, of a `FleetLeader` and of a `FleetFollower`. */
 export default interface CoordinationOptions {
@@ -16,6 +17,7 @@
   readonly registry: EntryRegistry;
   readonly states: TargetStates;
   readonly quarantine: PromptQuarantine;
+  readonly quarantineStore: QuarantineStore;
   readonly budget: RetryBudget;
   readonly admissionQueue: AdmissionQueue;
   readonly trafficMeter: TrafficMeter;
--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -61,11 +61,15 @@
   }
 
   #runRound(): void {
-    const { control: { leadership }, clock } = this.#options;
+    const { control: { leadership }, quarantineStore, clock } = this.#options;
     if (leadership.actingLease() !== null) {
+      if (this.#leadingSince === null) {
+        quarantineStore.forgetRows();
+      }
       this.#leadingSince ??= clock.monotonicMilliseconds();
       this.#follower.disconnect();
       this.#leader.lead(this.#leadingSince);
+      void quarantineStore.save();
       return;
     }
     if (this.isLeading) {
@@ -74,5 +78,8 @@
     this.#leadingSince = null;
     this.#follower.follow();
     this.#leader.redirect(this.#follower.linkedAddress);
+    if (this.#follower.linkedAddress === null) {
+      void quarantineStore.load();
+    }
   }
 }
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -15,6 +15,7 @@
 import type FleetEntrySettings from './FleetEntrySettings.js';
 import GRACE_MARGIN_MILLISECONDS from './GRACE_MARGIN_MILLISECONDS.js';
 import GroupControl from './GroupControl.js';
+import QuarantineStore from './QuarantineStore.js';
 import createCallerServer from './createCallerServer.js';
 import createFleetView from './createFleetView.js';
 import leaveGracefully from './leaveGracefully.js';
@@ -96,6 +97,9 @@
   const crashReporter = new CrashReporter({
     quarantine, refusesConnections, clock, log: logFor('workers'), metrics,
   });
+  const quarantineStore = new QuarantineStore({
+    store: ports.store, quarantine, clock, log: logFor('quarantine'),
+  });
   const admissionQueue = new AdmissionQueue(clock);
   const trafficMeter = new TrafficMeter(clock);
   const sharedTraffic = new SharedTraffic(clock);
@@ -136,6 +140,7 @@
     registry,
     states,
     quarantine,
+    quarantineStore,
     budget,
     admissionQueue,
     trafficMeter,
@@ -156,6 +161,7 @@
     view.operatorFollower.handleStoreRestored();
     view.workerFollower.handleStoreRestored();
     registry.handleStoreRestored();
+    quarantineStore.forgetRows();
   });
 
   const callerServer = createCallerServer(requests, configuration);
--- a/packages/gateway/src/lib/quarantine/PromptQuarantine.ts
+++ b/packages/gateway/src/lib/quarantine/PromptQuarantine.ts
@@ -171,6 +171,12 @@
     return due.flatMap((part) => this.#describe(part));
   }
 
+  /** Returns the observations of the parts that are quarantined. */
+  quarantined(): readonly PartEvidence[] {
+    return [...this.#parts].filter(([, { crashes }]) => findQuarantineEnd(crashes) !== null)
+      .flatMap(([part]) => this.#describe(part));
+  }
+
   /** Returns all observations, for an entry that knows none. */
   snapshot(): readonly PartEvidence[] {
     this.#forgetOld();
