--- a/packages/fleet-entry/src/lib/Coordinator.ts
+++ b/packages/fleet-entry/src/lib/Coordinator.ts
@@ -31,6 +31,7 @@
 
   start(): void {
     this.#leader.listen();
+    void this.#options.quarantineStore.load();
     this.#timer = setInterval(() => this.#runRound(), MESSAGE_PERIOD_MILLISECONDS);
   }
 
