Say which target a failed request had left while its connection was sound

Logs could not tell whether a cut stream had lost its target or had been given up by the entry, nor what the move then lacked. Request ended. has the field leftTarget, and gateway.failed_moves counts such requests.

--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -51,6 +51,9 @@
 
   #refusals = 0;
 
+  /** Target that this process has left while the connection to it was sound, or null. */
+  #leftTarget: WorkerId | null = null;
+
   constructor(context: GatewayContext, call: Call) {
     this.#context = context;
     this.#call = call;
@@ -264,6 +267,7 @@
         const canRetry = this.#canRetry();
         this.#deliveries += 1;
         this.#executions += 1;
+        this.#leftTarget = end.connectionLost ? this.#leftTarget : worker.id;
         state.recordFailure();
         return canRetry ? null : this.#fail(end.reason);
       }
@@ -286,6 +290,10 @@
   #fail(reason: string): string {
     const { outgoing, log } = this.#call;
     log.set('detail', reason);
+    if (this.#leftTarget !== null && this.#remainingMilliseconds() > 0) {
+      log.set('leftTarget', this.#leftTarget);
+      this.#context.metrics.count('gateway.failed_moves');
+    }
     if (outgoing.headersSent) {
       abortAnswer(outgoing);
       return 'stream-cut';
