--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -102,6 +102,8 @@
 
   readonly workers: WorkerTable;
 
+  readonly quarantine: PromptQuarantine;
+
   readonly #clock: Clock = new SystemClock();
 
   #address = '';
@@ -111,16 +113,22 @@
   constructor(targets: number) {
     this.states = new TargetStates(this.#clock);
     this.workers = new WorkerTable(this.#clock);
+    this.quarantine = new PromptQuarantine(this.#clock);
     this.received = Array<number>(targets).fill(0);
   }
 
+  /**
+   * Starts a gateway and its targets.
+   * @param repeats Budget of repeats, of which nine tenths are used.
+   */
   static async start(
     kind: RequestKind,
     scripts: readonly TargetScript[],
     maximumAttempts = 2,
+    repeats = 100,
   ): Promise<TestGateway> {
     const gateway = new TestGateway(scripts.length);
-    await gateway.#start(kind, scripts, maximumAttempts);
+    await gateway.#start(kind, scripts, maximumAttempts, repeats);
     return gateway;
   }
 
@@ -186,7 +194,12 @@
     });
   }
 
-  async #start(kind: RequestKind, scripts: readonly TargetScript[], maximumAttempts: number): Promise<void> {
+  async #start(
+    kind: RequestKind,
+    scripts: readonly TargetScript[],
+    maximumAttempts: number,
+    repeats: number,
+  ): Promise<void> {
     for (const [index, script] of scripts.entries()) {
       const server = await listen((incoming, outgoing) => {
         this.received[index] = (this.received[index] ?? 0) + 1;
@@ -196,7 +209,7 @@
       this.workers.put(TestGateway.#worker(index, addressOf(server), kind.kind === 'stream'));
     }
     this.#configuration.accept(TestGateway.#configure(kind, maximumAttempts));
-    const quarantine = new PromptQuarantine(this.#clock);
+    const { quarantine } = this;
     const metrics = new MetricsRegistry();
     const requests = new RequestServer({
       wire: WIRE,
@@ -209,7 +222,7 @@
         quarantine, refusesConnections, clock: this.#clock, log: LOG, metrics,
       }),
       connections: this.#connections,
-      budget: new RetryBudget(new ManualClock(), { ratio: 1, extra: 100, windowMilliseconds: 10_000 }),
+      budget: new RetryBudget(new ManualClock(), { ratio: 0, extra: repeats, windowMilliseconds: 10_000 }),
       timings: new ModelTimings(),
       spentTimeEstimator: new SpentTimeEstimator(this.#clock),
       admissionQueue: new AdmissionQueue(this.#clock),
