Leave a silent target only for one that has gone on with the stream

Callers saw accepted streams cut with status 200, or 502 before the first event, while their worker was silent for about a second and then went on.

Cause: a silent stream abandoned its target as soon as some other target could take it. What the move needs was asked for only afterwards: the passage of its prompt's parts, a choice after an await and a wait in the queue, a repeat from the budget, and a target that does not refuse, break off or fall silent itself. By then the connection to the target that would have gone on was closed. Class of fault: giving up what one has for something that one may not get.

Now a second attempt starts beside the silent one, and only if all that it needs is there at that moment, without an await in between. Whichever delivers the next event serves the rest, and the other one is ended. A second attempt that is refused, breaks off or stays silent costs the stream nothing. An attempt counts against the attempts of the route and the budget as before. A failure answer of one attempt is passed on only if no other one serves the stream. The log says why a stream stayed (moveLacked), and superseded stands for an attempt whose stream another one has gone on with.

--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -1,6 +1,5 @@
 import { EventSplitter, type ModelName } from '@dandelionlane/core';
-import type Candidate from '../choice/Candidate.js';
-import type LatencyPrediction from '../choice/LatencyPrediction.js';
+import type ChosenTarget from '../choice/ChosenTarget.js';
 import type Call from '../requests/Call.js';
 import type GatewayContext from '../requests/GatewayContext.js';
 import startAttempt from '../requests/startAttempt.js';
@@ -37,19 +36,23 @@
 interface StreamAttemptOptions {
   readonly context: GatewayContext;
   readonly call: Call;
-  readonly candidate: Candidate;
-  readonly prediction: LatencyPrediction | null;
+  readonly choice: ChosenTarget;
   readonly sequence: EventSequence;
   readonly timing: StreamTiming;
   readonly usesNewConnection: boolean;
-  /** Whether the stream can resume at another target now. */
-  readonly canMove: () => boolean;
+  /** Called when the target has been silent for longer than a sound one usually is. */
+  readonly onStalled: () => void;
+  /** Called before events of this attempt, or its end as complete, are passed on to the caller. */
+  readonly onDelivery: () => void;
 }
 
 /** One attempt at a stream: relays the events of one target to the caller. */
 export default class StreamAttempt implements RunningStream {
   readonly #options: StreamAttemptOptions;
 
+  /** Target of the attempt, with what decided for it. */
+  readonly choice: ChosenTarget;
+
   readonly #splitter = new EventSplitter();
 
   readonly sentAt: number;
@@ -88,16 +91,17 @@
   constructor(options: StreamAttemptOptions) {
     this.#options = options;
     this.sentAt = options.context.clock.monotonicMilliseconds();
-    this.formation = options.candidate.formation;
+    this.choice = options.choice;
+    this.formation = options.choice.candidate.formation;
     this.promptTokens = options.call.metadata.promptTokens;
-    this.expectedFirstEventMilliseconds = options.prediction?.firstEventMilliseconds
+    this.expectedFirstEventMilliseconds = options.choice.prediction?.firstEventMilliseconds
       ?? options.call.route.targetLatencyMilliseconds;
     this.model = options.call.metadata.model;
   }
 
   /** Relays the stream to an end. `timeoutMilliseconds`: time left until the request's deadline. */
   async serve(timeoutMilliseconds: number, signal: AbortSignal): Promise<StreamAttemptOutcome> {
-    const { candidate: { state } } = this.#options;
+    const { state } = this.choice.candidate;
     const end = new Promise<StreamAttemptOutcome>((resolve) => {
       this.#resolve = resolve;
     });
@@ -123,16 +127,24 @@
   }
 
   stalled(): void {
-    if (!this.#hasEnded && this.#options.canMove()) {
-      this.#abandon('target stands still');
+    if (!this.#hasEnded) {
+      this.#options.onStalled();
+    }
+  }
+
+  /** Ends the attempt, as another one has gone on with the stream. */
+  supersede(): void {
+    if (!this.#hasEnded) {
+      this.#attempt?.abandon();
+      this.#finish({ kind: 'superseded' });
     }
   }
 
   #start(): void {
     const {
-      context, call, candidate, sequence, usesNewConnection,
+      context, call, sequence, usesNewConnection,
     } = this.#options;
-    this.#attempt = startAttempt(context, call, candidate, {
+    this.#attempt = startAttempt(context, call, this.choice.candidate, {
       lastEventId: sequence.lastId, usesNewConnection,
     }, {
       head: (status, headers) => this.#handleHead(status, headers),
@@ -159,10 +171,10 @@
   }
 
   #handleHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
-    const { context, call, candidate } = this.#options;
+    const { context, call } = this.#options;
     const head = context.wire.readAnswer(headers);
     const { requestId } = call.metadata;
-    recordAnswerHead(context, candidate, { status, head, requestId });
+    recordAnswerHead(context, this.choice.candidate, { status, head, requestId });
     const classification = classifyAnswer(status, head, requestId);
     this.#head = { status, headers: removeHopByHopHeaders(headers), framed: head.framed };
     switch (classification) {
@@ -200,12 +212,12 @@
   }
 
   #relay(events: readonly Buffer[]): void {
-    const { context, sequence, candidate: { state } } = this.#options;
+    const { sequence } = this.#options;
     const delivered: Buffer[] = [];
     for (const event of events) {
       const position = sequence.accept(readEventId(event));
       if (position === 'gap') {
-        this.#write(delivered);
+        this.#deliver(delivered);
         this.#abandon('an event is missing');
         return;
       }
@@ -213,20 +225,28 @@
         delivered.push(event);
       }
     }
-    if (delivered.length > 0) {
-      const now = context.clock.monotonicMilliseconds();
-      if (this.lastEventAt === null) {
-        this.#recordFirstEvent(now - this.sentAt);
-      }
-      const wasUnderWay = this.isUnderWay;
-      this.events += delivered.length;
-      if (this.isUnderWay && !wasUnderWay) {
-        this.#recordServed();
-      }
-      this.lastEventAt = now;
-      state.recordProgress();
-      this.#write(delivered);
+    this.#deliver(delivered);
+  }
+
+  #deliver(events: readonly Buffer[]): void {
+    if (events.length === 0) {
+      return;
+    }
+    const { context: { clock }, onDelivery } = this.#options;
+    const { state } = this.choice.candidate;
+    onDelivery();
+    const now = clock.monotonicMilliseconds();
+    if (this.lastEventAt === null) {
+      this.#recordFirstEvent(now - this.sentAt);
     }
+    const wasUnderWay = this.isUnderWay;
+    this.events += events.length;
+    if (this.isUnderWay && !wasUnderWay) {
+      this.#recordServed();
+    }
+    this.lastEventAt = now;
+    state.recordProgress();
+    this.#write(events);
   }
 
   #recordServed(): void {
@@ -236,7 +256,8 @@
 
   /** Skips attempts that were expected to wait for a slot, as the wait is no latency of the target itself. */
   #recordFirstEvent(milliseconds: number): void {
-    const { context: { timings }, prediction } = this.#options;
+    const { timings } = this.#options.context;
+    const { prediction } = this.choice;
     if (prediction !== null && prediction.queueMilliseconds === 0) {
       timings.recordFirstEvent(this.model, milliseconds - prediction.prefillMilliseconds);
     }
@@ -244,7 +265,7 @@
 
   #write(events: readonly Buffer[]): void {
     const { call: { outgoing }, timing, context } = this.#options;
-    if (events.length === 0 || outgoing.destroyed) {
+    if (outgoing.destroyed) {
       return;
     }
     if (!outgoing.headersSent && this.#head !== null) {
@@ -266,7 +287,7 @@
     this.#attempt?.pause();
     this.#options.call.outgoing.once('drain', () => {
       this.paused = false;
-      this.#options.candidate.state.recordProgress();
+      this.choice.candidate.state.recordProgress();
       this.#attempt?.resume();
     });
   }
@@ -279,7 +300,7 @@
     if (this.#refusal !== null) {
       this.#finish(this.#refusal);
     } else if (!this.#isStream) {
-      this.#passFailure();
+      this.#finishWithFailure();
     } else if (this.#splitter.hasPartialEvent) {
       this.#finish({ kind: 'broken', reason: 'stream ended inside an event', connectionLost: true });
     } else if (this.#head?.framed === false && outgoing.headersSent && outgoing.useChunkedEncodingByDefault) {
@@ -288,6 +309,7 @@
         kind: 'broken', reason: 'the end of a stream without a length is uncertain', connectionLost: true,
       });
     } else {
+      this.#options.onDelivery();
       if (!outgoing.headersSent && this.#head !== null) {
         this.#writeHead(this.#head);
       }
@@ -303,18 +325,12 @@
     writeAnswerHead(this.#options.call.outgoing, status, headers, framed);
   }
 
-  /** Passes on an answer that is not a stream, unless events have been sent already. */
-  #passFailure(): void {
-    const { call: { outgoing } } = this.#options;
-    if (outgoing.headersSent || this.#head === null) {
-      this.#finish({
-        kind: 'broken', reason: `status ${this.#head?.status ?? 0} for a resumed stream`, connectionLost: false,
-      });
+  #finishWithFailure(): void {
+    if (this.#head === null) {
+      this.#finish({ kind: 'broken', reason: 'answer without a head', connectionLost: false });
       return;
     }
-    const body = Buffer.concat(this.#failureChunks);
-    outgoing.writeHead(this.#head.status, { ...this.#head.headers, 'content-length': String(body.length) });
-    outgoing.end(body);
-    this.#finish({ kind: 'passed' });
+    const { status, headers } = this.#head;
+    this.#finish({ kind: 'failed', answer: { status, headers, body: Buffer.concat(this.#failureChunks) } });
   }
 }
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -1,7 +1,7 @@
 import { ServingError, type WorkerId } from '@dandelionlane/core';
-import type Candidate from '../choice/Candidate.js';
 import isRefusedConnection from '../targets/isRefusedConnection.js';
 import type Choice from '../choice/Choice.js';
+import type ChosenTarget from '../choice/ChosenTarget.js';
 import askForPassage from '../quarantine/askForPassage.js';
 import type Call from '../requests/Call.js';
 import type GatewayContext from '../requests/GatewayContext.js';
@@ -12,7 +12,10 @@
 import EventSequence from './EventSequence.js';
 import type StreamAttemptOutcome from './StreamAttemptOutcome.js';
 import abortAnswer from './abortAnswer.js';
+import RunningAttempts from './RunningAttempts.js';
 import StreamAttempt from './StreamAttempt.js';
+import type FailureAnswer from './FailureAnswer.js';
+import describeStreamAttempt from './describeStreamAttempt.js';
 import StreamTiming from './StreamTiming.js';
 
 /** Limit on targets that are tried and do not run the request, besides those where nobody listens. */
@@ -27,10 +30,12 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
- * Serves one stream of events by one or more attempts.
+ * Serves one stream of events by one or more attempts. While its target is silent, a second attempt may
+ * run beside the first; whichever goes on first serves the rest, and the other one is ended.
  *
  * Invariants: each event reaches the caller whole, once and in order; the answer ends as complete only
- * when an attempt ended as complete; a stream that is not resumable is run at most once.
+ * when an attempt ended as complete; a stream that is not resumable is run at most once; a target whose
+ * connection is sound is left only for one that has gone on with the stream.
  */
 export default class StreamRelay {
   readonly #context: GatewayContext;
@@ -43,6 +48,11 @@
 
   readonly #excluded = new Set<WorkerId>();
 
+  readonly #running = new RunningAttempts<StreamAttempt, StreamAttemptOutcome>();
+
+  /** Failure answer of a target, which is passed on if no other target serves the stream. */
+  #failureAnswer: FailureAnswer | null = null;
+
   /** Targets that may have run the request. */
   #executions = 0;
 
@@ -99,8 +109,7 @@
       if (this.#deliveries > 0 && !this.#tryRetry()) {
         return this.#fail('no repeat left in the budget');
       }
-      const end = await this.#attempt(choice, signal);
-      const outcome = this.#recordOutcome(end, choice.candidate);
+      const outcome = await this.#runAttempts(choice, signal);
       if (outcome !== null) {
         return signal.aborted ? 'caller-gone' : outcome;
       }
@@ -192,61 +201,99 @@
     return this.#executions > 0;
   }
 
-  async #attempt(choice: Extract<Choice, { kind: 'chosen' }>, signal: AbortSignal): Promise<StreamAttemptOutcome> {
-    const { candidate } = choice;
-    const { trafficMeter } = this.#context;
-    const lateModel = this.#isLate() ? this.#call.metadata.model : null;
-    const startedAt = this.#context.clock.monotonicMilliseconds();
-    const attempt = new StreamAttempt({
+  /** Runs an attempt and those that start beside it. Returns the outcome, or null to try another target. */
+  async #runAttempts(choice: ChosenTarget, signal: AbortSignal): Promise<string | null> {
+    this.#start(choice, signal);
+    let outcome: string | null = null;
+    while (this.#running.size > 0) {
+      const { attempt, end } = await this.#running.nextEnd();
+      await this.#reportEnd(attempt, end);
+      outcome = this.#recordEnd(attempt, end) ?? outcome;
+    }
+    return outcome;
+  }
+
+  #start(choice: ChosenTarget, signal: AbortSignal): void {
+    const attempt: StreamAttempt = new StreamAttempt({
       context: this.#context,
       call: this.#call,
-      candidate,
-      prediction: choice.prediction,
+      choice,
       sequence: this.#sequence,
       timing: this.#timing,
       usesNewConnection: !this.#isResumable,
-      canMove: () => this.#canRetry() && this.#hasAlternative(candidate),
+      onStalled: () => this.#startBeside(attempt, signal),
+      onDelivery: () => this.#running.all.filter((other) => other !== attempt)
+        .forEach((other) => other.supersede()),
     });
+    this.#running.add(attempt, this.#serveAttempt(attempt, signal));
+  }
+
+  async #serveAttempt(attempt: StreamAttempt, signal: AbortSignal): Promise<StreamAttemptOutcome> {
+    const { clock, quarantine, trafficMeter } = this.#context;
+    const { metadata: { model, sharedPromptParts }, deadlineAt } = this.#call;
+    const lateModel = this.#isLate() ? model : null;
     if (lateModel !== null) {
       trafficMeter.recordLateStart(lateModel);
     }
-    this.#context.quarantine.recordSend(this.#call.metadata.sharedPromptParts);
-    const end = await attempt.serve(timerUntil(this.#context.clock, this.#call.deadlineAt), signal);
+    quarantine.recordSend(sharedPromptParts);
+    const end = await attempt.serve(timerUntil(clock, deadlineAt), signal);
     if (lateModel !== null) {
       trafficMeter.recordLateEnd(lateModel);
     }
-    const durationMilliseconds = Math.round(this.#context.clock.monotonicMilliseconds() - startedAt);
-    const formation = candidate.formation === '' ? '' : `@${candidate.formation}`;
-    const expected = choice.prediction === null
-      ? '' : ` expected=${Math.round(choice.prediction.firstEventMilliseconds)}ms`;
-    const { id, bornAt } = candidate.entry.worker;
-    const named = candidate.state.limit.requestsPerSecond(bornAt);
-    const limit = named === null ? '' : ` limit=${named}/s`;
-    this.#call.log.addAttempt(`${id}${formation} load=${choice.load.toFixed(1)}/${choice.candidates}${limit}${expected}`
-      + ` ${end.kind}${'reason' in end ? ` (${end.reason})` : ''} events=${attempt.events} ${durationMilliseconds}ms`);
-    if (end.kind === 'broken' && end.connectionLost && !attempt.isUnderWay) {
-      const { sharedPromptParts } = this.#call.metadata;
-      this.#call.log.set('sharedPromptParts', sharedPromptParts.join(' '));
-      await this.#context.crashReporter.reportLoss(candidate.entry.worker, sharedPromptParts);
-    }
     return end;
   }
 
-  /** Whether one more attempt is allowed after the one under way. */
-  #canRetry(): boolean {
-    return this.#isResumable && this.#executions + 1 < this.#call.route.maximumAttempts;
+  /** Starts a second attempt beside a silent one, if all that it needs is there now. */
+  #startBeside(silent: StreamAttempt, signal: AbortSignal): void {
+    if (silent === this.#running.all.at(-1)) {
+      const lacking = this.#tryStartBeside(signal);
+      if (lacking !== null) {
+        this.#call.log.set('moveLacked', lacking);
+      }
+    }
   }
 
-  #hasAlternative(candidate: Candidate): boolean {
-    const excluded = new Set([...this.#excluded, candidate.entry.worker.id]);
-    return pickTarget(this.#context, this.#call, excluded, true).kind === 'chosen';
+  /** Starts an attempt beside those that run. Returns what is lacking for it, or null. */
+  #tryStartBeside(signal: AbortSignal): string | null {
+    if (!this.#canRetry() || this.#refusals >= MAXIMUM_REFUSALS) {
+      return 'attempts';
+    }
+    if (this.#context.quarantine.find(this.#call.metadata.sharedPromptParts) !== null) {
+      return 'prompt-quarantined';
+    }
+    const tried = new Set([
+      ...this.#excluded, ...this.#running.all.map(({ choice: { candidate } }) => candidate.entry.worker.id),
+    ]);
+    const choice = pickTarget(this.#context, this.#call, tried, true);
+    if (choice.kind === 'none') {
+      return choice.reason;
+    }
+    if (!this.#tryRetry()) {
+      return 'repeat';
+    }
+    this.#start(choice, signal);
+    return null;
+  }
+
+  async #reportEnd(attempt: StreamAttempt, end: StreamAttemptOutcome): Promise<void> {
+    const { log, metadata: { sharedPromptParts } } = this.#call;
+    log.addAttempt(describeStreamAttempt(attempt, end, this.#context.clock));
+    if (end.kind === 'broken' && end.connectionLost && !attempt.isUnderWay) {
+      log.set('sharedPromptParts', sharedPromptParts.join(' '));
+      await this.#context.crashReporter.reportLoss(attempt.choice.candidate.entry.worker, sharedPromptParts);
+    }
+  }
+
+  /** Whether one more attempt is allowed after or beside those under way. */
+  #canRetry(): boolean {
+    return this.#isResumable && this.#executions + this.#running.size < this.#call.route.maximumAttempts;
   }
 
-  /** Records how an attempt ended. Returns the outcome, or null to try another target. */
-  #recordOutcome(end: StreamAttemptOutcome, candidate: Candidate): string | null {
-    const { state, entry: { worker } } = candidate;
+  /** Records how an attempt ended. Returns the outcome, or null if another attempt may serve the stream. */
+  #recordEnd(attempt: StreamAttempt, end: StreamAttemptOutcome): string | null {
+    const { state, formation, entry: { worker } } = attempt.choice.candidate;
     if (end.kind === 'unsent' && isRefusedConnection(end.reason)) {
-      state.recordAbsence({ bornAt: worker.bornAt, formation: candidate.formation });
+      state.recordAbsence({ bornAt: worker.bornAt, formation });
       return null;
     }
     this.#excluded.add(worker.id);
@@ -254,8 +301,11 @@
       case 'complete':
         state.recordSuccess(0);
         return 'answered';
-      case 'passed':
-        return 'target-failure';
+      case 'failed':
+        this.#recordExecution();
+        this.#failureAnswer = end.answer;
+        return this.#running.size > 0 || (this.#call.outgoing.headersSent && this.#canRetry())
+          ? null : this.#fail(`status ${end.answer.status}`);
       case 'not-executed':
         this.#deliveries += 1;
         state.recordUnreachable();
@@ -263,22 +313,27 @@
       case 'unsent':
         state.recordUnreachable();
         return this.#recordRefusal(end.reason);
-      case 'broken': {
-        const canRetry = this.#canRetry();
-        this.#deliveries += 1;
-        this.#executions += 1;
-        this.#leftTarget = end.connectionLost ? this.#leftTarget : worker.id;
+      case 'superseded':
+        this.#recordExecution();
+        this.#leftTarget = worker.id;
+        return null;
+      case 'broken':
+        this.#recordExecution();
         state.recordFailure();
-        return canRetry ? null : this.#fail(end.reason);
-      }
+        return this.#running.size > 0 || this.#canRetry() ? null : this.#fail(end.reason);
       default:
         return end satisfies never;
     }
   }
 
+  #recordExecution(): void {
+    this.#deliveries += 1;
+    this.#executions += 1;
+  }
+
   #recordRefusal(reason: string): string | null {
     this.#refusals += 1;
-    return this.#refusals >= MAXIMUM_REFUSALS ? this.#fail(reason) : null;
+    return this.#running.size > 0 || this.#refusals < MAXIMUM_REFUSALS ? null : this.#fail(reason);
   }
 
   #refuse(error: ServingError): string {
@@ -298,6 +353,11 @@
       abortAnswer(outgoing);
       return 'stream-cut';
     }
+    if (this.#failureAnswer !== null) {
+      const { status, headers, body } = this.#failureAnswer;
+      outgoing.writeHead(status, { ...headers, 'content-length': String(body.length) }).end(body);
+      return 'target-failure';
+    }
     if (!this.#mayHaveRun()) {
       return this.#refuse(new ServingError(reason, { kind: 'target-refused', retryAfterSeconds: 0.3 }));
     }
--- /dev/null
+++ b/packages/gateway/src/lib/relay/describeStreamAttempt.ts
@@ -0,0 +1,38 @@
+import type { Clock } from '@dandelionlane/core';
+import type StreamAttempt from './StreamAttempt.js';
+import type StreamAttemptOutcome from './StreamAttemptOutcome.js';
+
+function describeOutcome(end: StreamAttemptOutcome): string {
+  switch (end.kind) {
+    case 'complete':
+    case 'superseded':
+      return end.kind;
+    case 'failed':
+      return `failed (status ${end.answer.status})`;
+    case 'not-executed':
+    case 'unsent':
+    case 'broken':
+      return `${end.kind} (${end.reason})`;
+    default:
+      return end satisfies never;
+  }
+}
+
+/** Summary of an attempt that has just ended, for the log line of its request. */
+export default function describeStreamAttempt(
+  {
+    choice: {
+      candidate, load, candidates, prediction,
+    }, events, sentAt,
+  }: StreamAttempt,
+  end: StreamAttemptOutcome,
+  clock: Clock,
+): string {
+  const { id, bornAt } = candidate.entry.worker;
+  const formation = candidate.formation === '' ? '' : `@${candidate.formation}`;
+  const expected = prediction === null ? '' : ` expected=${Math.round(prediction.firstEventMilliseconds)}ms`;
+  const named = candidate.state.limit.requestsPerSecond(bornAt);
+  const limit = named === null ? '' : ` limit=${named}/s`;
+  return `${id}${formation} load=${load.toFixed(1)}/${candidates}${limit}${expected}`
+    + ` ${describeOutcome(end)} events=${events} ${Math.round(clock.monotonicMilliseconds() - sentAt)}ms`;
+}
