Leave a slow target only once another one has answered

Callers saw 502 for idempotent requests, or an answer later than their first target gave it: after three target latencies the entry closed the connection to a target that was silent, and only then asked for a repeat and another target.

Now another target is tried beside the first once its answer is overdue, if a target and a repeat are there at that moment; the first own answer is passed on and the other exchange is ended. A target whose answer is overdue is still recorded as failing once, so that later requests avoid it.

--- a/packages/gateway/src/lib/relay/ExchangeOutcome.ts
+++ b/packages/gateway/src/lib/relay/ExchangeOutcome.ts
@@ -1,6 +1,6 @@
 import type AnswerHead from '../wire/AnswerHead.js';
 
-/** Outcome of one attempt at a plain request. */
+/** Outcome of one exchange with a target. */
 type ExchangeOutcome = | {
   readonly kind: 'answered';
   readonly status: number;
@@ -9,6 +9,8 @@
   readonly body: Buffer;
 }
   /** No complete answer. `sent`: whether the target may have run the request. */
-  | { readonly kind: 'failed'; readonly sent: boolean; readonly reason: string };
+  | { readonly kind: 'failed'; readonly sent: boolean; readonly reason: string }
+  /** Another target has answered. */
+  | { readonly kind: 'superseded' };
 
 export default ExchangeOutcome;
--- /dev/null
+++ b/packages/gateway/src/lib/relay/PlainExchange.ts
@@ -0,0 +1,130 @@
+import type ChosenTarget from '../choice/ChosenTarget.js';
+import type Call from '../requests/Call.js';
+import type GatewayContext from '../requests/GatewayContext.js';
+import startAttempt from '../requests/startAttempt.js';
+import type TargetAttempt from '../targets/TargetAttempt.js';
+import recordAnswerHead from '../targets/recordAnswerHead.js';
+import type AnswerHead from '../wire/AnswerHead.js';
+import type ExchangeOutcome from './ExchangeOutcome.js';
+
+/** Largest answer that is held in memory, in bytes. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1_024 * 1_024;
+
+/** Period in which an exchange that is overdue says so again, in ms. */
+const OVERDUE_PERIOD_MILLISECONDS = 50;
+
+/** Options of a `PlainExchange`. */
+interface ExchangeOptions {
+  readonly context: GatewayContext;
+  readonly call: Call;
+  readonly choice: ChosenTarget;
+  readonly usesNewConnection: boolean;
+  /** Time until the deadline of the request, in ms. */
+  readonly timeoutMilliseconds: number;
+  /** Time after which the answer is overdue, in ms. */
+  readonly overdueMilliseconds: number;
+  /** Aborted when the caller disconnects. */
+  readonly signal: AbortSignal;
+  /** Called when the answer is overdue, and again and again until it is there. */
+  readonly onOverdue: () => void;
+}
+
+/** Sends a request to a target and reads the whole answer. */
+export default class PlainExchange {
+  readonly choice: ChosenTarget;
+
+  readonly startedAt: number;
+
+  readonly #options: ExchangeOptions;
+
+  readonly #chunks: Buffer[] = [];
+
+  #bytes = 0;
+
+  #answer: { readonly status: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly head: AnswerHead; } | null = null;
+
+  #attempt: TargetAttempt | null = null;
+
+  #resolve: ((outcome: ExchangeOutcome) => void) | null = null;
+
+  constructor(options: ExchangeOptions) {
+    this.#options = options;
+    this.choice = options.choice;
+    this.startedAt = options.context.clock.monotonicMilliseconds();
+  }
+
+  /** Runs the exchange to its end. */
+  async run(): Promise<ExchangeOutcome> {
+    const {
+      context, call, usesNewConnection, timeoutMilliseconds, overdueMilliseconds, signal, onOverdue,
+    } = this.#options;
+    const { candidate } = this.choice;
+    const outcome = new Promise<ExchangeOutcome>((resolve) => {
+      this.#resolve = resolve;
+    });
+    const onAbort = () => this.#abandon('caller left');
+    let overdueTimer = setTimeout(() => {
+      onOverdue();
+      overdueTimer = setInterval(onOverdue, OVERDUE_PERIOD_MILLISECONDS);
+    }, overdueMilliseconds);
+    const timer = setTimeout(() => this.#abandon('no answer in time'), timeoutMilliseconds);
+    signal.addEventListener('abort', onAbort);
+    candidate.state.outstanding += 1;
+    try {
+      this.#attempt = startAttempt(context, call, candidate, { lastEventId: null, usesNewConnection }, {
+        head: (status, headers) => this.#handleHead(status, headers),
+        data: (chunk) => this.#handleData(chunk),
+        ended: () => this.#handleEnd(),
+        failed: (reason) => this.#settle({ kind: 'failed', sent: this.#attempt?.sent === true, reason }),
+      });
+      return await outcome;
+    } finally {
+      clearTimeout(timer);
+      clearInterval(overdueTimer);
+      signal.removeEventListener('abort', onAbort);
+      candidate.state.outstanding -= 1;
+    }
+  }
+
+  /** Ends the exchange, as another target has answered. */
+  supersede(): void {
+    this.#attempt?.abandon();
+    this.#settle({ kind: 'superseded' });
+  }
+
+  #abandon(reason: string): void {
+    const sent = this.#attempt?.sent === true;
+    this.#attempt?.abandon();
+    this.#settle({ kind: 'failed', sent, reason });
+  }
+
+  #settle(outcome: ExchangeOutcome): void {
+    this.#resolve?.(outcome);
+    this.#resolve = null;
+  }
+
+  #handleHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+    const { context, call } = this.#options;
+    const head = context.wire.readAnswer(headers);
+    this.#answer = { status, headers, head };
+    this.choice.candidate.state.recordProgress();
+    recordAnswerHead(context, this.choice.candidate, { status, head, requestId: call.metadata.requestId });
+  }
+
+  #handleData(chunk: Buffer): void {
+    this.#bytes += chunk.length;
+    if (this.#bytes > MAXIMUM_ANSWER_BYTES) {
+      this.#abandon('answer is too large');
+    } else {
+      this.#chunks.push(chunk);
+    }
+  }
+
+  #handleEnd(): void {
+    this.#settle(this.#answer === null
+      ? { kind: 'failed', sent: true, reason: 'answer without a head' }
+      : { kind: 'answered', ...this.#answer, body: Buffer.concat(this.#chunks) });
+  }
+}
--- a/packages/gateway/src/lib/relay/PlainRelay.ts
+++ b/packages/gateway/src/lib/relay/PlainRelay.ts
@@ -1,5 +1,5 @@
 import { ServingError, type WorkerId } from '@dandelionlane/core';
-import type Choice from '../choice/Choice.js';
+import type ChosenTarget from '../choice/ChosenTarget.js';
 import type Call from '../requests/Call.js';
 import type GatewayContext from '../requests/GatewayContext.js';
 import pickTarget from '../requests/pickTarget.js';
@@ -11,12 +11,13 @@
 import MISDIRECTED_STATUS from './MISDIRECTED_STATUS.js';
 import type ExchangeOutcome from './ExchangeOutcome.js';
 import writeAnswerHead from './writeAnswerHead.js';
-import exchangePlain from './exchangePlain.js';
+import PlainExchange from './PlainExchange.js';
+import RunningAttempts from './RunningAttempts.js';
 import classifyAnswer from './classifyAnswer.js';
 import removeHopByHopHeaders from './removeHopByHopHeaders.js';
 
-/** Timeout of an attempt at an idempotent request, in target latencies; another target is tried after it. */
-const ATTEMPT_TIMEOUT_FACTOR = 3;
+/** Time after which the answer to an idempotent request is overdue, in target latencies. */
+const OVERDUE_FACTOR = 3;
 
 /** Limit on targets that are tried and do not run the request, besides those where nobody listens. */
 const MAXIMUM_REFUSALS = 3;
@@ -26,12 +27,25 @@
 
 type CompleteAnswer = Extract<ExchangeOutcome, { kind: 'answered' }>;
 
-type Chosen = Extract<Choice, { kind: 'chosen' }>;
+function summarize(answer: ExchangeOutcome, classification: AnswerClassification | null): string {
+  switch (answer.kind) {
+    case 'answered':
+      return `${answer.status} ${String(classification)}${answer.head.framed ? '' : ' without a length'}`;
+    case 'failed':
+      return answer.reason;
+    case 'superseded':
+      return answer.kind;
+    default:
+      return answer satisfies never;
+  }
+}
 
 /**
- * Serves a request whose answer is not a stream, trying one target after another.
+ * Serves a request whose answer is not a stream, trying one target after another. While the answer to an
+ * idempotent request is overdue, another target is tried beside the first; the first own answer counts.
  *
- * Invariant: a non-idempotent request is sent to another target only while no target can have run it.
+ * Invariants: a non-idempotent request is sent to another target only while no target can have run it; a
+ * target whose connection is sound is left only once another one has answered.
  */
 export default class PlainRelay {
   readonly #context: GatewayContext;
@@ -42,6 +56,8 @@
 
   readonly #excluded = new Set<WorkerId>();
 
+  readonly #running = new RunningAttempts<PlainExchange, ExchangeOutcome>();
+
   /** Targets that may have run the request. */
   #executions = 0;
 
@@ -67,7 +83,7 @@
       if (typeof choice === 'string') {
         return choice;
       }
-      const outcome = await this.#attempt(choice, signal);
+      const outcome = await this.#runExchanges(choice, signal);
       if (outcome !== null) {
         return outcome;
       }
@@ -76,7 +92,7 @@
   }
 
   /** Chooses the next target, or returns the outcome when there is none. */
-  #choose(): Chosen | string {
+  #choose(): ChosenTarget | string {
     if (this.#remainingMilliseconds() <= 0) {
       return this.#executions > 0 ? this.#fail('deadline passed') : this.#refuse(new ServingError(
         'deadline passed before a target took the request',
@@ -87,8 +103,7 @@
     if (choice.kind === 'none') {
       return this.#executions > 0 ? this.#fail(choice.reason) : this.#refuse(createRefusal(choice));
     }
-    const { budget, countEntries } = this.#context;
-    if (this.#deliveries > 0 && !budget.tryRetry(this.#call.service, countEntries())) {
+    if (this.#deliveries > 0 && !this.#tryRetry()) {
       return this.#executions > 0 ? this.#fail('no repeat left in the budget') : this.#refuse(new ServingError(
         'targets refused and no repeat is left',
         { kind: 'target-refused' },
@@ -97,58 +112,102 @@
     return choice;
   }
 
-  /** Sends the request to one target. Returns the outcome, or null to try another target. */
-  async #attempt(choice: Chosen, signal: AbortSignal): Promise<string | null> {
-    const { candidate } = choice;
-    const { clock } = this.#context;
-    const startedAt = clock.monotonicMilliseconds();
-    const answer = await exchangePlain(this.#context, this.#call, candidate, {
-      usesNewConnection: !this.#isIdempotent, timeoutMilliseconds: this.#attemptTimeoutMilliseconds(), signal,
+  /** Runs an exchange and those that start beside it. Returns the outcome, or null to try another target. */
+  async #runExchanges(choice: ChosenTarget, signal: AbortSignal): Promise<string | null> {
+    this.#start(choice, signal);
+    let outcome: string | null = null;
+    while (this.#running.size > 0) {
+      const { attempt, end } = await this.#running.nextEnd();
+      const ended = this.#recordEnd(attempt, end);
+      outcome ??= ended;
+    }
+    return signal.aborted ? 'caller-gone' : outcome;
+  }
+
+  #start(choice: ChosenTarget, signal: AbortSignal): void {
+    const context = this.#context;
+    const call = this.#call;
+    let isOverdue = false;
+    const exchange = new PlainExchange({
+      context,
+      call,
+      choice,
+      usesNewConnection: !this.#isIdempotent,
+      timeoutMilliseconds: timerUntil(context.clock, call.deadlineAt),
+      overdueMilliseconds: call.route.targetLatencyMilliseconds * OVERDUE_FACTOR,
+      signal,
+      onOverdue: () => {
+        if (!isOverdue) {
+          isOverdue = true;
+          choice.candidate.state.recordFailure();
+        }
+        this.#startBeside(signal);
+      },
     });
-    const durationMilliseconds = clock.monotonicMilliseconds() - startedAt;
+    this.#running.add(exchange, exchange.run());
+  }
+
+  /** Starts another exchange beside those that run, if all that it needs is there now. */
+  #startBeside(signal: AbortSignal): void {
+    if (!this.#isIdempotent || this.#refusals >= MAXIMUM_REFUSALS
+      || this.#executions + this.#running.size >= this.#call.route.maximumAttempts) {
+      return;
+    }
+    const tried = new Set([
+      ...this.#excluded, ...this.#running.all.map(({ choice: { candidate } }) => candidate.entry.worker.id),
+    ]);
+    const choice = pickTarget(this.#context, this.#call, tried);
+    if (choice.kind === 'chosen' && this.#tryRetry()) {
+      this.#start(choice, signal);
+    }
+  }
+
+  /** Records how an exchange ended. Returns the outcome, or null if another target may answer. */
+  #recordEnd(exchange: PlainExchange, answer: ExchangeOutcome): string | null {
+    const { choice } = exchange;
+    const durationMilliseconds = this.#context.clock.monotonicMilliseconds() - exchange.startedAt;
     const classification = answer.kind === 'answered'
       ? classifyAnswer(answer.status, answer.head, this.#call.metadata.requestId) : null;
     const summary = this.#logAttempt(choice, answer, classification, durationMilliseconds);
     if (answer.kind === 'answered' && classification === 'own') {
-      candidate.state.recordSuccess(durationMilliseconds);
+      this.#running.all.forEach((other) => other.supersede());
+      choice.candidate.state.recordSuccess(durationMilliseconds);
       this.#writeAnswer(answer);
       return 'answered';
     }
+    if (answer.kind === 'superseded') {
+      return null;
+    }
     this.#recordFailedAttempt(choice, answer, classification);
-    return signal.aborted ? 'caller-gone' : this.#endAfterFailure(summary);
+    return this.#running.size > 0 ? null : this.#endAfterFailure(summary);
   }
 
-  /** Timeout of the next attempt, in ms. */
-  #attemptTimeoutMilliseconds(): number {
-    const { route, deadlineAt } = this.#call;
-    const timeLeft = timerUntil(this.#context.clock, deadlineAt);
-    const canRetry = this.#isIdempotent && this.#executions + 1 < route.maximumAttempts;
-    return canRetry ? Math.min(timeLeft, route.targetLatencyMilliseconds * ATTEMPT_TIMEOUT_FACTOR) : timeLeft;
+  #tryRetry(): boolean {
+    return this.#context.budget.tryRetry(this.#call.service, this.#context.countEntries());
   }
 
   #remainingMilliseconds(): number {
     return this.#call.deadlineAt - this.#context.clock.monotonicMilliseconds();
   }
 
-  /** Adds an attempt to the log line and returns how it ended. */
+  /** Adds an exchange to the log line and returns how it ended. */
   #logAttempt(
-    { candidate, load, candidates }: Chosen,
+    { candidate, load, candidates }: ChosenTarget,
     answer: ExchangeOutcome,
     classification: AnswerClassification | null,
     durationMilliseconds: number,
   ): string {
-    const summary = answer.kind === 'answered'
-      ? `${answer.status} ${String(classification)}${answer.head.framed ? '' : ' without a length'}` : answer.reason;
+    const summary = summarize(answer, classification);
     this.#call.log.addAttempt(
       `${candidate.entry.worker.id} load=${load.toFixed(1)}/${candidates} ${summary} ${Math.round(durationMilliseconds)}ms`,
     );
     return summary;
   }
 
-  /** Records an attempt that did not end with the target's own answer. */
+  /** Records an exchange that did not end with the target's own answer. */
   #recordFailedAttempt(
-    { candidate: { state, entry: { worker }, formation } }: Chosen,
-    answer: ExchangeOutcome,
+    { candidate: { state, entry: { worker }, formation } }: ChosenTarget,
+    answer: Exclude<ExchangeOutcome, { kind: 'superseded' }>,
     classification: AnswerClassification | null,
   ): void {
     if (answer.kind === 'failed' && !answer.sent && isRefusedConnection(answer.reason)) {
