Keep the lease while all workers are silent for a second

Operators would have seen a fleet without a holder for up to 7 s after its sound workers had been silent for about a second: each holder in turn took the silence for its own isolation and gave the lease up, and left it to others for 4 s. Found while looking for the cause of the lost streams elsewhere: giving up what one has for something that one may not get.

Now a holder plans nothing while most workers are silent, and gives the lease up where streams of other entries go on at workers that are silent to it, or where the silence lasts for 3 s. Members of groups that make progress are probed at once then, as they are probed seldom otherwise.

--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -2,8 +2,8 @@
   AvailabilityZoneId, Clock, FencingNumber, ModelName, ServiceId, TableStore,
 } from '@dandelionlane/core';
 import {
-  toUnregisteredWorker, type ConfigurationHolder, type EngineProfile, type OrderStamp, type Worker,
-  type WorkerPort, type WorkerTable,
+  formationName, toUnregisteredWorker, type ConfigurationHolder, type EngineProfile, type OrderStamp,
+  type Worker, type WorkerPort, type WorkerTable,
 } from '@dandelionlane/fleet';
 import type { HeldLease } from '@dandelionlane/platform';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
@@ -21,8 +21,11 @@
 /** Period of the control loop, in ms. */
 const ROUND_PERIOD_MILLISECONDS = 40;
 
-/** Share of silent workers at which this process assumes that its own network has failed. */
-const ISOLATED_SILENT_SHARE = 0.6;
+/** Share of silent workers from which on nothing is planned: this process's own network may have failed. */
+const COMMON_SILENCE_SHARE = 0.6;
+
+/** Time after which such a silence is taken for that of this process's network in any case, in ms. */
+const MAXIMUM_COMMON_SILENCE_MILLISECONDS = 3_000;
 
 /** Delay before records are written or read again after a failure, in ms: each call has a cost. */
 const STORE_RETRY_DELAY_MILLISECONDS = 300;
@@ -84,6 +87,9 @@
   /** Monotonic time of the last round, in ms. */
   #lastRoundAt = Number.NEGATIVE_INFINITY;
 
+  /** Monotonic time since which most workers have been silent, in ms; null while they are not. */
+  #commonSilenceSince: number | null = null;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: GroupControllerOptions) {
@@ -163,6 +169,7 @@
         this.#fencing = null;
         this.#observer.clear();
         this.#demand.clear();
+        this.#commonSilenceSince = null;
       }
       return;
     }
@@ -176,7 +183,7 @@
     }
     this.#updateObservedWorkers();
     this.#observer.probeDueWorkers();
-    if (!this.#resignIfIsolated()) {
+    if (!this.#areMostWorkersSilent()) {
       await this.#plan(lease);
     }
   }
@@ -236,17 +243,33 @@
     });
   }
 
-  #resignIfIsolated(): boolean {
-    const { workers } = this.#observer.observation();
-    const registered = [...workers.values()].filter((worker) => worker.isRegistered);
+  /**
+   * Whether most workers are silent to this process. Gives the lease up where other entries have progress
+   * at them, or where the silence lasts: sound workers may all be silent for a second.
+   */
+  #areMostWorkersSilent(): boolean {
+    const observation = this.#observer.observation();
+    const registered = [...observation.workers.values()].filter((worker) => worker.isRegistered);
     const silent = registered.filter(({ misses }) => misses >= MISSES_UNTIL_SILENT);
-    if (registered.length === 0 || silent.length < registered.length * ISOLATED_SILENT_SHARE) {
+    if (registered.length === 0 || silent.length < registered.length * COMMON_SILENCE_SHARE) {
+      this.#commonSilenceSince = null;
       return false;
     }
-    this.#options.log.warn('Most workers are silent, giving the lease up.', {
-      silent: silent.length, workers: registered.length,
-    });
-    this.#options.resign();
+    const now = this.#options.clock.monotonicMilliseconds();
+    this.#commonSilenceSince ??= now;
+    const progressing = registered.flatMap(({ report }) => (
+      report?.group != null && observation.isProgressing(report.group) ? [formationName(report.group)] : []
+    ));
+    // Members of groups that make progress are probed seldom.
+    new Set(progressing).forEach((formation) => this.probeFormation(formation));
+    const isBypassed = silent
+      .some(({ report }) => report?.group != null && observation.isProgressing(report.group));
+    if (isBypassed || now - this.#commonSilenceSince >= MAXIMUM_COMMON_SILENCE_MILLISECONDS) {
+      this.#options.log.warn('Most workers are silent, giving the lease up.', {
+        silent: silent.length, workers: registered.length, haveProgress: isBypassed,
+      });
+      this.#options.resign();
+    }
     return true;
   }
 
--- a/packages/groups/src/test/ControlledFleet.ts
+++ b/packages/groups/src/test/ControlledFleet.ts
@@ -57,6 +57,9 @@
   /** Calls to workers since the start of the last round. */
   calls = 0;
 
+  /** Times that a holder has given the lease up. */
+  resignations = 0;
+
   readonly rows = new MemoryTableStore();
 
   #controller = this.#createController(1);
@@ -155,7 +158,9 @@
       lease: () => lease,
       isLeaseHeld: () => true,
       isStoreReachable: () => true,
-      resign: () => undefined,
+      resign: () => {
+        this.resignations += 1;
+      },
       clock: this.clock,
       log: LOG,
       metrics: METRICS,
