Log the requests that the end of a process cuts, and what a stop took

A request that was cut as its entry ended left no line: `Request ended.` is written when a request ends by itself. `Entry stopped.` counted requests but told neither how long the stop had taken nor how many connections of callers it closed, so that a request cut at the end and one that never arrived looked the same.

`Request is cut by the end of the process.` names the request, its age, the worker that it was sent to and whether its answer had begun. `Entry is leaving.` and `Entry stopped.` count open connections. No metric: nobody reads the metrics of a process that has ended. No change of behaviour.

--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -9,6 +9,7 @@
   refusesConnections,
 } from '@dandelionlane/gateway';
 import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
+import CallerConnections from './CallerConnections.js';
 import Coordinator from './Coordinator.js';
 import type EntryRuntime from './EntryRuntime.js';
 import type FleetEntryPorts from './FleetEntryPorts.js';
@@ -165,6 +166,7 @@
   });
 
   const callerServer = createCallerServer(requests, configuration);
+  const callerConnections = new CallerConnections(callerServer);
   callerServer.listen(settings.callers.port, settings.callers.host);
   const servers = [
     listenHono(createReadinessApplication(ports.readinessPath, isReady), settings.readiness),
@@ -185,7 +187,8 @@
   process.on('SIGHUP', () => log.info('Settings changed; they are read at the next start.'));
   onShutdownSignal(process, async () => {
     isLeaving = true;
-    log.info('Entry is leaving.', { inFlight: requests.inFlight });
+    const leavingSince = clock.monotonicMilliseconds();
+    log.info('Entry is leaving.', { running: requests.inFlight, connections: callerConnections.open });
     requests.leave({
       acceptsForMilliseconds: ACCEPTING_MILLISECONDS,
       endsInMilliseconds: settings.graceMilliseconds - GRACE_MARGIN_MILLISECONDS,
@@ -206,7 +209,12 @@
     servers.forEach((server) => server?.close());
     callerServer.close();
     connections.close();
-    log.info('Entry stopped.', { running: requests.inFlight });
+    requests.logCut();
+    log.info('Entry stopped.', {
+      running: requests.inFlight,
+      connections: callerConnections.open,
+      milliseconds: Math.round(clock.monotonicMilliseconds() - leavingSince),
+    });
     await writer.flush();
     // Requests that outlast the grace period hold sockets open.
     // eslint-disable-next-line n/no-process-exit -- ends the process while sockets are open
--- a/packages/gateway/src/lib/requests/CallLog.ts
+++ b/packages/gateway/src/lib/requests/CallLog.ts
@@ -1,3 +1,4 @@
+import type { WorkerId } from '@dandelionlane/core';
 import type { LogFields } from '@dandelionlane/telemetry';
 
 /** Longest list of attempts in one log line, in characters. */
@@ -9,6 +10,8 @@
 
   #attempts = '';
 
+  #lastTarget: WorkerId | null = null;
+
   set(name: string, value: LogFields[string]): void {
     this.#fields[name] = value;
   }
@@ -20,6 +23,16 @@
     }
   }
 
+  /** Records that the request is sent to a target. */
+  recordSend(target: WorkerId): void {
+    this.#lastTarget = target;
+  }
+
+  /** Target that the request was last sent to; null while it has not been sent. */
+  get lastTarget(): WorkerId | null {
+    return this.#lastTarget;
+  }
+
   get fields(): LogFields {
     return this.#attempts === '' ? this.#fields : { ...this.#fields, attempts: this.#attempts };
   }
--- a/packages/gateway/src/lib/requests/RequestServer.ts
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -30,11 +30,14 @@
   readonly endsAt: number;
 }
 
+/** A request in flight. */
+type RunningRequest = Omit<ReceivedRequest, 'table'>;
+
 /** Serves the requests of callers, from the head to the final answer. */
 export default class RequestServer {
   readonly #context: GatewayContext;
 
-  #inFlight = 0;
+  readonly #running = new Set<RunningRequest>();
 
   #departure: Departure | null = null;
 
@@ -44,7 +47,7 @@
 
   /** Requests in flight. */
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#running.size;
   }
 
   /**
@@ -56,19 +59,37 @@
     this.#departure = { refusesFrom: now + acceptsForMilliseconds, endsAt: now + endsInMilliseconds };
   }
 
+  /** Logs the requests that the end of the process cuts. */
+  logCut(): void {
+    const { clock, log } = this.#context;
+    const now = clock.monotonicMilliseconds();
+    this.#running.forEach(({
+      metadata, receivedAt, outgoing, log: callLog,
+    }) => {
+      log.warn('Request is cut by the end of the process.', {
+        request: metadata.requestId,
+        milliseconds: Math.round(now - receivedAt),
+        sentTo: callLog.lastTarget ?? undefined,
+        status: outgoing.headersSent ? outgoing.statusCode : undefined,
+        ...callLog.fields,
+      });
+    });
+  }
+
   /** Handles one request. Never rejects. */
   async handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const { clock, log, metrics } = this.#context;
     const receivedAt = clock.monotonicMilliseconds();
     const metadata = this.#context.wire.readCall(incoming.headers);
     const callLog = new CallLog();
-    this.#inFlight += 1;
+    const request: RunningRequest = {
+      incoming, outgoing, metadata, receivedAt, log: callLog,
+    };
+    this.#running.add(request);
     if (this.#departure !== null) {
       outgoing.setHeader('connection', 'close');
     }
-    const outcome = await this.#serve({
-      incoming, outgoing, metadata, receivedAt, log: callLog,
-    }).catch((cause: unknown) => {
+    const outcome = await this.#serve(request).catch((cause: unknown) => {
       const error = new ServingError('request failed inside the gateway', { kind: 'internal', cause });
       log.error('Request failed inside the gateway.', { reason: cause instanceof Error ? cause.stack : String(cause) });
       if (outgoing.headersSent) {
@@ -78,7 +99,7 @@
       }
       return 'internal';
     });
-    this.#inFlight -= 1;
+    this.#running.delete(request);
     const milliseconds = Math.round(clock.monotonicMilliseconds() - receivedAt);
     metrics.count('gateway.requests', 1, [`outcome:${outcome}`]);
     metrics.timing('gateway.request', milliseconds);
@@ -92,7 +113,7 @@
     });
   }
 
-  async #serve(received: Omit<ReceivedRequest, 'table'>): Promise<string> {
+  async #serve(received: RunningRequest): Promise<string> {
     const { incoming, outgoing } = received;
     const { table } = this.#context.configuration;
     const refuse = (error: ServingError): string => {
--- a/packages/gateway/src/lib/requests/startAttempt.ts
+++ b/packages/gateway/src/lib/requests/startAttempt.ts
@@ -38,6 +38,7 @@
     body: call.body,
     usesNewConnection,
   }, listener);
+  call.log.recordSend(worker.id);
   state.recordSend();
   attempt.start();
   return attempt;
