Keep the callers' listener, connections and count of requests in one class

The departure of an entry took the count from one object and closed the listener of another one later, so that no test could run it with real sockets. `CallerServer` has all three, and `leaveGracefully` stops the listener as its last step, right where it stopped before. No change of behaviour.

--- a/packages/fleet-entry/src/lib/leaveGracefully.ts
+++ b/packages/fleet-entry/src/lib/leaveGracefully.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@dandelionlane/core';
+import type CallerServer from './CallerServer.js';
 import GRACE_MARGIN_MILLISECONDS from './GRACE_MARGIN_MILLISECONDS.js';
 
 /**
@@ -17,8 +18,7 @@
   readonly clock: Clock;
   /** Time from the signal until the process is killed, in ms. */
   readonly graceMilliseconds: number;
-  /** Returns the number of in-flight requests. */
-  readonly countInFlight: () => number;
+  readonly callers: Pick<CallerServer, 'inFlight' | 'stopListening'>;
   /** Announces that this entry is leaving. May take long, as the store may be unavailable. */
   readonly announce: () => Promise<unknown>;
   /** Removes the registration of this entry. May take long, as the store may be unavailable. */
@@ -37,15 +37,16 @@
  * store: `announce` and `deregister` report their own failures.
  */
 export default async function leaveGracefully({
-  clock, graceMilliseconds, countInFlight, announce, deregister,
+  clock, graceMilliseconds, callers, announce, deregister,
 }: LeaveOptions): Promise<void> {
   const startedAt = clock.monotonicMilliseconds();
   const elapsed = () => clock.monotonicMilliseconds() - startedAt;
-  const isOver = () => (countInFlight() === 0 && elapsed() >= MINIMUM_LEAVE_MILLISECONDS)
+  const isOver = () => (callers.inFlight === 0 && elapsed() >= MINIMUM_LEAVE_MILLISECONDS)
     || elapsed() >= graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
   const announced = announce();
   while (!isOver()) {
     await sleep(POLL_PERIOD_MILLISECONDS);
   }
   await Promise.race([announced.then(deregister), sleep(DEREGISTRATION_TIMEOUT_MILLISECONDS)]);
+  callers.stopListening();
 }
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -9,7 +9,7 @@
   refusesConnections,
 } from '@dandelionlane/gateway';
 import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
-import CallerConnections from './CallerConnections.js';
+import CallerServer from './CallerServer.js';
 import Coordinator from './Coordinator.js';
 import type EntryRuntime from './EntryRuntime.js';
 import type FleetEntryPorts from './FleetEntryPorts.js';
@@ -17,7 +17,6 @@
 import GRACE_MARGIN_MILLISECONDS from './GRACE_MARGIN_MILLISECONDS.js';
 import GroupControl from './GroupControl.js';
 import QuarantineStore from './QuarantineStore.js';
-import createCallerServer from './createCallerServer.js';
 import createFleetView from './createFleetView.js';
 import leaveGracefully from './leaveGracefully.js';
 import listenHono from './listenHono.js';
@@ -165,9 +164,8 @@
     quarantineStore.forgetRows();
   });
 
-  const callerServer = createCallerServer(requests, configuration);
-  const callerConnections = new CallerConnections(callerServer);
-  callerServer.listen(settings.callers.port, settings.callers.host);
+  const callers = new CallerServer(requests, configuration);
+  void callers.listen(settings.callers);
   const servers = [
     listenHono(createReadinessApplication(ports.readinessPath, isReady), settings.readiness),
     listenHono(createDirectoryApplication(registry, {
@@ -188,7 +186,7 @@
   onShutdownSignal(process, async () => {
     isLeaving = true;
     const leavingSince = clock.monotonicMilliseconds();
-    log.info('Entry is leaving.', { running: requests.inFlight, connections: callerConnections.open });
+    log.info('Entry is leaving.', { running: callers.inFlight, connections: callers.open });
     requests.leave({
       acceptsForMilliseconds: ACCEPTING_MILLISECONDS,
       endsInMilliseconds: settings.graceMilliseconds - GRACE_MARGIN_MILLISECONDS,
@@ -196,7 +194,7 @@
     await leaveGracefully({
       clock,
       graceMilliseconds: settings.graceMilliseconds,
-      countInFlight: () => requests.inFlight,
+      callers,
       announce: () => Promise.all([control.release(), registry.announce()]),
       deregister: () => registry.stop(),
     });
@@ -207,12 +205,11 @@
     view.workerFollower.stop();
     coordinator.stop();
     servers.forEach((server) => server?.close());
-    callerServer.close();
     connections.close();
     requests.logCut();
     log.info('Entry stopped.', {
-      running: requests.inFlight,
-      connections: callerConnections.open,
+      running: callers.inFlight,
+      connections: callers.open,
       milliseconds: Math.round(clock.monotonicMilliseconds() - leavingSince),
     });
     await writer.flush();
--- a/packages/fleet-entry/src/test/leaveGracefully.test.ts
+++ b/packages/fleet-entry/src/test/leaveGracefully.test.ts
@@ -7,6 +7,11 @@
   // Simulates a store that does not answer.
 });
 
+/** A server with a given number of requests in flight. */
+function serverWith(inFlight: number): Parameters<typeof leaveGracefully>[0]['callers'] {
+  return { inFlight, stopListening: () => undefined };
+}
+
 /** Leaves under a manual clock; returns the duration, in ms. */
 async function leave(overrides: Partial<Parameters<typeof leaveGracefully>[0]>): Promise<number> {
   vi.useFakeTimers();
@@ -15,7 +20,7 @@
   const leaving = leaveGracefully({
     clock,
     graceMilliseconds: GRACE_MILLISECONDS,
-    countInFlight: () => 0,
+    callers: serverWith(0),
     announce: () => Promise.resolve(),
     deregister: () => Promise.resolve(),
     ...overrides,
@@ -42,7 +47,7 @@
 });
 
 test('requests that do not finish are abandoned before the grace period ends', async () => {
-  const durationMilliseconds = await leave({ countInFlight: () => 1, announce: never, deregister: never });
+  const durationMilliseconds = await leave({ callers: serverWith(1), announce: never, deregister: never });
   expect(durationMilliseconds).toBeLessThan(GRACE_MILLISECONDS);
 });
 
