--- /dev/null
+++ b/packages/fleet-entry/src/test/departure.test.ts
@@ -0,0 +1,94 @@
+import type { ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, expect, test } from 'vitest';
+import LeavingServer, { type Handler } from './LeavingServer.js';
+
+const LARGE_ANSWER = 'x'.repeat(16 * 1_024 * 1_024);
+const END = 'last byte';
+
+let server: LeavingServer | undefined;
+
+afterEach(() => server?.close());
+
+async function start(handler: Handler): Promise<LeavingServer> {
+  server = new LeavingServer(handler);
+  await server.listen();
+  return server;
+}
+
+function answerAfter(milliseconds: number): Handler {
+  return async (outgoing: ServerResponse) => {
+    await sleep(milliseconds);
+    outgoing.setHeader('connection', 'close');
+    outgoing.end(END);
+  };
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await sleep(5);
+  }
+}
+
+// Guards against requests that ran and got no answer, as the process ended after a last call to the store.
+test('a request that is read while the store is awaited gets its answer', async () => {
+  const leaving = await start(answerAfter(400));
+  const caller = await leaving.connect();
+  await leaving.leave({
+    deregister: async () => {
+      caller.send();
+      await sleep(100);
+    },
+  });
+  expect(leaving.started).toBe(1);
+  expect(await caller.received).toContain(END);
+});
+
+// Guards against requests that ran and got no answer, as they were read while the log was flushed.
+test('no request is read after an entry has left', async () => {
+  const leaving = await start(answerAfter(400));
+  const caller = await leaving.connect();
+  await leaving.leave({
+    flush: async () => {
+      caller.send();
+      await sleep(100);
+    },
+  });
+  expect(leaving.started).toBe(0);
+  expect(await caller.received).toBe('');
+});
+
+// Guards against answers that are cut as the process ends before they have left it.
+test('an answer that has not been sent is waited for', async () => {
+  const leaving = await start((outgoing) => {
+    outgoing.end(`${LARGE_ANSWER}${END}`);
+    return Promise.resolve();
+  });
+  const caller = await leaving.connect();
+  caller.socket.pause();
+  caller.send();
+  await waitUntil(() => leaving.started === 1);
+  let hasLeft = false;
+  const left = leaving.leave().then(() => {
+    hasLeft = true;
+  });
+  await waitUntil(() => hasLeft || leaving.clock.monotonicMilliseconds() > 5_000);
+  caller.socket.resume();
+  await left;
+  expect((await caller.received).endsWith(END)).toBe(true);
+});
+
+test.each([
+  ['that has sent nothing', 0], ['that waits after an answer', 1],
+])('a connection %s does not delay leaving', async (_name, requests) => {
+  const leaving = await start((outgoing) => {
+    outgoing.end(END);
+    return Promise.resolve();
+  });
+  const caller = await leaving.connect();
+  if (requests > 0) {
+    caller.send();
+  }
+  await waitUntil(() => leaving.started === requests);
+  expect(await leaving.leave()).toBeLessThan(7_000);
+});
--- a/packages/fleet-entry/src/test/leaveGracefully.test.ts
+++ b/packages/fleet-entry/src/test/leaveGracefully.test.ts
@@ -51,6 +51,26 @@
   expect(durationMilliseconds).toBeLessThan(GRACE_MILLISECONDS);
 });
 
+// Guards against requests that ran and got no answer, as the process ended after a last call to the store.
+test('a request that begins during the last call to the store is waited for', async () => {
+  const server = { inFlight: 0, stopListening: () => undefined };
+  let inFlightAtEnd = Number.NaN;
+  const duration = await leave({
+    callers: server,
+    deregister: async () => {
+      server.inFlight = 1;
+      setTimeout(() => {
+        server.inFlight = 0;
+      }, 1_000);
+      return Promise.resolve();
+    },
+  }).finally(() => {
+    inFlightAtEnd = server.inFlight;
+  });
+  expect(inFlightAtEnd).toBe(0);
+  expect(duration).toBeLessThan(GRACE_MILLISECONDS);
+});
+
 test('an entry deregisters after its announcement', async () => {
   const steps: string[] = [];
   const record = (step: string) => () => {
