--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   SystemClock, SystemRandom, SuspendAwareClock, onShutdownSignal, type WorkerId,
 } from '@dandelionlane/core';
@@ -9,6 +10,7 @@
   refusesConnections,
 } from '@dandelionlane/gateway';
 import { LineWriter, MetricsRegistry, createLog } from '@dandelionlane/telemetry';
+import CallerServer from './CallerServer.js';
 import Coordinator from './Coordinator.js';
 import type EntryRuntime from './EntryRuntime.js';
 import type FleetEntryPorts from './FleetEntryPorts.js';
@@ -16,7 +18,6 @@
 import GRACE_MARGIN_MILLISECONDS from './GRACE_MARGIN_MILLISECONDS.js';
 import GroupControl from './GroupControl.js';
 import QuarantineStore from './QuarantineStore.js';
-import createCallerServer from './createCallerServer.js';
 import createFleetView from './createFleetView.js';
 import leaveGracefully from './leaveGracefully.js';
 import listenHono from './listenHono.js';
@@ -34,6 +35,9 @@
  */
 const ACCEPTING_MILLISECONDS = 3_000;
 
+/** Longest wait for the last lines of the log, in ms, as its reader may be slow. */
+const LOG_TIMEOUT_MILLISECONDS = 300;
+
 /** Starts an entry process: the servers, the view of the fleet and the contention for the group control. */
 export default function startFleetEntry(settings: FleetEntrySettings, ports: FleetEntryPorts): void {
   const clock = new SystemClock();
@@ -164,8 +168,8 @@
     quarantineStore.forgetRows();
   });
 
-  const callerServer = createCallerServer(requests, configuration);
-  callerServer.listen(settings.callers.port, settings.callers.host);
+  const callers = new CallerServer(requests, configuration);
+  void callers.listen(settings.callers);
   const servers = [
     listenHono(createReadinessApplication(ports.readinessPath, isReady), settings.readiness),
     listenHono(createDirectoryApplication(registry, {
@@ -185,7 +189,8 @@
   process.on('SIGHUP', () => log.info('Settings changed; they are read at the next start.'));
   onShutdownSignal(process, async () => {
     isLeaving = true;
-    log.info('Entry is leaving.', { inFlight: requests.inFlight });
+    const leavingSince = clock.monotonicMilliseconds();
+    log.info('Entry is leaving.', { running: callers.inFlight, connections: callers.open });
     requests.leave({
       acceptsForMilliseconds: ACCEPTING_MILLISECONDS,
       endsInMilliseconds: settings.graceMilliseconds - GRACE_MARGIN_MILLISECONDS,
@@ -193,7 +198,7 @@
     await leaveGracefully({
       clock,
       graceMilliseconds: settings.graceMilliseconds,
-      countInFlight: () => requests.inFlight,
+      callers,
       announce: () => Promise.all([control.release(), registry.announce()]),
       deregister: () => registry.stop(),
     });
@@ -204,10 +209,13 @@
     view.workerFollower.stop();
     coordinator.stop();
     servers.forEach((server) => server?.close());
-    callerServer.close();
     connections.close();
-    log.info('Entry stopped.', { running: requests.inFlight });
-    await writer.flush();
+    log.info('Entry stopped.', {
+      running: callers.inFlight,
+      connections: callers.open,
+      milliseconds: Math.round(clock.monotonicMilliseconds() - leavingSince),
+    });
+    await Promise.race([writer.flush(), sleep(LOG_TIMEOUT_MILLISECONDS)]);
     // Requests that outlast the grace period hold sockets open.
     // eslint-disable-next-line n/no-process-exit -- ends the process while sockets are open
     process.exit(0);
