Use only addresses that can be connected to

Cause: an address was any text with a colon and digits. Such a target looks idle, so that each request goes there first, and the client throws `Invalid URL` outside the place that records failures. Entries' rows, the lease, redirects and messages of the holder took any text: a callers' address went into the directory's answers, and an odd link address made the client of the links throw in each round of an entry.

`NetworkAddress` says once what can be connected to (an IPv4 address or host name, and a port from 1 to 65535), and the decoders of registrations, entries' rows, group records, redirects and the holder's messages use it. A registration or an entry's row with another address names nobody. A lease keeps its holder without the address. A state keeps its other entries and groups, since a holder of an earlier build passes odd ones on. The client of the links reports an address that it rejects like one where nobody answers.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,6 +28,7 @@
 export { default as Incarnation } from './lib/ids/Incarnation.js';
 export { default as ModelName } from './lib/ids/ModelName.js';
 export { default as PromptPartId } from './lib/ids/PromptPartId.js';
+export { default as NetworkAddress } from './lib/ids/NetworkAddress.js';
 export { default as Nonce } from './lib/ids/Nonce.js';
 export { default as RegionId } from './lib/ids/RegionId.js';
 export { default as ReleaseSequence } from './lib/ids/ReleaseSequence.js';
--- a/packages/gateway/src/lib/entries/EntryRecord.ts
+++ b/packages/gateway/src/lib/entries/EntryRecord.ts
@@ -1,14 +1,14 @@
 import { z } from 'zod';
-import { AvailabilityZoneId, EntryId } from '@dandelionlane/core';
+import { AvailabilityZoneId, EntryId, NetworkAddress } from '@dandelionlane/core';
 
 /** Row of an entry in the store, with its addresses and its heartbeat. */
 const EntryRecord = z.object({
   entry: EntryId,
   zone: AvailabilityZoneId,
   /** Host and port that callers connect to. */
-  callerAddress: z.string(),
+  callerAddress: NetworkAddress,
   /** Host and port that other entries connect to. */
-  linkAddress: z.string(),
+  linkAddress: NetworkAddress,
   /** Whether callers may be directed to it. */
   ready: z.boolean(),
   /** Grows with each heartbeat, so that the row changes. */
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -106,6 +106,25 @@
   expect(one.count()).toBe(2);
 });
 
+// Guards against callers that are directed to an odd address, and links that are opened to one.
+test.each([['callerAddress'], ['linkAddress']])('an entry row with an odd %s names no entry', async (field) => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const one = create('one', store, clock);
+  one.start();
+  const value = {
+    entry: 'odd', zone: 'zone', callerAddress: 'odd:1', linkAddress: 'odd:2', ready: true,
+  };
+  for (let beat = 0; beat < 3; beat += 1) {
+    const write = { table: 'entries', key: 'odd', value: { ...value, beat, [field]: 'odd:70000' } };
+    await store.commit({ conditions: [], writes: [write] });
+    await rounds(1, clock);
+  }
+  expect(one.readyAddresses()).toEqual(['one:1']);
+  expect(one.linkAddresses()).toEqual([]);
+});
+
 test('a new entry does not list one of which only a stale row is left', async () => {
   vi.useFakeTimers();
   const store = new MemoryTableStore();
--- a/packages/links/src/lib/FleetState.ts
+++ b/packages/links/src/lib/FleetState.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import {
-  AvailabilityZoneId, EntryId, Epoch, FabricDomainId, GroupName, ModelName, PromptPartId, RowVersion,
-  ServiceId, TableRow, WorkerId,
+  AvailabilityZoneId, EntryId, Epoch, FabricDomainId, GroupName, ModelName, NetworkAddress, PromptPartId,
+  RowVersion, ServiceId, TableRow, WorkerId,
 } from '@dandelionlane/core';
 import { LeaseAnnouncement } from '@dandelionlane/platform';
 import AbsentTargetSchema from './AbsentTargetSchema.js';
@@ -9,6 +9,7 @@
 import PartEvidenceSchema from './PartEvidenceSchema.js';
 import TargetLimitSchema from './TargetLimitSchema.js';
 import WorkerInstanceSchema from './WorkerInstanceSchema.js';
+import listOfValid from './listOfValid.js';
 
 /** State of the fleet that the holder of the lease sends to the entries, several times a second. */
 const FleetState = z.object({
@@ -34,10 +35,10 @@
     after: RowVersion.nullable().default(null),
   }),
   /** Entries linked to the holder, including the holder; null if unchanged, except with `whole`. */
-  entries: z.array(z.object({
+  entries: listOfValid(z.object({
     entry: EntryId,
     ready: z.boolean(),
-    callerAddress: z.string(),
+    callerAddress: NetworkAddress,
     processorCores: z.number().nullable().default(null),
   })).nullable(),
   /** Requests of all entries at model targets. */
@@ -59,11 +60,11 @@
   /** Limits that workers have named or lifted, where that is news; all that they name with `whole`. */
   limits: z.array(TargetLimitSchema).default([]),
   /** Groups that workers report, where their registrations differ: the store may be unavailable. */
-  groups: z.array(z.object({
+  groups: listOfValid(z.object({
     worker: WorkerId,
     /** Service, address and location, for entries at which the registration of the worker has expired. */
     service: ServiceId,
-    address: z.string(),
+    address: NetworkAddress,
     zone: AvailabilityZoneId,
     domain: FabricDomainId.nullable(),
     bornAt: z.number().nullable(),
--- a/packages/links/src/lib/LinkClient.ts
+++ b/packages/links/src/lib/LinkClient.ts
@@ -99,12 +99,11 @@
   #connect(address: string, now: number): void {
     this.#address = address;
     this.#lastAttemptAt = now;
-    const socket = new WebSocket(`ws://${address}`, {
-      handshakeTimeout: HANDSHAKE_TIMEOUT_MILLISECONDS,
-      maxPayload: MAXIMUM_FRAME_BYTES,
-      perMessageDeflate: false,
-    });
+    const socket = this.#open(address);
     this.#socket = socket;
+    if (socket === null) {
+      return;
+    }
     socket.on('message', (frame: Buffer) => {
       if (socket === this.#socket) {
         this.#receive(frame);
@@ -118,6 +117,20 @@
     });
   }
 
+  /** Opens a connection; null for an address that the client rejects. */
+  #open(address: string): WebSocket | null {
+    try {
+      return new WebSocket(`ws://${address}`, {
+        handshakeTimeout: HANDSHAKE_TIMEOUT_MILLISECONDS,
+        maxPayload: MAXIMUM_FRAME_BYTES,
+        perMessageDeflate: false,
+      });
+    } catch (error) {
+      this.#options.log.debug('Link failed.', { address, reason: String(error) });
+      return null;
+    }
+  }
+
   #receive(frame: Buffer): void {
     const decoded = decodeFrame(HolderMessage, frame);
     if (decoded.isErr()) {
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -125,6 +125,41 @@
   expect(decodeFrame(EntryStatus, Buffer.of()).isErr()).toBe(true);
 });
 
+const ODD_ADDRESSES = ['10.0.0.1:70000', 'a b%\n:80', ''];
+
+// Guards against links that end because the holder passes on an odd address that another writer left.
+test.each(ODD_ADDRESSES)('entries and workers with the address %j are left out of a state', (address) => {
+  const group = {
+    worker: HEAD, service: 's', zone: 'z', domain: null, bornAt: 1, model: null, group: null,
+  };
+  const state = {
+    ...STATE,
+    entries: [{ ...LINKED_ENTRY, callerAddress: address }, LINKED_ENTRY],
+    groups: [{ ...group, address }, { ...group, address: 'a:1' }],
+  };
+  const frame = encodeFrame(new Packr({ useRecords: true }), state);
+  expect(decodeFrame(FleetState, frame)._unsafeUnwrap())
+    .toMatchObject({ entries: [LINKED_ENTRY], groups: [{ ...group, address: 'a:1' }] });
+});
+
+test.each(ODD_ADDRESSES)('a redirect to %j is not followed', (address) => {
+  const frame = encodeFrame(new Packr({ useRecords: true }), { kind: 'redirect', address });
+  expect(decodeFrame(HolderMessage, frame).isErr()).toBe(true);
+});
+
+// Guards against an entry whose rounds end with an exception while it knows an odd address of the holder.
+test.each(ODD_ADDRESSES)('a link to %j fails without an exception', (address) => {
+  let now = 0;
+  const client = new LinkClient({
+    log: LOG, now: () => now, onState: () => undefined, onRedirect: () => undefined, onLost: () => undefined,
+  });
+  closing.push(() => client.close());
+  client.maintain(address);
+  now += 1_000;
+  client.maintain(address);
+  expect(client.isIdle).toBe(true);
+});
+
 test('deflated frames are smaller and decode to the same state', () => {
   const packr = new Packr({ useRecords: true });
   const rows = Array.from({ length: 200 }, (_, index) => ({
