Record what the client throws as a failed attempt

Cause: `new Client` threw in the constructor of an attempt, before anyone was told. Where the client reports a rejection of a request (a header or path that it does not take) at once, the listener was called while the attempt was still being created, and reading `attempt.sent` there threw in turn.

An attempt now opens its connection when it starts, and whatever the client throws or reports at once ends it as unsent, in a microtask, so that those who started it can refer to it. The target is avoided like one that is not reached, and another is tried.

--- a/packages/gateway/src/lib/targets/TargetAttempt.ts
+++ b/packages/gateway/src/lib/targets/TargetAttempt.ts
@@ -28,7 +28,7 @@
 export default class TargetAttempt {
   readonly #connections: TargetConnections;
 
-  readonly #connection: TargetConnection;
+  #connection: TargetConnection | null = null;
 
   readonly #request: AttemptRequest;
 
@@ -36,6 +36,8 @@
 
   #controller: Dispatcher.DispatchController | null = null;
 
+  #isStarting = false;
+
   #sent = false;
 
   #hasEnded = false;
@@ -46,7 +48,6 @@
     this.#connections = connections;
     this.#request = request;
     this.#listener = listener;
-    this.#connection = connections.acquire(request.worker, request.address, request.usesNewConnection);
   }
 
   /** Whether any byte of the request may have been sent. */
@@ -54,30 +55,22 @@
     return this.#sent;
   }
 
+  /** Sends the request. The listener is called later, even if the client rejects the request at once. */
   start(): void {
-    const {
-      method, path, headers, body, usesNewConnection,
-    } = this.#request;
-    this.#connection.client.dispatch({
-      method,
-      path,
-      headers,
-      body: body.length === 0 ? null : body,
-      reset: usesNewConnection,
-    }, {
-      onRequestStart: (controller) => this.#handleStart(controller),
-      onResponseStart: (_controller, status, answerHeaders) => this.#handleHead(status, answerHeaders),
-      onResponseData: (_controller, chunk) => this.#handleData(chunk),
-      onResponseEnd: () => this.#handleEnd(),
-      onResponseError: (_controller, error) => this.#fail(describe(error)),
-    });
+    this.#isStarting = true;
+    try {
+      this.#send();
+    } catch (error) {
+      this.#handleError(error);
+    }
+    this.#isStarting = false;
   }
 
   /** Abandons the attempt: the listener is not called any more, and the connection is closed. */
   abandon(): void {
     if (!this.#hasEnded) {
       this.#hasEnded = true;
-      this.#connection.destroy();
+      this.#connection?.destroy();
     }
   }
 
@@ -90,6 +83,27 @@
     this.#controller?.resume();
   }
 
+  #send(): void {
+    const {
+      worker, address, method, path, headers, body, usesNewConnection,
+    } = this.#request;
+    const connection = this.#connections.acquire(worker, address, usesNewConnection);
+    this.#connection = connection;
+    connection.client.dispatch({
+      method,
+      path,
+      headers,
+      body: body.length === 0 ? null : body,
+      reset: usesNewConnection,
+    }, {
+      onRequestStart: (controller) => this.#handleStart(controller),
+      onResponseStart: (_controller, status, answerHeaders) => this.#handleHead(status, answerHeaders),
+      onResponseData: (_controller, chunk) => this.#handleData(chunk),
+      onResponseEnd: () => this.#handleEnd(connection),
+      onResponseError: (_controller, error) => this.#handleError(error),
+    });
+  }
+
   #handleStart(controller: Dispatcher.DispatchController): void {
     if (this.#hasEnded) {
       controller.abort(new Error('attempt was abandoned'));
@@ -112,27 +126,36 @@
     }
   }
 
-  #handleEnd(): void {
+  #handleEnd(connection: TargetConnection): void {
     if (this.#hasEnded) {
       return;
     }
-    if (!this.#connection.isAnswerComplete(this.#framed)) {
+    if (!connection.isAnswerComplete(this.#framed)) {
       this.#fail('answer was cut');
       return;
     }
     this.#hasEnded = true;
     if (this.#request.usesNewConnection) {
-      this.#connection.destroy();
+      connection.destroy();
     } else {
-      this.#connections.release(this.#request.worker, this.#connection);
+      this.#connections.release(this.#request.worker, connection);
     }
     this.#listener.ended();
   }
 
+  #handleError(error: unknown): void {
+    if (this.#isStarting) {
+      // Those who started the attempt refer to it when they hear of its end.
+      queueMicrotask(() => this.#fail(describe(error)));
+    } else {
+      this.#fail(describe(error));
+    }
+  }
+
   #fail(reason: string): void {
     if (!this.#hasEnded) {
       this.#hasEnded = true;
-      this.#connection.destroy();
+      this.#connection?.destroy();
       this.#listener.failed(reason);
     }
   }
