--- a/packages/soak/src/lib/store/SoakTables.ts
+++ b/packages/soak/src/lib/store/SoakTables.ts
@@ -30,7 +30,10 @@
     return this.#version;
   }
 
-  /** Writes a row as the platform, an operator or a worker does; null deletes it. */
+  /**
+   * Writes a row as the platform, an operator or a worker does; null deletes it. Bytes are stored as they
+   * are, other values as JSON.
+   */
   async write(table: string, key: string, value: unknown): Promise<void> {
     await this.commit({ conditions: [], writes: [{ table, key, value }] });
   }
