Send the rest of a state when a row in it cannot be encoded

Entries would get no state from the holder, and new links never a first one, from the moment on at which a row in it could not be encoded as MessagePack: the exception left the holder's round, after the changes had been taken, in every round again for the first message of a link.

The holder logs `Rows cannot be sent.` with their keys and sends them as a text, which their reader rejects as an unreadable row.

--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -2,8 +2,10 @@
 import type { AddressInfo } from 'node:net';
 import { Packr } from 'msgpackr';
 import { WebSocket, WebSocketServer } from 'ws';
+import type { TableRow } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import EntryStatus from './EntryStatus.js';
+import type FRAME_FORMATS from './FRAME_FORMATS.js';
 import type FleetState from './FleetState.js';
 import type HolderRedirect from './HolderRedirect.js';
 import MAXIMUM_FRAME_BYTES from './MAXIMUM_FRAME_BYTES.js';
@@ -16,6 +18,9 @@
 /** Age from which a link is redirected while another entry holds the lease, in ms: two messages. */
 const REDIRECT_AGE_MILLISECONDS = 250;
 
+/** Value of a row whose own value cannot be encoded. */
+const UNREADABLE = 'unreadable';
+
 /** Options of a `LinkServer`. */
 interface LinkServerOptions {
   readonly host: string;
@@ -78,7 +83,7 @@
    */
   broadcast(state: FleetState, createSnapshot: () => Snapshot): void {
     // Configurations are large and go to all entries at once.
-    const frame = encodeFrame(this.#packr, state, state.operators.rows.length > 0 ? 'deflated' : 'messagePack');
+    const frame = this.#encode(state, state.operators.rows.length > 0 ? 'deflated' : 'messagePack');
     let snapshotFrame: Buffer | null = null;
     this.#links.forEach((link) => {
       if (link.socket.bufferedAmount > MAXIMUM_BUFFERED_BYTES) {
@@ -89,7 +94,7 @@
         link.socket.send(frame);
         return;
       }
-      snapshotFrame ??= encodeFrame(this.#packr, { ...state, ...createSnapshot(), whole: true }, 'deflated');
+      snapshotFrame ??= this.#encode({ ...state, ...createSnapshot(), whole: true }, 'deflated');
       link.socket.send(snapshotFrame);
       Object.assign(link, { isInitialised: true });
     });
@@ -131,6 +136,33 @@
     this.#http.close();
   }
 
+  /** Encodes a state. The links need the rest of it even if a row that another writer left cannot be sent. */
+  #encode(state: FleetState, format: keyof typeof FRAME_FORMATS): Buffer {
+    try {
+      return encodeFrame(this.#packr, state, format);
+    } catch (error) {
+      const rows = state.rows.map((row) => this.#toSendable(row));
+      const operatorRows = state.operators.rows.map((row) => this.#toSendable(row));
+      this.#options.log.error('Rows cannot be sent.', {
+        keys: [...state.rows, ...state.operators.rows]
+          .filter((row) => !rows.includes(row) && !operatorRows.includes(row)).map(({ key }) => key).join(' '),
+        reason: String(error),
+      });
+      const sendable = { ...state, rows, operators: { ...state.operators, rows: operatorRows } };
+      return encodeFrame(this.#packr, sendable, format);
+    }
+  }
+
+  /** A row, with a text in place of a value that cannot be encoded: its reader rejects that. */
+  #toSendable(row: TableRow): TableRow {
+    try {
+      this.#packr.pack(row);
+      return row;
+    } catch {
+      return { ...row, value: UNREADABLE };
+    }
+  }
+
   #accept(socket: WebSocket): void {
     const now = this.#options.now();
     const link: Link = {
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -216,6 +216,54 @@
   expect(client.isHealthy).toBe(false);
 });
 
+// Guards against a holder that stops sending states because of one row that cannot be encoded.
+test.each([
+  ['nested too deep', JSON.parse(`${'['.repeat(20_000)}${']'.repeat(20_000)}`) as unknown],
+  ['with reserved names', { constructor: 1, toJSON: 1 }],
+])('a row %s does not end the states on a link', async (_what, value) => {
+  const logged: string[] = [];
+  const server = new LinkServer({
+    host: '127.0.0.1',
+    port: 0,
+    log: { ...LOG, error: (message, fields) => logged.push(`${message} ${String(fields?.keys)}`) },
+    now: () => performance.now(),
+  });
+  closing.push(() => server.close());
+  const port = await server.listen();
+  const states: FleetState[] = [];
+  const client = new LinkClient({
+    log: LOG,
+    now: () => performance.now(),
+    onState: (state) => states.push(state),
+    onRedirect: () => undefined,
+    onLost: () => undefined,
+  });
+  closing.push(() => client.close());
+  await vi.waitFor(() => {
+    client.maintain(`127.0.0.1:${port}`);
+    client.send(status('a'));
+    expect(server.statuses()).toHaveLength(1);
+  });
+  const sound = {
+    table: 't', key: 'sound', version: RowVersion.parse(1), value: { a: 1 },
+  };
+  const rows = [sound, { ...sound, key: 'odd', value }];
+  const operators = { ...STATE.operators, rows };
+  const createSnapshot = () => ({
+    rows, entries: [LINKED_ENTRY], withdrawn: [], operators, promptParts: [], limits: [],
+  });
+  server.broadcast(STATE, createSnapshot);
+  server.broadcast({ ...STATE, rows }, createSnapshot);
+  server.broadcast({ ...STATE, operators }, createSnapshot);
+  server.broadcast(STATE, createSnapshot);
+  await vi.waitFor(() => expect(states).toHaveLength(4));
+  const sent = [sound, { ...sound, key: 'odd', value: 'unreadable' }];
+  expect(states.map((state) => [state.rows, state.operators.rows]))
+    .toEqual([[sent, sent], [sent, []], [[], sent], [[], []]]);
+  expect(logged).toEqual(['Rows cannot be sent. odd odd', 'Rows cannot be sent. odd', 'Rows cannot be sent. odd']);
+  expect(client.isHealthy).toBe(true);
+});
+
 test('a holder distinguishes an outage of its own from one for all entries', () => {
   expect(canOthersReachStore(3_000, [])).toBe(false);
   expect(canOthersReachStore(3_000, [2_600, 4_000])).toBe(false);
