Read the rest of a table when a row in it cannot be read

An entry would stop following a table because of one row: an exception in the decoder of a row left the handler, the follower took it for a loss of the store, read the whole table again and met the row again. A row with an empty key did so, and every failure that the decoders do not foresee would. Over the links the exception would leave the handler of the message.

The handlers of registrations and of operators' rows now take such a row for an invalid one, log it and go on.

--- a/packages/fleet/src/lib/feed/OperatorRowHandler.ts
+++ b/packages/fleet/src/lib/feed/OperatorRowHandler.ts
@@ -2,6 +2,7 @@
 import type { Log } from '@dandelionlane/telemetry';
 import type ConfigurationHolder from '../configuration/ConfigurationHolder.js';
 import type FleetRowDecoder from './FleetRowDecoder.js';
+import type OperatorRow from './OperatorRow.js';
 import type RowHandler from './RowHandler.js';
 
 /**
@@ -85,8 +86,17 @@
     }
   }
 
+  /** Decodes a row. A failure on a row of another writer must not keep the other rows from being read. */
+  #decode(row: TableRow): OperatorRow {
+    try {
+      return this.#rows.readOperatorRow(row);
+    } catch (error) {
+      return { kind: 'invalid', reason: String(error) };
+    }
+  }
+
   #apply(row: TableRow, closedBefore: ReadonlySet<AvailabilityZoneId>): void {
-    const decoded = this.#rows.readOperatorRow(row);
+    const decoded = this.#decode(row);
     switch (decoded.kind) {
       case 'configuration': {
         const { version } = decoded.configuration;
--- a/packages/fleet/src/lib/feed/WorkerRow.ts
+++ b/packages/fleet/src/lib/feed/WorkerRow.ts
@@ -5,6 +5,6 @@
 type WorkerRow = | { readonly kind: 'registered'; readonly worker: Worker }
   | { readonly kind: 'gone'; readonly id: WorkerId }
   /** The row cannot be decoded, so the worker is not used. */
-  | { readonly kind: 'invalid'; readonly id: WorkerId; readonly reason: string };
+  | { readonly kind: 'invalid'; readonly key: string; readonly reason: string };
 
 export default WorkerRow;
--- a/packages/fleet/src/lib/feed/WorkerRowHandler.ts
+++ b/packages/fleet/src/lib/feed/WorkerRowHandler.ts
@@ -3,6 +3,7 @@
 import type WorkerTable from '../workers/WorkerTable.js';
 import type FleetRowDecoder from './FleetRowDecoder.js';
 import type RowHandler from './RowHandler.js';
+import type WorkerRow from './WorkerRow.js';
 
 /** Maximum workers listed in one log line: at start hundreds register at every entry. */
 const MAXIMUM_LOGGED_WORKERS = 5;
@@ -74,9 +75,18 @@
     return present;
   }
 
+  /** Decodes a row. A failure on a row of another writer must not keep the other rows from being read. */
+  #decode(row: TableRow): WorkerRow {
+    try {
+      return this.#rows.readWorkerRow(row);
+    } catch (error) {
+      return { kind: 'invalid', key: row.key, reason: String(error) };
+    }
+  }
+
   /** Applies a row; returns the id of the registered worker in an array, or null if there is none. */
   #apply(row: TableRow): [WorkerId] | null {
-    const decoded = this.#rows.readWorkerRow(row);
+    const decoded = this.#decode(row);
     switch (decoded.kind) {
       case 'registered':
         if (this.#isFromCopy) {
@@ -89,8 +99,8 @@
         this.#table.remove(decoded.id);
         return null;
       case 'invalid':
-        this.#log.warn('Registration is invalid.', { worker: decoded.id, reason: decoded.reason });
-        this.#table.remove(decoded.id);
+        this.#log.warn('Registration is invalid.', { worker: decoded.key, reason: decoded.reason });
+        this.#table.remove(decoded.key as WorkerId);
         return null;
       default:
         return decoded satisfies never;
--- a/packages/fleet/src/test/OperatorRowHandler.test.ts
+++ b/packages/fleet/src/test/OperatorRowHandler.test.ts
@@ -90,3 +90,14 @@
   handler.handleChanges([row('configuration', 8)]);
   expect(configuration.table?.configuration.version).toBe(8);
 });
+
+// Guards against an entry that stops following the operators' table because of one row that cannot be read.
+test('an exception in one row leaves the other rows in force', () => {
+  const { configuration, handler } = create();
+  handler.handleSnapshot([row('not a zone', {}), row('configuration', 3), row('a', {})]);
+  expect(configuration.table?.configuration.version).toBe(3);
+  expect(handler.closedZones).toEqual(new Set([ZONE]));
+  handler.handleChanges([row('not a zone', {}), row('configuration', 4), row('a', null)]);
+  expect(configuration.table?.configuration.version).toBe(4);
+  expect(handler.closedZones).toEqual(new Set());
+});
--- a/packages/fleet/src/test/WorkerRowHandler.test.ts
+++ b/packages/fleet/src/test/WorkerRowHandler.test.ts
@@ -5,6 +5,7 @@
 import type { Log } from '@dandelionlane/telemetry';
 import type FleetRowDecoder from '../lib/feed/FleetRowDecoder.js';
 import WorkerRowHandler from '../lib/feed/WorkerRowHandler.js';
+import type Worker from '../lib/workers/Worker.js';
 import WorkerTable from '../lib/workers/WorkerTable.js';
 import toUnregisteredWorker from '../lib/workers/toUnregisteredWorker.js';
 
@@ -12,10 +13,27 @@
   debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
 };
 
+function row(key: string): TableRow {
+  return {
+    table: 't', key, version: RowVersion.parse(1), value: {},
+  };
+}
+
+function worker(key: string): Worker {
+  return toUnregisteredWorker({
+    id: WorkerId.parse(key),
+    service: ServiceId.parse('s'),
+    address: '127.0.0.1:1',
+    zone: AvailabilityZoneId.parse('z'),
+    domain: null,
+    bornAt: 1,
+  });
+}
+
 test('registrations may be missing for a while after the first read', () => {
   const clock = new ManualClock(50_000);
   const table = new WorkerTable(clock);
-  const rows = { readWorkerRow: (row: TableRow) => ({ kind: 'gone', id: WorkerId.parse(row.key) }) };
+  const rows = { readWorkerRow: ({ key }: TableRow) => ({ kind: 'gone', id: WorkerId.parse(key) }) };
   const handler = new WorkerRowHandler(rows as unknown as FleetRowDecoder, table, LOG);
   expect(table.isRecovering).toBe(false);
   handler.handleSnapshot([]);
@@ -30,22 +48,9 @@
   const clock = new ManualClock(50_000);
   const table = new WorkerTable(clock);
   const rows = {
-    readWorkerRow: (row: TableRow) => ({
-      kind: 'registered',
-      worker: toUnregisteredWorker({
-        id: WorkerId.parse(row.key),
-        service: ServiceId.parse('s'),
-        address: '127.0.0.1:1',
-        zone: AvailabilityZoneId.parse('z'),
-        domain: null,
-        bornAt: 1,
-      }),
-    }),
+    readWorkerRow: ({ key }: TableRow) => ({ kind: 'registered', worker: worker(key) }),
   };
   const handler = new WorkerRowHandler(rows as unknown as FleetRowDecoder, table, LOG);
-  const row = (key: string): TableRow => ({
-    table: 't', key, version: RowVersion.parse(1), value: {},
-  });
   handler.handleSnapshot([row('old'), row('new')]);
   clock.advance(10_000);
   handler.handleStoreRestored();
@@ -57,3 +62,22 @@
   table.expire();
   expect(table.all()).toHaveLength(2);
 });
+
+// Guards against an entry that stops following the registrations because of one row that cannot be read.
+test('an exception in one row leaves the other workers registered', () => {
+  const table = new WorkerTable(new ManualClock(50_000));
+  const rows = {
+    readWorkerRow: ({ key }: TableRow) => {
+      if (key === 'odd') {
+        throw new RangeError('Maximum call stack size exceeded');
+      }
+      return { kind: 'registered', worker: worker(key) };
+    },
+  };
+  const handler = new WorkerRowHandler(rows as unknown as FleetRowDecoder, table, LOG);
+  handler.handleSnapshot([row('one'), row('odd'), row('two')]);
+  expect(handler.isLoaded).toBe(true);
+  expect(table.all().map(({ worker: { id } }) => id)).toEqual(['one', 'two']);
+  handler.handleChanges([row('odd'), row('three')]);
+  expect(table.all().map(({ worker: { id } }) => id)).toEqual(['one', 'two', 'three']);
+});
