Ignore epochs far above those of any term

One registration with the highest whole number as its epoch kept all groups from being formed and repaired: the holder allocates epochs above all that it sees, there is none above that one, and the exception ended each round before anything was planned.

Epochs are of a term, a million for each. The holder now leaves out those that are more than a million terms ahead of its own, seen from the first epoch of the term, so that several such registrations cannot add up.

--- a/packages/groups/src/lib/plan/EpochSource.ts
+++ b/packages/groups/src/lib/plan/EpochSource.ts
@@ -5,6 +5,12 @@
 /** Size of the range of epochs of each term. */
 const EPOCHS_PER_TERM = 1_000_000;
 
+/**
+ * Later terms whose epochs are taken into account. Higher ones are of another writer, and epochs above them
+ * would not stay exact.
+ */
+const LATER_TERMS = 1_000_000;
+
 /**
  * Allocates epochs that are unique and higher than all known ones. Workers refuse to join with an epoch
  * below any that they have seen, even of another group, so epochs are ordered across all groups. Each
@@ -33,12 +39,13 @@
 
   /** Raises the highest known epoch to those of workers and records. */
   observe(observation: FleetObservation, records: readonly GroupRecord[]): void {
-    observation.workers.forEach(({ report, worker }) => {
-      this.#highest = Math.max(this.#highest, report?.group?.epoch ?? 0, worker.group?.epoch ?? 0);
-    });
-    records.forEach(({ epoch }) => {
-      this.#highest = Math.max(this.#highest, epoch);
-    });
+    const known = [
+      ...[...observation.workers.values()]
+        .flatMap(({ report, worker }) => [report?.group?.epoch ?? 0, worker.group?.epoch ?? 0]),
+      ...records.map(({ epoch }) => epoch),
+    ];
+    const highestOfTerms = this.#first + EPOCHS_PER_TERM * LATER_TERMS;
+    this.#highest = Math.max(this.#highest, ...known.filter((epoch) => epoch <= highestOfTerms));
   }
 
   next(): Epoch {
