Log an odd row once for each of its versions

An odd row was logged whenever it was read: of entries with each heartbeat, of quarantined parts each second without a link, of registrations and operators with each whole read and each new link. Its line also listed every issue, of which a row of 64 KiB may have thousands.

The readers remember which versions they have logged, name the version in the line, and list up to 20 issues.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -72,6 +72,7 @@
 export { default as VMRecord } from './lib/records/VMRecord.js';
 export { default as VMReport } from './lib/records/VMReport.js';
 export { default as MemoryTableStore } from './lib/table/MemoryTableStore.js';
+export { default as ReportedRows } from './lib/table/ReportedRows.js';
 export { default as StoreEra } from './lib/table/StoreEra.js';
 export { default as TABLE_NAMES } from './lib/table/TABLE_NAMES.js';
 export { default as ListenAddress } from './lib/settings/ListenAddress.js';
--- a/packages/core/src/test/errors.test.ts
+++ b/packages/core/src/test/errors.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest';
+import { z } from 'zod';
 import {
-  ERROR_ANSWERS, ErrorKind, Problem, ServingError, toProblem,
+  ERROR_ANSWERS, ErrorKind, Problem, ServingError, parseWith, toProblem,
 } from '../index.js';
 
 test('every kind has an answer', () => {
@@ -18,3 +19,11 @@
   const afterFirstByte = ['target-lost', 'target-timeout', 'replica-not-whole', 'answer-too-large'] as const;
   expect(afterFirstByte.map((kind) => ERROR_ANSWERS[kind].outcome)).toEqual(afterFirstByte.map(() => 'unknown'));
 });
+
+// Guards against lines of megabytes in the log: a row may have thousands of values of the wrong type.
+test('a description lists a limited number of issues', () => {
+  const data = Array.from({ length: 30_000 }, () => 1);
+  const { message } = parseWith(z.array(z.string()), data, 'message-invalid')._unsafeUnwrapErr();
+  expect(message.length).toBeLessThan(2_000);
+  expect(message).toMatch(/; 29980 more$/);
+});
--- a/packages/fleet-entry/src/lib/QuarantineStore.ts
+++ b/packages/fleet-entry/src/lib/QuarantineStore.ts
@@ -1,4 +1,6 @@
-import type { Clock, TableStore, TableWrite } from '@dandelionlane/core';
+import {
+  ReportedRows, type Clock, type TableStore, type TableWrite,
+} from '@dandelionlane/core';
 import type { PartEvidence, PromptQuarantine } from '@dandelionlane/gateway';
 import type { Log } from '@dandelionlane/telemetry';
 import QuarantineRow from './QuarantineRow.js';
@@ -30,6 +32,8 @@
   /** Numbers of crashes in the rows that this process has read or written, by key. */
   readonly #saved = new Map<string, number>();
 
+  readonly #reported = new ReportedRows();
+
   #calledAt = Number.NEGATIVE_INFINITY;
 
   #isCalling = false;
@@ -82,10 +86,12 @@
     }
     this.#isLoaded = true;
     this.#saved.clear();
-    const evidence = rows.value.flatMap(({ key, value }) => {
+    const evidence = rows.value.flatMap(({ key, value, version }) => {
       const parsed = QuarantineRow.safeParse(value);
       if (!parsed.success) {
-        log.error('Row of a quarantined part is invalid.', { key });
+        if (this.#reported.add({ key, version })) {
+          log.error('Row of a quarantined part is invalid.', { key, row: version });
+        }
         return [];
       }
       this.#saved.set(key, parsed.data.crashes.length);
--- a/packages/fleet-entry/src/test/QuarantineStore.test.ts
+++ b/packages/fleet-entry/src/test/QuarantineStore.test.ts
@@ -1,4 +1,6 @@
-import { beforeEach, expect, test } from 'vitest';
+import {
+  beforeEach, expect, test, vi,
+} from 'vitest';
 import {
   ManualClock, MemoryTableStore, PromptPartId, WorkerId, type TableStore,
 } from '@dandelionlane/core';
@@ -136,3 +138,20 @@
   await save(holder);
   expect((await table.scan('quarantine', ''))._unsafeUnwrap().map(({ key }) => key).sort()).toEqual([PART, 'odd']);
 });
+
+// Guards against a log that is flooded by one odd row, which an entry without a link reads every second.
+test('an invalid row is logged once for each version', async () => {
+  const error = vi.spyOn(LOG, 'error');
+  const { quarantineStore } = createEntry();
+  const write = { table: 'quarantine', key: 'odd', value: { part: 1 } };
+  await table.commit({ conditions: [], writes: [write] });
+  for (let round = 0; round < 3; round += 1) {
+    clock.advance(1_000);
+    await quarantineStore.load();
+  }
+  expect(error).toHaveBeenCalledTimes(1);
+  await table.commit({ conditions: [], writes: [write] });
+  clock.advance(1_000);
+  await quarantineStore.load();
+  expect(error).toHaveBeenCalledTimes(2);
+});
--- a/packages/fleet/src/lib/feed/OperatorRowHandler.ts
+++ b/packages/fleet/src/lib/feed/OperatorRowHandler.ts
@@ -1,4 +1,6 @@
-import type { AvailabilityZoneId, Clock, TableRow } from '@dandelionlane/core';
+import {
+  ReportedRows, type AvailabilityZoneId, type Clock, type TableRow,
+} from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import type ConfigurationHolder from '../configuration/ConfigurationHolder.js';
 import type FleetRowDecoder from './FleetRowDecoder.js';
@@ -21,6 +23,8 @@
 
   readonly #log: Log;
 
+  readonly #reported = new ReportedRows();
+
   #closedZones = new Set<AvailabilityZoneId>();
 
   /** Zones out of service for which a restored store had no row. */
@@ -120,7 +124,11 @@
       case 'other':
         break;
       case 'invalid':
-        this.#log.error('Operator row is invalid, keeping the previous state.', { key: row.key, reason: decoded.reason });
+        if (this.#reported.add(row)) {
+          this.#log.error('Operator row is invalid, keeping the previous state.', {
+            key: row.key, reason: decoded.reason, row: row.version,
+          });
+        }
         break;
       default:
         decoded satisfies never;
--- a/packages/fleet/src/lib/feed/WorkerRowHandler.ts
+++ b/packages/fleet/src/lib/feed/WorkerRowHandler.ts
@@ -1,4 +1,4 @@
-import type { TableRow, WorkerId } from '@dandelionlane/core';
+import { ReportedRows, type TableRow, type WorkerId } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import type WorkerTable from '../workers/WorkerTable.js';
 import type FleetRowDecoder from './FleetRowDecoder.js';
@@ -16,6 +16,8 @@
 
   readonly #log: Log;
 
+  readonly #reported = new ReportedRows();
+
   #isLoaded = false;
 
   /** Whether the next snapshot is from a store that was restored from an older copy. */
@@ -99,7 +101,11 @@
         this.#table.remove(decoded.id);
         return null;
       case 'invalid':
-        this.#log.warn('Registration is invalid.', { worker: decoded.key, reason: decoded.reason });
+        if (this.#reported.add(row)) {
+          this.#log.warn('Registration is invalid.', {
+            worker: decoded.key, reason: decoded.reason, row: row.version,
+          });
+        }
         this.#table.remove(decoded.key as WorkerId);
         return null;
       default:
--- a/packages/fleet/src/test/OperatorRowHandler.test.ts
+++ b/packages/fleet/src/test/OperatorRowHandler.test.ts
@@ -1,4 +1,4 @@
-import { expect, test } from 'vitest';
+import { expect, test, vi } from 'vitest';
 import {
   AvailabilityZoneId, ManualClock, RowVersion, type TableRow,
 } from '@dandelionlane/core';
@@ -101,3 +101,13 @@
   expect(configuration.table?.configuration.version).toBe(4);
   expect(handler.closedZones).toEqual(new Set());
 });
+
+// Guards against a log that is flooded by one odd row, which is read again with each snapshot.
+test('an invalid row of an operator is logged once for each version', () => {
+  const { handler } = create();
+  const error = vi.spyOn(LOG, 'error');
+  handler.handleSnapshot([row('not a zone', {})]);
+  handler.handleSnapshot([row('not a zone', {})]);
+  handler.handleChanges([{ ...row('not a zone', {}), version: RowVersion.parse(2) }]);
+  expect(error).toHaveBeenCalledTimes(2);
+});
--- a/packages/fleet/src/test/WorkerRowHandler.test.ts
+++ b/packages/fleet/src/test/WorkerRowHandler.test.ts
@@ -1,4 +1,4 @@
-import { expect, test } from 'vitest';
+import { expect, test, vi } from 'vitest';
 import {
   AvailabilityZoneId, ManualClock, RowVersion, ServiceId, type TableRow, WorkerId,
 } from '@dandelionlane/core';
@@ -81,3 +81,20 @@
   handler.handleChanges([row('odd'), row('three')]);
   expect(table.all().map(({ worker: { id } }) => id)).toEqual(['one', 'two', 'three']);
 });
+
+// Guards against a log that is flooded by one odd row, which is read again with each snapshot.
+test('an invalid registration is logged once for each version', () => {
+  const warn = vi.fn();
+  const rows = { readWorkerRow: ({ key }: TableRow) => ({ kind: 'invalid', key, reason: 'odd' }) };
+  const table = new WorkerTable(new ManualClock(50_000));
+  const handler = new WorkerRowHandler(rows as unknown as FleetRowDecoder, table, { ...LOG, warn });
+  const versioned = (key: string, version: number) => ({ ...row(key), version: RowVersion.parse(version) });
+  handler.handleSnapshot([versioned('one', 1), versioned('two', 1)]);
+  handler.handleSnapshot([versioned('one', 1), versioned('two', 1)]);
+  handler.handleChanges([versioned('two', 2)]);
+  handler.handleSnapshot([versioned('one', 1), versioned('two', 2)]);
+  expect(warn.mock.calls.map(([, fields]) => fields as object)).toEqual([
+    { worker: 'one', reason: 'odd', row: 1 }, { worker: 'two', reason: 'odd', row: 1 },
+    { worker: 'two', reason: 'odd', row: 2 },
+  ]);
+});
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -1,6 +1,6 @@
 import {
-  hasSignificantlyMoreCores, repeatWork, type AvailabilityZoneId, type Clock, type EntryId, type RandomSource,
-  type TableStore,
+  ReportedRows, hasSignificantlyMoreCores, repeatWork, type AvailabilityZoneId, type Clock, type EntryId,
+  type RandomSource, type TableStore,
 } from '@dandelionlane/core';
 import { logRoundFailure, type Log } from '@dandelionlane/telemetry';
 import EntryRecord from './EntryRecord.js';
@@ -72,6 +72,8 @@
 
   #observed = new Map<EntryId, ObservedEntry>();
 
+  readonly #reported = new ReportedRows();
+
   readonly #linkLostAt = new Map<EntryId, number>();
 
   #beat = 0;
@@ -292,7 +294,9 @@
     rows.value.forEach((row) => {
       const parsed = EntryRecord.safeParse(row.value);
       if (!parsed.success) {
-        log.warn('Entry row is invalid.', { key: row.key });
+        if (this.#reported.add(row)) {
+          log.warn('Entry row is invalid.', { key: row.key, row: row.version });
+        }
         return;
       }
       const previous = this.#observed.get(parsed.data.entry);
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -125,6 +125,22 @@
   expect(one.linkAddresses()).toEqual([]);
 });
 
+// Guards against a log that is flooded by one odd row, which is read with each heartbeat.
+test('an invalid entry row is logged once for each version', async () => {
+  vi.useFakeTimers();
+  const warn = vi.spyOn(LOG, 'warn');
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const write = { table: 'entries', key: 'odd', value: { entry: 'odd' } };
+  await store.commit({ conditions: [], writes: [write] });
+  create('one', store, clock).start();
+  await rounds(3, clock);
+  expect(warn).toHaveBeenCalledTimes(1);
+  await store.commit({ conditions: [], writes: [write] });
+  await rounds(3, clock);
+  expect(warn).toHaveBeenCalledTimes(2);
+});
+
 test('a new entry does not list one of which only a stale row is left', async () => {
   vi.useFakeTimers();
   const store = new MemoryTableStore();
--- a/packages/groups/src/lib/control/GroupStore.ts
+++ b/packages/groups/src/lib/control/GroupStore.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import {
-  RowVersion, ServingError, type GroupName, type TableStore, type TableTransaction,
+  ReportedRows, RowVersion, ServingError, type GroupName, type TableStore, type TableTransaction,
 } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import GroupRecord from '../plan/GroupRecord.js';
@@ -26,6 +26,8 @@
 
   readonly #log: Log;
 
+  readonly #reported = new ReportedRows();
+
   #records = new Map<GroupName, VersionedRecord>();
 
   constructor(store: TableStore, log: Log) {
@@ -96,8 +98,8 @@
         const parsed = GroupRecord.safeParse(row.value);
         if (parsed.success) {
           records.set(parsed.data.name, { record: parsed.data, version: row.version, isSaved: true });
-        } else {
-          this.#log.error('Group record is invalid.', { key: row.key });
+        } else if (this.#reported.add(row)) {
+          this.#log.error('Group record is invalid.', { key: row.key, row: row.version });
         }
       });
       return records;
--- a/packages/groups/src/test/GroupStore.test.ts
+++ b/packages/groups/src/test/GroupStore.test.ts
@@ -1,5 +1,5 @@
 import { errAsync } from 'neverthrow';
-import { expect, test } from 'vitest';
+import { expect, test, vi } from 'vitest';
 import {
   Epoch, GroupName, MemoryTableStore, ModelName, ServiceId, ServingError, type TableTransaction,
 } from '@dandelionlane/core';
@@ -60,3 +60,13 @@
   expect((await store.save()).isOk()).toBe(true);
   expect(store.isSaved).toBe(true);
 });
+
+test('an invalid record is logged once for each version', async () => {
+  const error = vi.spyOn(LOG, 'error');
+  const rows = new LimitedStore();
+  await rows.commit({ conditions: [], writes: [{ table: 'groups', key: 'g1', value: { name: 1 } }] });
+  const store = new GroupStore(rows, LOG);
+  await store.load();
+  await store.load();
+  expect(error).toHaveBeenCalledTimes(1);
+});
