Let a row name only the entry or group of its key

A row of an entry or group names it twice, by its key and in its value. A row under another key, left by another writer, took the place of the sound one if it came later in the order of keys: callers were directed to its address, and a holder wrote a group on condition of the version of the other row, which never holds, so that it began a new term again and again (`another process has written a group record`).

Such a row is an invalid one now. Both tests failed on the code before.

--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -293,7 +293,7 @@
     const seen = new Map<EntryId, ObservedEntry>();
     rows.value.forEach((row) => {
       const parsed = EntryRecord.safeParse(row.value);
-      if (!parsed.success) {
+      if (!parsed.success || parsed.data.entry !== row.key) {
         if (this.#reported.add(row)) {
           log.warn('Entry row is invalid.', { key: row.key, row: row.version });
         }
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -125,6 +125,25 @@
   expect(one.linkAddresses()).toEqual([]);
 });
 
+// Guards against callers that are directed elsewhere by a row under another key that names an entry.
+test('a row names only the entry of its key', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const one = create('one', store, clock);
+  one.start();
+  create('two', store, clock).start();
+  const value = {
+    entry: 'two', zone: 'zone', callerAddress: 'odd:1', linkAddress: 'odd:2', ready: true,
+  };
+  for (let beat = 0; beat < 3; beat += 1) {
+    await store.commit({ conditions: [], writes: [{ table: 'entries', key: 'zz', value: { ...value, beat } }] });
+    await rounds(1, clock);
+  }
+  expect(one.readyAddresses()).toEqual(['one:1', 'two:1']);
+  expect(one.linkAddresses()).toEqual(['two:2']);
+});
+
 // Guards against a log that is flooded by one odd row, which is read with each heartbeat.
 test('an invalid entry row is logged once for each version', async () => {
   vi.useFakeTimers();
--- a/packages/groups/src/lib/control/GroupStore.ts
+++ b/packages/groups/src/lib/control/GroupStore.ts
@@ -96,7 +96,7 @@
       const records = new Map<GroupName, VersionedRecord>();
       read.forEach((row) => {
         const parsed = GroupRecord.safeParse(row.value);
-        if (parsed.success) {
+        if (parsed.success && parsed.data.name === row.key) {
           records.set(parsed.data.name, { record: parsed.data, version: row.version, isSaved: true });
         } else if (this.#reported.add(row)) {
           this.#log.error('Group record is invalid.', { key: row.key, row: row.version });
--- a/packages/groups/src/test/GroupStore.test.ts
+++ b/packages/groups/src/test/GroupStore.test.ts
@@ -70,3 +70,21 @@
   await store.load();
   expect(error).toHaveBeenCalledTimes(1);
 });
+
+// Guards against a holder that cannot write a group, as a row under another key names the same one.
+test('a row names only the group of its key', async () => {
+  const rows = new LimitedStore();
+  const store = new GroupStore(rows, LOG);
+  const record = recordOf(1);
+  store.applyChanges([record], []);
+  await store.save();
+  await rows.commit({
+    conditions: [],
+    writes: [{ table: 'groups', key: 'zz', value: { ...record, epoch: Epoch.parse(9) } }],
+  });
+  const next = new GroupStore(rows, LOG);
+  await next.load();
+  expect(next.records).toEqual([record]);
+  next.applyChanges([{ ...record, epoch: Epoch.parse(3) }], []);
+  expect((await next.save()).isOk()).toBe(true);
+});
