Leave out rows without a key

A row with an empty key is no valid one on the links: each message of the holder that had it, among them the first of every link, was refused by the receivers, which ended the link. It also made the decoder of registrations throw.

The follower of a table leaves such rows out, logs their versions and goes on after them. The test failed on the code before.

--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -1,5 +1,5 @@
 import {
-  RowVersion, type Clock, type TableChanges, type TableFeed, type TableRow,
+  ReportedRows, RowVersion, type Clock, type TableChanges, type TableFeed, type TableRow,
 } from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import type RowHandler from './RowHandler.js';
@@ -38,6 +38,8 @@
 
   #version: RowVersion | null = null;
 
+  readonly #reported = new ReportedRows();
+
   /** Version of the newest row that was read, including deleted ones. */
   #newestRow = RowVersion.parse(0);
 
@@ -182,7 +184,7 @@
     this.#version = snapshot.value.version;
     this.#wholeReads += 1;
     this.#recordNewest(snapshot.value.rows);
-    handler.handleSnapshot(snapshot.value.rows, snapshot.value.version);
+    handler.handleSnapshot(this.#withKeys(snapshot.value.rows), snapshot.value.version);
     return true;
   }
 
@@ -210,7 +212,7 @@
         // while its version grows. The next call for the same changes reports the lost history.
         this.#version = changes.rows.at(-1)?.version ?? this.#version;
         this.#recordNewest(changes.rows);
-        handler.handleChanges(changes.rows);
+        handler.handleChanges(this.#withKeys(changes.rows));
         break;
       case 'history-lost':
         log.warn('History of a table is lost, reading it again.', { table });
@@ -221,6 +223,15 @@
     }
   }
 
+  /** Leaves out rows with an empty key, which name nothing and cannot be sent over the links. */
+  #withKeys(rows: readonly TableRow[]): readonly TableRow[] {
+    const keyless = rows.filter((row) => row.key === '');
+    keyless.filter((row) => this.#reported.add(row)).forEach(({ version }) => {
+      this.#options.log.warn('Row without a key is ignored.', { table: this.#options.table, row: version });
+    });
+    return keyless.length === 0 ? rows : rows.filter(({ key }) => key !== '');
+  }
+
   #recordNewest(rows: readonly TableRow[]): void {
     rows.forEach(({ version }) => {
       this.#newestRow = version > this.#newestRow ? version : this.#newestRow;
--- a/packages/fleet/src/test/TableFollower.test.ts
+++ b/packages/fleet/src/test/TableFollower.test.ts
@@ -71,6 +71,17 @@
   expect(seen.slice(0, 3)).toEqual([10, 12, 15]);
 });
 
+// Guards against links that end at each message of the holder, as a row without a key is no valid one there.
+test('rows without a key are left out', async () => {
+  const warn = vi.spyOn(LOG, 'warn');
+  const rows = [row('config', 12), row('', 15)];
+  const { feed, seen } = await follow([{ kind: 'changes', rows }, { kind: 'changes', rows: [row('', 16)] }], 3);
+  expect(feed.requested.slice(0, 3)).toEqual([10, 15, 16]);
+  expect(seen).toEqual([10, 12]);
+  expect(warn.mock.calls.map(([, fields]) => fields?.row)).toEqual([15, 16]);
+  warn.mockRestore();
+});
+
 test('requests the same changes again after an empty answer', async () => {
   const { feed } = await follow([{ kind: 'changes', rows: [] }, { kind: 'changes', rows: [] }], 3);
   expect(feed.requested.slice(0, 3)).toEqual([10, 10, 10]);
