--- a/packages/fleet/src/lib/workers/WorkerInstanceSet.ts
+++ b/packages/fleet/src/lib/workers/WorkerInstanceSet.ts
@@ -21,11 +21,14 @@
     this.#instances.delete(id);
   }
 
-  /** Whether this instance or a later one of the same worker is in the set. */
+  /**
+   * Whether this instance or a later one of the same worker is in the set. One without a start says nothing
+   * of one that has a start.
+   */
   has({ id, bornAt }: WorkerInstance): boolean {
     const known = this.#instances.get(id);
     return known !== undefined
-      && (known.bornAt === null || bornAt === null || known.bornAt >= bornAt);
+      && (bornAt === null || (known.bornAt !== null && known.bornAt >= bornAt));
   }
 
   all(): readonly WorkerInstance[] {
--- a/packages/fleet/src/test/WorkerTable.test.ts
+++ b/packages/fleet/src/test/WorkerTable.test.ts
@@ -187,3 +187,14 @@
   expect(table.get(WORKER.id)?.worker.draining).toBe(true);
   expect(table.announcedLeaving()).toEqual([{ id: WORKER.id, bornAt: 1 }]);
 });
+
+// Guards against a worker that gets no more requests because a row that was no row of its own named no start.
+test('the departure of an instance without a start is not that of one with a start', () => {
+  const table = new WorkerTable(new ManualClock(50_000));
+  table.put({ ...WORKER, bornAt: null, draining: true });
+  table.put(WORKER);
+  expect(table.all().map(({ worker: { draining } }) => draining)).toEqual([false]);
+  table.put({ ...WORKER, draining: true });
+  table.put({ ...WORKER, bornAt: null });
+  expect(table.all().map(({ worker: { draining } }) => draining)).toEqual([true]);
+});
