Take no lease that cannot be succeeded or waited for

With a lease row of another writer that has the highest whole number as its fencing number, or a term of centuries, no entry could ever hold the lease: there is no number after the one, and contenders wait for the other. Without a holder no groups are formed or repaired, and every entry reads the store itself.

--- a/packages/platform/src/test/LeaseKeeper.test.ts
+++ b/packages/platform/src/test/LeaseKeeper.test.ts
@@ -241,3 +241,29 @@
   await next.step();
   expect(next.held()?.fencing).toBe(2);
 });
+
+// Guards against a fleet without a holder because a row of another writer cannot be succeeded or waited for.
+test.each([
+  [{ fencing: Number.MAX_SAFE_INTEGER }],
+  [{ fencing: 1e300 }],
+  [{ termMilliseconds: Number.MAX_SAFE_INTEGER }],
+  [{ termMilliseconds: -1 }],
+  [{ renewal: '' }],
+  [{ holder: 'a\nb' }],
+  [{ era: 1e300 }],
+])('a lease row with %j is no lease', async (odd) => {
+  const store = new MemoryTableStore();
+  const value = {
+    holder: 'odd', fencing: 1, renewal: 'abcdefgh', termMilliseconds: 6_000, released: false, ...odd,
+  };
+  await store.commit({ conditions: [], writes: [{ table: TABLE_NAMES.leases, key: region, value }] });
+  const clock = new ManualClock();
+  const keeper = createKeeper(store, clock, 'a');
+  for (let step = 0; step < 8; step += 1) {
+    await keeper.step();
+    clock.advance(1_000);
+  }
+  await keeper.step();
+  expect(keeper.held()?.fencing).toBe(1);
+  expect((await readLease(store)).holder).toBe('a');
+});
