--- a/packages/fleet/src/lib/feed/OperatorRowHandler.ts
+++ b/packages/fleet/src/lib/feed/OperatorRowHandler.ts
@@ -1,7 +1,10 @@
-import type { AvailabilityZoneId, Clock, TableRow } from '@dandelionlane/core';
+import {
+  ReportedRows, type AvailabilityZoneId, type Clock, type TableRow,
+} from '@dandelionlane/core';
 import type { Log } from '@dandelionlane/telemetry';
 import type ConfigurationHolder from '../configuration/ConfigurationHolder.js';
 import type FleetRowDecoder from './FleetRowDecoder.js';
+import type OperatorRow from './OperatorRow.js';
 import type RowHandler from './RowHandler.js';
 
 /**
@@ -20,6 +23,8 @@
 
   readonly #log: Log;
 
+  readonly #reported = new ReportedRows();
+
   #closedZones = new Set<AvailabilityZoneId>();
 
   /** Zones out of service for which a restored store had no row. */
@@ -85,8 +90,17 @@
     }
   }
 
+  /** Decodes a row. A failure on a row of another writer must not keep the other rows from being read. */
+  #decode(row: TableRow): OperatorRow {
+    try {
+      return this.#rows.readOperatorRow(row);
+    } catch (error) {
+      return { kind: 'invalid', reason: String(error) };
+    }
+  }
+
   #apply(row: TableRow, closedBefore: ReadonlySet<AvailabilityZoneId>): void {
-    const decoded = this.#rows.readOperatorRow(row);
+    const decoded = this.#decode(row);
     switch (decoded.kind) {
       case 'configuration': {
         const { version } = decoded.configuration;
@@ -110,7 +124,11 @@
       case 'other':
         break;
       case 'invalid':
-        this.#log.error('Operator row is invalid, keeping the previous state.', { key: row.key, reason: decoded.reason });
+        if (this.#reported.add(row)) {
+          this.#log.error('Operator row is invalid, keeping the previous state.', {
+            key: row.key, reason: decoded.reason, row: row.version,
+          });
+        }
         break;
       default:
         decoded satisfies never;
--- a/packages/fleet/src/test/OperatorRowHandler.test.ts
+++ b/packages/fleet/src/test/OperatorRowHandler.test.ts
@@ -1,4 +1,4 @@
-import { expect, test } from 'vitest';
+import { expect, test, vi } from 'vitest';
 import {
   AvailabilityZoneId, ManualClock, RowVersion, type TableRow,
 } from '@dandelionlane/core';
@@ -90,3 +90,24 @@
   handler.handleChanges([row('configuration', 8)]);
   expect(configuration.table?.configuration.version).toBe(8);
 });
+
+// Guards against an entry that stops following the operators' table because of one row that cannot be read.
+test('an exception in one row leaves the other rows in force', () => {
+  const { configuration, handler } = create();
+  handler.handleSnapshot([row('not a zone', {}), row('configuration', 3), row('a', {})]);
+  expect(configuration.table?.configuration.version).toBe(3);
+  expect(handler.closedZones).toEqual(new Set([ZONE]));
+  handler.handleChanges([row('not a zone', {}), row('configuration', 4), row('a', null)]);
+  expect(configuration.table?.configuration.version).toBe(4);
+  expect(handler.closedZones).toEqual(new Set());
+});
+
+// Guards against a log that is flooded by one odd row, which is read again with each snapshot.
+test('an invalid row of an operator is logged once for each version', () => {
+  const { handler } = create();
+  const error = vi.spyOn(LOG, 'error');
+  handler.handleSnapshot([row('not a zone', {})]);
+  handler.handleSnapshot([row('not a zone', {})]);
+  handler.handleChanges([{ ...row('not a zone', {}), version: RowVersion.parse(2) }]);
+  expect(error).toHaveBeenCalledTimes(2);
+});
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -106,6 +106,60 @@
   expect(one.count()).toBe(2);
 });
 
+// Guards against callers that are directed to an odd address, and links that are opened to one.
+test.each([['callerAddress'], ['linkAddress']])('an entry row with an odd %s names no entry', async (field) => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const one = create('one', store, clock);
+  one.start();
+  const value = {
+    entry: 'odd', zone: 'zone', callerAddress: 'odd:1', linkAddress: 'odd:2', ready: true,
+  };
+  for (let beat = 0; beat < 3; beat += 1) {
+    const write = { table: 'entries', key: 'odd', value: { ...value, beat, [field]: 'odd:70000' } };
+    await store.commit({ conditions: [], writes: [write] });
+    await rounds(1, clock);
+  }
+  expect(one.readyAddresses()).toEqual(['one:1']);
+  expect(one.linkAddresses()).toEqual([]);
+});
+
+// Guards against callers that are directed elsewhere by a row under another key that names an entry.
+test('a row names only the entry of its key', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const one = create('one', store, clock);
+  one.start();
+  create('two', store, clock).start();
+  const value = {
+    entry: 'two', zone: 'zone', callerAddress: 'odd:1', linkAddress: 'odd:2', ready: true,
+  };
+  for (let beat = 0; beat < 3; beat += 1) {
+    await store.commit({ conditions: [], writes: [{ table: 'entries', key: 'zz', value: { ...value, beat } }] });
+    await rounds(1, clock);
+  }
+  expect(one.readyAddresses()).toEqual(['one:1', 'two:1']);
+  expect(one.linkAddresses()).toEqual(['two:2']);
+});
+
+// Guards against a log that is flooded by one odd row, which is read with each heartbeat.
+test('an invalid entry row is logged once for each version', async () => {
+  vi.useFakeTimers();
+  const warn = vi.spyOn(LOG, 'warn');
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const write = { table: 'entries', key: 'odd', value: { entry: 'odd' } };
+  await store.commit({ conditions: [], writes: [write] });
+  create('one', store, clock).start();
+  await rounds(3, clock);
+  expect(warn).toHaveBeenCalledTimes(1);
+  await store.commit({ conditions: [], writes: [write] });
+  await rounds(3, clock);
+  expect(warn).toHaveBeenCalledTimes(2);
+});
+
 test('a new entry does not list one of which only a stale row is left', async () => {
   vi.useFakeTimers();
   const store = new MemoryTableStore();
--- a/packages/groups/src/test/GroupStore.test.ts
+++ b/packages/groups/src/test/GroupStore.test.ts
@@ -1,5 +1,5 @@
 import { errAsync } from 'neverthrow';
-import { expect, test } from 'vitest';
+import { expect, test, vi } from 'vitest';
 import {
   Epoch, GroupName, MemoryTableStore, ModelName, ServiceId, ServingError, type TableTransaction,
 } from '@dandelionlane/core';
@@ -60,3 +60,31 @@
   expect((await store.save()).isOk()).toBe(true);
   expect(store.isSaved).toBe(true);
 });
+
+test('an invalid record is logged once for each version', async () => {
+  const error = vi.spyOn(LOG, 'error');
+  const rows = new LimitedStore();
+  await rows.commit({ conditions: [], writes: [{ table: 'groups', key: 'g1', value: { name: 1 } }] });
+  const store = new GroupStore(rows, LOG);
+  await store.load();
+  await store.load();
+  expect(error).toHaveBeenCalledTimes(1);
+});
+
+// Guards against a holder that cannot write a group, as a row under another key names the same one.
+test('a row names only the group of its key', async () => {
+  const rows = new LimitedStore();
+  const store = new GroupStore(rows, LOG);
+  const record = recordOf(1);
+  store.applyChanges([record], []);
+  await store.save();
+  await rows.commit({
+    conditions: [],
+    writes: [{ table: 'groups', key: 'zz', value: { ...record, epoch: Epoch.parse(9) } }],
+  });
+  const next = new GroupStore(rows, LOG);
+  await next.load();
+  expect(next.records).toEqual([record]);
+  next.applyChanges([{ ...record, epoch: Epoch.parse(3) }], []);
+  expect((await next.save()).isOk()).toBe(true);
+});
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -125,6 +125,41 @@
   expect(decodeFrame(EntryStatus, Buffer.of()).isErr()).toBe(true);
 });
 
+const ODD_ADDRESSES = ['10.0.0.1:70000', 'a b%\n:80', ''];
+
+// Guards against links that end because the holder passes on an odd address that another writer left.
+test.each(ODD_ADDRESSES)('entries and workers with the address %j are left out of a state', (address) => {
+  const group = {
+    worker: HEAD, service: 's', zone: 'z', domain: null, bornAt: 1, model: null, group: null,
+  };
+  const state = {
+    ...STATE,
+    entries: [{ ...LINKED_ENTRY, callerAddress: address }, LINKED_ENTRY],
+    groups: [{ ...group, address }, { ...group, address: 'a:1' }],
+  };
+  const frame = encodeFrame(new Packr({ useRecords: true }), state);
+  expect(decodeFrame(FleetState, frame)._unsafeUnwrap())
+    .toMatchObject({ entries: [LINKED_ENTRY], groups: [{ ...group, address: 'a:1' }] });
+});
+
+test.each(ODD_ADDRESSES)('a redirect to %j is not followed', (address) => {
+  const frame = encodeFrame(new Packr({ useRecords: true }), { kind: 'redirect', address });
+  expect(decodeFrame(HolderMessage, frame).isErr()).toBe(true);
+});
+
+// Guards against an entry whose rounds end with an exception while it knows an odd address of the holder.
+test.each(ODD_ADDRESSES)('a link to %j fails without an exception', (address) => {
+  let now = 0;
+  const client = new LinkClient({
+    log: LOG, now: () => now, onState: () => undefined, onRedirect: () => undefined, onLost: () => undefined,
+  });
+  closing.push(() => client.close());
+  client.maintain(address);
+  now += 1_000;
+  client.maintain(address);
+  expect(client.isIdle).toBe(true);
+});
+
 test('deflated frames are smaller and decode to the same state', () => {
   const packr = new Packr({ useRecords: true });
   const rows = Array.from({ length: 200 }, (_, index) => ({
@@ -181,6 +216,54 @@
   expect(client.isHealthy).toBe(false);
 });
 
+// Guards against a holder that stops sending states because of one row that cannot be encoded.
+test.each([
+  ['nested too deep', JSON.parse(`${'['.repeat(20_000)}${']'.repeat(20_000)}`) as unknown],
+  ['with reserved names', { constructor: 1, toJSON: 1 }],
+])('a row %s does not end the states on a link', async (_what, value) => {
+  const logged: string[] = [];
+  const server = new LinkServer({
+    host: '127.0.0.1',
+    port: 0,
+    log: { ...LOG, error: (message, fields) => logged.push(`${message} ${String(fields?.keys)}`) },
+    now: () => performance.now(),
+  });
+  closing.push(() => server.close());
+  const port = await server.listen();
+  const states: FleetState[] = [];
+  const client = new LinkClient({
+    log: LOG,
+    now: () => performance.now(),
+    onState: (state) => states.push(state),
+    onRedirect: () => undefined,
+    onLost: () => undefined,
+  });
+  closing.push(() => client.close());
+  await vi.waitFor(() => {
+    client.maintain(`127.0.0.1:${port}`);
+    client.send(status('a'));
+    expect(server.statuses()).toHaveLength(1);
+  });
+  const sound = {
+    table: 't', key: 'sound', version: RowVersion.parse(1), value: { a: 1 },
+  };
+  const rows = [sound, { ...sound, key: 'odd', value }];
+  const operators = { ...STATE.operators, rows };
+  const createSnapshot = () => ({
+    rows, entries: [LINKED_ENTRY], withdrawn: [], operators, promptParts: [], limits: [],
+  });
+  server.broadcast(STATE, createSnapshot);
+  server.broadcast({ ...STATE, rows }, createSnapshot);
+  server.broadcast({ ...STATE, operators }, createSnapshot);
+  server.broadcast(STATE, createSnapshot);
+  await vi.waitFor(() => expect(states).toHaveLength(4));
+  const sent = [sound, { ...sound, key: 'odd', value: 'unreadable' }];
+  expect(states.map((state) => [state.rows, state.operators.rows]))
+    .toEqual([[sent, sent], [sent, []], [[], sent], [[], []]]);
+  expect(logged).toEqual(['Rows cannot be sent. odd odd', 'Rows cannot be sent. odd', 'Rows cannot be sent. odd']);
+  expect(client.isHealthy).toBe(true);
+});
+
 test('a holder distinguishes an outage of its own from one for all entries', () => {
   expect(canOthersReachStore(3_000, [])).toBe(false);
   expect(canOthersReachStore(3_000, [2_600, 4_000])).toBe(false);
