--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -108,9 +108,15 @@
 
   #requests: RequestServer | null = null;
 
+  readonly #admissionQueue = new AdmissionQueue(this.#clock);
+
   constructor(targets: number) {
     this.states = new TargetStates(this.#clock);
     this.workers = new WorkerTable(this.#clock);
+    this.workers.onRemoved((worker) => {
+      this.states.drop(worker);
+      this.#connections.drop(worker);
+    });
     this.received = Array<number>(targets).fill(0);
   }
 
@@ -152,6 +158,30 @@
     };
   }
 
+  /** Puts a changed configuration in force. */
+  reconfigure(change: (configuration: FleetConfiguration) => FleetConfiguration): void {
+    const { table } = this.#configuration;
+    if (table !== null) {
+      const { configuration } = table;
+      this.#configuration.accept({ ...change(configuration), version: configuration.version + 1 });
+    }
+  }
+
+  /** Requests of callers in flight. */
+  get inFlight(): number {
+    return this.#requests?.inFlight ?? 0;
+  }
+
+  /** Requests that wait for a target. */
+  get waiting(): number {
+    return this.#admissionQueue.size;
+  }
+
+  /** Removes a target whose registration has ended; it goes on with its requests. */
+  removeTarget(index: number): void {
+    this.workers.remove(WorkerId.parse(`w${index}`));
+  }
+
   /** Starts the departure of the gateway: see `RequestServer.leave`. */
   leave(acceptsForMilliseconds: number, endsInMilliseconds: number): void {
     this.#requests?.leave({ acceptsForMilliseconds, endsInMilliseconds });
@@ -212,7 +242,7 @@
       budget: new RetryBudget(new ManualClock(), { ratio: 1, extra: 100, windowMilliseconds: 10_000 }),
       timings: new ModelTimings(),
       spentTimeEstimator: new SpentTimeEstimator(this.#clock),
-      admissionQueue: new AdmissionQueue(this.#clock),
+      admissionQueue: this.#admissionQueue,
       trafficMeter: new TrafficMeter(this.#clock),
       sharedTraffic: new SharedTraffic(this.#clock),
       closedZones: () => new Set(),
