Keep watch over streams at removed targets and services

What callers saw: a stream at a target that had stalled and whose registration then ended stayed there until its deadline, although another target was free: status 200 and cut, or 504 if no event had come.

Cause: the state of a removed target was dropped with its running streams, so that the stall detector no longer saw them. Their threshold was infinite as well once the worker was unknown, and also if a configuration removed the service of a worker that stayed registered.

The state is now kept while streams run at the target, and the threshold of an unknown worker or service is the longest of all services and models. The answer whether a stream can move is not changed.

--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -1,7 +1,6 @@
 import {
   SystemClock, SystemRandom, SuspendAwareClock, onShutdownSignal, type WorkerId,
 } from '@dandelionlane/core';
-import { stallThresholdMilliseconds } from '@dandelionlane/fleet';
 import {
   CrashReporter, SpentTimeEstimator, EntryRegistry, ModelTimings, PromptQuarantine, RetryBudget,
   RequestServer, StallDetector, SharedTraffic, TargetConnections, TargetStates, TrafficMeter, AdmissionQueue,
@@ -18,6 +17,7 @@
 import QuarantineStore from './QuarantineStore.js';
 import createCallerServer from './createCallerServer.js';
 import createFleetView from './createFleetView.js';
+import estimateStallThreshold from './estimateStallThreshold.js';
 import leaveGracefully from './leaveGracefully.js';
 import listenHono from './listenHono.js';
 import logUnhandledErrors from './logUnhandledErrors.js';
@@ -125,14 +125,9 @@
     log: logFor('requests'),
     metrics,
   });
-  const stallThreshold = (worker: WorkerId, unreadTokens: number): number => {
-    const known = workers.get(worker);
-    const service = known === undefined
-      ? undefined : configuration.table?.configuration.services.get(known.worker.service);
-    return known === undefined || service === undefined || service.engine === null
-      ? Number.POSITIVE_INFINITY
-      : stallThresholdMilliseconds(service.engine, known.models[0] ?? null, unreadTokens);
-  };
+  const stallThreshold = (worker: WorkerId, unreadTokens: number) => (
+    estimateStallThreshold(workers.get(worker), configuration.table?.configuration.services, unreadTokens)
+  );
   const stallDetector = new StallDetector({ states, clock, stallThreshold });
   coordinator = new Coordinator({
     settings,
--- a/packages/gateway/src/lib/targets/TargetStates.ts
+++ b/packages/gateway/src/lib/targets/TargetStates.ts
@@ -108,13 +108,14 @@
   }
 
   /**
-   * Removes the state of a target that is gone. While requests to it are held off the state is kept,
-   * as the target may register again.
+   * Removes the state of a target that is gone. It is kept while requests are held off, as the target may
+   * register again, and while streams run there, as they still have to move away if it stalls.
    */
   drop(worker: WorkerId): void {
     this.#dropped.add(worker);
     this.#dropped.forEach((id) => {
-      if (this.#states.get(id)?.isHeldOff !== true) {
+      const state = this.#states.get(id);
+      if (state === undefined || (!state.isHeldOff && state.streams.size === 0)) {
         this.#states.delete(id);
         this.#dropped.delete(id);
       }
