--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -2,7 +2,6 @@
 import {
   SystemClock, SystemRandom, SuspendAwareClock, onShutdownSignal, type WorkerId,
 } from '@dandelionlane/core';
-import { stallThresholdMilliseconds } from '@dandelionlane/fleet';
 import {
   CrashReporter, SpentTimeEstimator, EntryRegistry, ModelTimings, PromptQuarantine, RetryBudget,
   RequestServer, StallDetector, SharedTraffic, TargetConnections, TargetStates, TrafficMeter, AdmissionQueue,
@@ -19,6 +18,7 @@
 import GroupControl from './GroupControl.js';
 import QuarantineStore from './QuarantineStore.js';
 import createFleetView from './createFleetView.js';
+import estimateStallThreshold from './estimateStallThreshold.js';
 import leaveGracefully from './leaveGracefully.js';
 import listenHono from './listenHono.js';
 import logUnhandledErrors from './logUnhandledErrors.js';
@@ -129,14 +129,9 @@
     log: logFor('requests'),
     metrics,
   });
-  const stallThreshold = (worker: WorkerId, unreadTokens: number): number => {
-    const known = workers.get(worker);
-    const service = known === undefined
-      ? undefined : configuration.table?.configuration.services.get(known.worker.service);
-    return known === undefined || service === undefined || service.engine === null
-      ? Number.POSITIVE_INFINITY
-      : stallThresholdMilliseconds(service.engine, known.models[0] ?? null, unreadTokens);
-  };
+  const stallThreshold = (worker: WorkerId, unreadTokens: number) => (
+    estimateStallThreshold(workers.get(worker), configuration.table?.configuration.services, unreadTokens)
+  );
   const stallDetector = new StallDetector({ states, clock, stallThreshold });
   coordinator = new Coordinator({
     settings,
