--- a/packages/fleet-entry/src/test/createCallerServer.test.ts
+++ b/packages/fleet-entry/src/test/callerLimits.test.ts
@@ -1,13 +1,13 @@
 import {
-  Agent, request as sendRequest, type ClientRequest, type IncomingMessage, type Server, type ServerResponse,
+  Agent, request as sendRequest, type ClientRequest, type IncomingMessage, type ServerResponse,
 } from 'node:http';
 import { once } from 'node:events';
-import type { AddressInfo } from 'node:net';
 import { text } from 'node:stream/consumers';
-import { afterEach, expect, test } from 'vitest';
+import {
+  afterEach, expect, test, vi,
+} from 'vitest';
 import { ConfigurationHolder, type FleetConfiguration } from '@dandelionlane/fleet';
-import type { RequestServer } from '@dandelionlane/gateway';
-import createCallerServer from '../lib/createCallerServer.js';
+import CallerServer from '../lib/CallerServer.js';
 
 const LONG_MILLISECONDS = 60_000;
 
@@ -16,13 +16,17 @@
 
 type Handler = (incoming: IncomingMessage, outgoing: ServerResponse) => void;
 
-let server: Server | undefined;
+const HOST = '127.0.0.1';
+
+let server: CallerServer | undefined;
+let port = 0;
+let requests = 0;
 let agent: Agent | undefined;
 
 afterEach(() => {
   agent?.destroy();
-  server?.closeAllConnections();
-  server?.close();
+  server?.stopListening();
+  server?.closeUnused();
 });
 
 function createConfiguration(version: number, milliseconds: number): FleetConfiguration {
@@ -42,13 +46,17 @@
   const configuration = new ConfigurationHolder();
   let version = 1;
   configuration.accept(createConfiguration(version, milliseconds));
-  const handle = (incoming: IncomingMessage, outgoing: ServerResponse) => {
-    handler(incoming, outgoing);
-    return Promise.resolve();
-  };
-  server = createCallerServer({ handle } as unknown as RequestServer, configuration);
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
+  requests = 0;
+  server = new CallerServer({
+    inFlight: 0,
+    endAll: () => undefined,
+    handle: (incoming, outgoing) => {
+      requests += 1;
+      handler(incoming, outgoing);
+      return Promise.resolve();
+    },
+  }, configuration);
+  port = await server.listen({ host: HOST, port: 0 });
   agent = new Agent({ keepAlive: true, maxSockets: 1 });
   return (changed) => {
     version += 1;
@@ -57,9 +65,8 @@
 }
 
 function open(path: string, connections: Agent | undefined = agent): ClientRequest {
-  const { port } = server?.address() as AddressInfo;
   return sendRequest({
-    host: '127.0.0.1', port, path, method: 'POST', agent: connections, headers: { 'content-length': 4 },
+    host: HOST, port, path, method: 'POST', agent: connections, headers: { 'content-length': 4 },
   });
 }
 
@@ -91,7 +98,7 @@
   const outgoing = open('/half');
   const answer = readAnswer(outgoing);
   outgoing.write('bo');
-  await once(server as Server, 'request');
+  await vi.waitUntil(() => requests === 1);
   change(1);
   await send(open('/', new Agent()));
   await idle();
