Test: attempts beside each other at the end of an entry and of a target (failing)

At the end of an entry: its answer is followed by a reset, where the relay still fails the stream or writes a failure answer of a target; a stream that was refused as not run is sent once its trial is granted. Beside a silent target: an attempt that has been lost does not count while the end of its target is checked. Plain requests: where a route names no target latency, each runs twice; a slow answer to a request that may run once counts as a failure.

--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -120,15 +120,18 @@
   /**
    * Starts a gateway and its targets.
    * @param repeats Budget of repeats, of which nine tenths are used.
+   * @param targetLatency Target latency of the route, in ms.
    */
   static async start(
     kind: RequestKind,
     scripts: readonly TargetScript[],
     maximumAttempts = 2,
     repeats = 100,
+    targetLatency = 100,
   ): Promise<TestGateway> {
     const gateway = new TestGateway(scripts.length);
-    await gateway.#start(kind, scripts, maximumAttempts, repeats);
+    gateway.#configuration.accept(TestGateway.#configure(kind, maximumAttempts, targetLatency));
+    await gateway.#start(kind, scripts, repeats);
     return gateway;
   }
 
@@ -202,7 +205,6 @@
   async #start(
     kind: RequestKind,
     scripts: readonly TargetScript[],
-    maximumAttempts: number,
     repeats: number,
   ): Promise<void> {
     for (const [index, script] of scripts.entries()) {
@@ -213,7 +215,6 @@
       this.#servers.push(server);
       this.workers.put(TestGateway.#worker(index, addressOf(server), kind.kind === 'stream'));
     }
-    this.#configuration.accept(TestGateway.#configure(kind, maximumAttempts));
     const { quarantine } = this;
     const metrics = new MetricsRegistry();
     const requests = new RequestServer({
@@ -265,7 +266,7 @@
     };
   }
 
-  static #configure(kind: RequestKind, maximumAttempts: number): FleetConfiguration {
+  static #configure(kind: RequestKind, maximumAttempts: number, targetLatency: number): FleetConfiguration {
     return {
       version: 1,
       routes: [{
@@ -274,7 +275,7 @@
         prefix: '/a/',
         request: kind,
         timeoutMilliseconds: 2_000,
-        targetLatencyMilliseconds: 100,
+        targetLatencyMilliseconds: targetLatency,
         priority: 1,
         maximumAttempts,
         services: [{ service: SERVICE, weight: 1 }],
--- a/packages/gateway/src/test/endOfEntry.test.ts
+++ b/packages/gateway/src/test/endOfEntry.test.ts
@@ -1,7 +1,10 @@
-import { connect } from 'node:net';
+import { Socket, connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { afterEach, expect, test } from 'vitest';
-import TestGateway, { type TargetScript } from './TestGateway.js';
+import {
+  afterEach, expect, test, vi,
+} from 'vitest';
+import { PromptPartId, SystemClock } from '@dandelionlane/core';
+import TestGateway, { type CallerAnswer, type TargetScript } from './TestGateway.js';
 
 const STREAM = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
 
@@ -114,3 +117,58 @@
   expect(await gateway.call({ 'x-deadline': '1' })).toMatchObject({ status: 503 });
   expect(gateway.received).toEqual([0]);
 });
+
+/** Ends the gateway once all targets have got a request. Returns its answer and the resets of connections. */
+async function endUnderRequest(started: TestGateway): Promise<{ answer: CallerAnswer; resets: number }> {
+  const reset = vi.spyOn(Socket.prototype, 'resetAndDestroy');
+  const answered = started.call();
+  await waitUntil(() => started.received.every((count) => count > 0));
+  await sleep(50);
+  started.endAll();
+  const answer = await answered;
+  await sleep(50);
+  const resets = reset.mock.calls.length;
+  reset.mockRestore();
+  return { answer, resets };
+}
+
+// Guards against a reset that overtakes the answer which the end of the entry has written.
+test('the answer to a stream at the end of the entry is not followed by a reset', async () => {
+  const started = await TestGateway.start({ ...STREAM, resumable: false }, [silent]);
+  gateway = started;
+  expect(await endUnderRequest(started)).toMatchObject({ answer: { status: 504, cut: false }, resets: 0 });
+});
+
+// Guards against a second answer, the failure of a target, after the one that the end of the entry wrote.
+test('a request with a failure answer gets one answer at the end of the entry', async () => {
+  const fail: TargetScript = (_incoming, outgoing) => {
+    outgoing.writeHead(500, { 'x-id': 'r1', 'x-signed': '1' }).end('failed');
+  };
+  const started = await TestGateway.start({ kind: 'idempotent' }, [fail, silent]);
+  gateway = started;
+  started.states.of('w1' as never).latencyMilliseconds = 1_000;
+  expect(await endUnderRequest(started)).toMatchObject({ answer: { status: 504, cut: false }, resets: 0 });
+});
+
+// Guards against a run of a request that the end of the entry has refused as not run.
+test('a stream that waits for the trial of a part is not sent after the end of the entry', async () => {
+  const started = await TestGateway.start({ ...STREAM, resumable: false }, [silent]);
+  gateway = started;
+  const { quarantine } = started;
+  const part = PromptPartId.parse('deadly');
+  const target = started.states.of('w0' as never);
+  target.outstanding = 20;
+  const answer = started.call({ 'x-parts': part });
+  await sleep(100);
+  const now = new SystemClock().monotonicMilliseconds();
+  [33_000, 32_000, 31_000].forEach((age, index) => quarantine.recordCrash({
+    id: `c${index}` as never, bornAt: 1, at: now - age,
+  }, [part]));
+  target.outstanding = 0;
+  await sleep(100);
+  started.endAll();
+  expect(await answer).toMatchObject({ status: 503 });
+  quarantine.grantTrials([part]);
+  await sleep(200);
+  expect(started.received).toEqual([0]);
+});
--- a/packages/gateway/src/test/silentTargets.test.ts
+++ b/packages/gateway/src/test/silentTargets.test.ts
@@ -1,6 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { afterEach, expect, test } from 'vitest';
+import {
+  afterEach, expect, test, vi,
+} from 'vitest';
 import { PromptPartId, SystemClock, WorkerId } from '@dandelionlane/core';
+import CrashReporter from '../lib/quarantine/CrashReporter.js';
 import TestGateway, { type CallerAnswer, type TargetScript } from './TestGateway.js';
 
 const RESUMABLE = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
@@ -78,6 +81,12 @@
 
 const POLL_MILLISECONDS = 5;
 
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await sleep(POLL_MILLISECONDS);
+  }
+}
+
 interface SilentCall {
   readonly headers?: Record<string, string>;
   readonly streams?: number;
@@ -186,3 +195,30 @@
   silent.goOn();
   expect(await answer).toMatchObject({ status: 200, cut: false });
 });
+
+// Guards against a third run of a stream with two attempts, one of which has just been lost.
+test('a lost attempt counts while the end of its target is checked', async () => {
+  let loseFirst = (): void => undefined;
+  const loses: TargetScript = (incoming) => {
+    loseFirst = () => incoming.socket.resetAndDestroy();
+  };
+  const silent = new SilentTarget(0);
+  gateway = await TestGateway.start(RESUMABLE, [loses, silent.script, serveRest]);
+  gateway.states.of(WorkerId.parse('w2')).outstanding = 2;
+  gateway.states.of(WorkerId.parse('w1')).outstanding = 1;
+  const answer = gateway.call();
+  const { streams: lost } = gateway.states.of(FIRST);
+  const { streams: left } = gateway.states.of(WorkerId.parse('w1'));
+  await waitUntil(() => gateway.received[0] === 1);
+  [...lost].forEach((stream) => stream.stalled());
+  await waitUntil(() => gateway.received[1] === 1);
+  const check = vi.spyOn(CrashReporter.prototype, 'reportLoss').mockImplementation(() => sleep(MOVE_MILLISECONDS));
+  loseFirst();
+  await waitUntil(() => lost.size === 0);
+  [...left].forEach((stream) => stream.stalled());
+  await sleep(MOVE_MILLISECONDS);
+  silent.goOn();
+  expect(await answer).toMatchObject({ status: 200, body: eventsFrom(1), cut: false });
+  expect(gateway.received).toEqual([1, 1, 0]);
+  check.mockRestore();
+});
--- a/packages/gateway/src/test/slowTargets.test.ts
+++ b/packages/gateway/src/test/slowTargets.test.ts
@@ -42,3 +42,17 @@
   expect(await gateway.call()).toMatchObject({ status: 200, body: 'late' });
   expect(gateway.received).toEqual([1, 1]);
 });
+
+// Guards against a second run of each request of a route that names no target latency.
+test('an idempotent request of a route without a target latency stays at its target', async () => {
+  gateway = await TestGateway.start(IDEMPOTENT, [answerAfter(200, 'a'), answerAfter(200, 'a')], 2, 100, 0);
+  expect(await gateway.call()).toMatchObject({ status: 200, body: 'a' });
+  expect(gateway.received).toEqual([1, 0]);
+});
+
+// Guards against the avoidance of a target that only serves requests that take long and may run once.
+test('a slow answer to a request that may run once is no failure', async () => {
+  gateway = await TestGateway.start({ kind: 'non-idempotent' }, [answerAfter(500, 'late')]);
+  expect(await gateway.call()).toMatchObject({ status: 200, body: 'late' });
+  expect(gateway.states.of(WorkerId.parse('w0')).failureRate).toBe(0);
+});
