Send a stream right after its target has been chosen

A stream that had waited for a target asked once more for the passage of its prompt's parts, for up to 0.5 s, and was then sent, whatever had come meanwhile: its entry may have refused it as not run at the end of the grace period, its caller may have left, and its target may have been taken or withdrawn. An attempt that starts after the abort is never told of it.

Cause: an await between a check and what rests on it. The parts are now looked up without one; where one is held back, the stream asks from the start and chooses anew.

--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -101,17 +101,15 @@
       if (choice.kind === 'none') {
         return this.#mayHaveRun() ? this.#fail(choice.reason) : this.#refuse(createRefusal(choice));
       }
-      // A part may have been quarantined while the request waited.
-      const quarantinedMeanwhile = await this.#refuseQuarantined();
-      if (quarantinedMeanwhile !== null) {
-        return quarantinedMeanwhile;
-      }
-      if (this.#deliveries > 0 && !this.#tryRetry()) {
-        return this.#fail('no repeat left in the budget');
-      }
-      const outcome = await this.#runAttempts(choice, signal);
-      if (outcome !== null) {
-        return signal.aborted ? 'caller-gone' : outcome;
+      // A part may have been quarantined while the request waited; it then asks again, and chooses anew.
+      if (!this.#isHeldBack) {
+        if (this.#deliveries > 0 && !this.#tryRetry()) {
+          return this.#fail('no repeat left in the budget');
+        }
+        const outcome = await this.#runAttempts(choice, signal);
+        if (outcome !== null) {
+          return signal.aborted ? 'caller-gone' : outcome;
+        }
       }
     }
     return 'caller-gone';
@@ -133,6 +131,11 @@
     }));
   }
 
+  /** Whether a part of the prompt is held back now. */
+  get #isHeldBack(): boolean {
+    return this.#context.quarantine.find(this.#call.metadata.sharedPromptParts) !== null;
+  }
+
   /** Chooses a target; queues for one where none is free. */
   async #choose(signal: AbortSignal): Promise<Choice> {
     const choose = () => pickTarget(this.#context, this.#call, this.#excluded, this.#hasStarted);
@@ -258,7 +261,7 @@
     if (!this.#canRetry() || this.#refusals >= MAXIMUM_REFUSALS) {
       return 'attempts';
     }
-    if (this.#context.quarantine.find(this.#call.metadata.sharedPromptParts) !== null) {
+    if (this.#isHeldBack) {
       return 'prompt-quarantined';
     }
     const tried = new Set([
