Leave the answer alone that the end of an entry has written

Callers of streams that may not be resumed, and of idempotent requests one target of which had failed, could lose the 504 that their entry wrote at the end of its grace period: a reset of the connection followed it at once.

Cause: the end of the entry aborts a request and answers it; the relay then hears that its attempts have ended, and fails the request in its turn. A stream whose head had been sent was taken for one that had begun, and the failure answer of a target was written after the answer, which throws. Both do nothing now once the answer is there; the same holds for an attempt that ends after another one has completed the stream.

Two tests in endOfEntry.test.ts failed before with one reset each.

--- a/packages/gateway/src/lib/relay/PlainRelay.ts
+++ b/packages/gateway/src/lib/relay/PlainRelay.ts
@@ -250,10 +250,14 @@
     ));
   }
 
+  /** Passes an answer on. Does nothing when this entry has answered the request itself, at its end. */
   #writeAnswer({
     status, headers, body, head,
   }: CompleteAnswer): void {
     const { method, outgoing } = this.#call;
+    if (outgoing.headersSent) {
+      return;
+    }
     const forwarded = removeHopByHopHeaders(headers);
     if (method !== 'HEAD' && head.framed) {
       forwarded['content-length'] = String(body.length);
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -211,7 +211,8 @@
     while (this.#running.size > 0) {
       const { attempt, end } = await this.#running.nextEnd();
       await this.#reportEnd(attempt, end);
-      outcome = this.#recordEnd(attempt, end) ?? outcome;
+      const ended = this.#recordEnd(attempt, end);
+      outcome ??= ended;
     }
     return outcome;
   }
@@ -344,9 +345,15 @@
     return error.kind;
   }
 
-  /** Fails a stream that cannot continue: aborts its answer if that has begun, refuses it otherwise. */
+  /**
+   * Fails a stream that cannot continue: aborts its answer if that has begun, refuses it otherwise.
+   * Does nothing when the answer has ended, be it by another attempt or by the end of this entry.
+   */
   #fail(reason: string): string {
     const { outgoing, log } = this.#call;
+    if (outgoing.writableEnded) {
+      return 'answered';
+    }
     log.set('detail', reason);
     if (this.#leftTarget !== null && this.#remainingMilliseconds() > 0) {
       log.set('leftTarget', this.#leftTarget);
