Count a lost attempt while the end of its target is checked

Cause: an await between the end of an attempt and its record. It is now a part of the attempt. The test in silentTargets.test.ts failed before: two requests received by the lost target.

--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -210,7 +210,7 @@
     let outcome: string | null = null;
     while (this.#running.size > 0) {
       const { attempt, end } = await this.#running.nextEnd();
-      await this.#reportEnd(attempt, end);
+      this.#call.log.addAttempt(describeStreamAttempt(attempt, end, this.#context.clock));
       const ended = this.#recordEnd(attempt, end);
       outcome ??= ended;
     }
@@ -244,6 +244,8 @@
     if (lateModel !== null) {
       trafficMeter.recordLateEnd(lateModel);
     }
+    // Awaited before the attempt counts as ended, so that none starts meanwhile in its place.
+    await this.#reportLoss(attempt, end);
     return end;
   }
 
@@ -279,9 +281,9 @@
     return null;
   }
 
-  async #reportEnd(attempt: StreamAttempt, end: StreamAttemptOutcome): Promise<void> {
+  /** Reports the loss of a connection under a stream that was not under way. */
+  async #reportLoss(attempt: StreamAttempt, end: StreamAttemptOutcome): Promise<void> {
     const { log, metadata: { sharedPromptParts } } = this.#call;
-    log.addAttempt(describeStreamAttempt(attempt, end, this.#context.clock));
     if (end.kind === 'broken' && end.connectionLost && !attempt.isUnderWay) {
       log.set('sharedPromptParts', sharedPromptParts.join(' '));
       await this.#context.crashReporter.reportLoss(attempt.choice.candidate.entry.worker, sharedPromptParts);
