Let an answer be overdue only where another target may be tried

Each idempotent request of a route that names no target latency ran at two targets at once, as three times nothing had passed after a millisecond. A request that may run once counted as a failure of its target once it took three target latencies, though it ended well, so that slow but sound targets were avoided.

The answer to such requests is never overdue now. Two tests in slowTargets.test.ts failed before.

--- a/packages/gateway/src/lib/relay/PlainExchange.ts
+++ b/packages/gateway/src/lib/relay/PlainExchange.ts
@@ -21,8 +21,8 @@
   readonly usesNewConnection: boolean;
   /** Time until the deadline of the request, in ms. */
   readonly timeoutMilliseconds: number;
-  /** Time after which the answer is overdue, in ms. */
-  readonly overdueMilliseconds: number;
+  /** Time after which the answer is overdue, in ms; null if it never is. */
+  readonly overdueMilliseconds: number | null;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
   /** Called when the answer is overdue, and again and again until it is there. */
@@ -65,7 +65,7 @@
       this.#resolve = resolve;
     });
     const onAbort = () => this.#abandon('caller left');
-    let overdueTimer = setTimeout(() => {
+    let overdueTimer = overdueMilliseconds === null ? undefined : setTimeout(() => {
       onOverdue();
       overdueTimer = setInterval(onOverdue, OVERDUE_PERIOD_MILLISECONDS);
     }, overdueMilliseconds);
--- a/packages/gateway/src/lib/relay/PlainRelay.ts
+++ b/packages/gateway/src/lib/relay/PlainRelay.ts
@@ -134,7 +134,7 @@
       choice,
       usesNewConnection: !this.#isIdempotent,
       timeoutMilliseconds: timerUntil(context.clock, call.deadlineAt),
-      overdueMilliseconds: call.route.targetLatencyMilliseconds * OVERDUE_FACTOR,
+      overdueMilliseconds: this.#overdueMilliseconds,
       signal,
       onOverdue: () => {
         if (!isOverdue) {
@@ -147,9 +147,16 @@
     this.#running.add(exchange, exchange.run());
   }
 
+  /** Time after which an answer is overdue, in ms; null where it may run once or has no target latency. */
+  get #overdueMilliseconds(): number | null {
+    const { targetLatencyMilliseconds } = this.#call.route;
+    return this.#isIdempotent && targetLatencyMilliseconds > 0
+      ? targetLatencyMilliseconds * OVERDUE_FACTOR : null;
+  }
+
   /** Starts another exchange beside those that run, if all that it needs is there now. */
   #startBeside(signal: AbortSignal): void {
-    if (!this.#isIdempotent || this.#refusals >= MAXIMUM_REFUSALS
+    if (this.#refusals >= MAXIMUM_REFUSALS
       || this.#executions + this.#running.size >= this.#call.route.maximumAttempts) {
       return;
     }
