--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -101,17 +101,15 @@
       if (choice.kind === 'none') {
         return this.#mayHaveRun() ? this.#fail(choice.reason) : this.#refuse(createRefusal(choice));
       }
-      // A part may have been quarantined while the request waited.
-      const quarantinedMeanwhile = await this.#refuseQuarantined();
-      if (quarantinedMeanwhile !== null) {
-        return quarantinedMeanwhile;
-      }
-      if (this.#deliveries > 0 && !this.#tryRetry()) {
-        return this.#fail('no repeat left in the budget');
-      }
-      const outcome = await this.#runAttempts(choice, signal);
-      if (outcome !== null) {
-        return signal.aborted ? 'caller-gone' : outcome;
+      // A part may have been quarantined while the request waited; it then asks again, and chooses anew.
+      if (!this.#isHeldBack) {
+        if (this.#deliveries > 0 && !this.#tryRetry()) {
+          return this.#fail('no repeat left in the budget');
+        }
+        const outcome = await this.#runAttempts(choice, signal);
+        if (outcome !== null) {
+          return signal.aborted ? 'caller-gone' : outcome;
+        }
       }
     }
     return 'caller-gone';
@@ -133,6 +131,11 @@
     }));
   }
 
+  /** Whether a part of the prompt is held back now. */
+  get #isHeldBack(): boolean {
+    return this.#context.quarantine.find(this.#call.metadata.sharedPromptParts) !== null;
+  }
+
   /** Chooses a target; queues for one where none is free. */
   async #choose(signal: AbortSignal): Promise<Choice> {
     const choose = () => pickTarget(this.#context, this.#call, this.#excluded, this.#hasStarted);
@@ -207,8 +210,9 @@
     let outcome: string | null = null;
     while (this.#running.size > 0) {
       const { attempt, end } = await this.#running.nextEnd();
-      await this.#reportEnd(attempt, end);
-      outcome = this.#recordEnd(attempt, end) ?? outcome;
+      this.#call.log.addAttempt(describeStreamAttempt(attempt, end, this.#context.clock));
+      const ended = this.#recordEnd(attempt, end);
+      outcome ??= ended;
     }
     return outcome;
   }
@@ -240,6 +244,8 @@
     if (lateModel !== null) {
       trafficMeter.recordLateEnd(lateModel);
     }
+    // Awaited before the attempt counts as ended, so that none starts meanwhile in its place.
+    await this.#reportLoss(attempt, end);
     return end;
   }
 
@@ -258,7 +264,7 @@
     if (!this.#canRetry() || this.#refusals >= MAXIMUM_REFUSALS) {
       return 'attempts';
     }
-    if (this.#context.quarantine.find(this.#call.metadata.sharedPromptParts) !== null) {
+    if (this.#isHeldBack) {
       return 'prompt-quarantined';
     }
     const tried = new Set([
@@ -275,9 +281,9 @@
     return null;
   }
 
-  async #reportEnd(attempt: StreamAttempt, end: StreamAttemptOutcome): Promise<void> {
+  /** Reports the loss of a connection under a stream that was not under way. */
+  async #reportLoss(attempt: StreamAttempt, end: StreamAttemptOutcome): Promise<void> {
     const { log, metadata: { sharedPromptParts } } = this.#call;
-    log.addAttempt(describeStreamAttempt(attempt, end, this.#context.clock));
     if (end.kind === 'broken' && end.connectionLost && !attempt.isUnderWay) {
       log.set('sharedPromptParts', sharedPromptParts.join(' '));
       await this.#context.crashReporter.reportLoss(attempt.choice.candidate.entry.worker, sharedPromptParts);
@@ -341,9 +347,15 @@
     return error.kind;
   }
 
-  /** Fails a stream that cannot continue: aborts its answer if that has begun, refuses it otherwise. */
+  /**
+   * Fails a stream that cannot continue: aborts its answer if that has begun, refuses it otherwise.
+   * Does nothing when the answer has ended, be it by another attempt or by the end of this entry.
+   */
   #fail(reason: string): string {
     const { outgoing, log } = this.#call;
+    if (outgoing.writableEnded) {
+      return 'answered';
+    }
     log.set('detail', reason);
     if (this.#leftTarget !== null && this.#remainingMilliseconds() > 0) {
       log.set('leftTarget', this.#leftTarget);
