End a leaving entry only when no connection is left on which a request can come

What callers saw: an entry that was stopped in calm ended 4.2 s after SIGTERM with requests unanswered that a worker had run, among them requests that may not be repeated. The log did not mention them.

Cause: what was awaited between "nothing is in flight" and the end. The entry found itself idle, awaited the store for up to 0.3 s, then its log, and ended without looking again, while it still listened and read requests on open connections. Besides, a request counted as over when its answer had been written, not when it had been sent.

Fix: the call to the store runs beside the service of requests. After it, and once nothing is in flight, the entry stops listening and closes each connection on which nothing is read or sent, right after the event loop has read what had arrived. It ends when no connection is left, so that what is awaited later, such as the log, can meet no request. Node's notion of an idle connection does not fit: one on which nothing was ever sent is not idle to it, and one whose answer is still being sent is, so that `close` of an HTTP server cuts it.

--- a/packages/fleet-entry/src/lib/leaveGracefully.ts
+++ b/packages/fleet-entry/src/lib/leaveGracefully.ts
@@ -8,7 +8,7 @@
  */
 const MINIMUM_LEAVE_MILLISECONDS = 4_000;
 
-/** Longest wait for the last call to the store, in ms; the rest of the margin is for ending the process. */
+/** Longest wait for the last call to the store, in ms. */
 const DEREGISTRATION_TIMEOUT_MILLISECONDS = 300;
 
 const POLL_PERIOD_MILLISECONDS = 50;
@@ -18,7 +18,7 @@
   readonly clock: Clock;
   /** Time from the signal until the process is killed, in ms. */
   readonly graceMilliseconds: number;
-  readonly callers: Pick<CallerServer, 'inFlight' | 'stopListening'>;
+  readonly callers: Pick<CallerServer, 'inFlight' | 'open' | 'stopListening' | 'closeUnused'>;
   /** Announces that this entry is leaving. May take long, as the store may be unavailable. */
   readonly announce: () => Promise<unknown>;
   /** Removes the registration of this entry. May take long, as the store may be unavailable. */
@@ -31,22 +31,43 @@
   });
 }
 
+/** Resolves right after the event loop has read what had arrived on all connections. */
+function readArrived(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
 /**
- * Leaves within the grace period: waits until the in-flight requests have finished or the period is
- * nearly over. Never waits for the store beyond the grace period, and never rejects because of the
- * store: `announce` and `deregister` report their own failures.
+ * Leaves within the grace period: serves until no request is in flight and all connections of callers
+ * are closed, or until the period is nearly over. Whatever is awaited, requests may begin meanwhile, so the
+ * last step looks once more and awaits nothing after that. Never waits for the store beyond the grace
+ * period: `announce` and `deregister` report their own failures.
  */
 export default async function leaveGracefully({
   clock, graceMilliseconds, callers, announce, deregister,
 }: LeaveOptions): Promise<void> {
   const startedAt = clock.monotonicMilliseconds();
+  const endsAfterMilliseconds = graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
   const elapsed = () => clock.monotonicMilliseconds() - startedAt;
-  const isOver = () => (callers.inFlight === 0 && elapsed() >= MINIMUM_LEAVE_MILLISECONDS)
-    || elapsed() >= graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
+  const isOver = () => elapsed() >= endsAfterMilliseconds;
+  const waitFor = async (condition: () => boolean) => {
+    while (!condition() && !isOver()) {
+      await sleep(POLL_PERIOD_MILLISECONDS);
+    }
+  };
   const announced = announce();
-  while (!isOver()) {
-    await sleep(POLL_PERIOD_MILLISECONDS);
-  }
-  await Promise.race([announced.then(deregister), sleep(DEREGISTRATION_TIMEOUT_MILLISECONDS)]);
+  await waitFor(() => (callers.inFlight === 0 && elapsed() >= MINIMUM_LEAVE_MILLISECONDS)
+    || elapsed() >= endsAfterMilliseconds - DEREGISTRATION_TIMEOUT_MILLISECONDS);
+  let isDeregistered = false;
+  void Promise.race([announced.then(deregister), sleep(DEREGISTRATION_TIMEOUT_MILLISECONDS)]).finally(() => {
+    isDeregistered = true;
+  });
+  await waitFor(() => isDeregistered && callers.inFlight === 0);
   callers.stopListening();
+  do {
+    await sleep(POLL_PERIOD_MILLISECONDS);
+    await readArrived();
+    callers.closeUnused();
+  } while (callers.open > 0 && !isOver());
 }
