Answer the requests that outlast the grace period of a leaving entry

Callers of requests that were still running at the end of the grace period got no answer: the process ended and their connections with it, also for requests that had not been sent to a worker, or whose worker was lost at that moment, and for those that may not be repeated. Other operators saw the same in a planned stop.

Cause: the end of the grace period only ended the wait. Nobody told the requests, though most could still be answered.

Now they are ended first: an entry stops working on them, then answers 504 to what a worker may have run and 503 with Retry-After to what none had, and refuses what comes later, however short its deadline. Only an answer that has begun is cut. Up to 0.1 s of the margin is for sending; the log names each. With a grace period of less than 3.7 s, requests that came after its end were taken like any other; they are refused now.

departure.test.ts "a request that outlasts the grace period gets an answer" and five tests in endOfEntry.test.ts failed with the new step taken out: no answer, the answer of another step after the end, or none at all.

--- a/packages/fleet-entry/src/lib/CallerServer.ts
+++ b/packages/fleet-entry/src/lib/CallerServer.ts
@@ -20,14 +20,14 @@
 
 /** The server that callers connect to. Applies the limits of the configuration in force. */
 export default class CallerServer {
-  readonly #requests: Pick<RequestServer, 'handle' | 'inFlight'>;
+  readonly #requests: Pick<RequestServer, 'handle' | 'inFlight' | 'endAll'>;
 
   readonly #server: Server;
 
   readonly #connections = new Map<Socket, CallerConnection>();
 
   constructor(
-    requests: Pick<RequestServer, 'handle' | 'inFlight'>,
+    requests: Pick<RequestServer, 'handle' | 'inFlight' | 'endAll'>,
     configuration: Pick<ConfigurationHolder, 'table'>,
   ) {
     this.#requests = requests;
@@ -75,6 +75,11 @@
     NetServer.prototype.close.call(this.#server);
   }
 
+  /** Ends the requests in flight: those without an answer get one, and answers that have begun are cut. */
+  endAll(): void {
+    this.#requests.endAll();
+  }
+
   /** Closes the connections on which nothing has been read that waits for an answer. */
   closeUnused(): void {
     [...this.#connections]
--- a/packages/fleet-entry/src/lib/leaveGracefully.ts
+++ b/packages/fleet-entry/src/lib/leaveGracefully.ts
@@ -13,12 +13,15 @@
 
 const POLL_PERIOD_MILLISECONDS = 50;
 
+/** Longest wait for the last answers to be sent, in ms; the rest of the margin is for ending the process. */
+const SENDING_MILLISECONDS = 100;
+
 /** Options of `leaveGracefully`. */
 interface LeaveOptions {
   readonly clock: Clock;
   /** Time from the signal until the process is killed, in ms. */
   readonly graceMilliseconds: number;
-  readonly callers: Pick<CallerServer, 'inFlight' | 'open' | 'stopListening' | 'closeUnused'>;
+  readonly callers: Pick<CallerServer, 'inFlight' | 'open' | 'stopListening' | 'closeUnused' | 'endAll'>;
   /** Announces that this entry is leaving. May take long, as the store may be unavailable. */
   readonly announce: () => Promise<unknown>;
   /** Removes the registration of this entry. May take long, as the store may be unavailable. */
@@ -31,6 +34,12 @@
   });
 }
 
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await sleep(POLL_PERIOD_MILLISECONDS);
+  }
+}
+
 /** Resolves right after the event loop has read what had arrived on all connections. */
 function readArrived(): Promise<void> {
   return new Promise((resolve) => {
@@ -51,23 +60,21 @@
   const endsAfterMilliseconds = graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
   const elapsed = () => clock.monotonicMilliseconds() - startedAt;
   const isOver = () => elapsed() >= endsAfterMilliseconds;
-  const waitFor = async (condition: () => boolean) => {
-    while (!condition() && !isOver()) {
-      await sleep(POLL_PERIOD_MILLISECONDS);
-    }
-  };
   const announced = announce();
-  await waitFor(() => (callers.inFlight === 0 && elapsed() >= MINIMUM_LEAVE_MILLISECONDS)
+  await waitUntil(() => (callers.inFlight === 0 && elapsed() >= MINIMUM_LEAVE_MILLISECONDS)
     || elapsed() >= endsAfterMilliseconds - DEREGISTRATION_TIMEOUT_MILLISECONDS);
   let isDeregistered = false;
   void Promise.race([announced.then(deregister), sleep(DEREGISTRATION_TIMEOUT_MILLISECONDS)]).finally(() => {
     isDeregistered = true;
   });
-  await waitFor(() => isDeregistered && callers.inFlight === 0);
+  await waitUntil(() => (isDeregistered && callers.inFlight === 0) || isOver());
   callers.stopListening();
   do {
     await sleep(POLL_PERIOD_MILLISECONDS);
     await readArrived();
     callers.closeUnused();
   } while (callers.open > 0 && !isOver());
+  callers.endAll();
+  await waitUntil(() => callers.inFlight === 0 || elapsed() >= endsAfterMilliseconds + SENDING_MILLISECONDS);
+  callers.closeUnused();
 }
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -206,7 +206,6 @@
     coordinator.stop();
     servers.forEach((server) => server?.close());
     connections.close();
-    requests.logCut();
     log.info('Entry stopped.', {
       running: callers.inFlight,
       connections: callers.open,
--- a/packages/fleet-entry/src/test/LeavingServer.ts
+++ b/packages/fleet-entry/src/test/LeavingServer.ts
@@ -4,6 +4,9 @@
 import CallerServer from '../lib/CallerServer.js';
 import leaveGracefully from '../lib/leaveGracefully.js';
 
+/** Answer to requests that are still running at the end. */
+export const LATE_ANSWER = 'late';
+
 const HOST = '127.0.0.1';
 const GRACE_MILLISECONDS = 8_000;
 
@@ -46,6 +49,8 @@
 
   #port = 0;
 
+  readonly #unanswered = new Set<ServerResponse>();
+
   readonly #sockets = new Set<Socket>();
 
   readonly #serverSockets = new Set<Socket>();
@@ -62,12 +67,15 @@
           incoming.once('end', resolve);
           incoming.once('close', resolve);
         });
+        this.#unanswered.add(outgoing);
         await handler(outgoing);
+        this.#unanswered.delete(outgoing);
         this.#inFlight -= 1;
       },
       get inFlight() {
         return running();
       },
+      endAll: () => this.#unanswered.forEach((outgoing) => outgoing.end(LATE_ANSWER)),
     }, { table: null });
   }
 
--- a/packages/fleet-entry/src/test/departure.test.ts
+++ b/packages/fleet-entry/src/test/departure.test.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, expect, test } from 'vitest';
-import LeavingServer, { type Handler } from './LeavingServer.js';
+import LeavingServer, { LATE_ANSWER, type Handler } from './LeavingServer.js';
 
 const LARGE_ANSWER = 'x'.repeat(16 * 1_024 * 1_024);
 const END = 'last byte';
@@ -78,6 +78,18 @@
   expect((await caller.received).endsWith(END)).toBe(true);
 });
 
+// Guards against requests that ran and got no answer, as their entry ended at the end of the grace period.
+test('a request that outlasts the grace period gets an answer', async () => {
+  const leaving = await start(() => new Promise(() => {
+    // Simulates a target that does not answer.
+  }));
+  const caller = await leaving.connect();
+  caller.send();
+  await waitUntil(() => leaving.started === 1);
+  expect(await leaving.leave()).toBeLessThan(8_000);
+  expect(await caller.received).toContain(LATE_ANSWER);
+});
+
 test.each([
   ['that has sent nothing', 0], ['that waits after an answer', 1],
 ])('a connection %s does not delay leaving', async (_name, requests) => {
--- a/packages/fleet-entry/src/test/leaveGracefully.test.ts
+++ b/packages/fleet-entry/src/test/leaveGracefully.test.ts
@@ -16,6 +16,7 @@
     },
     stopListening: () => undefined,
     closeUnused: () => undefined,
+    endAll: () => undefined,
   };
 }
 
--- a/packages/gateway/src/lib/requests/RequestServer.ts
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -6,14 +6,13 @@
 import type Call from './Call.js';
 import CallLog from './CallLog.js';
 import type GatewayContext from './GatewayContext.js';
-import type ReceivedRequest from './ReceivedRequest.js';
+import type RunningRequest from './RunningRequest.js';
 import admitCall from './admitCall.js';
+import endRequest from './endRequest.js';
 import readBody from './readBody.js';
+import LEAVING_RETRY_SECONDS from './LEAVING_RETRY_SECONDS.js';
 import writeRefusal from './writeRefusal.js';
 
-/** Time after which a caller that a leaving entry refused may retry at another one, in s. */
-const LEAVING_RETRY_SECONDS = 0.1;
-
 /** Schedule of the departure of an entry, relative to now. */
 interface DepartureSchedule {
   /** Time for which requests are accepted regardless of their deadline, in ms. */
@@ -30,9 +29,6 @@
   readonly endsAt: number;
 }
 
-/** A request in flight. */
-type RunningRequest = Omit<ReceivedRequest, 'table'>;
-
 /** Serves the requests of callers, from the head to the final answer. */
 export default class RequestServer {
   readonly #context: GatewayContext;
@@ -56,22 +52,32 @@
    */
   leave({ acceptsForMilliseconds, endsInMilliseconds }: DepartureSchedule): void {
     const now = this.#context.clock.monotonicMilliseconds();
-    this.#departure = { refusesFrom: now + acceptsForMilliseconds, endsAt: now + endsInMilliseconds };
+    this.#departure = {
+      refusesFrom: now + Math.min(acceptsForMilliseconds, endsInMilliseconds),
+      endsAt: now + endsInMilliseconds,
+    };
   }
 
-  /** Logs the requests that the end of the process cuts. */
-  logCut(): void {
-    const { clock, log } = this.#context;
-    const now = clock.monotonicMilliseconds();
-    this.#running.forEach(({
-      metadata, receivedAt, outgoing, log: callLog,
-    }) => {
-      log.warn('Request is cut by the end of the process.', {
+  /**
+   * Ends the requests in flight, right before the end of the process: those without an answer get one, and
+   * answers that have begun are cut. Requests that come later are refused.
+   */
+  endAll(): void {
+    const now = this.#context.clock.monotonicMilliseconds();
+    this.#departure = { refusesFrom: now, endsAt: now };
+    [...this.#running].filter(({ outgoing }) => !outgoing.destroyed).forEach((request) => {
+      const {
+        outgoing, metadata, receivedAt, log,
+      } = request;
+      const hasBegun = outgoing.headersSent;
+      Object.assign(request, { endedAs: endRequest(request) });
+      this.#context.log.warn('Request is cut by the end of the process.', {
         request: metadata.requestId,
         milliseconds: Math.round(now - receivedAt),
-        sentTo: callLog.lastTarget ?? undefined,
+        sentTo: log.lastTarget ?? undefined,
+        begun: hasBegun,
         status: outgoing.headersSent ? outgoing.statusCode : undefined,
-        ...callLog.fields,
+        ...log.fields,
       });
     });
   }
@@ -83,13 +89,19 @@
     const metadata = this.#context.wire.readCall(incoming.headers);
     const callLog = new CallLog();
     const request: RunningRequest = {
-      incoming, outgoing, metadata, receivedAt, log: callLog,
+      incoming,
+      outgoing,
+      metadata,
+      receivedAt,
+      log: callLog,
+      abandonment: new AbortController(),
+      endedAs: null,
     };
     this.#running.add(request);
     if (this.#departure !== null) {
       outgoing.setHeader('connection', 'close');
     }
-    const outcome = await this.#serve(request).catch((cause: unknown) => {
+    const served = await this.#serve(request).catch((cause: unknown) => {
       const error = new ServingError('request failed inside the gateway', { kind: 'internal', cause });
       log.error('Request failed inside the gateway.', { reason: cause instanceof Error ? cause.stack : String(cause) });
       if (outgoing.headersSent) {
@@ -100,6 +112,7 @@
       return 'internal';
     });
     this.#running.delete(request);
+    const outcome = request.endedAs ?? served;
     const milliseconds = Math.round(clock.monotonicMilliseconds() - receivedAt);
     metrics.count('gateway.requests', 1, [`outcome:${outcome}`]);
     metrics.timing('gateway.request', milliseconds);
@@ -135,14 +148,13 @@
     if (admitted.isErr()) {
       return refuse(admitted.error);
     }
-    return this.#dispatch({ ...admitted.value, body: read.body });
+    return this.#dispatch({ ...admitted.value, body: read.body }, received.abandonment);
   }
 
-  async #dispatch(call: Call): Promise<string> {
-    const disconnection = new AbortController();
+  async #dispatch(call: Call, abandonment: AbortController): Promise<string> {
     call.outgoing.once('close', () => {
       if (!call.outgoing.writableFinished) {
-        disconnection.abort();
+        abandonment.abort();
       }
     });
     if (call.outgoing.destroyed) {
@@ -159,7 +171,7 @@
     }
     this.#context.budget.recordRequest(call.service);
     return call.route.request.kind === 'stream'
-      ? new StreamRelay(this.#context, call).serve(disconnection.signal)
-      : new PlainRelay(this.#context, call).serve(disconnection.signal);
+      ? new StreamRelay(this.#context, call).serve(abandonment.signal)
+      : new PlainRelay(this.#context, call).serve(abandonment.signal);
   }
 }
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -157,6 +157,11 @@
     this.#requests?.leave({ acceptsForMilliseconds, endsInMilliseconds });
   }
 
+  /** Ends all requests: see `RequestServer.endAll`. */
+  endAll(): void {
+    this.#requests?.endAll();
+  }
+
   /** Stops a target: connections to it are refused. */
   stopTarget(index: number): void {
     const server = this.#servers[index];
--- /dev/null
+++ b/packages/gateway/src/test/endOfEntry.test.ts
@@ -0,0 +1,96 @@
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, expect, test } from 'vitest';
+import TestGateway, { type TargetScript } from './TestGateway.js';
+
+const STREAM = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
+
+let gateway: TestGateway | undefined;
+
+afterEach(() => gateway?.stop());
+
+const silent: TargetScript = () => undefined;
+
+const begin: TargetScript = (_incoming, outgoing) => {
+  outgoing.writeHead(200, { 'x-id': 'r1', 'x-signed': '1' });
+  outgoing.write('id: 1\ndata: e1\n\n');
+};
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await sleep(5);
+  }
+}
+
+// Guards against requests that ran and got no answer, as their entry ended at the end of the grace period.
+test.each([
+  ['idempotent request', { kind: 'idempotent' }],
+  ['request that may run once', { kind: 'non-idempotent' }],
+  ['stream', STREAM],
+] as const)('a %s that a target still has is answered at the end of the entry', async (_name, kind) => {
+  let isAbandoned = false;
+  const started = await TestGateway.start(kind, [(incoming) => {
+    incoming.socket.once('close', () => {
+      isAbandoned = true;
+    });
+  }], 1);
+  gateway = started;
+  const answer = started.call();
+  await waitUntil(() => started.received[0] === 1);
+  started.endAll();
+  expect(await answer).toMatchObject({
+    status: 504, cut: false, body: expect.stringContaining('entry ends') as string,
+  });
+  await waitUntil(() => isAbandoned);
+});
+
+test('a stream that waits for a target is refused at the end of the entry', async () => {
+  const started = await TestGateway.start(STREAM, [silent]);
+  gateway = started;
+  Object.assign(started.states.of('w0' as never), { outstanding: 20 });
+  const answer = started.call();
+  await sleep(100);
+  started.endAll();
+  expect(await answer).toMatchObject({ status: 503, cut: false, retryAfter: '0.1' });
+  Object.assign(started.states.of('w0' as never), { outstanding: 0 });
+  await sleep(200);
+  expect(started.received).toEqual([0]);
+});
+
+test('a stream that has begun does not look complete at the end of the entry', async () => {
+  const started = await TestGateway.start(STREAM, [begin]);
+  gateway = started;
+  const answer = started.call();
+  await waitUntil(() => started.received[0] === 1);
+  await sleep(100);
+  started.endAll();
+  expect(await answer).toMatchObject({ status: 200, cut: true });
+});
+
+test('a request whose body has been read in part is refused at the end of the entry', async () => {
+  const started = await TestGateway.start({ kind: 'idempotent' }, [silent]);
+  gateway = started;
+  const [host, port] = started.address.split(':');
+  const socket = connect(Number(port), host);
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString();
+  });
+  socket.write('POST /a/b HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nbo');
+  await sleep(100);
+  started.endAll();
+  await waitUntil(() => received !== '');
+  expect(received).toContain(' 503 ');
+  socket.write('dy');
+  await sleep(100);
+  expect(started.received).toEqual([0]);
+  socket.destroy();
+});
+
+test('a request that comes at the end of the entry is refused, however short its deadline', async () => {
+  gateway = await TestGateway.start({ kind: 'idempotent' }, [silent]);
+  gateway.leave(60_000, 60_000);
+  gateway.endAll();
+  expect(await gateway.call({ 'x-deadline': '1' })).toMatchObject({ status: 503 });
+  expect(gateway.received).toEqual([0]);
+});
