Close the connections of answers that are under way when an entry begins to leave

Callers kept the connection of a request that the entry had read before SIGTERM, as its answer did not say `Connection: close`, and lost it without notice seconds later, when the entry ended. A request that crosses that close is not run, but fails.

Cause: the header was set when a request was read. It is now also set on the answers in flight that have not begun. The test in endOfEntry.test.ts failed before: the answer had no such header.

--- a/packages/gateway/src/lib/requests/RequestServer.ts
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -56,6 +56,9 @@
       refusesFrom: now + Math.min(acceptsForMilliseconds, endsInMilliseconds),
       endsAt: now + endsInMilliseconds,
     };
+    [...this.#running].filter(({ outgoing }) => !outgoing.headersSent).forEach(({ outgoing }) => {
+      outgoing.setHeader('connection', 'close');
+    });
   }
 
   /**
--- a/packages/gateway/src/test/endOfEntry.test.ts
+++ b/packages/gateway/src/test/endOfEntry.test.ts
@@ -22,6 +22,26 @@
   }
 }
 
+// Guards against connections that a leaving entry closes though callers expect them to stay open.
+test('an answer to a request from before the departure closes its connection', async () => {
+  const started = await TestGateway.start({ kind: 'idempotent' }, [(_incoming, outgoing) => {
+    started.leave(60_000, 60_000);
+    outgoing.writeHead(200, { 'x-id': 'r1', 'x-signed': '1' });
+    outgoing.end('done');
+  }]);
+  gateway = started;
+  const [host, port] = started.address.split(':');
+  const socket = connect(Number(port), host);
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString().toLowerCase();
+  });
+  socket.write('POST /a/b HTTP/1.1\r\nhost: h\r\nx-id: r1\r\ncontent-length: 4\r\n\r\nbody');
+  await waitUntil(() => received.includes('done'));
+  expect(received).toContain('connection: close');
+  socket.destroy();
+});
+
 // Guards against requests that ran and got no answer, as their entry ended at the end of the grace period.
 test.each([
   ['idempotent request', { kind: 'idempotent' }],
