Write the last lines of the log before an entry ends

The last lines of an entry could be missing, `Entry stopped.` and those of the last requests among them: a stop could then not be told from an end by itself.

Cause: `flush` resolved at once while an earlier write was running, and the process ended before the lines that had come meanwhile were written. It resolves now when they are. As that may take longer, an entry waits for its log 0.3 s at most, within the margin before it is killed.

LineWriter.test.ts "a flush during another write resolves when all lines are written" failed before: the file was still empty.

--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   SystemClock, SystemRandom, SuspendAwareClock, onShutdownSignal, type WorkerId,
 } from '@dandelionlane/core';
@@ -34,6 +35,9 @@
  */
 const ACCEPTING_MILLISECONDS = 3_000;
 
+/** Longest wait for the last lines of the log, in ms, as its reader may be slow. */
+const LOG_TIMEOUT_MILLISECONDS = 300;
+
 /** Starts an entry process: the servers, the view of the fleet and the contention for the group control. */
 export default function startFleetEntry(settings: FleetEntrySettings, ports: FleetEntryPorts): void {
   const clock = new SystemClock();
@@ -211,7 +215,7 @@
       connections: callers.open,
       milliseconds: Math.round(clock.monotonicMilliseconds() - leavingSince),
     });
-    await writer.flush();
+    await Promise.race([writer.flush(), sleep(LOG_TIMEOUT_MILLISECONDS)]);
     // Requests that outlast the grace period hold sockets open.
     // eslint-disable-next-line n/no-process-exit -- ends the process while sockets are open
     process.exit(0);
--- a/packages/telemetry/src/lib/LineWriter.ts
+++ b/packages/telemetry/src/lib/LineWriter.ts
@@ -23,6 +23,9 @@
 
   #isFlushScheduled = false;
 
+  /** Callbacks of flushes that began during a write. */
+  #waiting: (() => void)[] = [];
+
   constructor(descriptor: number) {
     this.#descriptor = descriptor;
   }
@@ -41,8 +44,8 @@
   }
 
   /**
-   * Writes the buffered lines now. Resolves once they are written or the write has failed, and
-   * at once while another write is running, which writes them when it ends.
+   * Writes the buffered lines now, after those of a write that is running. Resolves once they are written
+   * or a write has failed.
    */
   flush(): Promise<void> {
     return new Promise((resolve) => {
@@ -52,8 +55,12 @@
 
   #flush(done: () => void = () => undefined): void {
     this.#isFlushScheduled = false;
-    if (this.#isWriting || this.#bufferedLines.length === 0) {
-      done();
+    if (this.#isWriting) {
+      this.#waiting.push(done);
+      return;
+    }
+    if (this.#bufferedLines.length === 0) {
+      this.#settle(done);
       return;
     }
     const lines = this.#droppedLines === 0
@@ -70,7 +77,7 @@
       this.#isWriting = false;
       if (error !== null && (error).code !== 'EAGAIN') {
         // The log has no reader any more, and there is nowhere else to report that.
-        done();
+        this.#settle(done);
         return;
       }
       const rest = data.subarray(error === null ? written : 0);
@@ -82,4 +89,12 @@
       this.#flush(done);
     });
   }
+
+  /** Ends a flush, and those that waited for it. */
+  #settle(done: () => void): void {
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    done();
+    waiting.forEach((resolve) => resolve());
+  }
 }
