--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -38,6 +38,7 @@
 export { default as TeamId } from './lib/ids/TeamId.js';
 export { default as VMId } from './lib/ids/VMId.js';
 export { default as WorkerId } from './lib/ids/WorkerId.js';
+export { default as OpenConnections } from './lib/process/OpenConnections.js';
 export { default as hasSignificantlyMoreCores } from './lib/process/hasSignificantlyMoreCores.js';
 export { default as onShutdownSignal } from './lib/process/onShutdownSignal.js';
 export { default as repeatWork } from './lib/process/repeatWork.js';
