Send the answers of a stopping entry before its connections are closed

An answer that a caller was still reading was cut when the entry stopped, and one connection on which nothing was ever sent held the stop, as `server.close` waits for it.

Cause: the same as at the end of a fleet entry: an answer counted as over when it had ended, not when it had been sent, and Node's idea of an idle connection covers the former and not the latter. `closeHTTP` asks `OpenConnections` now, and waits for callers that do not read as long as streams do (`limits.slowCallerTimeoutMilliseconds`).

--- a/packages/core/src/lib/process/OpenConnections.ts
+++ b/packages/core/src/lib/process/OpenConnections.ts
@@ -54,6 +54,13 @@
       });
   }
 
+  /** Closes all connections. Answers that have not been sent are cut. */
+  closeAll(): void {
+    const sockets = [...this.#states.keys()];
+    this.#states.clear();
+    sockets.forEach((socket) => socket.destroy());
+  }
+
   #trackAnswer(socket: Socket, outgoing: ServerResponse): void {
     const state = this.#states.get(socket);
     if (state !== undefined) {
--- a/packages/entry/src/lib/startEntry.ts
+++ b/packages/entry/src/lib/startEntry.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createAdaptorServer } from '@hono/node-server';
-import { Incarnation, type EntryRecord } from '@dandelionlane/core';
+import { Incarnation, OpenConnections, type EntryRecord } from '@dandelionlane/core';
 import { createLog } from '@dandelionlane/telemetry';
 import createAdministrationApplication from './administration/createAdministrationApplication.js';
 import createCallerApplication from './callers/createCallerApplication.js';
@@ -57,13 +57,14 @@
   { settings, ...runtime }: EntryRuntime,
   { release, group }: EntryComponents,
   token: string,
-): Promise<{ readonly server: Server; readonly address: string }> {
+): Promise<{ readonly connections: OpenConnections; readonly address: string }> {
   const { host, port } = settings.administration;
   const application = createAdministrationApplication({
     region: settings.region, token, release, group, ...runtime,
   });
   const server = createAdaptorServer({ fetch: application.fetch }) as Server;
-  return { server, address: await listenHTTP(server, host, port) };
+  const connections = new OpenConnections(server);
+  return { connections, address: await listenHTTP(server, host, port) };
 }
 
 async function waitUntilDrained(server: RequestServer): Promise<void> {
@@ -125,7 +126,9 @@
       stopPeriodicTasks();
       group.stop();
       admission.stop();
-      await Promise.all([callerPort.close(), closeHTTP(administration.server)]);
+      const { slowCallerTimeoutMilliseconds } = settings.limits;
+      await Promise.all([callerPort.connections, administration.connections].map((connections) => (
+        closeHTTP(connections, { clock, slowCallerTimeoutMilliseconds }))));
       await transport.close();
       await runtime.close();
     },
--- a/packages/entry/src/lib/startup/CallerPort.ts
+++ b/packages/entry/src/lib/startup/CallerPort.ts
@@ -1,8 +1,8 @@
 import type { Server } from 'node:http';
 import { createAdaptorServer } from '@hono/node-server';
+import { OpenConnections } from '@dandelionlane/core';
 import type createCallerApplication from '../callers/createCallerApplication.js';
 import type EntrySettings from '../settings/EntrySettings.js';
-import closeHTTP from './closeHTTP.js';
 import listenHTTP from './listenHTTP.js';
 
 const STATUS_UNAVAILABLE = 503;
@@ -15,6 +15,8 @@
 
   readonly #server: Server;
 
+  readonly #connections: OpenConnections;
+
   #application: CallerApplication | undefined;
 
   constructor(settings: EntrySettings) {
@@ -30,6 +32,7 @@
         requestTimeout: receiveTimeoutMilliseconds,
       },
     }) as Server;
+    this.#connections = new OpenConnections(this.#server);
   }
 
   /** Resolves to the bound `host:port`. */
@@ -42,7 +45,7 @@
     this.#application = application;
   }
 
-  close(): Promise<void> {
-    return closeHTTP(this.#server);
+  get connections(): OpenConnections {
+    return this.#connections;
   }
 }
--- a/packages/entry/src/lib/startup/closeHTTP.ts
+++ b/packages/entry/src/lib/startup/closeHTTP.ts
@@ -1,9 +1,26 @@
-import type { Server } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Clock, OpenConnections } from '@dandelionlane/core';
 
-/** Stops a server from accepting connections, and resolves when its responses in flight have ended. */
-export default function closeHTTP(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
+const POLL_MILLISECONDS = 20;
+
+/** Options of `closeHTTP`. */
+interface CloseOptions {
+  readonly clock: Clock;
+  /** Time after which connections are closed whose callers do not read their answers, in ms. */
+  readonly slowCallerTimeoutMilliseconds: number;
+}
+
+/** Stops a server from accepting connections, and resolves when its answers have been sent. */
+export default async function closeHTTP(
+  connections: OpenConnections,
+  { clock, slowCallerTimeoutMilliseconds }: CloseOptions,
+): Promise<void> {
+  const closesAt = clock.monotonicMilliseconds() + slowCallerTimeoutMilliseconds;
+  connections.stopListening();
+  connections.closeUnused();
+  while (connections.count > 0 && clock.monotonicMilliseconds() < closesAt) {
+    await delay(POLL_MILLISECONDS);
+    connections.closeUnused();
+  }
+  connections.closeAll();
 }
