Let a group without replacements finish its streams while a member is silent

Streams were cut at a group one member of which had missed its probes, some 0.4 s after it had fallen silent, though there was no worker to replace it, so that nothing was gained by it. Found by reading, in a search for the cause of the lost streams elsewhere: giving up what one has for something that one may not get.

The head of such a group is now told to finish what runs and to take nothing new. Its streams are cut after 2.5 s, as those of a former head are, or as soon as the member is known to be gone.

--- a/packages/groups/src/lib/plan/planReformation.ts
+++ b/packages/groups/src/lib/plan/planReformation.ts
@@ -5,6 +5,7 @@
 import MAXIMUM_FORMER_HEADS from './MAXIMUM_FORMER_HEADS.js';
 import type MemberReference from './MemberReference.js';
 import type FreeWorkerPool from './FreeWorkerPool.js';
+import FINISH_TIMEOUT_MILLISECONDS from './FINISH_TIMEOUT_MILLISECONDS.js';
 import findFaultyMembers from './findFaultyMembers.js';
 import findStragglers from './findStragglers.js';
 import findUnrecordedFormations from './findUnrecordedFormations.js';
@@ -34,8 +35,15 @@
   });
 }
 
-/** Closes a stalled group for which there are no replacements yet. */
-function planClose(record: GroupRecord, observation: FleetObservation): readonly GroupStep[] {
+/**
+ * Closes a stalled group for which there are no replacements yet. Lost members that are merely silent may
+ * go on, so that its running requests get time to finish.
+ */
+function planClose(
+  record: GroupRecord,
+  observation: FleetObservation,
+  removed: readonly MemberReference[],
+): readonly GroupStep[] {
   const [head] = record.members;
   const observed = head === undefined ? undefined : observation.findAnswering(head);
   const state = observed?.report?.group?.state;
@@ -43,11 +51,16 @@
     || (state !== 'open' && state !== 'closing')) {
     return [];
   }
+  const mayGoOn = removed.every((member) => observation.livenessOf(member) !== 'gone')
+    && (state === 'open' || observed.groupStateMilliseconds <= FINISH_TIMEOUT_MILLISECONDS);
+  if (mayGoOn && state === 'closing') {
+    return [];
+  }
   return [{
     kind: 'order',
     worker: observed.worker.id,
     order: {
-      kind: 'close', group: record.name, epoch: record.epoch, strategy: 'cut',
+      kind: 'close', group: record.name, epoch: record.epoch, strategy: mayGoOn ? 'finish' : 'cut',
     },
     loadsWeights: false,
   }];
@@ -82,7 +95,7 @@
     && observation.livenessOf(member) !== 'alive');
   const newcomers = pool.take(domain, record.model, record.members.length - survivors.length);
   if (newcomers === null || head === undefined) {
-    return stalled ? planClose(record, observation) : [];
+    return stalled ? planClose(record, observation, removed) : [];
   }
   return [{
     kind: 'write',
--- a/packages/groups/src/lib/plan/planRelease.ts
+++ b/packages/groups/src/lib/plan/planRelease.ts
@@ -2,9 +2,7 @@
 import type FormerHead from './FormerHead.js';
 import type GroupRecord from './GroupRecord.js';
 import type GroupStep from './GroupStep.js';
-
-/** Time that a head gets to finish its running requests before they are aborted, in ms. */
-const FINISH_TIMEOUT_MILLISECONDS = 2_500;
+import FINISH_TIMEOUT_MILLISECONDS from './FINISH_TIMEOUT_MILLISECONDS.js';
 
 /**
  * Plans the next order that releases a former head from its formation; none when it has left or does
