Test: a holder keeps the lease while its workers go on (failing)

A holder gives the lease up at the end of a silence of all workers: streams go on at once, while the workers are probed again only up to 0.7 s later, so that they look silent to the holder alone.

--- a/packages/groups/src/test/commonSilence.test.ts
+++ b/packages/groups/src/test/commonSilence.test.ts
@@ -53,6 +53,19 @@
   expect(epochs()).toEqual(formed);
 });
 
+// Guards against a lease that is given up as the first streams go on after a silence of all workers.
+test('a holder keeps the lease while its workers go on after a silence', async () => {
+  const { fleet, heads, goOn } = await silenceAll();
+  await fleet.rounds(SHORT_SILENCE_ROUNDS);
+  goOn();
+  for (let round = 0; round < SHORT_SILENCE_ROUNDS; round += 1) {
+    heads.forEach((head) => fleet.progress(head));
+    await fleet.round();
+  }
+  fleet.stop();
+  expect(fleet.resignations).toBe(0);
+});
+
 test('a holder that others bypass gives the lease up', async () => {
   const { fleet, heads } = await silenceAll();
   for (let round = 0; round < SHORT_SILENCE_ROUNDS && fleet.resignations === 0; round += 1) {
