End a link when a state on it is not applied

An entry that failed to apply a state of the holder stayed linked without the rows of it, which come once: the exception left the handler of the message. No such failure is known; the handlers of rows no longer throw.

The link now ends with a line in the log. The first state of the next one has all rows, and meanwhile the entry reads the store as after any loss of its link.

The test failed on the code before (uncaught RangeError, the link kept).

--- a/packages/links/src/lib/LinkClient.ts
+++ b/packages/links/src/lib/LinkClient.ts
@@ -158,7 +158,13 @@
       this.#isEstablished = true;
       this.#options.log.info('Linked to the holder.', { holder: state.holder });
     }
-    this.#options.onState(state);
+    try {
+      this.#options.onState(state);
+    } catch (error) {
+      // Rows may be missing now; the first state of the next link has all of them.
+      this.#options.log.error('State of the holder was not applied.', { reason: String(error) });
+      this.#disconnect('state not applied');
+    }
   }
 
   #disconnect(reason: string): void {
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -216,6 +216,38 @@
   expect(client.isHealthy).toBe(false);
 });
 
+// Guards against an entry that stays linked although it has missed rows of a state that it failed to apply.
+test('a link ends when a state on it is not applied', async () => {
+  const server = new LinkServer({
+    host: '127.0.0.1', port: 0, log: LOG, now: () => performance.now(),
+  });
+  closing.push(() => server.close());
+  const port = await server.listen();
+  let lost = 0;
+  const client = new LinkClient({
+    log: LOG,
+    now: () => performance.now(),
+    onState: () => {
+      throw new RangeError('odd');
+    },
+    onRedirect: () => undefined,
+    onLost: () => {
+      lost += 1;
+    },
+  });
+  closing.push(() => client.close());
+  await vi.waitFor(() => {
+    client.maintain(`127.0.0.1:${port}`);
+    client.send(status('a'));
+    expect(server.statuses()).toHaveLength(1);
+  });
+  server.broadcast(STATE, () => ({
+    rows: [], entries: [], withdrawn: [], operators: STATE.operators, promptParts: [], limits: [],
+  }));
+  await vi.waitFor(() => expect(lost).toBe(1));
+  expect(client.isIdle).toBe(true);
+});
+
 // Guards against a holder that stops sending states because of one row that cannot be encoded.
 test.each([
   ['nested too deep', JSON.parse(`${'['.repeat(20_000)}${']'.repeat(20_000)}`) as unknown],
