Leave large rows of another writer out of a full message

With some 70 rows of the size that the platform allows, 64 KiB, among the registrations, the first message of each link would have been larger than receivers accept: the link ended, again and again, and every entry read the store itself.

A message that is too large is encoded again with registrations of more than 8 KiB as unreadable ones, of which the holder logs the keys (`Rows cannot be sent.`). Usual ones have some hundred bytes. Rows of operators stay whole.

The test sends 100 rows of 60,000 bytes beside a sound one; on the code before no state arrived.

--- a/packages/links/src/lib/LinkServer.ts
+++ b/packages/links/src/lib/LinkServer.ts
@@ -18,7 +18,10 @@
 /** Age from which a link is redirected while another entry holds the lease, in ms: two messages. */
 const REDIRECT_AGE_MILLISECONDS = 250;
 
-/** Value of a row whose own value cannot be encoded. */
+/** Largest registration that is sent where not all fit, in bytes: more than ten times the usual size. */
+const MAXIMUM_REGISTRATION_BYTES = 8 * 1_024;
+
+/** Value of a row whose own value cannot be sent. */
 const UNREADABLE = 'unreadable';
 
 /** Options of a `LinkServer`. */
@@ -141,8 +144,8 @@
     try {
       return encodeFrame(this.#packr, state, format);
     } catch (error) {
-      const rows = state.rows.map((row) => this.#toSendable(row));
-      const operatorRows = state.operators.rows.map((row) => this.#toSendable(row));
+      const rows = state.rows.map((row) => this.#toSendable(row, MAXIMUM_REGISTRATION_BYTES));
+      const operatorRows = state.operators.rows.map((row) => this.#toSendable(row, MAXIMUM_FRAME_BYTES));
       this.#options.log.error('Rows cannot be sent.', {
         keys: [...state.rows, ...state.operators.rows]
           .filter((row) => !rows.includes(row) && !operatorRows.includes(row)).map(({ key }) => key).join(' '),
@@ -153,11 +156,10 @@
     }
   }
 
-  /** A row, with a text in place of a value that cannot be encoded: its reader rejects that. */
-  #toSendable(row: TableRow): TableRow {
+  /** A row, with a text in place of a value that cannot be sent: its reader rejects that. */
+  #toSendable(row: TableRow, maximumBytes: number): TableRow {
     try {
-      this.#packr.pack(row);
-      return row;
+      return this.#packr.pack(row).length <= maximumBytes ? row : { ...row, value: UNREADABLE };
     } catch {
       return { ...row, value: UNREADABLE };
     }
--- a/packages/links/src/test/links.test.ts
+++ b/packages/links/src/test/links.test.ts
@@ -296,6 +296,43 @@
   expect(client.isHealthy).toBe(true);
 });
 
+// Guards against links that end at each first message, as the rows of another writer do not fit into it.
+test('large rows of another writer leave room for the others', async () => {
+  const server = new LinkServer({
+    host: '127.0.0.1', port: 0, log: LOG, now: () => performance.now(),
+  });
+  closing.push(() => server.close());
+  const port = await server.listen();
+  const states: FleetState[] = [];
+  const client = new LinkClient({
+    log: LOG,
+    now: () => performance.now(),
+    onState: (state) => states.push(state),
+    onRedirect: () => undefined,
+    onLost: () => undefined,
+  });
+  closing.push(() => client.close());
+  await vi.waitFor(() => {
+    client.maintain(`127.0.0.1:${port}`);
+    client.send(status('a'));
+    expect(server.statuses()).toHaveLength(1);
+  });
+  const row = (key: string, value: unknown) => ({
+    table: 'servers', key, version: RowVersion.parse(1), value,
+  });
+  const rows = [
+    ...Array.from({ length: 100 }, (_, index) => row(`odd-${index}`, { extra: 'x'.repeat(60_000) })),
+    row('sound', { a: 1 }),
+  ];
+  server.broadcast(STATE, () => ({
+    rows, entries: [], withdrawn: [], operators: STATE.operators, promptParts: [], limits: [],
+  }));
+  await vi.waitFor(() => expect(states).toHaveLength(1));
+  expect(states[0]?.rows.at(-1)).toEqual(row('sound', { a: 1 }));
+  expect(states[0]?.rows[0]).toEqual(row('odd-0', 'unreadable'));
+  expect(client.isHealthy).toBe(true);
+});
+
 test('a holder distinguishes an outage of its own from one for all entries', () => {
   expect(canOthersReachStore(3_000, [])).toBe(false);
   expect(canOthersReachStore(3_000, [2_600, 4_000])).toBe(false);
