End the attempts of a request that fails inside the gateway

A target could work on, until the deadline, for a request that had been answered 500: since two attempts may run side by side, one of them may fail inside the gateway while the other one runs, and nobody told that one (GONE). Nothing is known that makes an attempt fail so; the test has the check of a lost target reject.

All attempts are now abandoned before the answer. The test in silentTargets.test.ts failed before: the silent target still had its connection 0.1 s after the answer.

--- a/packages/gateway/src/lib/requests/RequestServer.ts
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -106,6 +106,8 @@
     }
     const served = await this.#serve(request).catch((cause: unknown) => {
       const error = new ServingError('request failed inside the gateway', { kind: 'internal', cause });
+      // One of several attempts may have failed.
+      request.abandonment.abort();
       log.error('Request failed inside the gateway.', { reason: cause instanceof Error ? cause.stack : String(cause) });
       if (outgoing.headersSent) {
         abortAnswer(outgoing);
--- a/packages/gateway/src/test/silentTargets.test.ts
+++ b/packages/gateway/src/test/silentTargets.test.ts
@@ -222,3 +222,24 @@
   expect(gateway.received).toEqual([1, 1, 0]);
   check.mockRestore();
 });
+
+// Guards against an attempt that outlives its request when another one fails inside the gateway.
+test('a request that fails inside the gateway leaves no attempt behind', async () => {
+  const lost = new Map<string, () => void>();
+  const loses: TargetScript = (incoming) => lost.set('first', () => incoming.socket.resetAndDestroy());
+  const silent = new SilentTarget(0);
+  gateway = await TestGateway.start(RESUMABLE, [loses, silent.script]);
+  gateway.states.of(WorkerId.parse('w1')).outstanding = 1;
+  const answer = gateway.call();
+  const { streams } = gateway.states.of(FIRST);
+  await waitUntil(() => gateway.received[0] === 1);
+  [...streams].forEach((stream) => stream.stalled());
+  await waitUntil(() => gateway.received[1] === 1);
+  const check = vi.spyOn(CrashReporter.prototype, 'reportLoss').mockRejectedValue(new Error('check failed'));
+  lost.get('first')?.();
+  expect(await answer).toMatchObject({ status: 500 });
+  await sleep(MOVE_MILLISECONDS);
+  expect(silent.closed).toBe(1);
+  expect(gateway.states.of(WorkerId.parse('w1')).streams.size).toBe(0);
+  check.mockRestore();
+});
