Probe silent workers again before the lease is given up for their progress

The holder gave the lease up at the end of a silence of all workers, for 4 s: streams go on at once then, while silent workers are probed every 0.7 s only, so that for that time they looked silent to the holder alone.

Silent members of groups that make progress are now probed at once, and the lease is given up only if they are still silent 0.4 s later, longer than a probe takes.

--- a/packages/groups/src/lib/control/GroupController.ts
+++ b/packages/groups/src/lib/control/GroupController.ts
@@ -27,6 +27,12 @@
 /** Time after which such a silence is taken for that of this process's network in any case, in ms. */
 const MAXIMUM_COMMON_SILENCE_MILLISECONDS = 3_000;
 
+/**
+ * Time for which other entries have progress at silent workers until the silence is taken for that of this
+ * process's network, in ms: a silent worker that goes on has answered another probe by then.
+ */
+const MAXIMUM_BYPASS_MILLISECONDS = 400;
+
 /** Delay before records are written or read again after a failure, in ms: each call has a cost. */
 const STORE_RETRY_DELAY_MILLISECONDS = 300;
 
@@ -90,6 +96,9 @@
   /** Monotonic time since which most workers have been silent, in ms; null while they are not. */
   #commonSilenceSince: number | null = null;
 
+  /** Monotonic time since which other entries have had progress at silent workers, in ms, or null. */
+  #bypassedSince: number | null = null;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: GroupControllerOptions) {
@@ -170,6 +179,7 @@
         this.#observer.clear();
         this.#demand.clear();
         this.#commonSilenceSince = null;
+        this.#bypassedSince = null;
       }
       return;
     }
@@ -244,8 +254,8 @@
   }
 
   /**
-   * Whether most workers are silent to this process. Gives the lease up where other entries have progress
-   * at them, or where the silence lasts: sound workers may all be silent for a second.
+   * Whether most workers are silent to this process. Gives the lease up where other entries go on to have
+   * progress at them, or where the silence lasts: sound workers may all be silent for a second.
    */
   #areMostWorkersSilent(): boolean {
     const observation = this.#observer.observation();
@@ -253,6 +263,7 @@
     const silent = registered.filter(({ misses }) => misses >= MISSES_UNTIL_SILENT);
     if (registered.length === 0 || silent.length < registered.length * COMMON_SILENCE_SHARE) {
       this.#commonSilenceSince = null;
+      this.#bypassedSince = null;
       return false;
     }
     const now = this.#options.clock.monotonicMilliseconds();
@@ -260,13 +271,19 @@
     const progressing = registered.flatMap(({ report }) => (
       report?.group != null && observation.isProgressing(report.group) ? [formationName(report.group)] : []
     ));
-    // Members of groups that make progress are probed seldom.
-    new Set(progressing).forEach((formation) => this.probeFormation(formation));
-    const isBypassed = silent
+    // Members of groups that make progress are probed seldom, and so are silent workers.
+    new Set(progressing).forEach((formation) => {
+      this.#observer.probeFormation(formation);
+      this.#observer.probeSilentMembers(formation);
+    });
+    const haveProgress = silent
       .some(({ report }) => report?.group != null && observation.isProgressing(report.group));
+    this.#bypassedSince = haveProgress ? this.#bypassedSince ?? now : null;
+    const isBypassed = this.#bypassedSince !== null
+      && now - this.#bypassedSince >= MAXIMUM_BYPASS_MILLISECONDS;
     if (isBypassed || now - this.#commonSilenceSince >= MAXIMUM_COMMON_SILENCE_MILLISECONDS) {
       this.#options.log.warn('Most workers are silent, giving the lease up.', {
-        silent: silent.length, workers: registered.length, haveProgress: isBypassed,
+        silent: silent.length, workers: registered.length, haveProgress,
       });
       this.#options.resign();
     }
--- a/packages/groups/src/lib/observation/WorkerObserver.ts
+++ b/packages/groups/src/lib/observation/WorkerObserver.ts
@@ -93,9 +93,13 @@
   /** Expedites probes of a formation that appears stalled, except of members that have just answered. */
   probeFormation(formation: string): void {
     const now = this.#now();
-    [...this.#trackers.values()]
-      .filter(({ report }) => report?.group != null && formationName(report.group) === formation)
-      .forEach((tracker) => tracker.expedite(now, RECENT_ANSWER_MILLISECONDS));
+    this.#membersOf(formation).forEach((tracker) => tracker.expedite(now, RECENT_ANSWER_MILLISECONDS));
+  }
+
+  /** Probes the silent members of a formation that goes on in the next round, except those just probed. */
+  probeSilentMembers(formation: string): void {
+    const now = this.#now();
+    this.#membersOf(formation).forEach((tracker) => tracker.retry(now, REPORT_TIMEOUT_MILLISECONDS));
   }
 
   /** Records that streams of these formations, named `name/epoch`, have just delivered events. */
@@ -162,6 +166,11 @@
       .map(({ worker, report }) => ({ worker, group: report?.group ?? null }));
   }
 
+  #membersOf(formation: string): readonly WorkerTracker[] {
+    return [...this.#trackers.values()]
+      .filter(({ report }) => report?.group != null && formationName(report.group) === formation);
+  }
+
   #now(): number {
     return this.#options.clock.monotonicMilliseconds();
   }
--- a/packages/groups/src/lib/observation/WorkerTracker.ts
+++ b/packages/groups/src/lib/observation/WorkerTracker.ts
@@ -157,6 +157,13 @@
     }
   }
 
+  /** Makes a probe of a silent worker due now, unless one was sent within `recentMilliseconds`. */
+  retry(now: number, recentMilliseconds: number): void {
+    if (this.isSilent && now - this.#probedAt > recentMilliseconds) {
+      this.#probedAt = Number.NEGATIVE_INFINITY;
+    }
+  }
+
   recordProbe(now: number): void {
     this.isProbing = true;
     this.#probedAt = now;
