Soak: find accepted requests that end without a whole answer

Callers of a deployment saw streams of status 200 that were cut, and requests that ran and got no answer, around a planned stop. The soak passed over both: no promise of it covered an outcome of 'disconnected' or an answer that is not whole.

Promise 'lost': a request that was accepted (it ran, was answered in part, or the entry read it and kept it for longer than lost_ms) and ended without a whole answer. Exempt is what the rule names: the deadline, a disturbed entry or caller link, a worker that broke off, ended or was cut off, and the last sixth of the grace period for requests sent up to 3 s after SIGTERM. Faults of the store, configurations and silence are noted as no excuse.

The former test 'a cut body that looks whole is found' passed a cut answer of a sound worker as no violation. That is what the new promise finds, so the case now has a worker that broke off, and a second one with a body that is not its own; the cut answer of a sound worker is its own test.

--- a/packages/soak/src/lib/callers/SoakCaller.ts
+++ b/packages/soak/src/lib/callers/SoakCaller.ts
@@ -80,6 +80,7 @@
       body: `body of ${id}`,
       events: kind === 'stream' ? 1 + Math.floor(this.#random.next() * MAXIMUM_EVENTS) : 0,
       entry: entry.name,
+      overLink: true,
       sentAt: performance.now(),
       deadlineMilliseconds: DEADLINE_MILLISECONDS[kind],
       outcome: null,
@@ -116,7 +117,8 @@
     if (leaving.aborted) {
       return { kind: 'left', endedAt };
     }
-    return read === null ? { kind: 'disconnected', endedAt } : { kind: 'answered', ...read, endedAt };
+    // The link hides how the entry closed its side.
+    return read === null ? { kind: 'disconnected', read: false, endedAt } : { kind: 'answered', ...read, endedAt };
   }
 
   async #pickEntry(): Promise<SoakEntry | null> {
--- a/packages/soak/src/lib/entries/SoakEntry.ts
+++ b/packages/soak/src/lib/entries/SoakEntry.ts
@@ -8,6 +8,7 @@
 import { SETTINGS_VARIABLE, renderSettings, type PlatformSettings } from '@dandelionlane/platform-adapter';
 import { startLink, type LinkHandle } from '@dandelionlane/standin';
 import SOAK_NAMES from '../SOAK_NAMES.js';
+import type EntryStop from '../journal/EntryStop.js';
 import type SoakJournal from '../journal/SoakJournal.js';
 import type EntryPorts from './EntryPorts.js';
 
@@ -111,8 +112,16 @@
 
   /** Asks the process to end, and kills it where it has not within the grace period. */
   async terminate(): Promise<void> {
+    const stop: EntryStop = {
+      entry: this.name,
+      at: performance.now(),
+      graceMilliseconds: GRACE_MILLISECONDS,
+      goneAt: Number.POSITIVE_INFINITY,
+    };
+    this.#settings.journal.stops.push(stop);
     const timer = setTimeout(() => this.#child?.kill('SIGKILL'), GRACE_MILLISECONDS + KILL_MARGIN_MILLISECONDS);
     await this.#end('SIGTERM');
+    stop.goneAt = performance.now();
     clearTimeout(timer);
   }
 
--- a/packages/soak/src/lib/faults/FaultInjector.ts
+++ b/packages/soak/src/lib/faults/FaultInjector.ts
@@ -2,6 +2,7 @@
 import type SoakTopology from '../SoakTopology.js';
 import createConfiguration from '../createConfiguration.js';
 import type SoakEntry from '../entries/SoakEntry.js';
+import type DisturbedPart from '../journal/DisturbedPart.js';
 import writeConfiguration from '../store/writeConfiguration.js';
 import type SoakWorker from '../workers/SoakWorker.js';
 import type PlannedFault from './PlannedFault.js';
@@ -40,7 +41,7 @@
       return;
     }
     places.forEach((place) => this.#held.add(place));
-    const over = this.#topology.journal.disturbed(performance.now());
+    const over = this.#topology.journal.disturbed(performance.now(), this.#partsOf(fault));
     await this.#apply(fault, forMilliseconds);
     over(performance.now());
     places.forEach((place) => this.#held.delete(place));
@@ -74,6 +75,36 @@
     }
   }
 
+  /** What a fault disturbs that may lose requests. A planned stop is none: its entry has time to end them. */
+  #partsOf(fault: SoakFault): readonly DisturbedPart[] {
+    switch (fault.kind) {
+      case 'entry-killed':
+      case 'entry-paused':
+        return [{ kind: 'entry', entry: this.#entry(fault.entry).name }];
+      case 'all-entries-killed':
+        return this.#topology.entries.map(({ name }) => ({ kind: 'entry', entry: name }));
+      case 'caller-link':
+        return [{ kind: 'caller-link', entry: this.#entry(fault.entry).name }];
+      case 'worker-link':
+        // A slow link loses nothing.
+        return fault.state === 'slow'
+          ? [{ kind: 'other' }] : [{ kind: 'worker-link', worker: this.#worker(fault.worker).id }];
+      // Workers note themselves which runs they break off.
+      case 'worker-answers':
+      case 'worker-crashes':
+      case 'worker-leaves':
+      case 'entry-terminated':
+      case 'store-link':
+      case 'store-fails':
+      case 'store-forgets':
+      case 'store-restored':
+      case 'configuration-changes':
+        return [{ kind: 'other' }];
+      default:
+        return fault satisfies never;
+    }
+  }
+
   async #apply(fault: SoakFault, milliseconds: number): Promise<void> {
     const { entries, store, tables } = this.#topology;
     switch (fault.kind) {
--- a/packages/soak/src/lib/journal/CallerOutcome.ts
+++ b/packages/soak/src/lib/journal/CallerOutcome.ts
@@ -9,8 +9,11 @@
   readonly whole: boolean;
   readonly endedAt: number;
 }
-/** No answer: the connection failed or ended. */
-| { readonly kind: 'disconnected'; readonly endedAt: number }
+/**
+ * No answer: the connection failed or ended. `read`: the entry had read the request, since its side
+ * of the connection was closed with nothing unread. Without it, the request may have been refused.
+ */
+| { readonly kind: 'disconnected'; readonly read: boolean; readonly endedAt: number }
 /** The caller left, some time after its deadline. */
 | { readonly kind: 'left'; readonly endedAt: number };
 
--- /dev/null
+++ b/packages/soak/src/lib/journal/RecordedRun.ts
@@ -0,0 +1,45 @@
+import type WorkerRun from './WorkerRun.js';
+
+/** A run whose worker notes how it goes. */
+export default class RecordedRun implements WorkerRun {
+  readonly requestId: string;
+
+  readonly worker: string;
+
+  readonly signature: string;
+
+  readonly body: string;
+
+  readonly team: string | null;
+
+  readonly startedAt: number;
+
+  #answeredAt: number | null = null;
+
+  #brokenAt: number | null = null;
+
+  constructor(run: Omit<WorkerRun, 'answeredAt' | 'brokenAt'>) {
+    this.requestId = run.requestId;
+    this.worker = run.worker;
+    this.signature = run.signature;
+    this.body = run.body;
+    this.team = run.team;
+    this.startedAt = run.startedAt;
+  }
+
+  get answeredAt(): number | null {
+    return this.#answeredAt;
+  }
+
+  get brokenAt(): number | null {
+    return this.#brokenAt;
+  }
+
+  noteAnswered(now: number): void {
+    this.#answeredAt = now;
+  }
+
+  noteBroken(now: number): void {
+    this.#brokenAt ??= now;
+  }
+}
--- a/packages/soak/src/lib/journal/SentRequest.ts
+++ b/packages/soak/src/lib/journal/SentRequest.ts
@@ -10,6 +10,8 @@
   readonly events: number;
   /** Name of the entry that it was sent to. */
   readonly entry: string;
+  /** Whether it went over the link between callers and the entry, which faults disturb. */
+  readonly overLink: boolean;
   /** Monotonic time, in ms. */
   readonly sentAt: number;
   readonly deadlineMilliseconds: number;
--- a/packages/soak/src/lib/journal/SoakJournal.ts
+++ b/packages/soak/src/lib/journal/SoakJournal.ts
@@ -1,9 +1,12 @@
+import type DisturbedPart from './DisturbedPart.js';
+import type EntryStop from './EntryStop.js';
 import type SentRequest from './SentRequest.js';
 import type Violation from './Violation.js';
 import type WorkerRun from './WorkerRun.js';
 
 /** A time span in which something was disturbed, in monotonic ms; `to` is infinite until it ends. */
 interface Disturbance {
+  readonly parts: readonly DisturbedPart[];
   readonly from: number;
   to: number;
 }
@@ -17,6 +20,9 @@
   /** Monotonic time at which the leaving of each worker was written, in ms. */
   readonly drainedAt = new Map<string, number>();
 
+  /** Planned stops, in the order of their beginnings. */
+  readonly stops: EntryStop[] = [];
+
   /** Promises that were seen broken at once. */
   readonly violations: Violation[] = [];
 
@@ -26,9 +32,9 @@
     this.violations.push({ promise, detail, timed: false });
   }
 
-  /** Notes that something is disturbed, until the returned function is called. */
-  disturbed(now: number): (end: number) => void {
-    const disturbance: Disturbance = { from: now, to: Number.POSITIVE_INFINITY };
+  /** Notes that parts are disturbed, until the returned function is called. */
+  disturbed(now: number, parts: readonly DisturbedPart[]): (end: number) => void {
+    const disturbance: Disturbance = { parts, from: now, to: Number.POSITIVE_INFINITY };
     this.#disturbances.push(disturbance);
     return (end) => {
       disturbance.to = end;
@@ -39,4 +45,11 @@
   isCalm(from: number, to: number): boolean {
     return this.#disturbances.every((disturbance) => disturbance.to < from || disturbance.from > to);
   }
+
+  /** Parts that were disturbed at some moment of a time span. */
+  disturbedParts(from: number, to: number): readonly DisturbedPart[] {
+    return this.#disturbances
+      .filter((disturbance) => disturbance.to >= from && disturbance.from <= to)
+      .flatMap(({ parts }) => parts);
+  }
 }
--- a/packages/soak/src/lib/journal/WorkerRun.ts
+++ b/packages/soak/src/lib/journal/WorkerRun.ts
@@ -1,4 +1,4 @@
-/** A run of a request as the worker sees it. */
+/** A run of a request as the worker sees it. Times are monotonic, in ms. */
 export default interface WorkerRun {
   readonly requestId: string;
   readonly worker: string;
@@ -6,6 +6,9 @@
   readonly signature: string;
   readonly body: string;
   readonly team: string | null;
-  /** Monotonic time, in ms. */
   readonly startedAt: number;
+  /** Time at which the worker had written the whole answer; null if it has not. */
+  readonly answeredAt: number | null;
+  /** Time at which the worker broke off its answer, or its group began to stand still; null if neither. */
+  readonly brokenAt: number | null;
 }
--- a/packages/soak/src/lib/journal/findViolations.ts
+++ b/packages/soak/src/lib/journal/findViolations.ts
@@ -3,6 +3,7 @@
 import type SoakJournal from './SoakJournal.js';
 import type Violation from './Violation.js';
 import type WorkerRun from './WorkerRun.js';
+import checkLost from './checkLost.js';
 import expectedBody from './expectedBody.js';
 
 /** Statuses that promise that the request has not run and never will. */
@@ -71,15 +72,16 @@
   const dueAt = request.sentAt + request.deadlineMilliseconds + LATE_MILLISECONDS;
   const isHeld = outcome.endedAt > dueAt && journal.isCalm(request.sentAt - STABLE_MILLISECONDS, dueAt);
   const held = isHeld ? [broken('held', `${id} had no final answer in time`, true)] : [];
+  const lost = checkLost(request, runs, journal);
   if (outcome.kind !== 'answered') {
-    return [...repeated, ...held];
+    return [...repeated, ...held, ...lost];
   }
   const { status } = outcome;
   const refused = kind === 'once' && NOT_RUN_STATUSES.has(status) && runs.length > 0
     ? [broken('refused', `${id} was answered ${status} and has run`)] : [];
   const denied = DENIALS.has(status) ? [broken('denied', `${id} was answered ${status}`)] : [];
   const success = status === 200 ? checkSuccess(request, outcome, runs) : [];
-  return [...repeated, ...held, ...refused, ...denied, ...success];
+  return [...repeated, ...held, ...lost, ...refused, ...denied, ...success];
 }
 
 /** Promises that were broken, from what callers and workers saw. */
--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -11,6 +11,7 @@
   type WorkerCall,
 } from '@dandelionlane/platform-adapter';
 import { GroupWorker, startLink, type LinkHandle } from '@dandelionlane/standin';
+import RecordedRun from '../journal/RecordedRun.js';
 import expectedBody from '../journal/expectedBody.js';
 import expectedEvent from '../journal/expectedEvent.js';
 import type AnswerFault from './AnswerFault.js';
@@ -36,6 +37,13 @@
 /** Time for which a worker that leaves serves on, in ms. */
 const LINGER_MILLISECONDS = 4_000;
 
+/** Notes that the worker ends a run early, unless the entry has closed the connection before. */
+function noteBroken(run: RecordedRun, outgoing: ServerResponse): void {
+  if (!outgoing.destroyed) {
+    run.noteBroken(performance.now());
+  }
+}
+
 /** A back end of the soak behind a link, with the platform's calls. */
 export default class SoakWorker {
   answerFault: AnswerFault = 'none';
@@ -96,6 +104,8 @@
   crash(): void {
     this.#life += 1;
     this.#member.alive = false;
+    const now = performance.now();
+    this.#settings.journal.disturbed(now, [{ kind: 'worker', worker: this.id }])(now);
     this.#server?.closeAllConnections();
     this.#server?.close();
     const life = this.#life;
@@ -260,25 +270,38 @@
     }
     groups?.checkRun(this.#member);
     const signature = `${this.id}.${journal.runs.length}`;
-    journal.runs.push({
-      requestId, worker: this.id, signature, body, team, startedAt: performance.now(),
+    const run = new RecordedRun({
+      requestId,
+      worker: this.id,
+      signature,
+      body,
+      team,
+      startedAt: performance.now(),
     });
+    journal.runs.push(run);
     this.#running += 1;
     const life = this.#life;
     outgoing.setHeaders(new Map(Object.entries(encodeAnswerHeaders({ kind: 'run', requestId, signature }))));
-    await (groups === null ? this.#answerPlain(requestId, outgoing) : this.#stream(call, outgoing));
+    await (groups === null ? this.#answerPlain(run, outgoing) : this.#stream(call, run, outgoing));
     if (life === this.#life) {
       this.#running -= 1;
     }
   }
 
-  async #answerPlain(requestId: string, outgoing: ServerResponse): Promise<void> {
+  async #answerPlain(run: RecordedRun, outgoing: ServerResponse): Promise<void> {
+    const { requestId } = run;
     await sleep(PLAIN_MILLISECONDS * 2 * this.#settings.random.next());
+    if (this.answerFault === 'cut' || this.answerFault === 'lost') {
+      noteBroken(run, outgoing);
+    } else {
+      run.noteAnswered(performance.now());
+    }
     writePlainAnswer(outgoing, expectedBody({ id: requestId, kind: 'safe', events: 0 }), this.answerFault);
   }
 
   async #stream(
     { requestId, lastEventId }: Extract<WorkerCall, { kind: 'request' }>,
+    run: RecordedRun,
     outgoing: ServerResponse,
   ): Promise<void> {
     const events = this.#settings.journal.requests.get(requestId)?.events ?? 0;
@@ -287,16 +310,19 @@
     for (let index = first; index <= events; index += 1) {
       await sleep(EVENT_MILLISECONDS);
       while (!outgoing.destroyed && this.#member.alive && this.#stall?.isHeldBack() === true) {
+        noteBroken(run, outgoing);
         await sleep(EVENT_MILLISECONDS);
       }
       const event = expectedEvent(requestId, index);
       const isCut = this.answerFault === 'cut' && index === events;
       if (outgoing.destroyed || this.#stall?.isBroken() === true || isCut) {
+        noteBroken(run, outgoing);
         outgoing.write(event.slice(0, event.length / 2), () => outgoing.destroy());
         return;
       }
       outgoing.write(event);
     }
+    run.noteAnswered(performance.now());
     outgoing.end();
   }
 }
--- a/packages/soak/src/test/findViolations.test.ts
+++ b/packages/soak/src/test/findViolations.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
 import type CallerOutcome from '../lib/journal/CallerOutcome.js';
+import type DisturbedPart from '../lib/journal/DisturbedPart.js';
 import type SentRequest from '../lib/journal/SentRequest.js';
 import SoakJournal from '../lib/journal/SoakJournal.js';
 import type WorkerRun from '../lib/journal/WorkerRun.js';
@@ -13,6 +14,7 @@
     body: 'b',
     events: 0,
     entry: 'e',
+    overLink: false,
     sentAt: 10_000,
     deadlineMilliseconds: 1_000,
     outcome,
@@ -22,7 +24,15 @@
 
 function run(other: Partial<WorkerRun> = {}): WorkerRun {
   return {
-    requestId: 'r1', worker: 'w', signature: 's', body: 'b', team: 'team-a', startedAt: 10_010, ...other,
+    requestId: 'r1',
+    worker: 'w',
+    signature: 's',
+    body: 'b',
+    team: 'team-a',
+    startedAt: 10_010,
+    answeredAt: null,
+    brokenAt: null,
+    ...other,
   };
 }
 
@@ -57,7 +67,8 @@
 
 test('a cut body that looks whole is found', () => {
   expect(broken(sent(answered(200, 'answer')), [run()])).toEqual(['mixed']);
-  expect(broken(sent(answered(200, 'answer', false)), [run()])).toEqual([]);
+  expect(broken(sent(answered(200, 'answer', false)), [run({ brokenAt: 10_050 })])).toEqual([]);
+  expect(broken(sent(answered(200, 'other', false)), [run({ brokenAt: 10_050 })])).toEqual(['mixed']);
 });
 
 test('a stream with a missing event is found', () => {
@@ -73,10 +84,10 @@
 });
 
 test('an answer after the deadline counts only in calm', () => {
-  const late: CallerOutcome = { kind: 'disconnected', endedAt: 11_600 };
+  const late: CallerOutcome = { kind: 'disconnected', read: true, endedAt: 11_600 };
   expect(broken(sent(late), [])).toEqual(['held']);
   const disturbed = new SoakJournal();
-  disturbed.disturbed(6_500)(6_600);
+  disturbed.disturbed(6_500, [{ kind: 'other' }])(6_600);
   expect(broken(sent(late), [], disturbed)).toEqual([]);
 });
 
@@ -86,6 +97,116 @@
   expect(broken(sent(answered(200)), [run()], journal)).toEqual(['drain']);
   const disturbed = new SoakJournal();
   disturbed.drainedAt.set('w', 6_000);
-  disturbed.disturbed(8_000)(8_100);
+  disturbed.disturbed(8_000, [{ kind: 'other' }])(8_100);
   expect(broken(sent(answered(200)), [run()], disturbed)).toEqual([]);
 });
+
+/** Ends without an answer, half a second after it was sent. */
+function ended(other: Partial<Extract<CallerOutcome, { kind: 'disconnected' }>> = {}): CallerOutcome {
+  return {
+    kind: 'disconnected', read: true, endedAt: 10_500, ...other,
+  };
+}
+
+function createDisturbed(part: DisturbedPart, from = 10_200, to = 10_300): SoakJournal {
+  const journal = new SoakJournal();
+  journal.disturbed(from, [part])(to);
+  return journal;
+}
+
+/** Journal of a stop of the entry `e`, with a grace period of 6 s. */
+function stopped(at: number, goneAt = at + 6_000): SoakJournal {
+  const journal = new SoakJournal();
+  journal.stops.push({
+    entry: 'e', at, graceMilliseconds: 6_000, goneAt,
+  });
+  return journal;
+}
+
+test('a request that has run and ends without an answer is lost', () => {
+  expect(broken(sent(ended()), [run()])).toEqual(['lost']);
+  expect(broken(sent(ended({ read: false, endedAt: 10_050 })), [run()])).toEqual(['lost']);
+  expect(broken(sent(answered(502)), [run()])).toEqual([]);
+});
+
+test('a request that was read and ends without an answer is lost after a while', () => {
+  expect(broken(sent(ended()), [])).toEqual(['lost']);
+  expect(broken(sent(ended({ endedAt: 10_200 })), [])).toEqual([]);
+});
+
+test('a request that ends unread is refused, not lost', () => {
+  expect(broken(sent(ended({ read: false })), [])).toEqual([]);
+});
+
+test('a stream of status 200 that is cut is lost', () => {
+  const stream = { kind: 'stream', events: 3 } as const;
+  const body = expectedBody(sent(null, stream)).slice(0, 20);
+  expect(broken(sent(answered(200, body, false), stream), [run()])).toEqual(['lost']);
+  expect(broken(sent(answered(502, '', false), stream), [])).toEqual(['lost']);
+});
+
+test('a request that reached its deadline is not lost', () => {
+  expect(broken(sent(ended({ endedAt: 11_000 })), [run()])).toEqual([]);
+  expect(broken(sent(ended({ endedAt: 10_990 })), [run()])).toEqual(['lost']);
+  expect(broken(sent({ kind: 'left', endedAt: 11_400 }), [run()])).toEqual([]);
+});
+
+test('a fault of its own entry excuses a lost request', () => {
+  expect(broken(sent(ended()), [run()], createDisturbed({ kind: 'entry', entry: 'e' }))).toEqual([]);
+  expect(broken(sent(ended()), [run()], createDisturbed({ kind: 'entry', entry: 'f' }))).toEqual(['lost']);
+  expect(broken(sent(ended()), [run()], createDisturbed({ kind: 'entry', entry: 'e' }, 9_000, 9_900))).toEqual(['lost']);
+  expect(broken(sent(ended()), [run()], createDisturbed({ kind: 'entry', entry: 'e' }, 10_600, 10_700))).toEqual(['lost']);
+});
+
+test('a cut link of callers excuses only requests that went over it', () => {
+  const link = { kind: 'caller-link', entry: 'e' } as const;
+  expect(broken(sent(ended(), { overLink: true }), [run()], createDisturbed(link))).toEqual([]);
+  expect(broken(sent(ended()), [run()], createDisturbed(link))).toEqual(['lost']);
+  const other = createDisturbed({ kind: 'caller-link', entry: 'f' });
+  expect(broken(sent(ended(), { overLink: true }), [run()], other)).toEqual(['lost']);
+});
+
+test('a worker that breaks off excuses a lost request, if it ran it last', () => {
+  const broke = run({ brokenAt: 10_400 });
+  const later = run({ worker: 'v', startedAt: 10_410 });
+  const safe = sent(ended(), { kind: 'safe' });
+  expect(broken(safe, [broke])).toEqual([]);
+  expect(broken(safe, [broke, later])).toEqual(['lost']);
+  expect(broken(safe, [run({ brokenAt: 10_501 })])).toEqual(['lost']);
+});
+
+test.each(['worker', 'worker-link'] as const)('a disturbed %s excuses a lost request, if it ran it last', (kind) => {
+  const first = run();
+  const later = run({ worker: 'v', startedAt: 10_250 });
+  const safe = sent(ended(), { kind: 'safe' });
+  expect(broken(safe, [first], createDisturbed({ kind, worker: 'w' }))).toEqual([]);
+  expect(broken(safe, [first, later], createDisturbed({ kind, worker: 'w' }))).toEqual(['lost']);
+  expect(broken(safe, [first, later], createDisturbed({ kind, worker: 'v' }))).toEqual([]);
+  expect(broken(safe, [first], createDisturbed({ kind, worker: 'w' }, 9_000, 10_005))).toEqual(['lost']);
+});
+
+test('other faults excuse no lost request', () => {
+  expect(broken(sent(ended()), [run()], createDisturbed({ kind: 'other' }))).toEqual(['lost']);
+});
+
+test('a planned stop excuses a lost request only at the end of the grace period', () => {
+  const early = { sentAt: 10_000, deadlineMilliseconds: 20_000 };
+  const late = (endedAt: number) => sent(ended({ endedAt }), early);
+  expect(broken(late(12_990), [run()], stopped(8_000))).toEqual(['lost']);
+  expect(broken(late(13_010), [run()], stopped(8_000))).toEqual([]);
+  expect(broken(late(13_010), [run()], stopped(6_990))).toEqual(['lost']);
+  expect(broken(late(13_010), [run({ answeredAt: 12_000 })], stopped(8_000))).toEqual(['lost']);
+  expect(broken(late(13_010), [run({ answeredAt: 13_005 })], stopped(8_000))).toEqual([]);
+  expect(broken(late(13_010), [], stopped(8_000))).toEqual(['lost']);
+});
+
+test('a request that was sent after a stop is not excused by it', () => {
+  const request = sent(ended({ endedAt: 13_010 }), { deadlineMilliseconds: 20_000 });
+  expect(broken(request, [run()], stopped(8_000, 9_000))).toEqual(['lost']);
+});
+
+test('a late request that the end of a stop cuts is lost', () => {
+  const journal = stopped(5_600, 10_500);
+  expect(broken(sent(ended()), [run()], journal)).toEqual(['lost']);
+  expect(findViolations(journal)[0]?.detail).toContain('4900 ms after SIGTERM');
+});
