Soak: planned work beside silence of sound workers, and callers that stay until a process is gone

No fault of the soak silenced several workers and let them go on, its grace period of 3 s ended before an entry found itself idle, and its callers follow the directory, so few requests met a stop late.

--- a/packages/soak/src/dandelionlane-soak.ts
+++ b/packages/soak/src/dandelionlane-soak.ts
@@ -1,12 +1,15 @@
 import { mkdir, writeFile } from 'node:fs/promises';
-import { join } from 'node:path';
+import { join, resolve } from 'node:path';
 import sade from 'sade';
 import type SoakReport from './lib/SoakReport.js';
+import type SoakCourse from './lib/faults/SoakCourse.js';
 import runSoak from './lib/runSoak.js';
 
 const VERSION = '0.1.0';
 const VIOLATED_EXIT_CODE = 1;
 
+const COURSES: readonly SoakCourse[] = ['all', 'planned', 'unplanned'];
+
 interface Options {
   readonly seed: string | number;
   readonly runs: string | number;
@@ -14,6 +17,9 @@
   readonly entries: string | number;
   readonly rate: string | number;
   readonly restorations: string | number;
+  readonly course: string;
+  readonly grace: string | number;
+  readonly build?: string;
   readonly out: string;
 }
 
@@ -30,6 +36,10 @@
 
 async function run(options: Options): Promise<void> {
   const first = Number(options.seed);
+  const course = COURSES.find((each) => each === options.course);
+  if (course === undefined) {
+    throw new Error(`--course is one of ${COURSES.join(', ')}`);
+  }
   for (let seed = first; seed < first + Number(options.runs); seed += 1) {
     const directory = join(options.out, `seed-${seed}`);
     await mkdir(directory, { recursive: true });
@@ -39,6 +49,9 @@
       entries: Number(options.entries),
       rate: Number(options.rate),
       restorations: Number(options.restorations),
+      course,
+      grace: Number(options.grace),
+      build: options.build === undefined ? null : resolve(options.build),
       directory,
     });
     await writeFile(join(directory, 'report.json'), JSON.stringify(report, null, 2));
@@ -65,6 +78,9 @@
   .option('--entries', 'Entry processes', 4)
   .option('--rate', 'Requests a second', 40)
   .option('--restorations', 'Returns of the store from a copy', 1)
+  .option('--course', `Faults: ${COURSES.join(', ')}`, 'all')
+  .option('--grace', 'Time for which an entry may go on after SIGTERM, in s', 8)
+  .option('--build', 'Root of another built checkout that entries run from')
   .option('--out', 'Directory for settings, logs and reports', 'target/soak')
   .action(run)
   .parse(process.argv);
--- a/packages/soak/src/lib/SoakOptions.ts
+++ b/packages/soak/src/lib/SoakOptions.ts
@@ -1,3 +1,5 @@
+import type SoakCourse from './faults/SoakCourse.js';
+
 /** Size and course of a soak. */
 export default interface SoakOptions {
   /** Decides the faults and the requests. */
@@ -9,6 +11,11 @@
   readonly rate: number;
   /** Returns of the store from a copy. */
   readonly restorations: number;
+  readonly course: SoakCourse;
+  /** Time for which an entry may go on after SIGTERM, in s. */
+  readonly grace: number;
+  /** Root of the built checkout that entries run from; null for this one. */
+  readonly build: string | null;
   /** Where settings files and logs of the processes go. */
   readonly directory: string;
 }
--- a/packages/soak/src/lib/SoakTopology.ts
+++ b/packages/soak/src/lib/SoakTopology.ts
@@ -11,4 +11,6 @@
   readonly store: StoreServer;
   readonly entries: readonly SoakEntry[];
   readonly workers: readonly SoakWorker[];
+  /** How many workers, from the first, may fail. The spare ones stay sound. */
+  readonly faultyWorkers: number;
 }
--- /dev/null
+++ b/packages/soak/src/lib/callers/MAXIMUM_EVENTS.ts
@@ -0,0 +1,4 @@
+/** Most events of a stream. */
+const MAXIMUM_EVENTS = 24;
+
+export default MAXIMUM_EVENTS;
--- a/packages/soak/src/lib/callers/SoakCaller.ts
+++ b/packages/soak/src/lib/callers/SoakCaller.ts
@@ -1,21 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
 import type { RandomSource } from '@dandelionlane/core';
-import { decodeDirectory, createDirectoryPath, encodeRequestHeaders } from '@dandelionlane/platform-adapter';
+import { decodeDirectory, createDirectoryPath } from '@dandelionlane/platform-adapter';
 import SOAK_NAMES from '../SOAK_NAMES.js';
 import type SoakEntry from '../entries/SoakEntry.js';
-import type CallerOutcome from '../journal/CallerOutcome.js';
 import type RequestKind from '../journal/RequestKind.js';
-import type SentRequest from '../journal/SentRequest.js';
 import type SoakJournal from '../journal/SoakJournal.js';
-import readAnswer from './readAnswer.js';
-
-const DEADLINE_MILLISECONDS: Readonly<Record<RequestKind, number>> = {
-  safe: 1_500, once: 1_500, stream: 4_000,
-};
-
-/** Time beyond the deadline after which a caller leaves, in ms. */
-const PATIENCE_MILLISECONDS = 2_000;
+import createRequest from './createRequest.js';
+import exchange from './exchange.js';
+import pickKind from './pickKind.js';
 
 /** Time for which a directory answer is kept, in ms. */
 const DIRECTORY_KEPT_MILLISECONDS = 2_000;
@@ -27,10 +20,6 @@
 
 const CALLER_ZONE = 'zone-a';
 
-const MAXIMUM_EVENTS = 24;
-
-const PROMPT_TOKENS = 100;
-
 /** Sends requests the way callers do: to addresses that the directory names, over kept connections. */
 export default class SoakCaller {
   readonly #journal: SoakJournal;
@@ -57,7 +46,7 @@
   async run(perSecond: number, isOver: () => boolean): Promise<void> {
     const running = new Set<Promise<void>>();
     while (!isOver()) {
-      const sending = this.send(this.#pickKind()).then(() => {
+      const sending = this.send(pickKind(this.#random)).then(() => {
         running.delete(sending);
       });
       running.add(sending);
@@ -74,53 +63,17 @@
     }
     this.#sent += 1;
     const id = `request-${this.#sent}`;
-    const sent: SentRequest = {
-      id,
-      kind,
-      body: `body of ${id}`,
-      events: kind === 'stream' ? 1 + Math.floor(this.#random.next() * MAXIMUM_EVENTS) : 0,
-      entry: entry.name,
-      overLink: true,
-      sentAt: performance.now(),
-      deadlineMilliseconds: DEADLINE_MILLISECONDS[kind],
-      outcome: null,
-    };
+    const sent = createRequest({
+      id, kind, entry: entry.name, overLink: true,
+    }, this.#random);
     this.#journal.requests.set(id, sent);
-    sent.outcome = await this.#exchange(sent, entry);
+    sent.outcome = await exchange(sent, entry.callerLink.address, this.#agent);
   }
 
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
 
-  async #exchange(sent: SentRequest, entry: SoakEntry): Promise<CallerOutcome> {
-    const leaving = AbortSignal.timeout(sent.deadlineMilliseconds + PATIENCE_MILLISECONDS);
-    const answer = await request(`http://${entry.callerLink.address}/${sent.kind}/run`, {
-      dispatcher: this.#agent,
-      method: 'POST',
-      signal: leaving,
-      body: sent.body,
-      headers: {
-        host: SOAK_NAMES.host,
-        ...encodeRequestHeaders({
-          requestId: sent.id,
-          deadlineMilliseconds: sent.deadlineMilliseconds,
-          apiKey: SOAK_NAMES.apiKey,
-          generation: sent.kind === 'stream' ? {
-            model: SOAK_NAMES.model, promptTokens: PROMPT_TOKENS, maximumOutputTokens: MAXIMUM_EVENTS,
-          } : null,
-        }),
-      },
-    }).catch(() => null);
-    const read = answer === null ? null : await readAnswer(answer);
-    const endedAt = performance.now();
-    if (leaving.aborted) {
-      return { kind: 'left', endedAt };
-    }
-    // The link hides how the entry closed its side.
-    return read === null ? { kind: 'disconnected', read: false, endedAt } : { kind: 'answered', ...read, endedAt };
-  }
-
   async #pickEntry(): Promise<SoakEntry | null> {
     if (performance.now() - this.#namedAt > DIRECTORY_KEPT_MILLISECONDS || this.#named.length === 0) {
       await this.#askDirectory();
@@ -143,9 +96,4 @@
       this.#namedAt = performance.now();
     }
   }
-
-  #pickKind(): RequestKind {
-    const kinds: readonly RequestKind[] = ['safe', 'once', 'stream', 'stream'];
-    return kinds[Math.floor(this.#random.next() * kinds.length)] ?? 'safe';
-  }
 }
--- a/packages/soak/src/lib/createTopology.ts
+++ b/packages/soak/src/lib/createTopology.ts
@@ -14,11 +14,16 @@
 const ZONES = ['zone-a', 'zone-b'];
 const PLAIN_WORKERS = 4;
 const MODEL_WORKERS = 7;
+const SPARE_WORKERS = 2;
 const SLOTS = 8;
 
+const MILLISECONDS = 1_000;
+
 /** Starts the store, the workers and the entries of a soak. */
 export default async function createTopology(
-  { seed, entries: count, directory }: SoakOptions,
+  {
+    seed, entries: count, directory, grace, build,
+  }: SoakOptions,
   groupSize: number,
 ): Promise<SoakTopology> {
   const journal = new SoakJournal();
@@ -40,6 +45,7 @@
   const workers = [
     ...Array.from({ length: PLAIN_WORKERS }, (_, index) => worker('plain', index)),
     ...Array.from({ length: MODEL_WORKERS }, (_, index) => worker('model', index)),
+    ...Array.from({ length: SPARE_WORKERS }, (_, index) => worker('spare', index)),
   ];
   await Promise.all(workers.map((each) => each.start()));
   await writeConfiguration(tables, createConfiguration(1, groupSize));
@@ -51,12 +57,14 @@
       zone: ZONES[index % ZONES.length] ?? 'zone-a',
       ports: await findPorts(new SystemRandom()),
       storeAddress,
+      graceMilliseconds: grace * MILLISECONDS,
+      build,
       directory,
       journal,
     }));
   }
   await Promise.all(entries.map((entry) => entry.start()));
   return {
-    journal, tables, store, entries, workers,
+    journal, tables, store, entries, workers, faultyWorkers: PLAIN_WORKERS + MODEL_WORKERS,
   };
 }
--- a/packages/soak/src/lib/entries/SoakEntry.ts
+++ b/packages/soak/src/lib/entries/SoakEntry.ts
@@ -3,7 +3,6 @@
 import { createWriteStream } from 'node:fs';
 import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
-import { fileURLToPath } from 'node:url';
 import { AvailabilityZoneId, EntryId, RegionId } from '@dandelionlane/core';
 import { SETTINGS_VARIABLE, renderSettings, type PlatformSettings } from '@dandelionlane/platform-adapter';
 import { startLink, type LinkHandle } from '@dandelionlane/standin';
@@ -11,15 +10,11 @@
 import type EntryStop from '../journal/EntryStop.js';
 import type SoakJournal from '../journal/SoakJournal.js';
 import type EntryPorts from './EntryPorts.js';
-
-const PROGRAM = fileURLToPath(new URL('../../../../../platform/dist/main.js', import.meta.url));
+import findProgram from './findProgram.js';
 
 const HOST = '127.0.0.1';
 
-/** Time for which a process may go on after SIGTERM, in ms. */
-const GRACE_MILLISECONDS = 3_000;
-
-/** Time beyond it after which a process is killed, in ms. */
+/** Time beyond the grace period after which a process is killed, in ms. */
 const KILL_MARGIN_MILLISECONDS = 1_000;
 
 /** What a `SoakEntry` is made of. */
@@ -28,6 +23,10 @@
   readonly zone: string;
   readonly ports: EntryPorts;
   readonly storeAddress: string;
+  /** Time for which the process may go on after SIGTERM, in ms. */
+  readonly graceMilliseconds: number;
+  /** Root of the built checkout that it runs from; null for this one. */
+  readonly build: string | null;
   /** Where the settings file and the log go. */
   readonly directory: string;
   readonly journal: SoakJournal;
@@ -76,11 +75,13 @@
   }
 
   async start(): Promise<void> {
-    const { name, directory, journal } = this.#settings;
+    const {
+      name, directory, journal, build,
+    } = this.#settings;
     const path = join(directory, `${name}.conf`);
     await writeFile(path, renderSettings(this.#platformSettings()));
     this.#ending = false;
-    const child = spawn(process.execPath, [PROGRAM], {
+    const child = spawn(process.execPath, [findProgram(build)], {
       env: { ...process.env, [SETTINGS_VARIABLE]: path }, stdio: ['ignore', 'pipe', 'pipe'],
     });
     const output = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
@@ -112,14 +113,15 @@
 
   /** Asks the process to end, and kills it where it has not within the grace period. */
   async terminate(): Promise<void> {
+    const { journal, graceMilliseconds } = this.#settings;
     const stop: EntryStop = {
       entry: this.name,
       at: performance.now(),
-      graceMilliseconds: GRACE_MILLISECONDS,
+      graceMilliseconds,
       goneAt: Number.POSITIVE_INFINITY,
     };
-    this.#settings.journal.stops.push(stop);
-    const timer = setTimeout(() => this.#child?.kill('SIGKILL'), GRACE_MILLISECONDS + KILL_MARGIN_MILLISECONDS);
+    journal.stops.push(stop);
+    const timer = setTimeout(() => this.#child?.kill('SIGKILL'), graceMilliseconds + KILL_MARGIN_MILLISECONDS);
     await this.#end('SIGTERM');
     stop.goneAt = performance.now();
     clearTimeout(timer);
@@ -143,7 +145,9 @@
   }
 
   #platformSettings(): PlatformSettings {
-    const { name, zone, ports } = this.#settings;
+    const {
+      name, zone, ports, graceMilliseconds,
+    } = this.#settings;
     const at = (port: number) => ({ host: HOST, port });
     return {
       storeOrigin: `http://${this.storeLink.address}`,
@@ -158,7 +162,7 @@
         links: at(ports.internal + 1),
         processorCores: 1,
         bootstrap: true,
-        graceMilliseconds: GRACE_MILLISECONDS,
+        graceMilliseconds,
         maximumViewAgeMilliseconds: 2_000,
         repeatRatio: 0.2,
         repeatExtra: 50,
--- a/packages/soak/src/lib/faults/FaultInjector.ts
+++ b/packages/soak/src/lib/faults/FaultInjector.ts
@@ -35,7 +35,8 @@
     }));
   }
 
-  async #hold({ fault, forMilliseconds }: PlannedFault): Promise<void> {
+  async #hold({ fault: planned, forMilliseconds }: PlannedFault): Promise<void> {
+    const fault = this.#withoutHeldWorkers(planned);
     const places = this.#placesOf(fault);
     if (places.some((place) => this.#held.has(place))) {
       return;
@@ -47,6 +48,13 @@
     places.forEach((place) => this.#held.delete(place));
   }
 
+  /** A silence of several workers leaves out those that another fault holds. */
+  #withoutHeldWorkers(fault: SoakFault): SoakFault {
+    return fault.kind !== 'workers-silent' ? fault : {
+      ...fault, workers: fault.workers.filter((worker) => !this.#held.has(`worker-link ${worker}`)),
+    };
+  }
+
   #placesOf(fault: SoakFault): readonly string[] {
     switch (fault.kind) {
       case 'entry-killed':
@@ -55,6 +63,10 @@
         return [`entry ${fault.entry}`];
       case 'all-entries-killed':
         return this.#topology.entries.map((_, index) => `entry ${index}`);
+      case 'entry-stopped':
+        return [`entry ${fault.entry}`, `store-link ${fault.entry}`];
+      case 'workers-silent':
+        return fault.workers.map((worker) => `worker-link ${worker}`);
       case 'store-link':
       case 'caller-link':
         return [`${fault.kind} ${fault.entry}`];
@@ -93,7 +105,9 @@
       case 'worker-answers':
       case 'worker-crashes':
       case 'worker-leaves':
+      case 'workers-silent':
       case 'entry-terminated':
+      case 'entry-stopped':
       case 'store-link':
       case 'store-fails':
       case 'store-forgets':
@@ -122,6 +136,13 @@
         await this.#entry(fault.entry).terminate();
         await this.#entry(fault.entry).start();
         return;
+      case 'entry-stopped':
+        this.#entry(fault.entry).storeLink.setState(fault.storeLink);
+        await sleep(milliseconds);
+        await this.#entry(fault.entry).terminate();
+        this.#entry(fault.entry).storeLink.setState('open');
+        await this.#entry(fault.entry).start();
+        return;
       case 'all-entries-killed':
         await Promise.all(entries.map((entry) => entry.kill()));
         await Promise.all(entries.map((entry) => entry.start()));
@@ -151,6 +172,13 @@
         await sleep(milliseconds);
         this.#worker(fault.worker).link.setState('open');
         return;
+      case 'workers-silent': {
+        const links = fault.workers.map((worker) => this.#worker(worker).link);
+        links.forEach((link) => link.setState('silent'));
+        await sleep(milliseconds);
+        links.forEach((link) => link.setState('open'));
+        return;
+      }
       case 'worker-crashes':
         this.#worker(fault.worker).crash();
         await sleep(milliseconds);
--- a/packages/soak/src/lib/faults/SoakFault.ts
+++ b/packages/soak/src/lib/faults/SoakFault.ts
@@ -6,6 +6,8 @@
 type SoakFault = | { readonly kind: 'entry-killed'; readonly entry: number }
   | { readonly kind: 'entry-paused'; readonly entry: number }
   | { readonly kind: 'entry-terminated'; readonly entry: number }
+  /** It is stopped as planned, with its link to the store in a state from before until it is gone. */
+  | { readonly kind: 'entry-stopped'; readonly entry: number; readonly storeLink: LinkState }
   | { readonly kind: 'all-entries-killed' }
   | { readonly kind: 'store-fails'; readonly fault: StoreFault }
   | { readonly kind: 'store-forgets' }
@@ -14,6 +16,8 @@
   | { readonly kind: 'store-link'; readonly entry: number; readonly state: LinkState }
   | { readonly kind: 'caller-link'; readonly entry: number; readonly state: LinkState }
   | { readonly kind: 'worker-link'; readonly worker: number; readonly state: LinkState }
+  /** Sound workers fall silent and go on; their connections live on and nothing is lost. */
+  | { readonly kind: 'workers-silent'; readonly workers: readonly number[] }
   | { readonly kind: 'worker-crashes'; readonly worker: number }
   | { readonly kind: 'worker-leaves'; readonly worker: number }
   | { readonly kind: 'worker-answers'; readonly worker: number; readonly fault: AnswerFault }
--- a/packages/soak/src/lib/faults/planFaults.ts
+++ b/packages/soak/src/lib/faults/planFaults.ts
@@ -4,6 +4,7 @@
 import type AnswerFault from '../workers/AnswerFault.js';
 import type PlannedFault from './PlannedFault.js';
 import type SoakFault from './SoakFault.js';
+import pick from './pick.js';
 
 /** Mean time between two beginnings of faults, in ms: below their length, so that they overlap. */
 const MEAN_GAP_MILLISECONDS = 700;
@@ -15,14 +16,6 @@
 const STORE_FAULTS: readonly StoreFault[] = ['busy', 'silent', 'forgetful'];
 const ANSWER_FAULTS: readonly AnswerFault[] = ['cut', 'lost', 'extra', 'failing', 'mute'];
 
-function pick<Item>(items: readonly Item[], random: RandomSource): Item {
-  const item = items[Math.floor(random.next() * items.length)];
-  if (item === undefined) {
-    throw new Error('nothing to pick from');
-  }
-  return item;
-}
-
 function drawFault(entries: number, workers: number, random: RandomSource): SoakFault {
   const entry = Math.floor(random.next() * entries);
   const worker = Math.floor(random.next() * workers);
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -4,16 +4,23 @@
 import type SoakReport from './SoakReport.js';
 import type SoakTopology from './SoakTopology.js';
 import SoakCaller from './callers/SoakCaller.js';
+import StayingCaller from './callers/StayingCaller.js';
 import createTopology from './createTopology.js';
 import FaultInjector from './faults/FaultInjector.js';
 import planFaults from './faults/planFaults.js';
 import planRestorations from './faults/planRestorations.js';
+import planWork from './faults/planWork.js';
 import type RequestKind from './journal/RequestKind.js';
 import findViolations from './journal/findViolations.js';
 import isServed from './journal/isServed.js';
 
 const GROUP_SIZE = 2;
 
+const MILLISECONDS = 1_000;
+
+/** Added to a seed for the callers that stay, one more for each of them. */
+const STAYING_SEED = 100;
+
 /** Time in which every kind of request has to be served at the start and after the last fault, in ms. */
 const SERVED_MILLISECONDS = 30_000;
 
@@ -48,10 +55,18 @@
 export default async function runSoak(options: SoakOptions): Promise<SoakReport> {
   const random = new SeededRandom(options.seed);
   const topology = await createTopology(options, GROUP_SIZE);
-  const { journal, entries, workers } = topology;
-  const milliseconds = options.seconds * 1_000;
+  const { journal, entries } = topology;
+  const milliseconds = options.seconds * MILLISECONDS;
   const faults = [
-    ...planFaults(milliseconds, entries.length, workers.length, random),
+    ...options.course === 'planned'
+      ? [] : planFaults(milliseconds, entries.length, topology.faultyWorkers, random),
+    ...options.course === 'unplanned' ? [] : planWork(
+      milliseconds,
+      entries.length,
+      topology.workers.length,
+      options.grace * MILLISECONDS,
+      new SeededRandom(options.seed + 4),
+    ),
     ...planRestorations(milliseconds, options.restorations, new SeededRandom(options.seed + 3)),
   ];
   const caller = new SoakCaller(journal, entries, new SeededRandom(options.seed + 2));
@@ -60,7 +75,12 @@
     journal.violated('start', `not served after the start: ${unserved.join(', ')}`);
   }
   let over = false;
-  const calling = caller.run(options.rate, () => over);
+  const calling = Promise.all([
+    caller.run(options.rate, () => over),
+    ...entries.map((entry, index) => (
+      new StayingCaller(journal, entry, new SeededRandom(options.seed + STAYING_SEED + index)).run(() => over)
+    )),
+  ]);
   await new FaultInjector(topology, GROUP_SIZE).run(faults);
   over = true;
   await calling;
--- a/packages/soak/src/test/runSoak.test.ts
+++ b/packages/soak/src/test/runSoak.test.ts
@@ -10,7 +10,7 @@
 ])('seed %i with %i returns of the store breaks no promise', async (seed, restorations) => {
   const directory = await mkdtemp(join(tmpdir(), 'dandelionlane-soak-'));
   const report = await runSoak({
-    seed, seconds: 6, entries: 3, rate: 30, restorations, directory,
+    seed, seconds: 6, entries: 3, rate: 30, restorations, course: 'unplanned', grace: 3, build: null, directory,
   });
   expect(report.violations.filter(({ timed }) => !timed)).toEqual([]);
   await rm(directory, { recursive: true, force: true });
