--- a/packages/soak/src/lib/entries/SoakEntry.ts
+++ b/packages/soak/src/lib/entries/SoakEntry.ts
@@ -42,8 +42,8 @@
 
   #child: ChildProcess | null = null;
 
-  /** Whether the end of the process is wanted. */
-  #ending = false;
+  /** Signal that the process was last sent to end it; null while its end is not wanted. */
+  #ending: NodeJS.Signals | null = null;
 
   private constructor(settings: SoakEntrySettings, storeLink: LinkHandle, callerLink: LinkHandle) {
     this.#settings = settings;
@@ -80,7 +80,7 @@
     } = this.#settings;
     const path = join(directory, `${name}.conf`);
     await writeFile(path, renderSettings(this.#platformSettings()));
-    this.#ending = false;
+    this.#ending = null;
     const child = spawn(process.execPath, [findProgram(build)], {
       env: { ...process.env, [SETTINGS_VARIABLE]: path }, stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -91,7 +91,8 @@
     process.once('exit', killWithParent);
     child.once('exit', (code, signal) => {
       process.off('exit', killWithParent);
-      if (!this.#ending) {
+      const isFailedStop = this.#ending === 'SIGTERM' && code !== null && code !== 0;
+      if (this.#ending === null || isFailedStop) {
         journal.violated('exit', `${name} ended by itself, code ${String(code)}, signal ${String(signal)}`);
       }
     });
@@ -135,7 +136,7 @@
 
   async #end(signal: NodeJS.Signals): Promise<void> {
     const child = this.#child;
-    this.#ending = true;
+    this.#ending = signal;
     if (child !== null && this.running) {
       const ended = once(child, 'exit');
       child.kill('SIGCONT');
--- a/packages/soak/src/lib/faults/SoakCourse.ts
+++ b/packages/soak/src/lib/faults/SoakCourse.ts
@@ -1,7 +1,8 @@
 /**
  * Which faults a soak draws. `unplanned`: processes, links, workers and the store fail. `planned`:
  * stops of entries and new configurations, while the store fails and sound workers fall silent.
+ * `stops` and `silences`: the same without silences, or without stops. `all`: `unplanned` and `planned`.
  */
-type SoakCourse = 'unplanned' | 'planned' | 'all';
+type SoakCourse = 'all' | 'unplanned' | 'planned' | 'stops' | 'silences';
 
 export default SoakCourse;
--- /dev/null
+++ b/packages/soak/src/lib/faults/planCourse.ts
@@ -0,0 +1,46 @@
+import { SeededRandom } from '@dandelionlane/core';
+import type SoakOptions from '../SoakOptions.js';
+import type PlannedFault from './PlannedFault.js';
+import planFaults from './planFaults.js';
+import planRestorations from './planRestorations.js';
+import planWork from './planWork.js';
+
+const MILLISECONDS = 1_000;
+
+/** Sizes of what faults are drawn for. */
+interface CourseSizes {
+  readonly entries: number;
+  readonly workers: number;
+  /** Workers, from the first, that may fail. */
+  readonly faultyWorkers: number;
+}
+
+/**
+ * Draws the faults of a course. Each kind of course draws from its own seed, and a course that
+ * leaves faults out draws the others as it does with them.
+ */
+export default function planCourse(
+  {
+    seed, seconds, restorations, course, grace,
+  }: SoakOptions,
+  { entries, workers, faultyWorkers }: CourseSizes,
+): readonly PlannedFault[] {
+  const milliseconds = seconds * MILLISECONDS;
+  const unplanned = planFaults(milliseconds, entries, faultyWorkers, new SeededRandom(seed));
+  const work = planWork(milliseconds, entries, workers, grace * MILLISECONDS, new SeededRandom(seed + 4));
+  const restored = planRestorations(milliseconds, restorations, new SeededRandom(seed + 3));
+  switch (course) {
+    case 'all':
+      return [...unplanned, ...work, ...restored];
+    case 'unplanned':
+      return [...unplanned, ...restored];
+    case 'planned':
+      return [...work, ...restored];
+    case 'stops':
+      return [...work.filter(({ fault }) => fault.kind !== 'workers-silent'), ...restored];
+    case 'silences':
+      return [...work.filter(({ fault }) => fault.kind !== 'entry-stopped'), ...restored];
+    default:
+      return course satisfies never;
+  }
+}
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -7,17 +7,13 @@
 import StayingCaller from './callers/StayingCaller.js';
 import createTopology from './createTopology.js';
 import FaultInjector from './faults/FaultInjector.js';
-import planFaults from './faults/planFaults.js';
-import planRestorations from './faults/planRestorations.js';
-import planWork from './faults/planWork.js';
+import planCourse from './faults/planCourse.js';
 import type RequestKind from './journal/RequestKind.js';
 import findViolations from './journal/findViolations.js';
 import isServed from './journal/isServed.js';
 
 const GROUP_SIZE = 2;
 
-const MILLISECONDS = 1_000;
-
 /** Added to a seed for the callers that stay, one more for each of them. */
 const STAYING_SEED = 100;
 
@@ -53,22 +49,11 @@
 
 /** Runs entry processes under faults that the seed draws, and checks the promises meanwhile. */
 export default async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const random = new SeededRandom(options.seed);
   const topology = await createTopology(options, GROUP_SIZE);
-  const { journal, entries } = topology;
-  const milliseconds = options.seconds * MILLISECONDS;
-  const faults = [
-    ...options.course === 'planned'
-      ? [] : planFaults(milliseconds, entries.length, topology.faultyWorkers, random),
-    ...options.course === 'unplanned' ? [] : planWork(
-      milliseconds,
-      entries.length,
-      topology.workers.length,
-      options.grace * MILLISECONDS,
-      new SeededRandom(options.seed + 4),
-    ),
-    ...planRestorations(milliseconds, options.restorations, new SeededRandom(options.seed + 3)),
-  ];
+  const { journal, entries, workers } = topology;
+  const faults = planCourse(options, {
+    entries: entries.length, workers: workers.length, faultyWorkers: topology.faultyWorkers,
+  });
   const caller = new SoakCaller(journal, entries, new SeededRandom(options.seed + 2));
   const unserved = await waitUntilServed(caller, topology);
   if (unserved.length > 0) {
--- /dev/null
+++ b/packages/soak/src/test/planCourse.test.ts
@@ -0,0 +1,27 @@
+import { expect, test } from 'vitest';
+import { SeededRandom } from '@dandelionlane/core';
+import type SoakCourse from '../lib/faults/SoakCourse.js';
+import planCourse from '../lib/faults/planCourse.js';
+import planFaults from '../lib/faults/planFaults.js';
+
+function plan(course: SoakCourse) {
+  return planCourse({
+    seed: 4, seconds: 30, entries: 3, rate: 30, restorations: 2, course, grace: 6, build: null, directory: '',
+  }, { entries: 3, workers: 13, faultyWorkers: 11 });
+}
+
+test('a course without planned work draws the faults that its seed drew before', () => {
+  const unplanned = plan('unplanned');
+  expect(unplanned.slice(0, -2)).toEqual(planFaults(30_000, 3, 11, new SeededRandom(4)));
+  expect(unplanned.slice(-2).map(({ fault }) => fault.kind)).toEqual(['store-restored', 'store-restored']);
+});
+
+test('a course that leaves faults out draws the others as it does with them', () => {
+  const kinds = (course: SoakCourse) => new Set(plan(course).map(({ fault }) => fault.kind));
+  expect(kinds('stops')).toEqual(new Set([...kinds('planned')].filter((kind) => kind !== 'workers-silent')));
+  expect(kinds('silences')).toEqual(new Set([...kinds('planned')].filter((kind) => kind !== 'entry-stopped')));
+  const planned = plan('planned');
+  expect(planned).toEqual(expect.arrayContaining([...plan('stops')]));
+  expect(planned).toEqual(expect.arrayContaining([...plan('silences')]));
+  expect(plan('all')).toEqual(expect.arrayContaining([...planned, ...plan('unplanned')]));
+});
--- a/packages/soak/src/test/runSoak.test.ts
+++ b/packages/soak/src/test/runSoak.test.ts
@@ -15,3 +15,19 @@
   expect(report.violations.filter(({ timed }) => !timed)).toEqual([]);
   await rm(directory, { recursive: true, force: true });
 });
+
+// Streams whose target fell silent for a second were given up before they had another one, and requests that
+// came while a stopping entry made its last call to the store were cut as its process ended.
+test.each([
+  ['silences', 9402, { entries: 3, seconds: 6, rate: 30 }],
+  ['stops', 9401, { entries: 4, seconds: 8, rate: 20 }],
+  ['planned', 9203, { entries: 4, seconds: 8, rate: 20 }],
+] as const)('course %s of seed %i loses no accepted request', async (course, seed, size) => {
+  const directory = await mkdtemp(join(tmpdir(), 'dandelionlane-soak-'));
+  const report = await runSoak({
+    // With a shorter grace period, a stopping entry refuses requests before it finds itself idle.
+    ...size, seed, course, grace: 8, restorations: 0, build: null, directory,
+  });
+  expect(report.violations.filter(({ timed }) => !timed)).toEqual([]);
+  await rm(directory, { recursive: true, force: true });
+});
