--- a/packages/soak/src/dandelionlane-soak.ts
+++ b/packages/soak/src/dandelionlane-soak.ts
@@ -1,6 +1,7 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import { join, resolve } from 'node:path';
 import sade from 'sade';
+import DEFAULT_GRACE_SECONDS from './lib/DEFAULT_GRACE_SECONDS.js';
 import type SoakReport from './lib/SoakReport.js';
 import type SoakCourse from './lib/faults/SoakCourse.js';
 import runSoak from './lib/runSoak.js';
@@ -79,7 +80,7 @@
   .option('--rate', 'Requests a second', 40)
   .option('--restorations', 'Returns of the store from a copy', 1)
   .option('--course', `Faults: ${COURSES.join(', ')}`, 'all')
-  .option('--grace', 'Time for which an entry may go on after SIGTERM, in s', 8)
+  .option('--grace', 'Time for which an entry may go on after SIGTERM, in s', DEFAULT_GRACE_SECONDS)
   .option('--build', 'Root of another built checkout that entries run from')
   .option('--out', 'Directory for settings, logs and reports', 'target/soak')
   .action(run)
--- a/packages/soak/src/lib/SoakOptions.ts
+++ b/packages/soak/src/lib/SoakOptions.ts
@@ -11,11 +11,12 @@
   readonly rate: number;
   /** Returns of the store from a copy. */
   readonly restorations: number;
-  readonly course: SoakCourse;
-  /** Time for which an entry may go on after SIGTERM, in s. */
-  readonly grace: number;
-  /** Root of the built checkout that entries run from; null for this one. */
-  readonly build: string | null;
+  /** Defaults to `all`. */
+  readonly course?: SoakCourse;
+  /** Time for which an entry may go on after SIGTERM, in s. Defaults to that of deployments. */
+  readonly grace?: number;
+  /** Root of the built checkout that entries run from; null, the default, for this one. */
+  readonly build?: string | null;
   /** Where settings files and logs of the processes go. */
   readonly directory: string;
 }
--- a/packages/soak/src/lib/createTopology.ts
+++ b/packages/soak/src/lib/createTopology.ts
@@ -1,4 +1,5 @@
 import { SeededRandom, SystemRandom } from '@dandelionlane/core';
+import DEFAULT_GRACE_SECONDS from './DEFAULT_GRACE_SECONDS.js';
 import type SoakOptions from './SoakOptions.js';
 import type SoakTopology from './SoakTopology.js';
 import createConfiguration from './createConfiguration.js';
@@ -22,7 +23,7 @@
 /** Starts the store, the workers and the entries of a soak. */
 export default async function createTopology(
   {
-    seed, entries: count, directory, grace, build,
+    seed, entries: count, directory, grace = DEFAULT_GRACE_SECONDS, build = null,
   }: SoakOptions,
   groupSize: number,
 ): Promise<SoakTopology> {
--- a/packages/soak/src/lib/faults/planCourse.ts
+++ b/packages/soak/src/lib/faults/planCourse.ts
@@ -1,4 +1,5 @@
 import { SeededRandom } from '@dandelionlane/core';
+import DEFAULT_GRACE_SECONDS from '../DEFAULT_GRACE_SECONDS.js';
 import type SoakOptions from '../SoakOptions.js';
 import type PlannedFault from './PlannedFault.js';
 import planFaults from './planFaults.js';
@@ -21,7 +22,7 @@
  */
 export default function planCourse(
   {
-    seed, seconds, restorations, course, grace,
+    seed, seconds, restorations, course = 'all', grace = DEFAULT_GRACE_SECONDS,
   }: SoakOptions,
   { entries, workers, faultyWorkers }: CourseSizes,
 ): readonly PlannedFault[] {
--- a/packages/soak/src/test/planCourse.test.ts
+++ b/packages/soak/src/test/planCourse.test.ts
@@ -6,7 +6,7 @@
 
 function plan(course: SoakCourse) {
   return planCourse({
-    seed: 4, seconds: 30, entries: 3, rate: 30, restorations: 2, course, grace: 6, build: null, directory: '',
+    seed: 4, seconds: 30, entries: 3, rate: 30, restorations: 2, course, grace: 6, directory: '',
   }, { entries: 3, workers: 13, faultyWorkers: 11 });
 }
 
--- a/packages/soak/src/test/runSoak.test.ts
+++ b/packages/soak/src/test/runSoak.test.ts
@@ -10,7 +10,7 @@
 ])('seed %i with %i returns of the store breaks no promise', async (seed, restorations) => {
   const directory = await mkdtemp(join(tmpdir(), 'dandelionlane-soak-'));
   const report = await runSoak({
-    seed, seconds: 6, entries: 3, rate: 30, restorations, course: 'unplanned', grace: 3, build: null, directory,
+    seed, seconds: 6, entries: 3, rate: 30, restorations, course: 'unplanned', grace: 3, directory,
   });
   expect(report.violations.filter(({ timed }) => !timed)).toEqual([]);
   await rm(directory, { recursive: true, force: true });
@@ -26,7 +26,7 @@
   const directory = await mkdtemp(join(tmpdir(), 'dandelionlane-soak-'));
   const report = await runSoak({
     // With a shorter grace period, a stopping entry refuses requests before it finds itself idle.
-    ...size, seed, course, grace: 8, restorations: 0, build: null, directory,
+    ...size, seed, course, grace: 8, restorations: 0, directory,
   });
   expect(report.violations.filter(({ timed }) => !timed)).toEqual([]);
   await rm(directory, { recursive: true, force: true });
