--- a/packages/soak/src/lib/SoakOptions.ts
+++ b/packages/soak/src/lib/SoakOptions.ts
@@ -1,3 +1,5 @@
+import type SoakCourse from './faults/SoakCourse.js';
+
 /** Size and course of a soak. */
 export default interface SoakOptions {
   /** Decides the faults and the requests. */
@@ -9,6 +11,12 @@
   readonly rate: number;
   /** Returns of the store from a copy. */
   readonly restorations: number;
+  /** Defaults to `all`. */
+  readonly course?: SoakCourse;
+  /** Time for which an entry may go on after SIGTERM, in s. Defaults to that of deployments. */
+  readonly grace?: number;
+  /** Root of the built checkout that entries run from; null, the default, for this one. */
+  readonly build?: string | null;
   /** Where settings files and logs of the processes go. */
   readonly directory: string;
 }
--- a/packages/soak/src/lib/faults/FaultInjector.ts
+++ b/packages/soak/src/lib/faults/FaultInjector.ts
@@ -2,6 +2,7 @@
 import type SoakTopology from '../SoakTopology.js';
 import createConfiguration from '../createConfiguration.js';
 import type SoakEntry from '../entries/SoakEntry.js';
+import type DisturbedPart from '../journal/DisturbedPart.js';
 import writeConfiguration from '../store/writeConfiguration.js';
 import type SoakWorker from '../workers/SoakWorker.js';
 import type PlannedFault from './PlannedFault.js';
@@ -34,18 +35,26 @@
     }));
   }
 
-  async #hold({ fault, forMilliseconds }: PlannedFault): Promise<void> {
+  async #hold({ fault: planned, forMilliseconds }: PlannedFault): Promise<void> {
+    const fault = this.#withoutHeldWorkers(planned);
     const places = this.#placesOf(fault);
     if (places.some((place) => this.#held.has(place))) {
       return;
     }
     places.forEach((place) => this.#held.add(place));
-    const over = this.#topology.journal.disturbed(performance.now());
+    const over = this.#topology.journal.disturbed(performance.now(), this.#partsOf(fault));
     await this.#apply(fault, forMilliseconds);
     over(performance.now());
     places.forEach((place) => this.#held.delete(place));
   }
 
+  /** A silence of several workers leaves out those that another fault holds. */
+  #withoutHeldWorkers(fault: SoakFault): SoakFault {
+    return fault.kind !== 'workers-silent' ? fault : {
+      ...fault, workers: fault.workers.filter((worker) => !this.#held.has(`worker-link ${worker}`)),
+    };
+  }
+
   #placesOf(fault: SoakFault): readonly string[] {
     switch (fault.kind) {
       case 'entry-killed':
@@ -54,6 +63,10 @@
         return [`entry ${fault.entry}`];
       case 'all-entries-killed':
         return this.#topology.entries.map((_, index) => `entry ${index}`);
+      case 'entry-stopped':
+        return [`entry ${fault.entry}`, `store-link ${fault.entry}`];
+      case 'workers-silent':
+        return fault.workers.map((worker) => `worker-link ${worker}`);
       case 'store-link':
       case 'caller-link':
         return [`${fault.kind} ${fault.entry}`];
@@ -74,6 +87,38 @@
     }
   }
 
+  /** What a fault disturbs that may lose requests. A planned stop is none: its entry has time to end them. */
+  #partsOf(fault: SoakFault): readonly DisturbedPart[] {
+    switch (fault.kind) {
+      case 'entry-killed':
+      case 'entry-paused':
+        return [{ kind: 'entry', entry: this.#entry(fault.entry).name }];
+      case 'all-entries-killed':
+        return this.#topology.entries.map(({ name }) => ({ kind: 'entry', entry: name }));
+      case 'caller-link':
+        return [{ kind: 'caller-link', entry: this.#entry(fault.entry).name }];
+      case 'worker-link':
+        // A slow link loses nothing.
+        return fault.state === 'slow'
+          ? [{ kind: 'other' }] : [{ kind: 'worker-link', worker: this.#worker(fault.worker).id }];
+      // Workers note themselves which runs they break off.
+      case 'worker-answers':
+      case 'worker-crashes':
+      case 'worker-leaves':
+      case 'workers-silent':
+      case 'entry-terminated':
+      case 'entry-stopped':
+      case 'store-link':
+      case 'store-fails':
+      case 'store-forgets':
+      case 'store-restored':
+      case 'configuration-changes':
+        return [{ kind: 'other' }];
+      default:
+        return fault satisfies never;
+    }
+  }
+
   async #apply(fault: SoakFault, milliseconds: number): Promise<void> {
     const { entries, store, tables } = this.#topology;
     switch (fault.kind) {
@@ -91,6 +136,13 @@
         await this.#entry(fault.entry).terminate();
         await this.#entry(fault.entry).start();
         return;
+      case 'entry-stopped':
+        this.#entry(fault.entry).storeLink.setState(fault.storeLink);
+        await sleep(milliseconds);
+        await this.#entry(fault.entry).terminate();
+        this.#entry(fault.entry).storeLink.setState('open');
+        await this.#entry(fault.entry).start();
+        return;
       case 'all-entries-killed':
         await Promise.all(entries.map((entry) => entry.kill()));
         await Promise.all(entries.map((entry) => entry.start()));
@@ -120,6 +172,13 @@
         await sleep(milliseconds);
         this.#worker(fault.worker).link.setState('open');
         return;
+      case 'workers-silent': {
+        const links = fault.workers.map((worker) => this.#worker(worker).link);
+        links.forEach((link) => link.setState('silent'));
+        await sleep(milliseconds);
+        links.forEach((link) => link.setState('open'));
+        return;
+      }
       case 'worker-crashes':
         this.#worker(fault.worker).crash();
         await sleep(milliseconds);
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -4,16 +4,19 @@
 import type SoakReport from './SoakReport.js';
 import type SoakTopology from './SoakTopology.js';
 import SoakCaller from './callers/SoakCaller.js';
+import StayingCaller from './callers/StayingCaller.js';
 import createTopology from './createTopology.js';
 import FaultInjector from './faults/FaultInjector.js';
-import planFaults from './faults/planFaults.js';
-import planRestorations from './faults/planRestorations.js';
+import planCourse from './faults/planCourse.js';
 import type RequestKind from './journal/RequestKind.js';
 import findViolations from './journal/findViolations.js';
 import isServed from './journal/isServed.js';
 
 const GROUP_SIZE = 2;
 
+/** Added to a seed for the callers that stay, one more for each of them. */
+const STAYING_SEED = 100;
+
 /** Time in which every kind of request has to be served at the start and after the last fault, in ms. */
 const SERVED_MILLISECONDS = 30_000;
 
@@ -46,21 +49,23 @@
 
 /** Runs entry processes under faults that the seed draws, and checks the promises meanwhile. */
 export default async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const random = new SeededRandom(options.seed);
   const topology = await createTopology(options, GROUP_SIZE);
   const { journal, entries, workers } = topology;
-  const milliseconds = options.seconds * 1_000;
-  const faults = [
-    ...planFaults(milliseconds, entries.length, workers.length, random),
-    ...planRestorations(milliseconds, options.restorations, new SeededRandom(options.seed + 3)),
-  ];
+  const faults = planCourse(options, {
+    entries: entries.length, workers: workers.length, faultyWorkers: topology.faultyWorkers,
+  });
   const caller = new SoakCaller(journal, entries, new SeededRandom(options.seed + 2));
   const unserved = await waitUntilServed(caller, topology);
   if (unserved.length > 0) {
     journal.violated('start', `not served after the start: ${unserved.join(', ')}`);
   }
   let over = false;
-  const calling = caller.run(options.rate, () => over);
+  const calling = Promise.all([
+    caller.run(options.rate, () => over),
+    ...entries.map((entry, index) => (
+      new StayingCaller(journal, entry, new SeededRandom(options.seed + STAYING_SEED + index)).run(() => over)
+    )),
+  ]);
   await new FaultInjector(topology, GROUP_SIZE).run(faults);
   over = true;
   await calling;
