Soak: judge a lost request by the run that its entry listened to

The check looked at the run that began last: that of the silent worker that the streams had left, which began its runs only once its link went on.

Workers note when an entry closes a connection early, and such a run is the last one only if the entry has left all. The test in findViolations.test.ts failed before.

--- a/packages/soak/src/lib/journal/RecordedRun.ts
+++ b/packages/soak/src/lib/journal/RecordedRun.ts
@@ -18,7 +18,9 @@
 
   #brokenAt: number | null = null;
 
-  constructor(run: Omit<WorkerRun, 'answeredAt' | 'brokenAt'>) {
+  #abandonedAt: number | null = null;
+
+  constructor(run: Omit<WorkerRun, 'answeredAt' | 'brokenAt' | 'abandonedAt'>) {
     this.requestId = run.requestId;
     this.worker = run.worker;
     this.signature = run.signature;
@@ -35,6 +37,10 @@
     return this.#brokenAt;
   }
 
+  get abandonedAt(): number | null {
+    return this.#abandonedAt;
+  }
+
   noteAnswered(now: number): void {
     this.#answeredAt = now;
   }
@@ -42,4 +48,8 @@
   noteBroken(now: number): void {
     this.#brokenAt ??= now;
   }
+
+  noteAbandoned(now: number): void {
+    this.#abandonedAt ??= now;
+  }
 }
--- a/packages/soak/src/lib/journal/WorkerRun.ts
+++ b/packages/soak/src/lib/journal/WorkerRun.ts
@@ -11,4 +11,6 @@
   readonly answeredAt: number | null;
   /** Time at which the worker broke off its answer, or its group began to stand still; null if neither. */
   readonly brokenAt: number | null;
+  /** Time at which the worker saw that the entry had closed the connection early; null if it has not. */
+  readonly abandonedAt: number | null;
 }
--- a/packages/soak/src/lib/journal/checkLost.ts
+++ b/packages/soak/src/lib/journal/checkLost.ts
@@ -59,6 +59,12 @@
   });
 }
 
+/** The last run that the entry still listened to at the end; the last of all where it had left each. */
+function findLastRun(runs: readonly WorkerRun[], endedAt: number): WorkerRun | undefined {
+  const heard = runs.filter(({ abandonedAt }) => abandonedAt === null || abandonedAt > endedAt);
+  return heard.at(-1) ?? runs.at(-1);
+}
+
 function describeStop({ entry }: SentRequest, endedAt: number, { stops }: SoakJournal): string {
   const stop = stops.find((each) => (
     each.entry === entry && each.at <= endedAt && endedAt <= each.goneAt + LOST_MILLISECONDS
@@ -73,11 +79,12 @@
   journal: SoakJournal,
 ): readonly Violation[] {
   const { outcome } = request;
-  const last = runs.at(-1);
   if (outcome === null || isAnswered(outcome) || !isAccepted(request, outcome, runs)) {
     return [];
   }
   const { endedAt } = outcome;
+  // An entry may try two workers side by side, and a silent one may begin its run after it was left.
+  const last = findLastRun(runs, endedAt);
   const isExcused = endedAt >= request.sentAt + request.deadlineMilliseconds
     || isEntryDisturbed(request, endedAt, journal)
     || (last !== undefined && isRunDisturbed(last, endedAt, journal))
--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -279,6 +279,11 @@
       startedAt: performance.now(),
     });
     journal.runs.push(run);
+    outgoing.once('close', () => {
+      if (!outgoing.writableFinished && run.brokenAt === null) {
+        run.noteAbandoned(performance.now());
+      }
+    });
     this.#running += 1;
     const life = this.#life;
     outgoing.setHeaders(new Map(Object.entries(encodeAnswerHeaders({ kind: 'run', requestId, signature }))));
--- a/packages/soak/src/test/findViolations.test.ts
+++ b/packages/soak/src/test/findViolations.test.ts
@@ -32,6 +32,7 @@
     startedAt: 10_010,
     answeredAt: null,
     brokenAt: null,
+    abandonedAt: null,
     ...other,
   };
 }
@@ -175,6 +176,17 @@
   expect(broken(safe, [run({ brokenAt: 10_501 })])).toEqual(['lost']);
 });
 
+// Guards against a loss that is found although the worker which served the stream broke off.
+test('a run that its entry has left before the end does not count as the last', () => {
+  const broke = run({ brokenAt: 10_400 });
+  const left = run({ worker: 'v', startedAt: 10_300, abandonedAt: 10_310 });
+  const safe = sent(ended(), { kind: 'safe' });
+  expect(broken(safe, [broke, left])).toEqual([]);
+  expect(broken(safe, [run(), left])).toEqual(['lost']);
+  expect(broken(safe, [left])).toEqual(['lost']);
+  expect(broken(safe, [broke, run({ ...left, abandonedAt: 10_501 })])).toEqual(['lost']);
+});
+
 test.each(['worker', 'worker-link'] as const)('a disturbed %s excuses a lost request, if it ran it last', (kind) => {
   const first = run();
   const later = run({ worker: 'v', startedAt: 10_250 });
