Soak: leave out runs that begin after their request has ended

Workers now note the end of a connection when they read it, as a response does not tell before its own end, and the report says when each run began, broke off and was left.

--- a/packages/soak/src/lib/journal/checkLost.ts
+++ b/packages/soak/src/lib/journal/checkLost.ts
@@ -61,8 +61,9 @@
 
 /** The last run that the entry still listened to at the end; the last of all where it had left each. */
 function findLastRun(runs: readonly WorkerRun[], endedAt: number): WorkerRun | undefined {
-  const heard = runs.filter(({ abandonedAt }) => abandonedAt === null || abandonedAt > endedAt);
-  return heard.at(-1) ?? runs.at(-1);
+  const begun = runs.filter(({ startedAt }) => startedAt <= endedAt);
+  const heard = begun.filter(({ abandonedAt }) => abandonedAt === null || abandonedAt > endedAt);
+  return heard.at(-1) ?? begun.at(-1) ?? runs.at(-1);
 }
 
 function describeStop({ entry }: SentRequest, endedAt: number, { stops }: SoakJournal): string {
@@ -72,6 +73,15 @@
   return stop === undefined ? '' : `, ${Math.round(endedAt - stop.at)} ms after SIGTERM`;
 }
 
+function describeRuns(runs: readonly WorkerRun[], sentAt: number): string {
+  const since = (at: number) => Math.round(at - sentAt);
+  return runs.map(({
+    worker, startedAt, brokenAt, abandonedAt,
+  }) => `${worker} from ${since(startedAt)} ms${
+    brokenAt === null ? '' : `, broken off at ${since(brokenAt)} ms`
+  }${abandonedAt === null ? '' : `, left at ${since(abandonedAt)} ms`}`).join('; ') || 'none';
+}
+
 /** A request that was accepted and ended without a whole answer, for no reason that the rules allow. */
 export default function checkLost(
   request: SentRequest,
@@ -93,7 +103,7 @@
   return isExcused ? [] : [{
     promise: 'lost',
     detail: `${request.id} (${request.kind}) at ${request.entry} ${seen} after ${Math.round(endedAt - request.sentAt)} ms`
-      + `${describeStop(request, endedAt, journal)}; runs: ${runs.map(({ worker }) => worker).join(', ') || 'none'}`,
+      + `${describeStop(request, endedAt, journal)}; runs: ${describeRuns(runs, request.sentAt)}`,
     timed: false,
   }];
 }
--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -279,11 +279,11 @@
       startedAt: performance.now(),
     });
     journal.runs.push(run);
-    outgoing.once('close', () => {
-      if (!outgoing.writableFinished && run.brokenAt === null) {
-        run.noteAbandoned(performance.now());
-      }
-    });
+    const noteAbandoned = () => run.noteAbandoned(performance.now());
+    const { socket } = outgoing;
+    // Entries never close only one direction of a connection.
+    socket?.once('end', noteAbandoned);
+    outgoing.once('close', () => socket?.off('end', noteAbandoned));
     this.#running += 1;
     const life = this.#life;
     outgoing.setHeaders(new Map(Object.entries(encodeAnswerHeaders({ kind: 'run', requestId, signature }))));
--- a/packages/soak/src/test/findViolations.test.ts
+++ b/packages/soak/src/test/findViolations.test.ts
@@ -185,6 +185,7 @@
   expect(broken(safe, [run(), left])).toEqual(['lost']);
   expect(broken(safe, [left])).toEqual(['lost']);
   expect(broken(safe, [broke, run({ ...left, abandonedAt: 10_501 })])).toEqual(['lost']);
+  expect(broken(safe, [broke, run({ ...left, startedAt: 10_600, abandonedAt: 10_610 })])).toEqual([]);
 });
 
 test.each(['worker', 'worker-link'] as const)('a disturbed %s excuses a lost request, if it ran it last', (kind) => {
