--- a/packages/gateway/src/lib/relay/PlainExchange.ts
+++ b/packages/gateway/src/lib/relay/PlainExchange.ts
@@ -13,6 +13,15 @@
 /** Period in which an exchange that is overdue says so again, in ms. */
 const OVERDUE_PERIOD_MILLISECONDS = 50;
 
+type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+/** Head of an answer whose body is being read. */
+interface StartedAnswer {
+  readonly status: number;
+  readonly headers: AnswerHeaders;
+  readonly head: AnswerHead;
+}
+
 /** Options of a `PlainExchange`. */
 interface ExchangeOptions {
   readonly context: GatewayContext;
@@ -41,9 +50,7 @@
 
   #bytes = 0;
 
-  #answer: { readonly status: number;
-    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-    readonly head: AnswerHead; } | null = null;
+  #answer: StartedAnswer | null = null;
 
   #attempt: TargetAttempt | null = null;
 
@@ -105,7 +112,7 @@
     this.#resolve = null;
   }
 
-  #handleHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+  #handleHead(status: number, headers: AnswerHeaders): void {
     const { context, call } = this.#options;
     const head = context.wire.readAnswer(headers);
     this.#answer = { status, headers, head };
