--- a/review/support/EntryProcess.js
+++ b/review/support/EntryProcess.js
@@ -17,6 +17,14 @@
 const START_TIMEOUT_MILLISECONDS = 20_000;
 const POLL_MILLISECONDS = 50;
 
+const INTERRUPTED_EXIT_CODE = 2;
+
+// The processes end with the one that started them.
+['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => {
+  // eslint-disable-next-line n/no-process-exit -- ends the run at once
+  process.exit(INTERRUPTED_EXIT_CODE);
+}));
+
 /** A process of the system, started as the deploy file says, with settings of a small deployment. */
 export default class EntryProcess {
   #child = null;
@@ -68,6 +76,8 @@
       },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    const child = this.#child;
+    process.once('exit', () => child.kill('SIGKILL'));
     const log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
     this.#child.stdout.pipe(log, { end: false });
     this.#child.stderr.pipe(log, { end: false });
--- a/review/support/StandInWorker.js
+++ b/review/support/StandInWorker.js
@@ -23,7 +23,8 @@
 
   /**
    * @param options `tables` of the store, `id`, `service`, `zone`, `hasGroups`, and
-   * `serve(run, incoming, outgoing, body)`, called for each request that it runs.
+   * `serve(call, incoming, outgoing)`, called for each request that it runs; optionally
+   * `openProxy(address)`, which resolves to the address by which the worker registers.
    */
   constructor(options) {
     this.#options = options;
@@ -41,7 +42,8 @@
     await new Promise((resolve) => {
       this.#server.listen(0, '127.0.0.1', resolve);
     });
-    this.#address = `127.0.0.1:${this.#server.address().port}`;
+    const address = `127.0.0.1:${this.#server.address().port}`;
+    this.#address = await this.#options.openProxy?.(address) ?? address;
     await this.register();
   }
 
