--- a/review/support/EntryProcess.js
+++ b/review/support/EntryProcess.js
@@ -25,6 +25,12 @@
   process.exit(INTERRUPTED_EXIT_CODE);
 }));
 
+process.once('uncaughtException', (error) => {
+  process.stderr.write(`${error.stack}\n`);
+  // eslint-disable-next-line n/no-process-exit -- a fault of the script is no broken rule
+  process.exit(INTERRUPTED_EXIT_CODE);
+});
+
 /** A process of the system, started as the deploy file says, with settings of a small deployment. */
 export default class EntryProcess {
   #child = null;
--- a/review/support/StandInWorker.js
+++ b/review/support/StandInWorker.js
@@ -5,6 +5,7 @@
   OPERATOR_ROWS, STAND_IN_STATUSES, encodeAnswerHeaders, encodeReport, encodeWorker, readWorkerCall,
 } from '@dandelionlane/platform-adapter';
 import { GroupWorker } from '@dandelionlane/standin';
+import findPort from './findPort.js';
 
 /** Time that a join, an open or a close takes, in ms. */
 const SETTLE_MILLISECONDS = 150;
@@ -21,6 +22,8 @@
 
   #address = '';
 
+  #listeningAt = null;
+
   /**
    * @param options `tables` of the store, `id`, `service`, `zone`, `hasGroups`, and
    * `serve(call, incoming, outgoing)`, called for each request that it runs; optionally
@@ -29,9 +32,7 @@
   constructor(options) {
     this.#options = options;
     this.#member = new GroupWorker(options.id, Date.now());
-    this.#server = createServer((incoming, outgoing) => {
-      this.#handle(incoming, outgoing).catch(() => outgoing.destroy());
-    });
+    this.#server = this.#createServer();
   }
 
   get id() {
@@ -39,17 +40,31 @@
   }
 
   async start() {
+    const freePort = await findPort(1);
     await new Promise((resolve) => {
-      this.#server.listen(0, '127.0.0.1', resolve);
+      this.#server.listen(freePort, '127.0.0.1', resolve);
     });
-    const address = `127.0.0.1:${this.#server.address().port}`;
+    this.#listeningAt = this.#server.address();
+    const address = `127.0.0.1:${this.#listeningAt.port}`;
     this.#address = await this.#options.openProxy?.(address) ?? address;
     await this.register();
   }
 
-  /** Says that it is leaving, and serves on. */
-  async drain() {
-    this.#member.draining = true;
+  /** Ends without a word, as a crashed process does. Returns whether it was running. */
+  crash() {
+    const wasRunning = this.#member.alive;
+    this.close();
+    return wasRunning;
+  }
+
+  /** Starts anew at its address under its id, and knows nothing of before. */
+  async restart() {
+    const { port } = this.#listeningAt;
+    this.#member.restart(Date.now());
+    this.#server = this.#createServer();
+    await new Promise((resolve) => {
+      this.#server.listen(port, '127.0.0.1', resolve);
+    });
     await this.register();
   }
 
@@ -75,6 +90,12 @@
     this.#server.close();
   }
 
+  #createServer() {
+    return createServer((incoming, outgoing) => {
+      this.#handle(incoming, outgoing).catch(() => outgoing.destroy());
+    });
+  }
+
   async #handle(incoming, outgoing) {
     const { id, hasGroups, serve } = this.#options;
     const url = incoming.url ?? '/';
