--- a/review/3/case.js
+++ b/review/3/case.js
@@ -1,108 +1,119 @@
-import { text } from 'node:stream/consumers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
-import { encodeAnswerHeaders } from '@dandelionlane/platform-adapter';
 import Deployment from '../support/Deployment.js';
 import Recording from '../support/Recording.js';
-import WorkerProxy from '../support/WorkerProxy.js';
-import sendRequest from '../support/sendRequest.js';
+import getJSON from '../support/getJSON.js';
 
-const ENTRIES = 3;
-const WORKERS = 5;
+const ENTRIES = 4;
 
-/** Attempts that the route allows, in `createConfiguration`. */
-const MAXIMUM_ATTEMPTS = 2;
+/** Calm before each step, in ms. */
+const CALM_MILLISECONDS = 6_000;
 
-/** Requests that may run on more workers than that. */
-const ALLOWED_REQUESTS = 3;
+/** Time for which the holder of the lease is partitioned from the store, in ms, as in the site file. */
+const CUT_MILLISECONDS = 5_500;
 
-/** Time for which the entry is partitioned from the workers, in ms. */
-const CUT_MILLISECONDS = 10_000;
+/** `stable_window_ms` + 3 s: from then on no directory may name a machine that is gone. */
+const LISTED_MILLISECONDS = 6_000;
 
-/** Time between two requests, in ms: 25 a second. */
-const REQUEST_MILLISECONDS = 40;
+/** Answers that may name such a machine. */
+const ALLOWED_ANSWERS = 3;
 
-/** Of so many requests workers answer one with 500: a share of 0.14, `error_share` of the site file. */
-const FAILING_PERIOD = 7;
-
-/** Time that a worker takes for a request, in ms. */
-const WORK_MILLISECONDS = 40;
-
-/** Requests before the partition, so that the entries know the workers, in ms. */
-const CALM_MILLISECONDS = 4_000;
+const ASKING_MILLISECONDS = 12_000;
+const PERIOD_MILLISECONDS = 250;
+const HOLDER_TIMEOUT_MILLISECONDS = 10_000;
+const LINKS_TIMEOUT_MILLISECONDS = 25_000;
 
 const isDisturbed = process.env.TROUBLE !== '0';
 const recording = new Recording(fileURLToPath(new URL('record.txt', import.meta.url)));
 
-/** Workers that ran each request. */
-const workersOf = new Map();
+async function waitForHolder(deployment, except) {
+  const until = performance.now() + HOLDER_TIMEOUT_MILLISECONDS;
+  while (performance.now() < until) {
+    const holder = await deployment.findHolder();
+    if (holder !== null && holder !== except) {
+      recording.add(`the store names ${holder} as the holder of the lease`);
+      return holder;
+    }
+    await sleep(PERIOD_MILLISECONDS);
+  }
+  throw new Error('no holder in time');
+}
+
+/** Waits until the row of the holder lists all entries, as it does after some seconds of calm. */
+async function waitForLinks(deployment, holder) {
+  const until = performance.now() + LINKS_TIMEOUT_MILLISECONDS;
+  while (performance.now() < until) {
+    const { rows } = (await deployment.tables.snapshot('entries'))._unsafeUnwrap();
+    if (rows.find(({ key }) => key === holder)?.value?.linked.length === ENTRIES) {
+      return;
+    }
+    await sleep(PERIOD_MILLISECONDS);
+  }
+  throw new Error('the entries are not linked in time');
+}
+
+/** Partitions the holder of the lease from the store, so that another one takes over. Returns its name. */
+async function cutHolder(deployment) {
+  const holder = await waitForHolder(deployment, null);
+  await waitForLinks(deployment, holder);
+  const link = deployment.storeLinks[deployment.entries.findIndex(({ name }) => name === holder)];
+  recording.add(`${holder} is partitioned from the store for ${CUT_MILLISECONDS} ms`);
+  link.setState('reset');
+  await sleep(CUT_MILLISECONDS);
+  link.setState('open');
+  recording.add(`${holder} reaches the store again`);
+  await waitForHolder(deployment, holder);
+  return holder;
+}
 
-/** A worker is sound, and fails the requests that it cannot serve, as each worker would. */
-async function serveRequest(worker, { requestId }, incoming, outgoing) {
-  const body = await text(incoming);
-  workersOf.set(requestId, [...workersOf.get(requestId) ?? [], worker]);
-  await sleep(WORK_MILLISECONDS);
-  const status = body.startsWith('failing') ? 500 : 200;
-  recording.add(`${worker} ran ${requestId}: ${status}`);
-  const answer = `answer to ${requestId}`;
-  outgoing.writeHead(status, {
-    'content-length': Buffer.byteLength(answer),
-    ...encodeAnswerHeaders({ kind: 'run', requestId, signature: `${worker}.${requestId}` }),
-  }).end(answer);
+async function resolveAddresses({ directoryAddress }) {
+  const query = new URLSearchParams({ name: 'review.example', region: 'region-1', zone: 'zone-a' });
+  const answer = await getJSON(`http://${directoryAddress}/dandelionlane/resolve?${query}`);
+  return answer?.status === 200 ? answer.body.addresses : [];
 }
 
-/** Sends requests to an entry for a while, and waits for their answers. */
-async function sendRequests(entry, milliseconds) {
-  const count = Math.floor(milliseconds / REQUEST_MILLISECONDS);
-  const answers = [];
-  for (let index = 0; index < count; index += 1) {
-    const isFailing = index % FAILING_PERIOD === 0;
-    const id = `${entry.name}-${milliseconds}-${index}`;
-    answers.push(sendRequest({
-      address: entry.address, kind: 'safe', id, body: `${isFailing ? 'failing' : 'body of'} ${id}`,
-    }).then(({ status, error }) => recording.add(`caller of ${id} got ${status ?? error}`)));
-    await sleep(REQUEST_MILLISECONDS);
+/** Asks the directories of running entries, and counts the answers that name an entry that is gone. */
+async function countAnswersNaming(gone, running) {
+  const until = performance.now() + ASKING_MILLISECONDS;
+  let count = 0;
+  while (performance.now() < until) {
+    for (const entry of running) {
+      const addresses = await resolveAddresses(entry);
+      if (addresses.includes(gone.address) && addresses.some((address) => address !== gone.address)) {
+        count += 1;
+        recording.add(`the directory of ${entry.name} names ${addresses.length} addresses, among them that of ${gone.name}`);
+      }
+    }
+    await sleep(PERIOD_MILLISECONDS);
   }
-  await Promise.all(answers);
+  return count;
 }
 
 async function run() {
-  const proxies = [];
-  let entries = [];
-  const openProxy = (address) => {
-    const proxy = new WorkerProxy(address, () => entries.map(({ pid }) => pid));
-    proxies.push(proxy);
-    return proxy.listen();
-  };
   const deployment = await Deployment.start({
     entryCount: ENTRIES,
-    workers: Array.from({ length: WORKERS }, (_, index) => `i-${index}`).map((id) => ({
-      id, service: 'plain', hasGroups: false, openProxy, serve: (...call) => serveRequest(id, ...call),
-    })),
+    workers: [{
+      id: 'i-0', service: 'plain', hasGroups: false, serve: (call, incoming, outgoing) => outgoing.end(),
+    }],
   });
   try {
-    entries = deployment.entries;
-    const [entry] = entries;
     await sleep(CALM_MILLISECONDS);
-    await sendRequests(entry, CALM_MILLISECONDS);
-    if (isDisturbed) {
-      recording.add(`${entry.name} is partitioned from all workers for ${CUT_MILLISECONDS} ms`);
-      proxies.forEach((proxy) => proxy.partition(entry.pid));
-    }
-    await sendRequests(entry, CUT_MILLISECONDS);
-    proxies.forEach((proxy) => proxy.heal());
-    const beyond = [...workersOf].filter(([, workers]) => new Set(workers).size > MAXIMUM_ATTEMPTS);
-    beyond.forEach(([id, workers]) => recording.add(
-      `${id} ran on ${new Set(workers).size} workers, ${MAXIMUM_ATTEMPTS} are allowed: ${workers.join(' ')}`,
-    ));
-    const isBroken = beyond.length > ALLOWED_REQUESTS;
+    const formerHolder = isDisturbed ? await cutHolder(deployment) : null;
+    await sleep(CALM_MILLISECONDS);
+    const holder = await waitForHolder(deployment, null);
+    const gone = deployment.entries.find(({ name }) => name !== holder && name !== formerHolder);
+    recording.add(`${gone.name} at ${gone.address} is killed for good`);
+    await gone.end();
+    await sleep(LISTED_MILLISECONDS);
+    recording.add(`${LISTED_MILLISECONDS} ms later`);
+    const count = await countAnswersNaming(gone, deployment.entries.filter((entry) => entry !== gone));
+    const isBroken = count > ALLOWED_ANSWERS;
     recording.add(isBroken
-      ? `BUDGET is broken: ${beyond.length} requests ran on more workers than their route allows`
-      : `the rule held: ${beyond.length} requests ran on more workers than their route allows`);
+      ? `DRAIN is broken: ${count} answers of the directory named ${gone.name}`
+      : `the rule held: ${count} answers of the directory named ${gone.name}`);
     return isBroken ? 1 : 0;
   } finally {
     await deployment.close();
-    proxies.forEach((proxy) => proxy.close());
   }
 }
 
