Log which attempts at streams had neither a length nor chunks

The line of a request did not say so of its attempts, other than for plain answers, so that a worker that closed its connection, an entry in between and a sound end looked alike.

--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -127,6 +127,11 @@
     }
   }
 
+  /** Whether the answer has a length or is chunked; null before its head. */
+  get framed(): boolean | null {
+    return this.#head?.framed ?? null;
+  }
+
   /** Whether the target went on after it had begun the answer. */
   get isUnderWay(): boolean {
     return this.events >= UNDER_WAY_EVENTS;
--- a/packages/gateway/src/lib/relay/describeStreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/describeStreamAttempt.ts
@@ -24,7 +24,7 @@
   {
     choice: {
       candidate, load, candidates, prediction,
-    }, events, sentAt,
+    }, events, sentAt, framed,
   }: StreamAttempt,
   end: StreamAttemptOutcome,
   clock: Clock,
@@ -34,6 +34,7 @@
   const expected = prediction === null ? '' : ` expected=${Math.round(prediction.firstEventMilliseconds)}ms`;
   const named = candidate.state.limit.requestsPerSecond(bornAt);
   const limit = named === null ? '' : ` limit=${named}/s`;
+  const framing = framed === false ? ' without a length' : '';
   return `${id}${formation} load=${load.toFixed(1)}/${candidates}${limit}${expected}`
-    + ` ${describeOutcome(end)} events=${events} ${Math.round(clock.monotonicMilliseconds() - sentAt)}ms`;
+    + ` ${describeOutcome(end)}${framing} events=${events} ${Math.round(clock.monotonicMilliseconds() - sentAt)}ms`;
 }
