Take the end of an answer without a length for its end only while its target goes on

Cause: a worker that ends closes its connections in order. Between two events, or inside a plain body, that looks like the end of an answer that has neither a length nor chunks, and the relay took it for that.

The end of such an answer is now a question to its target: does it report the same start and the same open group (a plain one: does it answer at all, over a new connection)? If not, the answer is broken off: a stream goes on at Last-Event-Id elsewhere where it may, an idempotent request runs again within its attempts, what may run once fails. A head that lives but whose group is broken, closed or re-formed counts as gone, as it cuts the work of its members off. An entry that passes a stream on without a length (one of an earlier build) says nothing of the worker behind it: its end is never taken as sound. Weighed: resuming in any case costs a run, a slot and a turn of the budget for each whole stream; the question costs one report.

The test 'a resumed stream without a length does not end as complete' was wrong about a worker that goes on, whose stream is whole; two tests take its place, one for each outcome.

--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -4,8 +4,8 @@
 } from '@dandelionlane/core';
 import {
   CrashReporter, SpentTimeEstimator, EntryRegistry, ModelTimings, PromptQuarantine, RetryBudget,
-  RequestServer, StallDetector, SharedTraffic, TargetConnections, TargetPaths, TargetStates, TrafficMeter,
-  AdmissionQueue,
+  RequestServer, ServingCheck, StallDetector, SharedTraffic, TargetConnections, TargetPaths, TargetStates,
+  TrafficMeter, AdmissionQueue,
   createDirectoryApplication, createMetricsApplication, createReadinessApplication,
   refusesConnections,
 } from '@dandelionlane/gateway';
@@ -144,6 +144,12 @@
     quarantine,
     crashReporter,
     connections,
+    servingCheck: new ServingCheck({
+      report: (worker, timeoutMilliseconds) => ports.workers.report(worker, timeoutMilliseconds),
+      probe: ports.answersProbe,
+      log: logFor('workers'),
+      metrics,
+    }),
     paths,
     peers: () => registry.peers(),
     peerStates,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,7 @@
 export { default as PromptQuarantine } from './lib/quarantine/PromptQuarantine.js';
 export { default as TrialGrants } from './lib/quarantine/TrialGrants.js';
 export { default as refusesConnections } from './lib/quarantine/refusesConnections.js';
+export { default as ServingCheck } from './lib/targets/ServingCheck.js';
 export { default as StallDetector } from './lib/targets/StallDetector.js';
 export { default as TargetConnections } from './lib/targets/TargetConnections.js';
 export { default as TargetStates } from './lib/targets/TargetStates.js';
--- a/packages/gateway/src/lib/relay/PlainExchange.ts
+++ b/packages/gateway/src/lib/relay/PlainExchange.ts
@@ -6,6 +6,7 @@
 import recordAnswerHead from '../targets/recordAnswerHead.js';
 import type AnswerHead from '../wire/AnswerHead.js';
 import type ExchangeOutcome from './ExchangeOutcome.js';
+import endsWithConnection from './endsWithConnection.js';
 
 /** Largest answer that is held in memory, in bytes. */
 const MAXIMUM_ANSWER_BYTES = 16 * 1_024 * 1_024;
@@ -145,10 +146,29 @@
   }
 
   #handleEnd(): void {
-    this.#settle(this.#answer === null
-      ? {
+    const { call: { method } } = this.#options;
+    if (this.#answer === null) {
+      this.#settle({
         kind: 'failed', sent: true, reason: 'answer without a head', connectionLost: false,
-      }
-      : { kind: 'answered', ...this.#answer, body: Buffer.concat(this.#chunks) });
+      });
+      return;
+    }
+    const answer: ExchangeOutcome = { kind: 'answered', ...this.#answer, body: Buffer.concat(this.#chunks) };
+    if (endsWithConnection(method, answer.status, answer.head.framed)) {
+      void this.#settleUnframed(answer);
+    } else {
+      this.#settle(answer);
+    }
+  }
+
+  /** Settles an answer without a length: it is whole if its target goes on. */
+  async #settleUnframed(answer: ExchangeOutcome): Promise<void> {
+    const isServing = await this.#options.context.servingCheck.isServing(this.choice.candidate);
+    this.#settle(isServing ? answer : {
+      kind: 'failed',
+      sent: true,
+      reason: 'answer without a length, and its target does not go on',
+      connectionLost: false,
+    });
   }
 }
--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -10,6 +10,7 @@
 import type StreamAttemptOutcome from './StreamAttemptOutcome.js';
 import writeAnswerHead from './writeAnswerHead.js';
 import classifyAnswer from './classifyAnswer.js';
+import endsWithConnection from './endsWithConnection.js';
 import classifyPeerAnswer from './classifyPeerAnswer.js';
 import removeHopByHopHeaders from './removeHopByHopHeaders.js';
 import readEventId from './readEventId.js';
@@ -311,32 +312,48 @@
   }
 
   #handleEnd(): void {
-    const { call: { outgoing, method } } = this.#options;
+    const { context, call: { method } } = this.#options;
     if (this.#hasEnded) {
       return;
     }
     if (this.#refusal !== null) {
       this.#finish(this.#refusal);
-    } else if (!this.#isStream) {
-      this.#finishWithFailure();
     } else if (this.#splitter.hasPartialEvent) {
       this.#finish({ kind: 'broken', reason: 'stream ended inside an event', connectionLost: true });
-    } else if (this.#head?.framed === false && outgoing.headersSent && outgoing.useChunkedEncodingByDefault) {
-      // The framing of the answer to the caller would mark the stream as complete.
-      this.#finish({
-        kind: 'broken', reason: 'the end of a stream without a length is uncertain', connectionLost: true,
-      });
+    } else if (this.#head !== null && endsWithConnection(method, this.#head.status, this.#head.framed)) {
+      void context.servingCheck.isServing(this.choice.candidate)
+        .then((isServing) => this.#finishUnframed(isServing));
     } else {
-      this.#options.onDelivery();
-      if (!outgoing.headersSent && this.#head !== null) {
-        this.#writeHead(this.#head);
-      }
-      outgoing.end(method === 'HEAD' ? undefined : '');
-      const { clock, timings } = this.#options.context;
-      this.#recordServed();
-      timings.recordCompletion(this.model, clock.monotonicMilliseconds() - this.sentAt);
-      this.#finish({ kind: 'complete' });
+      this.#finishAnswer();
+    }
+  }
+
+  /** Ends an answer without a length: it is whole if its target goes on. */
+  #finishUnframed(isServing: boolean): void {
+    if (this.#hasEnded) {
+      return;
+    }
+    if (isServing) {
+      this.#finishAnswer();
+    } else {
+      this.#finish({ kind: 'broken', reason: 'answer without a length, and its target does not go on', connectionLost: true });
+    }
+  }
+
+  #finishAnswer(): void {
+    if (!this.#isStream) {
+      this.#finishWithFailure();
+      return;
+    }
+    const { context: { clock, timings }, call: { outgoing, method }, onDelivery } = this.#options;
+    onDelivery();
+    if (!outgoing.headersSent && this.#head !== null) {
+      this.#writeHead(this.#head);
     }
+    outgoing.end(method === 'HEAD' ? undefined : '');
+    this.#recordServed();
+    timings.recordCompletion(this.model, clock.monotonicMilliseconds() - this.sentAt);
+    this.#finish({ kind: 'complete' });
   }
 
   #writeHead({ status, headers, framed }: ForwardedHead): void {
--- a/packages/gateway/src/test/StreamRelay.test.ts
+++ b/packages/gateway/src/test/StreamRelay.test.ts
@@ -94,15 +94,25 @@
   expect(await gateway.call()).toMatchObject({ status: 200, body: all() });
 });
 
-test('a resumed stream without a length does not end as complete', async () => {
+test('a resumed stream without a length does not end as complete at a target that has ended', async () => {
   gateway = preferFirst(await TestGateway.start(RESUMABLE, [breakAfter(2), (_incoming, outgoing) => {
     Object.assign(outgoing, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
     begin(outgoing);
     outgoing.end(event(3));
+    gateway?.stopListening(1);
   }]));
   expect((await gateway.call()).cut).toBe(true);
 });
 
+test('a resumed stream without a length ends as complete at a target that goes on', async () => {
+  gateway = preferFirst(await TestGateway.start(RESUMABLE, [breakAfter(2), (_incoming, outgoing) => {
+    Object.assign(outgoing, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
+    begin(outgoing);
+    outgoing.end(event(3));
+  }]));
+  expect(await gateway.call()).toMatchObject({ body: event(1) + event(2) + event(3), cut: false });
+});
+
 /** Sets the number of requests at the only target. */
 function setOutstanding(started: TestGateway, outstanding: number): void {
   Object.assign(started.states.of('w0' as never), { outstanding });
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -2,14 +2,15 @@
   createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { ResultAsync, err, ok } from 'neverthrow';
 import { request as sendRequest } from 'undici';
 import {
   AvailabilityZoneId, EntryId, Epoch,
   FabricDomainId, GroupName, ManualClock, ModelName, PromptPartId, SeededRandom,
-  ServiceId, SystemClock, WorkerId, type Clock,
+  ServiceId, ServingError, SystemClock, WorkerId, type Clock,
 } from '@dandelionlane/core';
 import {
-  ConfigurationHolder, WorkerTable, type FleetConfiguration, type RequestKind, type Worker,
+  ConfigurationHolder, WorkerTable, type FleetConfiguration, type RequestKind, type Worker, type WorkerReport,
 } from '@dandelionlane/fleet';
 import { MetricsRegistry, type Log } from '@dandelionlane/telemetry';
 import ModelTimings from '../lib/choice/ModelTimings.js';
@@ -24,7 +25,9 @@
 import SpentTimeEstimator from '../lib/requests/SpentTimeEstimator.js';
 import RequestServer from '../lib/requests/RequestServer.js';
 import AdmissionQueue from '../lib/requests/AdmissionQueue.js';
+import ServingCheck from '../lib/targets/ServingCheck.js';
 import TargetConnections from '../lib/targets/TargetConnections.js';
+import type TargetState from '../lib/targets/TargetState.js';
 import TargetStates from '../lib/targets/TargetStates.js';
 import type GatewayWire from '../lib/wire/GatewayWire.js';
 
@@ -120,6 +123,13 @@
 
   readonly #clock: Clock = new SystemClock();
 
+  readonly #brokenGroups = new Set<string>();
+
+  readonly #peerStates = new TargetStates(this.#clock);
+
+  /** Servers of the gateway itself. */
+  readonly #fronts: Server[] = [];
+
   #address = '';
 
   #forwardAddress = '';
@@ -252,6 +262,29 @@
     server?.close();
   }
 
+  /** Address of a target. */
+  targetAddress(index: number): string {
+    return addressOf(this.#servers[index] as Server);
+  }
+
+  /** Makes the head of a group report that it is broken; it goes on listening. */
+  breakGroup(index: number): void {
+    this.#brokenGroups.add(`w${index}`);
+  }
+
+  /** State of another entry as a place to pass requests on to. */
+  peerStateOf(name: string): TargetState {
+    return this.#peerStates.of(WorkerId.parse(name));
+  }
+
+  /** Ends the process of the gateway, as far as callers and other entries can tell. */
+  endFront(): void {
+    this.#fronts.forEach((server) => {
+      server.closeAllConnections();
+      server.close();
+    });
+  }
+
   /** Starts a stopped target again at its address, as a new process. */
   restartTarget(index: number, script: TargetScript): void {
     const stopped = this.#servers[index];
@@ -268,7 +301,7 @@
 
   stop(): void {
     this.#connections.close();
-    this.#servers.forEach((server) => {
+    [...this.#servers, ...this.#fronts].forEach((server) => {
       server.closeAllConnections();
       server.close();
     });
@@ -306,9 +339,15 @@
         metrics,
       }),
       connections: this.#connections,
+      servingCheck: new ServingCheck({
+        report: (worker) => this.#report(worker),
+        probe: async ({ address }) => !await refusesConnections(address),
+        log: LOG,
+        metrics,
+      }),
       paths: this.paths,
       peers: () => this.peers,
-      peerStates: new TargetStates(this.#clock),
+      peerStates: this.#peerStates,
       budget: new RetryBudget(new ManualClock(), { ratio: 0, extra: repeats, windowMilliseconds: 10_000 }),
       timings: new ModelTimings(),
       spentTimeEstimator: new SpentTimeEstimator(this.#clock),
@@ -324,13 +363,33 @@
     });
     this.#requests = requests;
     const front = await listen((incoming, outgoing) => void requests.handle(incoming, outgoing));
-    this.#servers.push(front);
+    this.#fronts.push(front);
     this.#address = addressOf(front);
     const side = await listen((incoming, outgoing) => void requests.handle(incoming, outgoing, 'entry'));
-    this.#servers.push(side);
+    this.#fronts.push(side);
     this.#forwardAddress = addressOf(side);
   }
 
+  /** The report of a target, as one that listens would give it. */
+  #report({ id, address, bornAt }: Worker): ResultAsync<WorkerReport, ServingError> {
+    const { worker: { group = null } = {} } = this.workers.get(id) ?? {};
+    const refused = new ServingError('no report', { kind: 'target-lost' });
+    return ResultAsync.fromSafePromise(refusesConnections(address)).andThen((isRefused) => (isRefused
+      ? err(refused) : ok({
+        bornAt,
+        busy: false,
+        orderSequence: 0,
+        waitingRequests: 0,
+        runningRequests: 0,
+        slowdown: 1,
+        domain: null,
+        models: [],
+        stagedModels: [],
+        group: group === null || !this.#brokenGroups.has(id) ? group : { ...group, state: 'broken' as const },
+        leaving: false,
+      })));
+  }
+
   static #worker(index: number, address: string, isModel: boolean): Worker {
     return {
       id: WorkerId.parse(`w${index}`),
--- /dev/null
+++ b/packages/gateway/src/test/unframedAnswers.test.ts
@@ -0,0 +1,192 @@
+import type { ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { request } from 'undici';
+import {
+  afterEach, expect, test, vi,
+} from 'vitest';
+import TestGateway, { type CallerAnswer, type TargetScript } from './TestGateway.js';
+
+const RESUMABLE = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
+const IDEMPOTENT = { kind: 'idempotent' } as const;
+const ONCE = { kind: 'non-idempotent' } as const;
+const SIGNED = { 'x-id': 'r1', 'x-signed': '1' };
+const STREAM_HEAD = { ...SIGNED, 'content-type': 'text/event-stream' };
+const EVENTS = 4;
+
+const gateways: TestGateway[] = [];
+
+afterEach(() => gateways.splice(0).forEach((gateway) => gateway.stop()));
+
+async function start(...parameters: Parameters<typeof TestGateway.start>): Promise<TestGateway> {
+  const gateway = await TestGateway.start(...parameters);
+  gateways.push(gateway);
+  return gateway;
+}
+
+function events(from: number, to: number): string {
+  return Array.from({ length: to - from + 1 }, (_, index) => `id: ${from + index}\ndata: e\n\n`).join('');
+}
+
+/** Makes an answer end with its connection. */
+function endWithConnection(outgoing: ServerResponse): void {
+  Object.assign(outgoing, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
+}
+
+const whole: TargetScript = (incoming, outgoing) => {
+  endWithConnection(outgoing);
+  outgoing.writeHead(200, STREAM_HEAD);
+  const from = Number(incoming.headers['last-event-id'] ?? 0) + 1;
+  outgoing.end(from <= EVENTS ? events(from, EVENTS) : '');
+};
+
+/** Writes two events; `end` then ends the connection. */
+function beginTwo(end: (outgoing: ServerResponse) => void): TargetScript {
+  return (_incoming, outgoing) => {
+    endWithConnection(outgoing);
+    outgoing.writeHead(200, STREAM_HEAD);
+    outgoing.write(events(1, 2));
+    setTimeout(() => end(outgoing), 30);
+  };
+}
+
+/** A stream that goes on until its connection ends. */
+const goOn: TargetScript = (_incoming, outgoing) => {
+  endWithConnection(outgoing);
+  outgoing.writeHead(200, STREAM_HEAD);
+  outgoing.write(events(1, 2));
+};
+
+function preferFirst(gateway: TestGateway): TestGateway {
+  Object.assign(gateway.states.of('w1' as never), { outstanding: 2 });
+  return gateway;
+}
+
+/** A gateway whose targets have all been lost to it, with others that it may pass requests on to. */
+async function startCutOff(
+  kind: Parameters<typeof TestGateway.start>[0],
+  ...others: readonly TestGateway[]
+): Promise<TestGateway> {
+  const gateway = await start(kind, [whole, whole, whole]);
+  [0, 1, 2].forEach((index) => gateway.stopTarget(index));
+  const call = () => gateway.call({ 'x-id': 'first' });
+  for (let tries = 0; tries < 20 && gateway.paths.lostServices.length === 0; tries += 1) {
+    await call();
+    await sleep(20);
+  }
+  gateway.peers = others.map((other, index) => other.asPeer(`entry-${index}`));
+  return gateway;
+}
+
+/** Calls, and runs an action once the first events are there. */
+async function callAndThen(gateway: TestGateway, action: () => void): Promise<CallerAnswer> {
+  const { statusCode, body } = await request(`http://${gateway.address}/a/b`, {
+    method: 'POST', headers: { host: 'h', 'x-id': 'r1' }, body: 'body',
+  });
+  let received = '';
+  let cut = false;
+  try {
+    for await (const chunk of body) {
+      if (received === '') {
+        setTimeout(action, 20);
+      }
+      received += String(chunk);
+    }
+  } catch {
+    cut = true;
+  }
+  return {
+    status: statusCode, body: received, cut, retryAfter: null,
+  };
+}
+
+// A worker that ends between two events ends its connections in order, as if the stream were whole.
+test('a stream without a length goes on elsewhere after the end of its target', async () => {
+  const gateway: TestGateway = preferFirst(await start(RESUMABLE, [
+    beginTwo(() => gateway.stopTarget(0)), whole,
+  ]));
+  expect(await gateway.call()).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
+});
+
+// A head that lives cuts the work of a group that has lost a member.
+test('a stream without a length goes on elsewhere after the end of its group', async () => {
+  const gateway: TestGateway = preferFirst(await start(RESUMABLE, [beginTwo((outgoing) => {
+    gateway.breakGroup(0);
+    outgoing.end();
+  }), whole]));
+  expect(await gateway.call()).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
+});
+
+test('a whole stream without a length is not run again', async () => {
+  const gateway = preferFirst(await start(RESUMABLE, [whole, whole]));
+  expect(await gateway.call()).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
+  expect(gateway.received).toEqual([1, 0]);
+});
+
+// The end of the entry that served a stream in place of this one looked like the end of the stream.
+test('a stream goes on through a third entry after the end of the second', async () => {
+  const second = await start(RESUMABLE, [goOn]);
+  const third = await start(RESUMABLE, [whole]);
+  const gateway = await startCutOff(RESUMABLE, second);
+  const answer = await callAndThen(gateway, () => {
+    gateway.peers = [...gateway.peers, third.asPeer('entry-1')];
+    second.endFront();
+  });
+  expect(answer).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
+});
+
+// Entries of an earlier build pass a stream on without a length, at the end of the worker behind them too.
+test('the end of a stream without a length from another entry is no sound end', async () => {
+  const former = await start(RESUMABLE, [beginTwo((outgoing) => outgoing.end())]);
+  const third = await start(RESUMABLE, [whole]);
+  const gateway = await startCutOff(RESUMABLE, former, third);
+  gateway.peers = gateway.peers.map((peer, index) => (
+    index === 0 ? { ...peer, forwardAddress: former.targetAddress(0) } : peer
+  ));
+  Object.assign(gateway.peerStateOf('entry-1'), { outstanding: 2 });
+  expect(await gateway.call()).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
+});
+
+/** Begins a plain answer without a length; `end` then ends the connection. */
+function beginPlain(end: () => void, status = 200): TargetScript {
+  return (_incoming, outgoing) => {
+    endWithConnection(outgoing);
+    outgoing.writeHead(status, SIGNED);
+    outgoing.write('half of an');
+    setTimeout(end, 30);
+  };
+}
+
+const plainWhole: TargetScript = (_incoming, outgoing) => {
+  endWithConnection(outgoing);
+  outgoing.writeHead(200, SIGNED);
+  outgoing.end('whole answer');
+};
+
+test.each([200, 500])('half of an answer %i without a length is not passed on', async (status) => {
+  const gateway: TestGateway = preferFirst(await start(IDEMPOTENT, [
+    beginPlain(() => gateway.stopTarget(0), status), plainWhole,
+  ]));
+  expect(await gateway.call()).toMatchObject({ status: 200, body: 'whole answer', cut: false });
+});
+
+test('half of an answer that may run once is a failure', async () => {
+  const gateway: TestGateway = preferFirst(await start(ONCE, [
+    beginPlain(() => gateway.stopTarget(0)), plainWhole,
+  ]));
+  expect((await gateway.call()).status).toBe(502);
+  expect(gateway.received).toEqual([1, 0]);
+});
+
+test.each(['HEAD', 'DELETE'] as const)('an answer to %s without a body needs no check', async (method) => {
+  const gateway = await start(ONCE, [(_incoming, outgoing) => {
+    endWithConnection(outgoing);
+    outgoing.writeHead(method === 'HEAD' ? 200 : 204, SIGNED);
+    outgoing.end();
+    setImmediate(() => gateway.stopTarget(0));
+  }]);
+  const answered = request(`http://${gateway.address}/a/b`, { method, headers: { host: 'h', 'x-id': 'r1' } });
+  await vi.waitUntil(() => gateway.received[0] === 1);
+  const { statusCode, body } = await answered;
+  await body.dump();
+  expect(statusCode).toBe(method === 'HEAD' ? 200 : 204);
+});
