Send streams to callers and other entries in chunks, whatever the target sent

Cause: writeAnswerHead passed a stream without a length on without one, so that the end of the entry's process was the mark of its end. The relay writes whole events only, so no partial event showed the cut; the entry that had passed the request on took it for the end, too.

All streams now go out in chunks, and plain answers, which are held whole, with their length. Between entries the same holds, so that a stream goes on through a third entry, or is cut where it may run once. Answers to HEAD and those of 204 and 304 get no length.

--- a/packages/gateway/src/lib/relay/PlainRelay.ts
+++ b/packages/gateway/src/lib/relay/PlainRelay.ts
@@ -13,7 +13,7 @@
 import type AnswerClassification from './AnswerClassification.js';
 import MISDIRECTED_STATUS from './MISDIRECTED_STATUS.js';
 import type ExchangeOutcome from './ExchangeOutcome.js';
-import writeAnswerHead from './writeAnswerHead.js';
+import allowsBody from './allowsBody.js';
 import PlainExchange from './PlainExchange.js';
 import RunningAttempts from './RunningAttempts.js';
 import classifyAnswer from './classifyAnswer.js';
@@ -324,17 +324,17 @@
 
   /** Passes an answer on. Does nothing when this entry has answered the request itself, at its end. */
   #writeAnswer({
-    status, headers, body, head,
+    status, headers, body,
   }: CompleteAnswer): void {
     const { method, outgoing } = this.#call;
     if (outgoing.headersSent) {
       return;
     }
     const forwarded = removeHopByHopHeaders(headers);
-    if (method !== 'HEAD' && head.framed) {
+    if (allowsBody(method, status)) {
       forwarded['content-length'] = String(body.length);
     }
-    writeAnswerHead(outgoing, status, forwarded, head.framed);
+    outgoing.writeHead(status, forwarded);
     outgoing.end(body);
   }
 
--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -8,7 +8,6 @@
 import recordAnswerHead from '../targets/recordAnswerHead.js';
 import type EventSequence from './EventSequence.js';
 import type StreamAttemptOutcome from './StreamAttemptOutcome.js';
-import writeAnswerHead from './writeAnswerHead.js';
 import classifyAnswer from './classifyAnswer.js';
 import endsWithConnection from './endsWithConnection.js';
 import classifyPeerAnswer from './classifyPeerAnswer.js';
@@ -288,7 +287,8 @@
       return;
     }
     if (!outgoing.headersSent && this.#head !== null) {
-      this.#writeHead(this.#head);
+      // In chunks: without them the end of this process would look like the end of the stream.
+      outgoing.writeHead(this.#head.status, this.#head.headers);
     }
     timing.recordDelivery(context.clock.monotonicMilliseconds());
     const [first, ...rest] = events;
@@ -348,7 +348,7 @@
     const { context: { clock, timings }, call: { outgoing, method }, onDelivery } = this.#options;
     onDelivery();
     if (!outgoing.headersSent && this.#head !== null) {
-      this.#writeHead(this.#head);
+      outgoing.writeHead(this.#head.status, this.#head.headers);
     }
     outgoing.end(method === 'HEAD' ? undefined : '');
     this.#recordServed();
@@ -356,10 +356,6 @@
     this.#finish({ kind: 'complete' });
   }
 
-  #writeHead({ status, headers, framed }: ForwardedHead): void {
-    writeAnswerHead(this.#options.call.outgoing, status, headers, framed);
-  }
-
   #finishWithFailure(): void {
     if (this.#head === null) {
       this.#finish({ kind: 'broken', reason: 'answer without a head', connectionLost: false });
--- a/packages/gateway/src/lib/relay/endsWithConnection.ts
+++ b/packages/gateway/src/lib/relay/endsWithConnection.ts
@@ -1,5 +1,4 @@
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
+import allowsBody from './allowsBody.js';
 
 /**
  * Whether an answer has a body that ends with its connection, so that the end of the target looks like the
@@ -7,5 +6,5 @@
  * @param framed Whether the answer has a length or is chunked.
  */
 export default function endsWithConnection(method: string, status: number, framed: boolean): boolean {
-  return !framed && method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
+  return !framed && allowsBody(method, status);
 }
--- a/packages/gateway/src/test/unframedAnswers.test.ts
+++ b/packages/gateway/src/test/unframedAnswers.test.ts
@@ -7,6 +7,7 @@
 import TestGateway, { type CallerAnswer, type TargetScript } from './TestGateway.js';
 
 const RESUMABLE = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
+const ONCE_STREAM = { ...RESUMABLE, resumable: false } as const;
 const IDEMPOTENT = { kind: 'idempotent' } as const;
 const ONCE = { kind: 'non-idempotent' } as const;
 const SIGNED = { 'x-id': 'r1', 'x-signed': '1' };
@@ -99,6 +100,13 @@
   };
 }
 
+// Callers took the half of a stream for the whole one, as the end of the entry was the mark of its end.
+test('the end of the entry cuts a stream without a length', async () => {
+  const gateway = await start(RESUMABLE, [goOn]);
+  expect(await callAndThen(gateway, () => gateway.endFront()))
+    .toMatchObject({ status: 200, body: events(1, 2), cut: true });
+});
+
 // A worker that ends between two events ends its connections in order, as if the stream were whole.
 test('a stream without a length goes on elsewhere after the end of its target', async () => {
   const gateway: TestGateway = preferFirst(await start(RESUMABLE, [
@@ -107,6 +115,14 @@
   expect(await gateway.call()).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
 });
 
+test('a stream without a length that may run once is cut by the end of its target', async () => {
+  const gateway: TestGateway = preferFirst(await start(ONCE_STREAM, [
+    beginTwo(() => gateway.stopTarget(0)), whole,
+  ]));
+  expect(await gateway.call()).toMatchObject({ status: 200, body: events(1, 2), cut: true });
+  expect(gateway.received).toEqual([1, 0]);
+});
+
 // A head that lives cuts the work of a group that has lost a member.
 test('a stream without a length goes on elsewhere after the end of its group', async () => {
   const gateway: TestGateway = preferFirst(await start(RESUMABLE, [beginTwo((outgoing) => {
@@ -122,6 +138,19 @@
   expect(gateway.received).toEqual([1, 0]);
 });
 
+test('a resumed stream without a length at a target that has ended is cut', async () => {
+  const gateway: TestGateway = preferFirst(await start(RESUMABLE, [
+    beginTwo(() => gateway.stopTarget(0)),
+    (_incoming, outgoing) => {
+      endWithConnection(outgoing);
+      outgoing.writeHead(200, STREAM_HEAD);
+      outgoing.write(events(3, 3));
+      setTimeout(() => gateway.stopTarget(1), 30);
+    },
+  ]));
+  expect(await gateway.call()).toMatchObject({ body: events(1, 3), cut: true });
+});
+
 // The end of the entry that served a stream in place of this one looked like the end of the stream.
 test('a stream goes on through a third entry after the end of the second', async () => {
   const second = await start(RESUMABLE, [goOn]);
@@ -134,6 +163,16 @@
   expect(answer).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
 });
 
+test('a stream that may run once is cut by the end of the entry that serves it', async () => {
+  const second = await start(ONCE_STREAM, [goOn]);
+  const third = await start(ONCE_STREAM, [whole]);
+  const gateway = await startCutOff(ONCE_STREAM, second, third);
+  Object.assign(gateway.peerStateOf('entry-1'), { outstanding: 2 });
+  expect(await callAndThen(gateway, () => second.endFront()))
+    .toMatchObject({ status: 200, body: events(1, 2), cut: true });
+  expect(third.received).toEqual([0]);
+});
+
 // Entries of an earlier build pass a stream on without a length, at the end of the worker behind them too.
 test('the end of a stream without a length from another entry is no sound end', async () => {
   const former = await start(RESUMABLE, [beginTwo((outgoing) => outgoing.end())]);
@@ -177,6 +216,15 @@
   expect(gateway.received).toEqual([1, 0]);
 });
 
+test('a whole answer without a length is passed on with one', async () => {
+  const gateway = preferFirst(await start(ONCE, [plainWhole, plainWhole]));
+  const { statusCode, headers, body } = await request(`http://${gateway.address}/a/b`, {
+    method: 'POST', headers: { host: 'h', 'x-id': 'r1' }, body: 'body',
+  });
+  expect([statusCode, headers['content-length'], await body.text()]).toEqual([200, '12', 'whole answer']);
+  expect(gateway.received).toEqual([1, 0]);
+});
+
 test.each(['HEAD', 'DELETE'] as const)('an answer to %s without a body needs no check', async (method) => {
   const gateway = await start(ONCE, [(_incoming, outgoing) => {
     endWithConnection(outgoing);
