Let the list of linked entries in a row count only with the heartbeat and the term that it was written with

Cause: applyHolderHeartbeats counted the time at which the writer of a row was last known to be alive as a heartbeat of all on its list. A former holder that is linked to the present one writes no heartbeats, so its row keeps the list of its term, and each heartbeat of the present holder passed through it on to the entries on that list: lastSeenAt of a dead one was never older than a round.

A list now counts from the last change of its own row that was seen, so that it can't hand on what others say of its writer, and a row that was never seen to change speaks for nobody. The row names the term of the lease; of several lists the one of the latest term counts, which excludes a holder that has stood still and does not know yet that it was replaced. A holder that has lost the lease writes its row once more, without a list, which also helps entries of an earlier build.

--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -66,6 +66,7 @@
   let isLeaving = false;
   // Declared first, as the registry and the coordinator refer to each other.
   let coordinator: Coordinator;
+  let control: GroupControl;
   const view = createFleetView(runtime, () => coordinator.isLeading);
   const { configuration, workers } = view;
   const isReady = () => !isLeaving && configuration.table !== null && view.workerRowHandler.isLoaded;
@@ -93,9 +94,10 @@
     reportedByHolder: () => coordinator.linkedEntries(),
     knownByLinks: () => coordinator.knownEntries(),
     connectedEntries: () => coordinator.connectedEntries(),
+    term: () => control.leadership.actingLease()?.fencing ?? null,
     random,
   });
-  const control = new GroupControl(runtime, {
+  control = new GroupControl(runtime, {
     view,
     isLeaving: () => isLeaving,
     holderLiveness: () => coordinator.holderLiveness(),
--- a/packages/gateway/src/lib/entries/EntryRecord.ts
+++ b/packages/gateway/src/lib/entries/EntryRecord.ts
@@ -19,6 +19,8 @@
   takesForwarded: z.boolean().default(false),
   /** Entries with a link to this one while it holds the lease. */
   linked: z.array(EntryId).default([]),
+  /** Fencing number of the lease that it holds; null where it holds none, or is of an earlier build. */
+  term: z.number().nullable().default(null),
 });
 type EntryRecord = z.infer<typeof EntryRecord>;
 
--- a/packages/gateway/src/lib/entries/EntryRegistry.ts
+++ b/packages/gateway/src/lib/entries/EntryRegistry.ts
@@ -62,6 +62,8 @@
   readonly knownByLinks: () => readonly LiveEntry[] | null;
   /** Entries with a link to this one while it holds the lease. */
   readonly connectedEntries: () => readonly EntryId[];
+  /** Fencing number of the lease while this entry holds it; null otherwise. */
+  readonly term: () => number | null;
   readonly random: RandomSource;
 }
 
@@ -83,6 +85,9 @@
   /** Readiness in this entry's row, or null before the row is written. */
   #announcedReady: boolean | null = null;
 
+  /** Whether this entry's row lists entries that are linked to it. */
+  #hasAnnouncedLinks = false;
+
   /** Whether the last round read the rows. */
   #isReadingRows = false;
 
@@ -151,7 +156,7 @@
   /** Writes this entry's row at once, after a change of readiness. */
   async announce(): Promise<void> {
     const {
-      store, entry, zone, callerAddress, linkAddress, processorCores, isReady, connectedEntries, log,
+      store, entry, zone, callerAddress, linkAddress, processorCores, isReady, connectedEntries, term, log,
     } = this.#options;
     this.#beat += 1;
     const ready = isReady();
@@ -165,6 +170,7 @@
       beat: this.#beat,
       takesForwarded: true,
       linked: [...connectedEntries()],
+      term: term(),
     };
     const write = { table: TABLE, key: entry, value: record };
     const outcome = await store.commit({ conditions: [], writes: [write] });
@@ -173,6 +179,7 @@
       return;
     }
     this.#announcedReady = ready;
+    this.#hasAnnouncedLinks = record.linked.length > 0;
     this.#rewriteAt = null;
   }
 
@@ -290,7 +297,7 @@
       this.#removeUnreported(reported);
       // To the holder, the link shows that this entry is alive.
       const isRewriteDue = this.#rewriteAt !== null && clock.monotonicMilliseconds() >= this.#rewriteAt;
-      if (isRewriteDue || isReady() !== this.#announcedReady) {
+      if (isRewriteDue || this.#hasAnnouncedLinks || isReady() !== this.#announcedReady) {
         await this.announce();
       }
       return;
@@ -320,13 +327,18 @@
       }
       const previous = this.#observed.get(parsed.data.entry);
       const unchanged = previous !== undefined && previous.version === row.version;
+      const hasChanged = previous !== undefined;
       const updated = {
-        record: parsed.data, version: row.version, lastSeenAt, confirmed: previous !== undefined,
+        record: parsed.data,
+        version: row.version,
+        lastSeenAt,
+        heartbeatAt: hasChanged ? lastSeenAt : null,
+        confirmed: hasChanged,
       };
       const rebased = previous === undefined ? updated : { ...previous, version: row.version };
       seen.set(parsed.data.entry, unchanged || this.#hasOutdatedVersions ? rebased : updated);
     });
     this.#hasOutdatedVersions = false;
-    this.#observed = applyHolderHeartbeats(seen);
+    this.#observed = applyHolderHeartbeats(seen, now - SHARING_TIMEOUT_MILLISECONDS);
   }
 }
--- a/packages/gateway/src/test/EntryRegistry.test.ts
+++ b/packages/gateway/src/test/EntryRegistry.test.ts
@@ -30,6 +30,7 @@
   reportedByHolder: () => readonly LiveEntry[] | null = () => null,
   connectedEntries: () => readonly EntryId[] = () => [],
   processorCores = 1,
+  term: () => number | null = () => null,
 ): EntryRegistry {
   const registry = new EntryRegistry({
     store,
@@ -43,6 +44,7 @@
     reportedByHolder,
     knownByLinks: reportedByHolder,
     connectedEntries,
+    term,
     processorCores,
     random: { next: () => 0 },
   });
@@ -378,3 +380,101 @@
   await rounds(10, clock);
   expect(one.peers()).toEqual([]);
 });
+
+/** Writes the rows of a fleet whose lease has changed hands: the former holder is linked to the present one. */
+async function writeRows(
+  store: MemoryTableStore,
+  rows: readonly { readonly entry: string; readonly beat: number; readonly linked?: readonly string[] }[],
+  term?: (entry: string) => number | null,
+): Promise<void> {
+  const writes = rows.map(({ entry, beat, linked = [] }) => ({
+    table: 'entries',
+    key: entry,
+    value: {
+      entry,
+      zone: 'zone',
+      callerAddress: `${entry}:1`,
+      linkAddress: `${entry}:2`,
+      ready: true,
+      beat,
+      linked,
+      ...(term === undefined ? {} : { term: term(entry) }),
+    },
+  }));
+  (await store.commit({ conditions: [], writes }))._unsafeUnwrap();
+}
+
+// The directories named an entry that was gone, without an end: the row of a former holder went on speaking
+// for those that had been linked to it.
+test('the list of a former holder that is linked to the present one does not keep an entry alive', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const reader = create('reader', store, clock);
+  reader.start();
+  for (let beat = 0; beat < 4; beat += 1) {
+    await writeRows(store, [
+      { entry: 'former', beat, linked: ['former', 'holder', 'gone'] }, { entry: 'gone', beat: 0 },
+    ]);
+    await rounds(1, clock);
+  }
+  expect(reader.readyAddresses()).toEqual(['reader:1', 'former:1', 'gone:1']);
+  for (let beat = 0; beat < 6; beat += 1) {
+    await writeRows(store, [{ entry: 'holder', beat, linked: ['holder', 'former'] }]);
+    await rounds(1, clock);
+  }
+  expect(reader.readyAddresses()).toEqual(['reader:1', 'former:1', 'holder:1']);
+});
+
+test('the list of an earlier term counts no more, even in a new heartbeat', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  const reader = create('reader', store, clock);
+  reader.start();
+  for (let beat = 0; beat < 8; beat += 1) {
+    // As one writes that has stood still and does not know yet that it has lost the lease.
+    await writeRows(store, [
+      { entry: 'former', beat, linked: ['former', 'gone'] },
+      { entry: 'holder', beat, linked: ['holder', 'former'] },
+    ], (entry) => (entry === 'holder' ? 8 : 7));
+    await writeRows(store, beat === 0 ? [{ entry: 'gone', beat: 0 }] : []);
+    await rounds(1, clock);
+  }
+  expect(reader.readyAddresses()).toEqual(['reader:1', 'former:1', 'holder:1']);
+});
+
+test('a row that was not seen to change speaks for nobody', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  await writeRows(store, [{ entry: 'former', beat: 9, linked: ['former', 'gone'] }, { entry: 'gone', beat: 0 }]);
+  const reader = create('reader', store, clock);
+  reader.start();
+  for (let beat = 0; beat < 3; beat += 1) {
+    await writeRows(store, [{ entry: 'holder', beat, linked: ['holder', 'former'] }]);
+    await rounds(1, clock);
+    expect(reader.readyAddresses()).not.toContain('gone:1');
+  }
+  expect(reader.readyAddresses()).toEqual(['reader:1', 'former:1', 'holder:1']);
+});
+
+test('a holder that has lost the lease takes its list back', async () => {
+  vi.useFakeTimers();
+  const store = new MemoryTableStore();
+  const clock = new ManualClock();
+  let isLeading = true;
+  const reported: readonly LiveEntry[] = ['one', 'holder'].map((name) => liveEntry(name));
+  const former = create('one', store, clock, () => (isLeading ? null : reported), () => (
+    isLeading ? [EntryId.parse('one'), EntryId.parse('gone')] : []), 1, () => (isLeading ? 7 : null));
+  former.start();
+  await rounds(3, clock);
+  const linked = async () => {
+    const [row] = (await store.scan('entries', ''))._unsafeUnwrap();
+    return (row?.value as { linked: unknown }).linked;
+  };
+  expect(await linked()).toEqual(['one', 'gone']);
+  isLeading = false;
+  await rounds(2, clock);
+  expect(await linked()).toEqual([]);
+});
