Abandon a target that sends interim heads without an end

Cause: TargetAttempt passed over heads below 200 without a count, so that the connection was read on at full speed up to the deadline of the request; reports, probes and calls of the store did the same for as long as they may take.

One such head may come before an answer, a few do no harm; from the ninth on the attempt is abandoned as one that may have run, and the connection is closed in the midst of reading.

--- a/packages/gateway/src/lib/targets/TargetAttempt.ts
+++ b/packages/gateway/src/lib/targets/TargetAttempt.ts
@@ -1,9 +1,12 @@
 import type { Dispatcher } from 'undici';
-import type { WorkerId } from '@dandelionlane/core';
+import { MAXIMUM_INTERIM_HEADS, type WorkerId } from '@dandelionlane/core';
 import type AttemptListener from './AttemptListener.js';
 import type TargetConnection from './TargetConnection.js';
 import type TargetConnections from './TargetConnections.js';
 
+/** Lowest status that is not one of an interim head. */
+const FIRST_FINAL_STATUS = 200;
+
 /** One request to a target. */
 interface AttemptRequest {
   readonly worker: WorkerId;
@@ -44,6 +47,8 @@
 
   #framed = true;
 
+  #interimHeads = 0;
+
   constructor(connections: TargetConnections, request: AttemptRequest, listener: AttemptListener) {
     this.#connections = connections;
     this.#request = request;
@@ -114,12 +119,26 @@
   }
 
   #handleHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
-    if (!this.#hasEnded && status >= 200) {
+    if (this.#hasEnded) {
+      return;
+    }
+    if (status < FIRST_FINAL_STATUS) {
+      this.#countInterimHead();
+    } else {
       this.#framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
       this.#listener.head(status, headers);
     }
   }
 
+  /** A faulty target may send them without an end; reading on would take all of the processor. */
+  #countInterimHead(): void {
+    this.#interimHeads += 1;
+    if (this.#interimHeads > MAXIMUM_INTERIM_HEADS) {
+      this.#controller?.abort(new Error('too many interim heads'));
+      this.#fail('too many interim heads');
+    }
+  }
+
   #handleData(chunk: Buffer): void {
     if (!this.#hasEnded) {
       this.#listener.data(chunk);
--- a/packages/gateway/src/test/endless.test.ts
+++ b/packages/gateway/src/test/endless.test.ts
@@ -97,3 +97,27 @@
   expect(answer).toMatchObject({ body: 'id: 1\ndata: e1\n\n', cut: true });
   await flood.untilClosed();
 });
+
+const INTERIM_HEADS = Buffer.from('HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n'.repeat(900));
+
+// One worker in trouble held all requests of an entry up: each of its heads was read on, up to the deadline.
+test.each([
+  ['plain', PLAIN], ['stream', STREAM],
+] as const)('endless interim heads of a %s target are abandoned, and another target serves', async (_name, kind) => {
+  const flood = new Flood();
+  gateway = preferFirst(await TestGateway.start(kind, [(incoming) => {
+    flood.writeTo(incoming.socket as unknown as ServerResponse, () => INTERIM_HEADS);
+  }, healthy]));
+  const answer = await gateway.call({ 'x-deadline': '20000' });
+  expect(answer).toMatchObject({ status: 200, body: 'id: 1\ndata: e1\n\n', cut: false });
+  await flood.untilClosed();
+  expect(flood.sent).toBeLessThan(BOUND_BYTES);
+});
+
+test('a few interim heads come before an answer', async () => {
+  gateway = await TestGateway.start(PLAIN, [(incoming, outgoing) => {
+    incoming.socket.write('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(3));
+    healthy(incoming, outgoing);
+  }]);
+  expect((await gateway.call()).status).toBe(200);
+});
--- a/packages/platform/src/lib/http/sendJSON.ts
+++ b/packages/platform/src/lib/http/sendJSON.ts
@@ -1,6 +1,6 @@
 import { ResultAsync } from 'neverthrow';
 import type { Dispatcher } from 'undici';
-import { ServingError } from '@dandelionlane/core';
+import { ServingError, limitInterimHeads } from '@dandelionlane/core';
 import type JSONAnswer from './JSONAnswer.js';
 import type JSONRequest from './JSONRequest.js';
 import isNeverSent from './isNeverSent.js';
@@ -35,7 +35,7 @@
     method: request.method,
     headersTimeout: request.timeoutMilliseconds,
     bodyTimeout: request.timeoutMilliseconds,
-    signal,
+    ...limitInterimHeads(signal),
     headers: {
       ...request.headers,
       ...(request.body === undefined ? {} : { 'content-type': 'application/json' }),
