Bound the bytes that all answers of an entry hold together

What callers saw (report of other operators): a worker that sent a body without an end took the memory of the machine, and the requests of others ended with the process.

AnswerMemory counts what all answers hold, from the target's first byte until the caller has read the last one, over plain answers, failures of streams and events that are not whole yet. Beyond 48 MiB the largest is given up: as one that may have run while it is being read, by a reset if its caller does not read it. Passing bytes on as they arrive was weighed and left: a plain answer could then not be tried again elsewhere.

Streams whose events hold nothing (comments, empty or repeated events) went on at full speed until the deadline: from 256 KiB without an event that brings the stream further the target counts as faulty.

--- a/packages/core/src/lib/streams/EventSplitter.ts
+++ b/packages/core/src/lib/streams/EventSplitter.ts
@@ -14,6 +14,11 @@
     return this.#partialEvent.length > 0;
   }
 
+  /** Bytes of the incomplete event that is buffered. */
+  get partialBytes(): number {
+    return this.#partialEvent.length;
+  }
+
   /**
    * Adds a chunk and returns the events that it completes, each with the blank line that ends it.
    * Throws a RangeError for an event over 1 MiB.
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -3,7 +3,7 @@
   SystemClock, SystemRandom, SuspendAwareClock, onShutdownSignal, type WorkerId,
 } from '@dandelionlane/core';
 import {
-  CrashReporter, SpentTimeEstimator, EntryRegistry, ModelTimings, PromptQuarantine, RetryBudget,
+  AnswerMemory, CrashReporter, SpentTimeEstimator, EntryRegistry, ModelTimings, PromptQuarantine, RetryBudget,
   RequestServer, ServingCheck, StallDetector, SharedTraffic, TargetConnections, TargetPaths, TargetStates,
   TrafficMeter, AdmissionQueue,
   createDirectoryApplication, createMetricsApplication, createReadinessApplication,
@@ -152,6 +152,7 @@
       log: logFor('workers'),
       metrics,
     }),
+    answerMemory: new AnswerMemory({ log: logFor('requests'), metrics }),
     paths,
     peers: () => registry.peers(),
     peerStates,
--- a/packages/gateway/src/lib/relay/PlainExchange.ts
+++ b/packages/gateway/src/lib/relay/PlainExchange.ts
@@ -5,7 +5,9 @@
 import type TargetAttempt from '../targets/TargetAttempt.js';
 import recordAnswerHead from '../targets/recordAnswerHead.js';
 import type AnswerHead from '../wire/AnswerHead.js';
+import type AnswerMemory from './AnswerMemory.js';
 import type ExchangeOutcome from './ExchangeOutcome.js';
+import abortAnswer from './abortAnswer.js';
 import endsWithConnection from './endsWithConnection.js';
 
 /** Largest answer that is held in memory, in bytes. */
@@ -60,6 +62,10 @@
 
   #bytes = 0;
 
+  readonly #held: ReturnType<AnswerMemory['hold']>;
+
+  #isAnswered = false;
+
   #answer: StartedAnswer | null = null;
 
   #attempt: TargetAttempt | null = null;
@@ -70,6 +76,7 @@
     this.#options = options;
     this.choice = options.choice;
     this.executions = options.executions;
+    this.#held = options.context.answerMemory.hold(() => this.#giveUp());
     this.startedAt = options.context.clock.monotonicMilliseconds();
   }
 
@@ -128,9 +135,29 @@
     });
   }
 
+  /** Gives the answer up for its bytes: the caller of one that has been passed on does not read it. */
+  #giveUp(): void {
+    if (this.#isAnswered) {
+      abortAnswer(this.#options.call.outgoing);
+    } else {
+      this.#abandon('answers hold too many bytes');
+    }
+  }
+
   #settle(outcome: ExchangeOutcome): void {
-    this.#resolve?.(outcome);
+    if (this.#resolve === null) {
+      return;
+    }
+    this.#resolve(outcome);
     this.#resolve = null;
+    if (outcome.kind === 'answered') {
+      this.#isAnswered = true;
+      // Its bytes are held until the caller has read them.
+      this.#options.call.outgoing.once('close', () => this.#held.release());
+    } else {
+      this.#chunks.length = 0;
+      this.#held.release();
+    }
   }
 
   #handleHead(status: number, headers: AnswerHeaders): void {
@@ -150,6 +177,7 @@
       this.#abandon('answer is too large');
     } else {
       this.#chunks.push(chunk);
+      this.#held.set(this.#bytes);
     }
   }
 
--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -6,6 +6,7 @@
 import type RunningStream from '../targets/RunningStream.js';
 import type TargetAttempt from '../targets/TargetAttempt.js';
 import recordAnswerHead from '../targets/recordAnswerHead.js';
+import type AnswerMemory from './AnswerMemory.js';
 import type EventSequence from './EventSequence.js';
 import type StreamAttemptOutcome from './StreamAttemptOutcome.js';
 import classifyAnswer from './classifyAnswer.js';
@@ -26,6 +27,17 @@
 /** Largest answer other than a stream that is passed on, in bytes. */
 const MAXIMUM_FAILURE_BYTES = 256 * 1_024;
 
+/** Bytes of events that bring a stream no further after which the target counts as faulty. */
+const MAXIMUM_IDLE_BYTES = 256 * 1_024;
+
+const COLON = 0x3a;
+const LINE_ENDS: ReadonlySet<number | undefined> = new Set([0x0a, 0x0d]);
+
+/** Whether an event starts with a field. One of comments is passed on, and brings a stream no further. */
+function hasField(event: Buffer): boolean {
+  return event[0] !== COLON && !LINE_ENDS.has(event[0]);
+}
+
 /** Head of an answer as it is passed on to the caller. */
 interface ForwardedHead {
   readonly status: number;
@@ -97,12 +109,18 @@
 
   #failureBytes = 0;
 
+  readonly #held: ReturnType<AnswerMemory['hold']>;
+
+  /** Bytes since the last event with data that was passed on. */
+  #idleBytes = 0;
+
   #resolve: ((end: StreamAttemptOutcome) => void) | null = null;
 
   #hasEnded = false;
 
   constructor(options: StreamAttemptOptions) {
     this.#options = options;
+    this.#held = options.context.answerMemory.hold(() => this.#abandon('answers hold too many bytes'));
     this.sentAt = options.context.clock.monotonicMilliseconds();
     this.choice = options.choice;
     this.executions = options.executions;
@@ -132,6 +150,7 @@
       signal.removeEventListener('abort', onAbort);
       state.outstanding -= 1;
       state.streams.delete(this);
+      this.#held.release();
     }
   }
 
@@ -231,10 +250,15 @@
         this.#abandon('answer is too large');
       } else {
         this.#failureChunks.push(chunk);
+        this.#held.set(this.#failureBytes);
       }
       return;
     }
     this.#relay(this.#splitter.push(chunk));
+    this.#held.set(this.#splitter.partialBytes);
+    if (this.#idleBytes > MAXIMUM_IDLE_BYTES) {
+      this.#abandon('events hold nothing');
+    }
   }
 
   #relay(events: readonly Buffer[]): void {
@@ -242,6 +266,7 @@
     const delivered: Buffer[] = [];
     for (const event of events) {
       const position = sequence.accept(readEventId(event));
+      this.#idleBytes = position === 'next' && hasField(event) ? 0 : this.#idleBytes + event.length;
       if (position === 'gap') {
         this.#deliver(delivered);
         this.#abandon('an event is missing');
--- a/packages/gateway/src/lib/requests/GatewayContext.ts
+++ b/packages/gateway/src/lib/requests/GatewayContext.ts
@@ -11,6 +11,7 @@
 import type PromptQuarantine from '../quarantine/PromptQuarantine.js';
 import type PeerEntry from '../peers/PeerEntry.js';
 import type TargetPaths from '../paths/TargetPaths.js';
+import type AnswerMemory from '../relay/AnswerMemory.js';
 import type ServingCheck from '../targets/ServingCheck.js';
 import type TargetConnections from '../targets/TargetConnections.js';
 import type TargetStates from '../targets/TargetStates.js';
@@ -29,6 +30,7 @@
   readonly crashReporter: CrashReporter;
   readonly connections: TargetConnections;
   readonly servingCheck: ServingCheck;
+  readonly answerMemory: AnswerMemory;
   readonly paths: TargetPaths;
   /** The other live entries. */
   readonly peers: () => readonly PeerEntry[];
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -25,6 +25,7 @@
 import SpentTimeEstimator from '../lib/requests/SpentTimeEstimator.js';
 import RequestServer from '../lib/requests/RequestServer.js';
 import AdmissionQueue from '../lib/requests/AdmissionQueue.js';
+import AnswerMemory from '../lib/relay/AnswerMemory.js';
 import ServingCheck from '../lib/targets/ServingCheck.js';
 import TargetConnections from '../lib/targets/TargetConnections.js';
 import type TargetState from '../lib/targets/TargetState.js';
@@ -123,6 +124,11 @@
 
   readonly paths: TargetPaths;
 
+  /** Bound small enough for a test to reach. */
+  readonly answerMemory = new AnswerMemory({
+    log: LOG, metrics: new MetricsRegistry(), maximumBytes: 20 * 1_024 * 1_024,
+  });
+
   readonly #clock: Clock = new SystemClock();
 
   readonly #brokenGroups = new Set<string>();
@@ -347,6 +353,7 @@
         log: LOG,
         metrics,
       }),
+      answerMemory: this.answerMemory,
       paths: this.paths,
       peers: () => this.peers,
       peerStates: this.#peerStates,
--- a/packages/gateway/src/test/endless.test.ts
+++ b/packages/gateway/src/test/endless.test.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import { request } from 'undici';
 import { afterEach, expect, test } from 'vitest';
 import TestGateway, { type TargetScript } from './TestGateway.js';
 
@@ -9,6 +10,9 @@
 /** More than the gateway reads of an answer and the connection buffers on its way. */
 const BOUND_BYTES = 48 * 1_024 * 1_024;
 
+/** Memory for answers of a `TestGateway`. */
+const MEMORY_BYTES = 20 * 1_024 * 1_024;
+
 let gateway: TestGateway | undefined;
 
 afterEach(() => gateway?.stop());
@@ -121,3 +125,64 @@
   }]);
   expect((await gateway.call()).status).toBe(200);
 });
+
+const FLOODS = 8;
+
+// The limit of one answer was no bound for an entry: 120 such answers took it over the memory of its machine.
+test('endless bodies at once stay within the memory for answers, and others are served', async () => {
+  const floods: Flood[] = [];
+  const started = await TestGateway.start({ kind: 'non-idempotent' }, [(incoming, outgoing) => {
+    if (incoming.headers['x-id'] === 'sound') {
+      outgoing.writeHead(200, { 'x-id': 'sound', 'x-signed': '1' }).end('sound');
+      return;
+    }
+    const flood = new Flood();
+    floods.push(flood);
+    outgoing.writeHead(200, { 'x-id': 'r1', 'x-signed': '1' });
+    flood.writeTo(outgoing, () => CHUNK);
+  }], 1, 100, 0);
+  gateway = started;
+  let most = 0;
+  const timer = setInterval(() => {
+    most = Math.max(most, started.answerMemory.bytes);
+  }, 1);
+  const calls = Array.from({ length: FLOODS }, () => started.call());
+  expect(await started.call({ 'x-id': 'sound' })).toMatchObject({ status: 200, body: 'sound' });
+  expect((await Promise.all(calls)).map(({ status }) => status)).toEqual(Array(FLOODS).fill(502));
+  clearInterval(timer);
+  await Promise.all(floods.map((flood) => flood.untilClosed()));
+  expect(most).toBeLessThanOrEqual(MEMORY_BYTES);
+  expect(started.answerMemory.bytes).toBe(0);
+});
+
+// A caller that does not read keeps the whole answer in the memory of the entry.
+test('of answers that are not read the largest one is cut', async () => {
+  const started = await TestGateway.start(PLAIN, [(incoming, outgoing) => {
+    const bytes = Buffer.alloc(Number(incoming.headers['x-id']) * 1_024 * 1_024, 0x61);
+    outgoing.writeHead(200, { 'x-id': incoming.headers['x-id'], 'x-signed': '1' }).end(bytes);
+  }]);
+  gateway = started;
+  const open = (mebibytes: number) => request(`http://${started.address}/a/b`, {
+    method: 'POST', headers: { host: 'h', 'x-id': String(mebibytes) }, body: 'body',
+  });
+  const large = await open(14);
+  const small = await open(10);
+  await expect(large.body.arrayBuffer()).rejects.toThrow();
+  expect((await small.body.arrayBuffer()).byteLength).toBe(10 * 1_024 * 1_024);
+});
+
+test.each([
+  ['comments', ': comment\n\n'], ['empty events', '\n\n'],
+])('endless %s in a stream are abandoned, and another target goes on', async (_name, bytes) => {
+  const flood = new Flood();
+  gateway = preferFirst(await TestGateway.start(STREAM, [(_incoming, outgoing) => {
+    outgoing.writeHead(200, { 'x-id': 'r1', 'x-signed': '1', 'content-type': 'text/event-stream' });
+    flood.writeTo(outgoing, () => Buffer.from(bytes.repeat(100)));
+  }, healthy]));
+  const answer = await gateway.call({ 'x-deadline': '20000' });
+  expect(answer.status).toBe(200);
+  expect(answer.cut).toBe(false);
+  expect(answer.body.endsWith('id: 1\ndata: e1\n\n')).toBe(true);
+  await flood.untilClosed();
+  expect(flood.sent).toBeLessThan(BOUND_BYTES);
+});
