Keep a part that ended several workers within a second back until it has been tried

Cause: ends within a second held a part back only until 30 s after the last of them, as no entry might be there to grant a trial; then each entry sent on what it got until one more worker had ended.

The limit is gone: the part waits for its trial for as long as its crashes are remembered, as parts do whose crashes took longer, and any service of it ends that at once.

--- a/packages/gateway/src/lib/quarantine/findQuarantineEnd.ts
+++ b/packages/gateway/src/lib/quarantine/findQuarantineEnd.ts
@@ -27,30 +27,23 @@
   readonly delayMilliseconds: number;
   /** Time from the last crash to a trial, in ms. */
   readonly termMilliseconds: number;
-  /** Time from the last crash to the end without a trial, in ms: no entry may be there to grant one. */
-  readonly lifetimeMilliseconds: number;
 }
 
 /** By its beginning others have told whether they served the part; by the trial, whether it crashed more. */
 const BRIEF_FOR_PARTS: BriefQuarantine = {
-  delayMilliseconds: MINIMUM_SPAN_MILLISECONDS,
-  termMilliseconds: 2_000,
-  lifetimeMilliseconds: FIRST_TERM_MILLISECONDS,
+  delayMilliseconds: MINIMUM_SPAN_MILLISECONDS, termMilliseconds: 2_000,
 };
 
 /** No other request is held back with a request as a whole. */
-const BRIEF_FOR_REQUESTS: BriefQuarantine = {
-  delayMilliseconds: 0, termMilliseconds: 1_000, lifetimeMilliseconds: Number.POSITIVE_INFINITY,
-};
+const BRIEF_FOR_REQUESTS: BriefQuarantine = { delayMilliseconds: 0, termMilliseconds: 1_000 };
 
 function findBriefEnd(
-  { delayMilliseconds, termMilliseconds, lifetimeMilliseconds }: BriefQuarantine,
+  { delayMilliseconds, termMilliseconds }: BriefQuarantine,
   first: TargetCrash,
   last: TargetCrash,
   now: number,
 ): number | null {
-  const isOver = now - last.at >= lifetimeMilliseconds;
-  return now - first.at < delayMilliseconds || isOver ? null : last.at + termMilliseconds;
+  return now - first.at < delayMilliseconds ? null : last.at + termMilliseconds;
 }
 
 /**
