--- a/packages/gateway/src/lib/targets/ServingCheck.ts
+++ b/packages/gateway/src/lib/targets/ServingCheck.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { ResultAsync } from 'neverthrow';
 import type { ServingError } from '@dandelionlane/core';
 import { formationName, type Worker, type WorkerReport } from '@dandelionlane/fleet';
@@ -10,12 +11,15 @@
 /** Reports that are asked for, as the first may go out on a kept connection that has just been closed. */
 const REPORTS = 2;
 
+/** Time in which a process that ends closes its connections and the port that it listens at, in ms. */
+const CLOSING_MILLISECONDS = 20;
+
 /** Dependencies of a `ServingCheck`. */
 interface ServingCheckOptions {
   /** Asks a worker for its report. */
   readonly report: (worker: Worker, timeoutMilliseconds: number) => ResultAsync<WorkerReport, ServingError>;
-  /** Whether anything answers at the address of a worker, over a new connection. Never rejects. */
-  readonly probe: (worker: Worker, timeoutMilliseconds: number) => Promise<boolean>;
+  /** Whether connections to an address are refused: no process listens there. Never rejects. */
+  readonly refusesConnections: (address: string) => Promise<boolean>;
   readonly log: Log;
   readonly metrics: Metrics;
 }
@@ -36,7 +40,7 @@
   async isServing({ entry: { worker }, formation, peer }: Candidate): Promise<boolean> {
     // What another entry has passed on says nothing of the target behind it.
     const isServing = peer === null && await (formation === ''
-      ? this.#options.probe(worker, TIMEOUT_MILLISECONDS) : this.#reportsFormation(worker, formation));
+      ? this.#listens(worker) : this.#reportsFormation(worker, formation));
     if (!isServing) {
       this.#options.metrics.count('gateway.unconfirmed_ends');
       this.#options.log.info('End of an answer without a length is not confirmed.', { worker: worker.id, formation });
@@ -44,6 +48,15 @@
     return isServing;
   }
 
+  /** A target without a group has no report, and resets connections beyond its limit: a reset says nothing. */
+  async #listens({ address }: Worker): Promise<boolean> {
+    if (await this.#options.refusesConnections(address)) {
+      return false;
+    }
+    await sleep(CLOSING_MILLISECONDS);
+    return !await this.#options.refusesConnections(address);
+  }
+
   async #reportsFormation(worker: Worker, formation: string): Promise<boolean> {
     for (let reports = 0; reports < REPORTS; reports += 1) {
       const report = await this.#options.report(worker, TIMEOUT_MILLISECONDS);
