--- a/packages/gateway/src/lib/targets/ServingCheck.ts
+++ b/packages/gateway/src/lib/targets/ServingCheck.ts
@@ -48,7 +48,7 @@
     return isServing;
   }
 
-  /** A target without a group has no report, and resets connections beyond its limit: a reset says nothing. */
+  /** A target without a group has no report, and resets connections beyond its limit. */
   async #listens({ address }: Worker): Promise<boolean> {
     if (await this.#options.refusesConnections(address)) {
       return false;
--- a/packages/platform/src/test/interimHeads.test.ts
+++ b/packages/platform/src/test/interimHeads.test.ts
@@ -38,7 +38,7 @@
   const answer = await sendJSON(agent, {
     method: 'GET', origin: `http://127.0.0.1:${port}`, path: '/', timeoutMilliseconds: TIMEOUT_MILLISECONDS,
   });
-  expect(String(answer._unsafeUnwrapErr().cause)).toContain('too many interim heads');
+  expect(answer._unsafeUnwrapErr().message).toContain('too many interim heads');
   expect(sockets).toHaveLength(1);
   await agent.destroy();
 });
