Soak: course endings, with promises on attempts, directories and memory

Gives the soak the orders of events of the review: processes that end under answers without a length, a former holder's row, failing requests of entries without paths, interim heads and bodies without an end, in series that overlap.

The check whether a target goes on waits for a report for 1 s in place of 250 ms: with the first form of the course, which kept all workers from answering for half a second, a sound stream counted as cut off. One that has ended refuses at once.

--- a/packages/gateway/src/lib/targets/ServingCheck.ts
+++ b/packages/gateway/src/lib/targets/ServingCheck.ts
@@ -5,8 +5,8 @@
 import type { Log, Metrics } from '@dandelionlane/telemetry';
 import type Candidate from '../choice/Candidate.js';
 
-/** Time for an answer of the target, in ms: a sound one in the same region answers within a few ms. */
-const TIMEOUT_MILLISECONDS = 250;
+/** Time for an answer of the target, in ms: one that has ended refuses at once, a busy one answers late. */
+const TIMEOUT_MILLISECONDS = 1_000;
 
 /** Reports that are asked for, as the first may go out on a kept connection that has just been closed. */
 const REPORTS = 2;
--- a/packages/soak/src/lib/SoakTopology.ts
+++ b/packages/soak/src/lib/SoakTopology.ts
@@ -11,6 +11,8 @@
   readonly store: StoreServer;
   readonly entries: readonly SoakEntry[];
   readonly workers: readonly SoakWorker[];
+  /** How many workers, from the first, are plain. */
+  readonly plainWorkers: number;
   /** How many workers, from the first, may fail. The spare ones stay sound. */
   readonly faultyWorkers: number;
 }
--- a/packages/soak/src/lib/createTopology.ts
+++ b/packages/soak/src/lib/createTopology.ts
@@ -18,12 +18,15 @@
 const SPARE_WORKERS = 2;
 const SLOTS = 8;
 
+/** Share of the answers without a length where the course asks for some. */
+const UNFRAMED_SHARE = 0.5;
+
 const MILLISECONDS = 1_000;
 
 /** Starts the store, the workers and the entries of a soak. */
 export default async function createTopology(
   {
-    seed, entries: count, directory, grace = DEFAULT_GRACE_SECONDS, build = null,
+    seed, entries: count, directory, grace = DEFAULT_GRACE_SECONDS, build = null, course = 'all',
   }: SoakOptions,
   groupSize: number,
 ): Promise<SoakTopology> {
@@ -39,6 +42,7 @@
     zone: ZONES[index % ZONES.length] ?? 'zone-a',
     groups: service === 'model' ? groups : null,
     slots: SLOTS,
+    unframedShare: course === 'endings' ? UNFRAMED_SHARE : 0,
     tables,
     journal,
     random,
@@ -67,6 +71,12 @@
   }
   await Promise.all(entries.map((entry) => entry.start()));
   return {
-    journal, tables, store, entries, workers, faultyWorkers: PLAIN_WORKERS + MODEL_WORKERS,
+    journal,
+    tables,
+    store,
+    entries,
+    workers,
+    plainWorkers: PLAIN_WORKERS,
+    faultyWorkers: PLAIN_WORKERS + MODEL_WORKERS,
   };
 }
--- a/packages/soak/src/lib/entries/SoakEntry.ts
+++ b/packages/soak/src/lib/entries/SoakEntry.ts
@@ -8,9 +8,11 @@
 import { startLink, type LinkHandle } from '@dandelionlane/standin';
 import SOAK_NAMES from '../SOAK_NAMES.js';
 import type EntryStop from '../journal/EntryStop.js';
+import type GoneEntry from '../journal/GoneEntry.js';
 import type SoakJournal from '../journal/SoakJournal.js';
 import type EntryPorts from './EntryPorts.js';
 import findProgram from './findProgram.js';
+import readPeakMegabytes from './readPeakMegabytes.js';
 import SOURCE_ADDRESS_HOOK from './SOURCE_ADDRESS_HOOK.js';
 
 const HOST = '127.0.0.1';
@@ -48,6 +50,9 @@
   /** Signal that the process was last sent to end it; null while its end is not wanted. */
   #ending: NodeJS.Signals | null = null;
 
+  /** Its last end; null if it has not ended. */
+  #gone: GoneEntry | null = null;
+
   private constructor(settings: SoakEntrySettings, storeLink: LinkHandle, callerLink: LinkHandle) {
     this.#settings = settings;
     this.storeLink = storeLink;
@@ -88,6 +93,9 @@
     const path = join(directory, `${name}.conf`);
     await writeFile(path, renderSettings(this.#platformSettings()));
     this.#ending = null;
+    if (this.#gone !== null) {
+      this.#gone.to = performance.now();
+    }
     const child = spawn(process.execPath, ['--import', SOURCE_ADDRESS_HOOK, findProgram(build)], {
       env: { ...process.env, [SETTINGS_VARIABLE]: path, SOAK_SOURCE_ADDRESS: this.sourceAddress }, stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -145,10 +153,21 @@
     const child = this.#child;
     this.#ending = signal;
     if (child !== null && this.running) {
+      await this.#notePeak(child.pid);
       const ended = once(child, 'exit');
       child.kill('SIGCONT');
       child.kill(signal);
       await ended;
+      this.#gone = { address: this.callerAddress, from: performance.now(), to: Number.POSITIVE_INFINITY };
+      this.#settings.journal.goneEntries.push(this.#gone);
+    }
+  }
+
+  async #notePeak(pid: number | undefined): Promise<void> {
+    const { journal: { peakMegabytes } } = this.#settings;
+    const peak = pid === undefined ? null : await readPeakMegabytes(pid);
+    if (peak !== null) {
+      peakMegabytes.set(this.name, Math.max(peak, peakMegabytes.get(this.name) ?? 0));
     }
   }
 
--- a/packages/soak/src/lib/faults/FaultInjector.ts
+++ b/packages/soak/src/lib/faults/FaultInjector.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { LeaseRecord } from '@dandelionlane/core';
 import type { LinkState } from '@dandelionlane/standin';
 import type SoakTopology from '../SoakTopology.js';
 import createConfiguration from '../createConfiguration.js';
@@ -21,6 +22,9 @@
   /** What faults hold now. */
   readonly #held = new Set<string>();
 
+  /** Entries that have held the lease when it was taken from them. */
+  readonly #formerHolders = new Set<number>();
+
   #version = 1;
 
   constructor(topology: SoakTopology, groupSize: number) {
@@ -37,7 +41,10 @@
   }
 
   async #hold({ fault: planned, forMilliseconds }: PlannedFault): Promise<void> {
-    const fault = this.#withoutHeldWorkers(planned);
+    const fault = await this.#resolve(planned);
+    if (fault === null) {
+      return;
+    }
     const places = this.#placesOf(fault);
     if (places.some((place) => this.#held.has(place))) {
       return;
@@ -49,6 +56,37 @@
     places.forEach((place) => this.#held.delete(place));
   }
 
+  /** Names the entry that a fault of the lease is at, and the workers that are free. */
+  async #resolve(fault: SoakFault): Promise<SoakFault | null> {
+    switch (fault.kind) {
+      case 'holder-cut': {
+        const entry = await this.#findHolder();
+        if (entry !== null) {
+          this.#formerHolders.add(entry);
+        }
+        return entry === null ? null : { kind: 'store-link', entry, state: 'reset' };
+      }
+      case 'follower-killed': {
+        const holder = await this.#findHolder();
+        const entry = this.#topology.entries.findIndex((each, index) => (
+          each.running && index !== holder && !this.#formerHolders.has(index) && !this.#held.has(`entry ${index}`)
+        ));
+        return entry < 0 ? null : { kind: 'entry-killed', entry };
+      }
+      default:
+        return this.#withoutHeldWorkers(fault);
+    }
+  }
+
+  /** Index of the entry that holds the lease, as the store knows it, or null. */
+  async #findHolder(): Promise<number | null> {
+    const { tables, entries } = this.#topology;
+    const rows = (await tables.snapshot('leases')).map((snapshot) => snapshot.rows).unwrapOr([]);
+    const record = LeaseRecord.safeParse(rows[0]?.value);
+    const index = entries.findIndex(({ name }) => record.success && name === String(record.data.holder));
+    return index < 0 ? null : index;
+  }
+
   /** A silence of several workers leaves out those that another fault holds. */
   #withoutHeldWorkers(fault: SoakFault): SoakFault {
     return fault.kind !== 'workers-silent' ? fault : {
@@ -76,9 +114,14 @@
       case 'worker-link':
       case 'worker-answers':
         return [`${fault.kind} ${fault.worker}`];
+      case 'workers-answer':
+        return fault.workers.map((worker) => `worker-answers ${worker}`);
       case 'worker-crashes':
       case 'worker-leaves':
         return [`worker ${fault.worker}`];
+      case 'holder-cut':
+      case 'follower-killed':
+        return [fault.kind];
       case 'store-fails':
       case 'store-forgets':
       case 'configuration-changes':
@@ -110,17 +153,21 @@
           ? [{ kind: 'other' }] : [{ kind: 'worker-link', worker: this.#worker(fault.worker).id }];
       // Workers note themselves which runs they break off.
       case 'worker-answers':
+      case 'workers-answer':
       case 'worker-crashes':
       case 'worker-leaves':
       case 'workers-silent':
       case 'entry-terminated':
+      case 'holder-cut':
+      case 'follower-killed':
+      case 'configuration-changes':
+        return [{ kind: 'other' }];
       case 'entry-stopped':
       case 'store-link':
       case 'store-fails':
       case 'store-forgets':
       case 'store-restored':
-      case 'configuration-changes':
-        return [{ kind: 'other' }];
+        return [{ kind: 'store' }];
       default:
         return fault satisfies never;
     }
@@ -205,6 +252,14 @@
         await sleep(milliseconds);
         this.#worker(fault.worker).answerFault = 'none';
         return;
+      case 'workers-answer':
+        fault.workers.forEach((worker) => Object.assign(this.#worker(worker), { answerFault: fault.fault }));
+        await sleep(milliseconds);
+        fault.workers.forEach((worker) => Object.assign(this.#worker(worker), { answerFault: 'none' }));
+        return;
+      case 'holder-cut':
+      case 'follower-killed':
+        throw new Error(`${fault.kind} names no entry`);
       case 'configuration-changes':
         this.#version += 1;
         await writeConfiguration(tables, createConfiguration(this.#version, this.#groupSize));
--- a/packages/soak/src/lib/faults/SoakCourse.ts
+++ b/packages/soak/src/lib/faults/SoakCourse.ts
@@ -3,8 +3,9 @@
  * stops of entries and new configurations, while the store fails and sound workers fall silent.
  * `stops` and `silences`: the same without silences, or without stops. `all`: `unplanned` and `planned`.
  * `paths`: entries lose their paths to all workers, in series, while the store fails at times. `crashes`: one
- * request ends each worker that runs it, while entries end and lose the store.
+ * request ends each worker that runs it, while entries end and lose the store. `endings`: processes end under
+ * answers without a length, the holder of the lease changes, and workers fail or write without an end.
  */
-type SoakCourse = 'all' | 'unplanned' | 'planned' | 'stops' | 'silences' | 'paths' | 'crashes';
+type SoakCourse = 'all' | 'unplanned' | 'planned' | 'stops' | 'silences' | 'paths' | 'crashes' | 'endings';
 
 export default SoakCourse;
--- a/packages/soak/src/lib/faults/SoakFault.ts
+++ b/packages/soak/src/lib/faults/SoakFault.ts
@@ -20,6 +20,14 @@
   | { readonly kind: 'workers-silent'; readonly workers: readonly number[] }
   /** Entries lose their paths to all workers, which others still reach. */
   | { readonly kind: 'paths-cut'; readonly entries: readonly number[]; readonly state: LinkState }
+  /** The entry that holds the lease loses the store. */
+  | { readonly kind: 'holder-cut' }
+  /** An entry that has not held the lease is killed, and starts again after a while. */
+  | { readonly kind: 'follower-killed' }
+  /** Several workers answer badly at once. */
+  | {
+    readonly kind: 'workers-answer'; readonly workers: readonly number[]; readonly fault: AnswerFault;
+  }
   | { readonly kind: 'worker-crashes'; readonly worker: number }
   | { readonly kind: 'worker-leaves'; readonly worker: number }
   | { readonly kind: 'worker-answers'; readonly worker: number; readonly fault: AnswerFault }
--- a/packages/soak/src/lib/faults/planCourse.ts
+++ b/packages/soak/src/lib/faults/planCourse.ts
@@ -2,6 +2,7 @@
 import DEFAULT_GRACE_SECONDS from '../DEFAULT_GRACE_SECONDS.js';
 import type SoakOptions from '../SoakOptions.js';
 import type PlannedFault from './PlannedFault.js';
+import planEndings from './planEndings.js';
 import planEntryFaults from './planEntryFaults.js';
 import planFaults from './planFaults.js';
 import planPathCuts from './planPathCuts.js';
@@ -17,6 +18,8 @@
 interface CourseSizes {
   readonly entries: number;
   readonly workers: number;
+  /** Workers, from the first, that are plain. */
+  readonly plainWorkers: number;
   /** Workers, from the first, that may fail. */
   readonly faultyWorkers: number;
 }
@@ -29,7 +32,9 @@
   {
     seed, seconds, restorations, course = 'all', grace = DEFAULT_GRACE_SECONDS,
   }: SoakOptions,
-  { entries, workers, faultyWorkers }: CourseSizes,
+  {
+    entries, workers, plainWorkers, faultyWorkers,
+  }: CourseSizes,
 ): readonly PlannedFault[] {
   const milliseconds = seconds * MILLISECONDS;
   const unplanned = planFaults(milliseconds, entries, faultyWorkers, new SeededRandom(seed));
@@ -50,6 +55,10 @@
       return planPathCuts(milliseconds, entries, ZONE_COUNT, new SeededRandom(seed + 5));
     case 'crashes':
       return planEntryFaults(milliseconds, entries, new SeededRandom(seed + 6));
+    case 'endings':
+      return planEndings(milliseconds, {
+        entries, plainWorkers, modelWorkers: faultyWorkers - plainWorkers,
+      }, new SeededRandom(seed + 7));
     default:
       return course satisfies never;
   }
--- a/packages/soak/src/lib/journal/SoakJournal.ts
+++ b/packages/soak/src/lib/journal/SoakJournal.ts
@@ -1,5 +1,7 @@
+import type DirectoryAnswer from './DirectoryAnswer.js';
 import type DisturbedPart from './DisturbedPart.js';
 import type EntryStop from './EntryStop.js';
+import type GoneEntry from './GoneEntry.js';
 import type PathCut from './PathCut.js';
 import type SentRequest from './SentRequest.js';
 import type Violation from './Violation.js';
@@ -24,6 +26,13 @@
   /** Planned stops, in the order of their beginnings. */
   readonly stops: EntryStop[] = [];
 
+  readonly goneEntries: GoneEntry[] = [];
+
+  readonly directoryAnswers: DirectoryAnswer[] = [];
+
+  /** Memory of each entry at its peak, in MB, as far as its processes were asked before their ends. */
+  readonly peakMegabytes = new Map<string, number>();
+
   /** Promises that were seen broken at once. */
   readonly violations: Violation[] = [];
 
--- a/packages/soak/src/lib/journal/findViolations.ts
+++ b/packages/soak/src/lib/journal/findViolations.ts
@@ -3,8 +3,11 @@
 import type SoakJournal from './SoakJournal.js';
 import type Violation from './Violation.js';
 import type WorkerRun from './WorkerRun.js';
+import checkAttempts from './checkAttempts.js';
 import checkCrashes from './checkCrashes.js';
+import checkDirectories from './checkDirectories.js';
 import checkLost from './checkLost.js';
+import checkMemory from './checkMemory.js';
 import checkPathCuts from './checkPathCuts.js';
 import expectedBody from './expectedBody.js';
 
@@ -96,6 +99,9 @@
     ...journal.violations,
     ...checkPathCuts(journal),
     ...checkCrashes(journal),
+    ...checkAttempts(journal),
+    ...checkDirectories(journal),
+    ...checkMemory(journal),
     ...journal.runs.flatMap((run) => checkRun(run, journal)),
     ...[...journal.requests.values()].flatMap((request) => (
       checkRequest(request, runsOf.get(request.id) ?? [], journal)
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -3,7 +3,9 @@
 import type SoakOptions from './SoakOptions.js';
 import type SoakReport from './SoakReport.js';
 import type SoakTopology from './SoakTopology.js';
+import BurstCaller from './callers/BurstCaller.js';
 import CrashingCaller from './callers/CrashingCaller.js';
+import DirectoryReader from './callers/DirectoryReader.js';
 import SoakCaller from './callers/SoakCaller.js';
 import StayingCaller from './callers/StayingCaller.js';
 import createTopology from './createTopology.js';
@@ -19,6 +21,9 @@
 /** Added to a seed for the caller whose request ends workers. */
 const CRASHING_SEED = 50;
 
+/** Added to a seed for the caller of bursts. */
+const BURST_SEED = 60;
+
 /** Added to a seed for the callers that stay, one more for each of them. */
 const STAYING_SEED = 100;
 
@@ -57,7 +62,10 @@
   const topology = await createTopology(options, GROUP_SIZE);
   const { journal, entries, workers } = topology;
   const faults = planCourse(options, {
-    entries: entries.length, workers: workers.length, faultyWorkers: topology.faultyWorkers,
+    entries: entries.length,
+    workers: workers.length,
+    plainWorkers: topology.plainWorkers,
+    faultyWorkers: topology.faultyWorkers,
   });
   const caller = new SoakCaller(journal, entries, new SeededRandom(options.seed + 2));
   const unserved = await waitUntilServed(caller, topology);
@@ -74,10 +82,16 @@
   const crashing = options.course === 'crashes'
     ? new CrashingCaller(journal, entries, new SeededRandom(options.seed + CRASHING_SEED)).run(() => over)
     : Promise.resolve();
+  const isEndings = options.course === 'endings';
+  const watching = isEndings ? Promise.all([
+    new DirectoryReader(journal, entries).run(() => over),
+    new BurstCaller(journal, entries, new SeededRandom(options.seed + BURST_SEED)).run(() => over),
+  ]) : Promise.resolve();
   await new FaultInjector(topology, GROUP_SIZE).run(faults);
   over = true;
   await calling;
   await crashing;
+  await watching;
   const missing = await waitUntilServed(caller, topology);
   if (missing.length > 0) {
     journal.violated('recover', `not served after the last fault: ${missing.join(', ')}`);
--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -16,6 +16,7 @@
 import expectedBody from '../journal/expectedBody.js';
 import expectedEvent from '../journal/expectedEvent.js';
 import type AnswerFault from './AnswerFault.js';
+import endWithConnection from './endWithConnection.js';
 import GroupStall from './GroupStall.js';
 import type SoakWorkerSettings from './SoakWorkerSettings.js';
 import writePlainAnswer from './writePlainAnswer.js';
@@ -321,15 +322,23 @@
     }
   }
 
+  /** Draws whether an answer has a length or chunks. */
+  #drawsFraming(): boolean {
+    const { random, unframedShare } = this.#settings;
+    return unframedShare === 0 || random.next() >= unframedShare;
+  }
+
   async #answerPlain(run: RecordedRun, outgoing: ServerResponse): Promise<void> {
     const { requestId } = run;
     await sleep(PLAIN_MILLISECONDS * 2 * this.#settings.random.next());
-    if (this.answerFault === 'cut' || this.answerFault === 'lost') {
+    const { answerFault } = this;
+    if (['cut', 'lost', 'endless', 'interim'].includes(answerFault) || !this.alive) {
       noteBroken(run, outgoing);
     } else {
       run.noteAnswered(performance.now());
     }
-    writePlainAnswer(outgoing, expectedBody({ id: requestId, kind: 'safe', events: 0 }), this.answerFault);
+    const body = expectedBody({ id: requestId, kind: 'safe', events: 0 });
+    writePlainAnswer(outgoing, body, { fault: this.answerFault, framed: this.#drawsFraming() });
   }
 
   async #stream(
@@ -339,6 +348,9 @@
   ): Promise<void> {
     const events = this.#settings.journal.requests.get(requestId)?.events ?? 0;
     const first = Number(lastEventId ?? 0) + 1;
+    if (!this.#drawsFraming()) {
+      endWithConnection(outgoing);
+    }
     outgoing.writeHead(STAND_IN_STATUSES.ok, { 'content-type': 'text/event-stream' });
     for (let index = first; index <= events; index += 1) {
       await sleep(EVENT_MILLISECONDS);
--- a/packages/soak/src/lib/workers/SoakWorkerSettings.ts
+++ b/packages/soak/src/lib/workers/SoakWorkerSettings.ts
@@ -11,6 +11,8 @@
   /** Groups of model workers; null for a plain worker. */
   readonly groups: SoakGroups | null;
   readonly slots: number;
+  /** Share of the answers that have neither a length nor chunks. */
+  readonly unframedShare: number;
   readonly tables: SoakTables;
   readonly journal: SoakJournal;
   readonly random: RandomSource;
--- a/packages/soak/src/lib/workers/writePlainAnswer.ts
+++ b/packages/soak/src/lib/workers/writePlainAnswer.ts
@@ -1,15 +1,37 @@
 import type { ServerResponse } from 'node:http';
 import { STAND_IN_STATUSES } from '@dandelionlane/platform-adapter';
 import type AnswerFault from './AnswerFault.js';
+import endWithConnection from './endWithConnection.js';
+import writeEndlessly from './writeEndlessly.js';
+
+/** Time between the halves of an answer without a length, in ms. */
+const HALF_MILLISECONDS = 20;
 
 const EXTRA_ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra';
 
 /** Answers a plain request that has run, as well or badly as the fault says. */
-export default function writePlainAnswer(outgoing: ServerResponse, body: string, fault: AnswerFault): void {
+export default function writePlainAnswer(
+  outgoing: ServerResponse,
+  body: string,
+  { fault, framed }: { readonly fault: AnswerFault; readonly framed: boolean },
+): void {
   switch (fault) {
     case 'none':
     case 'mute':
-      outgoing.writeHead(STAND_IN_STATUSES.ok, { 'content-length': body.length }).end(body);
+      if (framed) {
+        outgoing.writeHead(STAND_IN_STATUSES.ok, { 'content-length': body.length }).end(body);
+      } else {
+        endWithConnection(outgoing);
+        outgoing.writeHead(STAND_IN_STATUSES.ok);
+        outgoing.write(body.slice(0, body.length / 2));
+        setTimeout(() => outgoing.end(body.slice(body.length / 2)), HALF_MILLISECONDS);
+      }
+      return;
+    case 'endless':
+      writeEndlessly(outgoing, 'body');
+      return;
+    case 'interim':
+      writeEndlessly(outgoing, 'interim-heads');
       return;
     case 'cut':
       outgoing.writeHead(STAND_IN_STATUSES.ok, { 'content-length': body.length });
