Do not use a connection again that its target closes after the answer

Cause: an answer that ends with its connection, or announces the end of it, gave the connection back to the idle ones, and the client is destroyed only once the socket has closed. A request in between was sent on it and counted as one that may have run.

The connection is now closed with such an answer. The two new tests of TargetAttempt.test.ts failed before.

--- a/packages/gateway/src/lib/targets/TargetAttempt.ts
+++ b/packages/gateway/src/lib/targets/TargetAttempt.ts
@@ -47,6 +47,9 @@
 
   #framed = true;
 
+  /** Whether the target closes the connection after this answer. */
+  #isLast = false;
+
   #interimHeads = 0;
 
   constructor(connections: TargetConnections, request: AttemptRequest, listener: AttemptListener) {
@@ -126,6 +129,7 @@
       this.#countInterimHead();
     } else {
       this.#framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+      this.#isLast = String(headers.connection ?? '').toLowerCase().includes('close');
       this.#listener.head(status, headers);
     }
   }
@@ -154,7 +158,8 @@
       return;
     }
     this.#hasEnded = true;
-    if (this.#request.usesNewConnection) {
+    // A connection that is about to end must not be taken for the next request.
+    if (this.#request.usesNewConnection || !this.#framed || this.#isLast) {
       connection.destroy();
     } else {
       this.#connections.release(this.#request.worker, connection);
--- a/packages/gateway/src/test/TargetAttempt.test.ts
+++ b/packages/gateway/src/test/TargetAttempt.test.ts
@@ -16,7 +16,11 @@
 });
 
 /** Sends requests to a target that answers each with the next script; returns their outcomes. */
-async function exchange(scripts: ((socket: Socket) => void)[], requests = 1): Promise<readonly string[]> {
+async function exchange(
+  scripts: ((socket: Socket) => void)[],
+  requests = 1,
+  pauseMilliseconds = 20,
+): Promise<readonly string[]> {
   const address = await new Promise<string>((resolve) => {
     server = createServer((socket) => {
       socket.on('error', () => undefined);
@@ -27,7 +31,9 @@
   const connections = new TargetConnections(() => undefined);
   const outcomes: string[] = [];
   for (let index = 0; index < requests; index += 1) {
-    await setTimeoutPromise(20);
+    if (pauseMilliseconds > 0) {
+      await setTimeoutPromise(pauseMilliseconds);
+    }
     outcomes.push(await new Promise<string>((resolve) => {
       let body = '';
       const attempt = new TargetAttempt(connections, {
@@ -128,3 +134,14 @@
   expect(await exchange([(socket) => socket.end(head)])).toEqual([' failed']);
   expect(await exchange([whole, (socket) => socket.end(head)], 2)).toEqual(['200 abc complete', ' failed']);
 });
+
+// Guards against a request that is cut off as it was sent on a connection which the target was closing.
+test.each([
+  ['without a length', `${HEAD}Connection: close\r\n\r\nabc`],
+  ['with Connection: close', `${HEAD}Content-Length: 3\r\nConnection: close\r\n\r\nabc`],
+])('the connection of an answer %s is not used again', async (_name, answer) => {
+  const end = (socket: Socket) => socket.end(answer);
+  const requests = 20;
+  expect(await exchange(Array.from({ length: requests }, () => end), requests, 0))
+    .toEqual(Array(requests).fill('200 abc complete'));
+});
