Pass plain answers without a length on without one again

A worker that lives may break off, too ('its run ends: crashed' while it goes on), and then the length asserts what nobody knows.

Such an answer goes to callers without a length, as before this work, and only if its worker still listens. Between entries it has a length, so that the end of an entry is told from the end of the answer, and a header that says that the worker's had none; an entry of an earlier build ignores the header.

--- a/packages/gateway/src/lib/relay/PlainExchange.ts
+++ b/packages/gateway/src/lib/relay/PlainExchange.ts
@@ -190,7 +190,7 @@
       return;
     }
     const answer: ExchangeOutcome = { kind: 'answered', ...this.#answer, body: Buffer.concat(this.#chunks) };
-    if (endsWithConnection(method, answer.status, answer.head.framed)) {
+    if (endsWithConnection(method, answer.status, answer.head.framed || answer.head.framedByEntry)) {
       void this.#settleUnframed(answer);
     } else {
       this.#settle(answer);
--- a/packages/gateway/src/lib/relay/PlainRelay.ts
+++ b/packages/gateway/src/lib/relay/PlainRelay.ts
@@ -19,6 +19,7 @@
 import RunningAttempts from './RunningAttempts.js';
 import classifyAnswer from './classifyAnswer.js';
 import classifyPeerAnswer from './classifyPeerAnswer.js';
+import endsWithConnection from './endsWithConnection.js';
 import isNotRunStatus from './isNotRunStatus.js';
 import removeHopByHopHeaders from './removeHopByHopHeaders.js';
 
@@ -341,15 +342,23 @@
 
   /** Passes an answer on. Does nothing when this entry has answered the request itself, at its end. */
   #writeAnswer({
-    status, headers, body,
+    status, headers, body, head,
   }: CompleteAnswer): void {
-    const { method, outgoing } = this.#call;
+    const { method, outgoing, origin } = this.#call;
     if (outgoing.headersSent) {
       return;
     }
-    const forwarded = removeHopByHopHeaders(headers);
-    if (allowsBody(method, status)) {
+    const { unframedHeaders } = this.#context.wire;
+    const isUnframed = origin === 'caller' && endsWithConnection(method, status, head.framed);
+    const forwarded = Object.fromEntries(Object.entries(removeHopByHopHeaders(headers))
+      .filter(([name]) => !(name in unframedHeaders) && !(isUnframed && name === 'content-length')));
+    if (isUnframed) {
+      // A target that lives may have broken it off, too: a length would assert that it is whole.
+      outgoing.useChunkedEncodingByDefault = false;
+      outgoing.shouldKeepAlive = false;
+    } else if (allowsBody(method, status)) {
       forwarded['content-length'] = String(body.length);
+      Object.assign(forwarded, head.framed ? {} : unframedHeaders);
     }
     outgoing.writeHead(status, forwarded);
     outgoing.end(body);
--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -218,7 +218,8 @@
     }
     const classification = candidate.peer === null
       ? classifyAnswer(status, head, requestId) : classifyPeerAnswer(status, head, requestId);
-    this.#head = { status, headers: removeHopByHopHeaders(headers), framed: head.framed };
+    const framed = head.framed || head.framedByEntry;
+    this.#head = { status, headers: removeHopByHopHeaders(headers), framed };
     switch (classification) {
       case 'own':
         // Whatever else a target answers cannot go on with a stream that has begun.
@@ -354,6 +355,11 @@
     } else if (this.#splitter.hasPartialEvent) {
       this.#finish({ kind: 'broken', reason: 'stream ended inside an event', connectionLost: true });
     } else if (this.#head !== null && endsWithConnection(method, this.#head.status, this.#head.framed)) {
+      if (this.choice.candidate.peer !== null) {
+        // One of an earlier build passes on the end of its target's connection as its own.
+        this.#finishUnframed(false);
+        return;
+      }
       void context.servingCheck.isServing(this.choice.candidate)
         .then((isServing) => this.#finishUnframed(isServing));
     } else {
--- a/packages/gateway/src/lib/targets/ServingCheck.ts
+++ b/packages/gateway/src/lib/targets/ServingCheck.ts
@@ -37,9 +37,8 @@
   }
 
   /** Whether a target serves as it did when it was chosen. Never rejects. */
-  async isServing({ entry: { worker }, formation, peer }: Candidate): Promise<boolean> {
-    // What another entry has passed on says nothing of the target behind it.
-    const isServing = peer === null && await (formation === ''
+  async isServing({ entry: { worker }, formation }: Candidate): Promise<boolean> {
+    const isServing = await (formation === ''
       ? this.#listens(worker) : this.#reportsFormation(worker, formation));
     if (!isServing) {
       this.#options.metrics.count('gateway.unconfirmed_ends');
--- a/packages/gateway/src/lib/wire/AnswerHead.ts
+++ b/packages/gateway/src/lib/wire/AnswerHead.ts
@@ -21,6 +21,8 @@
   readonly encoded: boolean;
   /** Whether the body is a stream of events, as far as its content type says. */
   readonly eventStream: boolean;
-  /** Whether the body has a length or is chunked, so that its end can be told from a lost connection. */
+  /** Whether the body had a length or was chunked as the target sent it: its end tells that it is whole. */
   readonly framed: boolean;
+  /** Whether another entry has given the body the length that it did not have at the target. */
+  readonly framedByEntry: boolean;
 }
--- a/packages/gateway/src/lib/wire/GatewayWire.ts
+++ b/packages/gateway/src/lib/wire/GatewayWire.ts
@@ -13,5 +13,7 @@
   peerHeaders(headers: IncomingHttpHeaders, call: PeerCallMetadata): Record<string, string | string[]>;
   /** Headers of a refusal after which another entry may be tried. */
   readonly declinedHeaders: Readonly<Record<string, string>>;
+  /** Headers of an answer to another entry, with a length, that had none at the target. */
+  readonly unframedHeaders: Readonly<Record<string, string>>;
   readAnswer(headers: Readonly<Record<string, string | readonly string[] | undefined>>): AnswerHead;
 }
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -68,6 +68,7 @@
     ...(call.lastEventId === null ? {} : { 'last-event-id': call.lastEventId }),
   }),
   declinedHeaders: { 'x-declined': '1' },
+  unframedHeaders: { 'x-unframed': '1' },
   readAnswer: (headers) => ({
     requestId: typeof headers['x-id'] === 'string' ? headers['x-id'] : null,
     signed: headers['x-signed'] !== undefined,
@@ -79,7 +80,9 @@
     limitRequestsPerSecond: headers['x-limit'] === undefined ? null : Number(headers['x-limit']),
     encoded: false,
     eventStream: String(headers['content-type'] ?? 'text/event-stream').startsWith('text/event-stream'),
-    framed: headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined,
+    framed: headers['x-unframed'] === undefined
+      && (headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined),
+    framedByEntry: headers['x-unframed'] !== undefined,
   }),
 };
 
--- a/packages/gateway/src/test/unframedAnswers.test.ts
+++ b/packages/gateway/src/test/unframedAnswers.test.ts
@@ -214,15 +214,37 @@
   expect(gateway.received).toEqual([1, 0]);
 });
 
-test('a whole answer without a length is passed on with one', async () => {
+// A target that lives may have broken off, too: with a length, its half of an answer would count as whole.
+test('an answer without a length is passed on without one', async () => {
   const gateway = preferFirst(await start(ONCE, [plainWhole, plainWhole]));
   const { statusCode, headers, body } = await request(`http://${gateway.address}/a/b`, {
     method: 'POST', headers: { host: 'h', 'x-id': 'r1' }, body: 'body',
   });
-  expect([statusCode, headers['content-length'], await body.text()]).toEqual([200, '12', 'whole answer']);
+  expect([statusCode, headers['content-length'], headers['transfer-encoding'], await body.text()])
+    .toEqual([200, undefined, undefined, 'whole answer']);
   expect(gateway.received).toEqual([1, 0]);
 });
 
+test('between entries an answer without a length has one, and callers get none', async () => {
+  const second = await start(ONCE, [plainWhole]);
+  const gateway = await startCutOff(ONCE, second);
+  const send = async (address: string) => {
+    const { headers, body } = await request(`http://${address}/a/b`, {
+      method: 'POST', headers: { host: 'h', 'x-id': 'r1' }, body: 'body',
+    });
+    return [headers['content-length'], headers['x-unframed'], await body.text()];
+  };
+  expect(await send(String(second.asPeer('second').forwardAddress))).toEqual(['12', '1', 'whole answer']);
+  expect(await send(gateway.address)).toEqual([undefined, undefined, 'whole answer']);
+});
+
+test('half of an answer of another entry that has ended is a failure', async () => {
+  const former = await start(ONCE, [beginPlain(() => former.stopTarget(0))]);
+  const gateway = await startCutOff(ONCE, former);
+  gateway.peers = gateway.peers.map((peer) => ({ ...peer, forwardAddress: former.targetAddress(0) }));
+  expect((await gateway.call()).status).toBe(502);
+});
+
 test.each(['HEAD', 'DELETE'] as const)('an answer to %s without a body needs no check', async (method) => {
   const gateway = await start(ONCE, [(_incoming, outgoing) => {
     endWithConnection(outgoing);
