Tell a reset that comes together with bytes from the end of an answer

Cause: libuv reports the end of a connection where a reset arrives with bytes that were not read yet, and never reads the error. The worker lives, so asking it does not help.

Evidence: the new test of TargetAttempt.test.ts counted 20 of 20 such answers as complete before, none now.

At the end of a connection the system still knows the address of a peer that has closed it, and of none after a reset; it is asked then, for the first time, as Node.js keeps a known address.

--- a/packages/gateway/src/lib/targets/TargetConnection.ts
+++ b/packages/gateway/src/lib/targets/TargetConnection.ts
@@ -83,6 +83,8 @@
     // Registered before the client's own listeners, so that the cause is known when it reports completion.
     socket.once('end', () => {
       this.#ended = true;
+      // Node.js reports a reset that comes together with bytes as an end. The system knows no peer then.
+      this.#failed ||= socket.remoteAddress === undefined;
     });
     socket.once('close', () => {
       clearTimeout(timer);
--- a/packages/gateway/src/test/TargetAttempt.test.ts
+++ b/packages/gateway/src/test/TargetAttempt.test.ts
@@ -145,3 +145,19 @@
   expect(await exchange(Array.from({ length: requests }, () => end), requests, 0))
     .toEqual(Array(requests).fill('200 abc complete'));
 });
+
+// Guards against half of an answer that counts as whole: Node.js reports a reset as an orderly end where it comes
+// together with bytes.
+test('an answer without a length that is reset together with its last bytes is cut', async () => {
+  const reset = (socket: Socket) => {
+    socket.write(`${HEAD}Connection: close\r\n\r\nabc`);
+    setTimeoutPromise(5).then(() => {
+      socket.write('def');
+      socket.resetAndDestroy();
+      socket.destroy();
+    }, () => undefined);
+  };
+  const requests = 20;
+  const outcomes = await exchange(Array.from({ length: requests }, () => reset), requests, 0);
+  expect(outcomes.filter((outcome) => !outcome.endsWith('failed'))).toEqual([]);
+});
