--- a/packages/soak/src/lib/callers/SoakCaller.ts
+++ b/packages/soak/src/lib/callers/SoakCaller.ts
@@ -7,8 +7,8 @@
 import type RequestKind from '../journal/RequestKind.js';
 import type SoakJournal from '../journal/SoakJournal.js';
 import createRequest from './createRequest.js';
-import exchange from './exchange.js';
 import pickKind from './pickKind.js';
+import sendRecorded from './sendRecorded.js';
 
 /** Time for which a directory answer is kept, in ms. */
 const DIRECTORY_KEPT_MILLISECONDS = 2_000;
@@ -66,8 +66,7 @@
     const sent = createRequest({
       id, kind, entry: entry.name, overLink: true,
     }, this.#random);
-    this.#journal.requests.set(id, sent);
-    sent.outcome = await exchange(sent, entry.callerLink.address, this.#agent);
+    await sendRecorded(this.#journal, sent, entry.callerLink.address, this.#agent);
   }
 
   async close(): Promise<void> {
--- a/packages/soak/src/lib/callers/StayingCaller.ts
+++ b/packages/soak/src/lib/callers/StayingCaller.ts
@@ -4,8 +4,8 @@
 import type SoakEntry from '../entries/SoakEntry.js';
 import type SoakJournal from '../journal/SoakJournal.js';
 import createRequest from './createRequest.js';
-import exchange from './exchange.js';
 import pickKind from './pickKind.js';
+import sendRecorded from './sendRecorded.js';
 
 /** Bounds of the rate that is drawn, in requests a second. */
 const LOWEST_RATE = 3;
@@ -61,7 +61,6 @@
     const sent = createRequest({
       id, kind: pickKind(this.#random), entry: name, overLink: false,
     }, this.#random);
-    this.#journal.requests.set(id, sent);
-    sent.outcome = await exchange(sent, callerAddress, this.#agent);
+    await sendRecorded(this.#journal, sent, callerAddress, this.#agent);
   }
 }
--- a/packages/soak/src/lib/journal/checkAttempts.ts
+++ b/packages/soak/src/lib/journal/checkAttempts.ts
@@ -1,6 +1,6 @@
 import type SoakJournal from './SoakJournal.js';
 import type Violation from './Violation.js';
-import type WorkerRun from './WorkerRun.js';
+import groupRuns from './groupRuns.js';
 
 /** Workers that the routes of a soak allow for a request that may run again. */
 const MAXIMUM_WORKERS = 2;
@@ -12,11 +12,9 @@
 
 /** Requests that ran on more workers than their routes allow; workers that ended meanwhile do not count. */
 export default function checkAttempts(journal: SoakJournal): readonly Violation[] {
-  const runsOf = new Map<string, WorkerRun[]>();
-  journal.runs.forEach((run) => runsOf.set(run.requestId, [...runsOf.get(run.requestId) ?? [], run]));
-  const beyond = [...runsOf].filter(([, runs]) => {
-    const from = Math.min(...runs.map(({ startedAt }) => startedAt)) - CUT_MILLISECONDS;
-    const lost = journal.disturbedParts(from, Math.max(...runs.map(({ startedAt }) => startedAt)))
+  const beyond = [...groupRuns(journal.runs)].filter(([, runs]) => {
+    const startedAt = runs.map((run) => run.startedAt);
+    const lost = journal.disturbedParts(Math.min(...startedAt) - CUT_MILLISECONDS, Math.max(...startedAt))
       .flatMap((part) => (part.kind === 'worker' || part.kind === 'worker-link' ? [part.worker] : []));
     return new Set(runs.map(({ worker }) => worker).filter((worker) => !lost.includes(worker))).size
       > MAXIMUM_WORKERS;
--- a/packages/soak/src/lib/journal/findViolations.ts
+++ b/packages/soak/src/lib/journal/findViolations.ts
@@ -10,6 +10,7 @@
 import checkMemory from './checkMemory.js';
 import checkPathCuts from './checkPathCuts.js';
 import expectedBody from './expectedBody.js';
+import groupRuns from './groupRuns.js';
 
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -91,10 +92,7 @@
 
 /** Promises that were broken, from what callers and workers saw. */
 export default function findViolations(journal: SoakJournal): readonly Violation[] {
-  const runsOf = new Map<string, WorkerRun[]>();
-  journal.runs.forEach((run) => {
-    runsOf.set(run.requestId, [...runsOf.get(run.requestId) ?? [], run]);
-  });
+  const runsOf = groupRuns(journal.runs);
   return [
     ...journal.violations,
     ...checkPathCuts(journal),
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -3,11 +3,9 @@
 import type SoakOptions from './SoakOptions.js';
 import type SoakReport from './SoakReport.js';
 import type SoakTopology from './SoakTopology.js';
-import BurstCaller from './callers/BurstCaller.js';
-import CrashingCaller from './callers/CrashingCaller.js';
-import DirectoryReader from './callers/DirectoryReader.js';
 import SoakCaller from './callers/SoakCaller.js';
 import StayingCaller from './callers/StayingCaller.js';
+import createCourseCallers from './callers/createCourseCallers.js';
 import createTopology from './createTopology.js';
 import FaultInjector from './faults/FaultInjector.js';
 import planCourse from './faults/planCourse.js';
@@ -18,12 +16,6 @@
 
 const GROUP_SIZE = 2;
 
-/** Added to a seed for the caller whose request ends workers. */
-const CRASHING_SEED = 50;
-
-/** Added to a seed for the caller of bursts. */
-const BURST_SEED = 60;
-
 /** Added to a seed for the callers that stay, one more for each of them. */
 const STAYING_SEED = 100;
 
@@ -78,20 +70,12 @@
     ...entries.map((entry, index) => (
       new StayingCaller(journal, entry, new SeededRandom(options.seed + STAYING_SEED + index)).run(() => over)
     )),
+    ...createCourseCallers(options.course ?? 'all', journal, entries, options.seed)
+      .map((each) => each.run(() => over)),
   ]);
-  const crashing = options.course === 'crashes'
-    ? new CrashingCaller(journal, entries, new SeededRandom(options.seed + CRASHING_SEED)).run(() => over)
-    : Promise.resolve();
-  const isEndings = options.course === 'endings';
-  const watching = isEndings ? Promise.all([
-    new DirectoryReader(journal, entries).run(() => over),
-    new BurstCaller(journal, entries, new SeededRandom(options.seed + BURST_SEED)).run(() => over),
-  ]) : Promise.resolve();
   await new FaultInjector(topology, GROUP_SIZE).run(faults);
   over = true;
   await calling;
-  await crashing;
-  await watching;
   const missing = await waitUntilServed(caller, topology);
   if (missing.length > 0) {
     journal.violated('recover', `not served after the last fault: ${missing.join(', ')}`);
--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -332,7 +332,7 @@
     const { requestId } = run;
     await sleep(PLAIN_MILLISECONDS * 2 * this.#settings.random.next());
     const { answerFault } = this;
-    if (['cut', 'lost', 'endless', 'interim'].includes(answerFault) || !this.alive) {
+    if (['cut', 'lost', 'endless', 'interim'].includes(answerFault)) {
       noteBroken(run, outgoing);
     } else {
       run.noteAnswered(performance.now());
