--- a/packages/gateway/src/lib/relay/AnswerMemory.ts
+++ b/packages/gateway/src/lib/relay/AnswerMemory.ts
@@ -13,12 +13,11 @@
   readonly maximumBytes?: number;
 }
 
-/** Bytes that one answer holds. */
+/** An answer that holds bytes. */
 interface HeldAnswer {
-  /** Records the bytes that it holds now. */
-  readonly set: (bytes: number) => void;
-  /** Records that it holds nothing any more. */
-  readonly release: () => void;
+  /** Ends the answer, so that it holds nothing. Called at most once. */
+  readonly giveUp: () => void;
+  bytes: number;
 }
 
 /**
@@ -30,8 +29,7 @@
 
   readonly #maximumBytes: number;
 
-  /** Bytes of each answer, by what gives it up. */
-  readonly #answers = new Map<() => void, number>();
+  readonly #answers = new Set<HeldAnswer>();
 
   #bytes = 0;
 
@@ -45,40 +43,37 @@
     return this.#bytes;
   }
 
-  /** Adds an answer. `giveUp` ends it, so that it holds nothing; it is called at most once. */
-  hold(giveUp: () => void): HeldAnswer {
-    const key = () => giveUp();
-    this.#answers.set(key, 0);
-    return {
-      set: (bytes) => {
-        if (this.#answers.has(key)) {
-          this.#set(key, bytes);
-          this.#giveUpLargest();
-        }
-      },
-      release: () => this.#remove(key),
-    };
+  /** Adds an answer that holds nothing yet. `giveUp` ends it; it is called at most once. */
+  add(giveUp: () => void): HeldAnswer {
+    const answer = { giveUp, bytes: 0 };
+    this.#answers.add(answer);
+    return answer;
   }
 
-  #set(key: () => void, bytes: number): void {
-    this.#bytes += bytes - (this.#answers.get(key) ?? 0);
-    this.#answers.set(key, bytes);
+  /** Records the bytes that an answer holds now, unless it has been given up or removed. */
+  record(held: HeldAnswer, bytes: number): void {
+    const answer = held;
+    if (this.#answers.has(answer)) {
+      this.#bytes += bytes - answer.bytes;
+      answer.bytes = bytes;
+      this.#giveUpLargest();
+    }
   }
 
-  #remove(key: () => void): void {
-    this.#bytes -= this.#answers.get(key) ?? 0;
-    this.#answers.delete(key);
+  /** Removes an answer that holds nothing any more. */
+  remove(answer: HeldAnswer): void {
+    if (this.#answers.delete(answer)) {
+      this.#bytes -= answer.bytes;
+    }
   }
 
   #giveUpLargest(): void {
     while (this.#bytes > this.#maximumBytes) {
-      const [giveUp, bytes] = [...this.#answers].reduce((largest, answer) => (
-        answer[1] > largest[1] ? answer : largest
-      ));
-      this.#remove(giveUp);
+      const largest = [...this.#answers].reduce((one, other) => (other.bytes > one.bytes ? other : one));
+      this.remove(largest);
       this.#options.metrics.count('gateway.answers_given_up');
-      this.#options.log.warn('Answers hold too many bytes, giving the largest one up.', { bytes });
-      giveUp();
+      this.#options.log.warn('Answers hold too many bytes, giving the largest one up.', { bytes: largest.bytes });
+      largest.giveUp();
     }
   }
 }
--- a/packages/gateway/src/lib/relay/ExecutionBudget.ts
+++ b/packages/gateway/src/lib/relay/ExecutionBudget.ts
@@ -1,5 +1,6 @@
 import type ChosenTarget from '../choice/ChosenTarget.js';
 import type Call from '../requests/Call.js';
+import type ReservedExecutions from './ReservedExecutions.js';
 
 /**
  * Counts the targets that may run a request, here and behind other entries, against the limit of its route.
@@ -39,24 +40,25 @@
   }
 
   /**
-   * Reserves executions for an attempt and returns their number. Where there is a third entry, the last one
-   * is kept back for the loss of the entry that serves the request now.
+   * Reserves executions for an attempt. Where there is a third entry, the last one is kept back for the loss
+   * of the entry that serves the request now.
    */
-  reserve({ candidate: { peer }, candidates }: ChosenTarget): number {
+  reserve({ candidate: { peer }, candidates }: ChosenTarget): ReservedExecutions {
+    const { mayHaveRun } = this;
     const shared = candidates > 1 ? this.remaining - 1 : this.remaining;
     const executions = peer === null || !this.#isRepeatable ? 1 : Math.max(1, shared);
     this.#reserved += executions;
-    return executions;
+    return {
+      executions,
+      earlierExecutions: this.#isRepeatable
+        ? Math.max(0, this.#call.route.maximumAttempts - executions) : 0,
+      mayHaveRun,
+    };
   }
 
   /** Records the end of an attempt. `ran`: whether a target may have run the request in it. */
-  release(executions: number, ran: boolean): void {
+  release({ executions }: ReservedExecutions, ran: boolean): void {
     this.#reserved -= executions;
     this.#executions += ran ? executions : 0;
   }
-
-  /** Executions that count as used for another entry, which may use the given number. */
-  earlierExecutionsFor(executions: number): number {
-    return this.#isRepeatable ? Math.max(0, this.#call.route.maximumAttempts - executions) : 0;
-  }
 }
--- a/packages/gateway/src/lib/relay/PlainExchange.ts
+++ b/packages/gateway/src/lib/relay/PlainExchange.ts
@@ -6,6 +6,7 @@
 import recordAnswerHead from '../targets/recordAnswerHead.js';
 import type AnswerHead from '../wire/AnswerHead.js';
 import type AnswerMemory from './AnswerMemory.js';
+import type ReservedExecutions from './ReservedExecutions.js';
 import type ExchangeOutcome from './ExchangeOutcome.js';
 import abortAnswer from './abortAnswer.js';
 import endsWithConnection from './endsWithConnection.js';
@@ -31,12 +32,7 @@
   readonly call: Call;
   readonly choice: ChosenTarget;
   readonly usesNewConnection: boolean;
-  /** Executions that this exchange may use. */
-  readonly executions: number;
-  /** Executions that count as used where another entry takes the request. */
-  readonly earlierExecutions: number;
-  /** Whether a target may have run the request before. */
-  readonly mayHaveRun: boolean;
+  readonly reserved: ReservedExecutions;
   /** Time until the deadline of the request, in ms. */
   readonly timeoutMilliseconds: number;
   /** Time after which the answer is overdue, in ms; null if it never is. */
@@ -51,8 +47,7 @@
 export default class PlainExchange {
   readonly choice: ChosenTarget;
 
-  /** Executions that it may use: more than one only where another entry takes the request. */
-  readonly executions: number;
+  readonly reserved: ReservedExecutions;
 
   readonly startedAt: number;
 
@@ -62,7 +57,7 @@
 
   #bytes = 0;
 
-  readonly #held: ReturnType<AnswerMemory['hold']>;
+  readonly #held: ReturnType<AnswerMemory['add']>;
 
   #isAnswered = false;
 
@@ -75,15 +70,15 @@
   constructor(options: ExchangeOptions) {
     this.#options = options;
     this.choice = options.choice;
-    this.executions = options.executions;
-    this.#held = options.context.answerMemory.hold(() => this.#giveUp());
+    this.reserved = options.reserved;
+    this.#held = options.context.answerMemory.add(() => this.#giveUp());
     this.startedAt = options.context.clock.monotonicMilliseconds();
   }
 
   /** Runs the exchange to its end. */
   async run(): Promise<ExchangeOutcome> {
     const {
-      context, call, usesNewConnection, earlierExecutions, mayHaveRun,
+      context, call, usesNewConnection, reserved,
       timeoutMilliseconds, overdueMilliseconds, signal, onOverdue,
     } = this.#options;
     const { candidate } = this.choice;
@@ -100,7 +95,7 @@
     candidate.state.outstanding += 1;
     try {
       this.#attempt = startAttempt(context, call, candidate, {
-        lastEventId: null, usesNewConnection, earlierExecutions, mayHaveRun,
+        lastEventId: null, usesNewConnection, reserved,
       }, {
         head: (status, headers) => this.#handleHead(status, headers),
         data: (chunk) => this.#handleData(chunk),
@@ -153,10 +148,10 @@
     if (outcome.kind === 'answered') {
       this.#isAnswered = true;
       // Its bytes are held until the caller has read them.
-      this.#options.call.outgoing.once('close', () => this.#held.release());
+      this.#options.call.outgoing.once('close', () => this.#options.context.answerMemory.remove(this.#held));
     } else {
       this.#chunks.length = 0;
-      this.#held.release();
+      this.#options.context.answerMemory.remove(this.#held);
     }
   }
 
@@ -177,7 +172,7 @@
       this.#abandon('answer is too large');
     } else {
       this.#chunks.push(chunk);
-      this.#held.set(this.#bytes);
+      this.#options.context.answerMemory.record(this.#held, this.#bytes);
     }
   }
 
--- a/packages/gateway/src/lib/relay/PlainRelay.ts
+++ b/packages/gateway/src/lib/relay/PlainRelay.ts
@@ -169,16 +169,13 @@
   #start(choice: ChosenTarget, signal: AbortSignal): void {
     const context = this.#context;
     const call = this.#call;
-    const executions = this.#executions.reserve(choice);
     let isOverdue = false;
     const exchange = new PlainExchange({
       context,
       call,
       choice,
       usesNewConnection: !this.#isIdempotent,
-      executions,
-      earlierExecutions: this.#executions.earlierExecutionsFor(executions),
-      mayHaveRun: this.#executions.mayHaveRun,
+      reserved: this.#executions.reserve(choice),
       timeoutMilliseconds: timerUntil(context.clock, call.deadlineAt),
       overdueMilliseconds: this.#overdueMilliseconds,
       signal,
@@ -239,7 +236,7 @@
     const classify = choice.candidate.peer === null ? classifyAnswer : classifyPeerAnswer;
     const classification = answer.kind === 'answered'
       ? classify(answer.status, answer.head, this.#call.metadata.requestId) : null;
-    this.#executions.release(exchange.executions, mayHaveRun(answer, classification));
+    this.#executions.release(exchange.reserved, mayHaveRun(answer, classification));
     const summary = this.#logAttempt(choice, answer, classification, durationMilliseconds);
     if (answer.kind === 'answered' && (classification === 'own' || classification === 'failure')) {
       this.#context.quarantine.recordServed(this.#call.suspects);
@@ -349,13 +346,12 @@
       return;
     }
     const { unframedHeaders } = this.#context.wire;
-    const isUnframed = origin === 'caller' && endsWithConnection(method, status, head.framed);
-    const forwarded = Object.fromEntries(Object.entries(removeHopByHopHeaders(headers))
-      .filter(([name]) => !(name in unframedHeaders) && !(isUnframed && name === 'content-length')));
-    if (isUnframed) {
+    const forwarded = removeHopByHopHeaders(headers);
+    if (origin === 'caller' && endsWithConnection(method, status, head.framed)) {
       // A target that lives may have broken it off, too: a length would assert that it is whole.
       outgoing.useChunkedEncodingByDefault = false;
       outgoing.shouldKeepAlive = false;
+      ['content-length', ...Object.keys(unframedHeaders)].forEach((name) => Reflect.deleteProperty(forwarded, name));
     } else if (allowsBody(method, status)) {
       forwarded['content-length'] = String(body.length);
       Object.assign(forwarded, head.framed ? {} : unframedHeaders);
--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -8,6 +8,7 @@
 import recordAnswerHead from '../targets/recordAnswerHead.js';
 import type AnswerMemory from './AnswerMemory.js';
 import type EventSequence from './EventSequence.js';
+import type ReservedExecutions from './ReservedExecutions.js';
 import type StreamAttemptOutcome from './StreamAttemptOutcome.js';
 import classifyAnswer from './classifyAnswer.js';
 import endsWithConnection from './endsWithConnection.js';
@@ -53,12 +54,7 @@
   readonly sequence: EventSequence;
   readonly timing: StreamTiming;
   readonly usesNewConnection: boolean;
-  /** Executions that this attempt may use. */
-  readonly executions: number;
-  /** Executions that count as used where another entry takes the request. */
-  readonly earlierExecutions: number;
-  /** Whether a target may have run the request before. */
-  readonly mayHaveRun: boolean;
+  readonly reserved: ReservedExecutions;
   /** Called when the target has been silent for longer than a sound one usually is. */
   readonly onStalled: () => void;
   /** Called before events of this attempt, or its end as complete, are passed on to the caller. */
@@ -72,8 +68,7 @@
   /** Target of the attempt, with what decided for it. */
   readonly choice: ChosenTarget;
 
-  /** Executions that it may use: more than one only where another entry takes the request. */
-  readonly executions: number;
+  readonly reserved: ReservedExecutions;
 
   readonly #splitter = new EventSplitter();
 
@@ -109,7 +104,7 @@
 
   #failureBytes = 0;
 
-  readonly #held: ReturnType<AnswerMemory['hold']>;
+  readonly #held: ReturnType<AnswerMemory['add']>;
 
   /** Bytes since the last event with data that was passed on. */
   #idleBytes = 0;
@@ -120,10 +115,10 @@
 
   constructor(options: StreamAttemptOptions) {
     this.#options = options;
-    this.#held = options.context.answerMemory.hold(() => this.#abandon('answers hold too many bytes'));
+    this.#held = options.context.answerMemory.add(() => this.#abandon('answers hold too many bytes'));
     this.sentAt = options.context.clock.monotonicMilliseconds();
     this.choice = options.choice;
-    this.executions = options.executions;
+    this.reserved = options.reserved;
     this.formation = options.choice.candidate.formation;
     this.promptTokens = options.call.metadata.promptTokens;
     this.expectedFirstEventMilliseconds = options.choice.prediction?.firstEventMilliseconds
@@ -150,7 +145,7 @@
       signal.removeEventListener('abort', onAbort);
       state.outstanding -= 1;
       state.streams.delete(this);
-      this.#held.release();
+      this.#options.context.answerMemory.remove(this.#held);
     }
   }
 
@@ -180,10 +175,10 @@
 
   #start(): void {
     const {
-      context, call, sequence, usesNewConnection, earlierExecutions, mayHaveRun,
+      context, call, sequence, usesNewConnection, reserved,
     } = this.#options;
     this.#attempt = startAttempt(context, call, this.choice.candidate, {
-      lastEventId: sequence.lastId, usesNewConnection, earlierExecutions, mayHaveRun,
+      lastEventId: sequence.lastId, usesNewConnection, reserved,
     }, {
       head: (status, headers) => this.#handleHead(status, headers),
       data: (chunk) => this.#handleData(chunk),
@@ -251,12 +246,12 @@
         this.#abandon('answer is too large');
       } else {
         this.#failureChunks.push(chunk);
-        this.#held.set(this.#failureBytes);
+        this.#options.context.answerMemory.record(this.#held, this.#failureBytes);
       }
       return;
     }
     this.#relay(this.#splitter.push(chunk));
-    this.#held.set(this.#splitter.partialBytes);
+    this.#options.context.answerMemory.record(this.#held, this.#splitter.partialBytes);
     if (this.#idleBytes > MAXIMUM_IDLE_BYTES) {
       this.#abandon('events hold nothing');
     }
--- a/packages/gateway/src/lib/relay/StreamRelay.ts
+++ b/packages/gateway/src/lib/relay/StreamRelay.ts
@@ -237,7 +237,6 @@
   }
 
   #start(choice: ChosenTarget, signal: AbortSignal): void {
-    const executions = this.#executions.reserve(choice);
     const attempt: StreamAttempt = new StreamAttempt({
       context: this.#context,
       call: this.#call,
@@ -245,9 +244,7 @@
       sequence: this.#sequence,
       timing: this.#timing,
       usesNewConnection: !this.#isResumable,
-      executions,
-      earlierExecutions: this.#executions.earlierExecutionsFor(executions),
-      mayHaveRun: this.#mayHaveRun(),
+      reserved: this.#executions.reserve(choice),
       onStalled: () => this.#startBeside(attempt, signal),
       onDelivery: () => this.#running.all.filter((other) => other !== attempt)
         .forEach((other) => other.supersede()),
@@ -326,7 +323,7 @@
     if (peer === null && (end.kind === 'unsent' || (end.kind === 'broken' && attempt.events === 0))) {
       this.#context.paths.recordFailure(worker);
     }
-    this.#executions.release(attempt.executions, mayHaveRun(end));
+    this.#executions.release(attempt.reserved, mayHaveRun(end));
     if (end.kind === 'unsent' && isRefusedConnection(end.reason)) {
       state.recordAbsence({ bornAt: worker.bornAt, formation });
       return null;
--- a/packages/gateway/src/lib/requests/startAttempt.ts
+++ b/packages/gateway/src/lib/requests/startAttempt.ts
@@ -1,6 +1,7 @@
 import type Candidate from '../choice/Candidate.js';
 import type AttemptListener from '../targets/AttemptListener.js';
 import TargetAttempt from '../targets/TargetAttempt.js';
+import type ReservedExecutions from '../relay/ReservedExecutions.js';
 import type Call from './Call.js';
 import type GatewayContext from './GatewayContext.js';
 
@@ -11,10 +12,7 @@
 interface AttemptOptions {
   readonly lastEventId: string | null;
   readonly usesNewConnection: boolean;
-  /** Executions that count as used where another entry takes the request. */
-  readonly earlierExecutions: number;
-  /** Whether a target may have run the request before. */
-  readonly mayHaveRun: boolean;
+  readonly reserved: ReservedExecutions;
 }
 
 /** Sends a call to a target, or to another entry in place of one. */
@@ -23,7 +21,7 @@
   call: Call,
   { entry: { worker }, state, peer }: Candidate,
   {
-    lastEventId, usesNewConnection, earlierExecutions, mayHaveRun,
+    lastEventId, usesNewConnection, reserved: { earlierExecutions, mayHaveRun },
   }: AttemptOptions,
   listener: AttemptListener,
 ): TargetAttempt {
--- a/packages/gateway/src/test/TargetAttempt.test.ts
+++ b/packages/gateway/src/test/TargetAttempt.test.ts
@@ -146,8 +146,7 @@
     .toEqual(Array(requests).fill('200 abc complete'));
 });
 
-// Guards against half of an answer that counts as whole: Node.js reports a reset as an orderly end where it comes
-// together with bytes.
+// Guards against half of an answer that counts as whole: Node.js reports a reset beside bytes as an end.
 test('an answer without a length that is reset together with its last bytes is cut', async () => {
   const reset = (socket: Socket) => {
     socket.write(`${HEAD}Connection: close\r\n\r\nabc`);
--- a/packages/gateway/src/test/forwardedExecutions.test.ts
+++ b/packages/gateway/src/test/forwardedExecutions.test.ts
@@ -1,7 +1,7 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import { request } from 'undici';
 import { afterEach, expect, test } from 'vitest';
 import TestGateway, { type TargetScript } from './TestGateway.js';
+import TestGateways from './TestGateways.js';
 
 const RESUMABLE = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
 const ONCE = { kind: 'non-idempotent' } as const;
@@ -9,9 +9,9 @@
 const SIGNED = { 'x-id': 'r1', 'x-signed': '1' };
 const MAXIMUM_ATTEMPTS = 2;
 
-const gateways: TestGateway[] = [];
+const gateways = new TestGateways();
 
-afterEach(() => gateways.splice(0).forEach((gateway) => gateway.stop()));
+afterEach(() => gateways.stop());
 
 const serve: TargetScript = (_incoming, outgoing) => {
   outgoing.writeHead(200, { ...SIGNED, 'content-type': 'text/event-stream' });
@@ -31,28 +31,6 @@
   setTimeout(() => incoming.socket.resetAndDestroy(), 20);
 };
 
-async function start(...parameters: Parameters<typeof TestGateway.start>): Promise<TestGateway> {
-  const gateway = await TestGateway.start(...parameters);
-  gateways.push(gateway);
-  return gateway;
-}
-
-/** A gateway that has lost its paths to all targets, with others that it may pass requests on to. */
-async function startCutOff(
-  kind: Parameters<typeof TestGateway.start>[0],
-  maximumAttempts: number,
-  others: readonly TestGateway[],
-): Promise<TestGateway> {
-  const gateway = await start(kind, [serve, serve, serve], maximumAttempts);
-  [0, 1, 2].forEach((index) => gateway.stopTarget(index));
-  for (let tries = 0; tries < 20 && gateway.paths.lostServices.length === 0; tries += 1) {
-    await gateway.call();
-    await sleep(20);
-  }
-  gateway.peers = others.map((other, index) => other.asPeer(`entry-${index}`));
-  return gateway;
-}
-
 function countRuns(others: readonly TestGateway[]): number {
   return others.flatMap(({ received }) => received).reduce((sum, count) => sum + count, 0);
 }
@@ -64,33 +42,33 @@
   ['streams that break off', RESUMABLE, breakOff],
 ] as const)('%s run on no more targets behind several entries than on those of one', async (_name, kind, script) => {
   const others = await Promise.all([0, 1, 2].map(() => (
-    start(kind, [script, script, script], MAXIMUM_ATTEMPTS)
+    gateways.start(kind, [script, script, script], MAXIMUM_ATTEMPTS)
   )));
-  const gateway = await startCutOff(kind, MAXIMUM_ATTEMPTS, others);
+  const gateway = await gateways.startCutOff(kind, others, MAXIMUM_ATTEMPTS);
   await gateway.call({ 'x-deadline': '1500' });
   expect(countRuns(others)).toBe(MAXIMUM_ATTEMPTS);
 });
 
 test('the only other entry gets all executions', async () => {
-  const other = await start(IDEMPOTENT, [fail, fail, fail], MAXIMUM_ATTEMPTS);
-  const gateway = await startCutOff(IDEMPOTENT, MAXIMUM_ATTEMPTS, [other]);
+  const other = await gateways.start(IDEMPOTENT, [fail, fail, fail], MAXIMUM_ATTEMPTS);
+  const gateway = await gateways.startCutOff(IDEMPOTENT, [other], MAXIMUM_ATTEMPTS);
   expect((await gateway.call()).status).toBe(500);
   expect(countRuns([other])).toBe(MAXIMUM_ATTEMPTS);
 });
 
 test('an execution is kept back for the loss of the entry that serves the request', async () => {
-  const lost = await start(IDEMPOTENT, [hang, hang]);
-  const third = await start(IDEMPOTENT, [serve]);
-  const gateway = await startCutOff(IDEMPOTENT, MAXIMUM_ATTEMPTS, [lost, third]);
+  const lost = await gateways.start(IDEMPOTENT, [hang, hang]);
+  const third = await gateways.start(IDEMPOTENT, [serve]);
+  const gateway = await gateways.startCutOff(IDEMPOTENT, [lost, third], MAXIMUM_ATTEMPTS);
   Object.assign(gateway.peerStateOf('entry-1'), { outstanding: 2 });
   setTimeout(() => lost.endFront(), 100);
   expect(await gateway.call()).toMatchObject({ status: 200 });
 });
 
 test('an entry that has lost its paths declines a request that may still run once', async () => {
-  const reached = await start(IDEMPOTENT, [serve]);
-  const second = await startCutOff(IDEMPOTENT, MAXIMUM_ATTEMPTS, []);
-  const gateway = await startCutOff(IDEMPOTENT, MAXIMUM_ATTEMPTS, [second, reached]);
+  const reached = await gateways.start(IDEMPOTENT, [serve]);
+  const second = await gateways.startCutOff(IDEMPOTENT, [], MAXIMUM_ATTEMPTS);
+  const gateway = await gateways.startCutOff(IDEMPOTENT, [second, reached], MAXIMUM_ATTEMPTS);
   gateway.peers = gateway.peers.map((peer) => ({ ...peer, unreachable: [] }));
   Object.assign(gateway.peerStateOf('entry-1'), { outstanding: 2 });
   expect((await gateway.call()).status).toBe(200);
@@ -101,11 +79,11 @@
   ['idempotent', IDEMPOTENT, 3, 1], ['once', ONCE, 3, 0], ['idempotent', IDEMPOTENT, 1, 0],
 ] as const)('an entry is told of a request %s which executions count as used', async (_name, kind, maximum, earlier) => {
   const told: unknown[] = [];
-  const others = await Promise.all([0, 1].map(() => start(kind, [(incoming, outgoing) => {
+  const others = await Promise.all([0, 1].map(() => gateways.start(kind, [(incoming, outgoing) => {
     told.push(incoming.headers['x-earlier'], incoming.headers['x-run']);
     serve(incoming, outgoing);
   }])));
-  const gateway = await startCutOff(kind, maximum, others);
+  const gateway = await gateways.startCutOff(kind, others, maximum);
   gateway.peers = gateway.peers.map((peer, index) => ({
     ...peer, forwardAddress: others[index]?.targetAddress(0) ?? null,
   }));
@@ -114,7 +92,7 @@
 });
 
 test('a request that may have run is not refused as not run', async () => {
-  const other = await startCutOff(IDEMPOTENT, MAXIMUM_ATTEMPTS, []);
+  const other = await gateways.startCutOff(IDEMPOTENT, [], MAXIMUM_ATTEMPTS);
   const send = async (headers: Record<string, string>) => {
     const { statusCode, body } = await request(`http://${String(other.asPeer('other').forwardAddress)}/a/b`, {
       method: 'POST', body: 'body', headers: { host: 'h', 'x-id': 'r1', ...headers },
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -6,15 +6,16 @@
   afterEach, expect, test, vi,
 } from 'vitest';
 import TestGateway, { type CallerAnswer, type TargetScript } from './TestGateway.js';
+import TestGateways from './TestGateways.js';
 
 const RESUMABLE = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
 const ONCE = { kind: 'non-idempotent' } as const;
 const IDEMPOTENT = { kind: 'idempotent' } as const;
 const SIGNED = { 'x-id': 'r1', 'x-signed': '1' };
 
-const gateways: TestGateway[] = [];
+const gateways = new TestGateways();
 
-afterEach(() => gateways.splice(0).forEach((gateway) => gateway.stop()));
+afterEach(() => gateways.stop());
 
 const serve: TargetScript = (_incoming, outgoing) => {
   outgoing.writeHead(200, { ...SIGNED, 'content-type': 'text/event-stream' });
@@ -25,18 +26,12 @@
   outgoing.writeHead(500, SIGNED).end('failed');
 };
 
-async function start(...parameters: Parameters<typeof TestGateway.start>): Promise<TestGateway> {
-  const gateway = await TestGateway.start(...parameters);
-  gateways.push(gateway);
-  return gateway;
-}
-
 /** A gateway whose targets have all been lost to it, with others that it may pass requests on to. */
 async function startCutOff(
   kind: Parameters<typeof TestGateway.start>[0],
   ...others: readonly TestGateway[]
 ): Promise<TestGateway> {
-  const gateway = await start(kind, [serve, serve, serve]);
+  const gateway = await gateways.start(kind, [serve, serve, serve]);
   [0, 1, 2].forEach((index) => gateway.stopTarget(index));
   gateway.peers = others.map((other, index) => other.asPeer(`entry-${index}`));
   return gateway;
@@ -56,7 +51,7 @@
 test.each([['once', ONCE], ['idempotent', IDEMPOTENT], ['stream', RESUMABLE]] as const)(
   'a request %s is served through another entry',
   async (_name, kind) => {
-    const other = await start(kind, [serve]);
+    const other = await gateways.start(kind, [serve]);
     const gateway = await startCutOff(kind, other);
     expect(await callUntil(gateway, 200)).toMatchObject({ status: 200, body: 'id: 1\ndata: e1\n\n', cut: false });
     expect(other.received[0]).toBeGreaterThan(0);
@@ -64,7 +59,7 @@
 );
 
 test('an entry that has lost its paths itself passes nothing on', async () => {
-  const reached = await start(ONCE, [serve]);
+  const reached = await gateways.start(ONCE, [serve]);
   const second = await startCutOff(ONCE, reached);
   const first = await startCutOff(ONCE, second);
   await callUntil(second, 200);
@@ -77,7 +72,7 @@
 });
 
 test('another entry is tried after one that declines', async () => {
-  const reached = await start(ONCE, [serve]);
+  const reached = await gateways.start(ONCE, [serve]);
   const second = await startCutOff(ONCE);
   await callUntil(second, 200);
   const first = await startCutOff(ONCE, second, reached);
@@ -94,7 +89,7 @@
 });
 
 test('the failure of a target behind another entry is passed back', async () => {
-  const other = await start(ONCE, [fail]);
+  const other = await gateways.start(ONCE, [fail]);
   const gateway = await startCutOff(ONCE, other);
   expect(await callUntil(gateway, 500)).toMatchObject({ status: 500, body: 'failed' });
 });
@@ -103,7 +98,7 @@
   const busy: TargetScript = (_incoming, outgoing) => {
     outgoing.writeHead(503, { 'x-not-executed': '1', 'x-pause': '700' }).end();
   };
-  const other = await start(ONCE, [busy]);
+  const other = await gateways.start(ONCE, [busy]);
   await other.call();
   const gateway = await startCutOff(ONCE, other);
   const answer = await callUntil(gateway, 429);
@@ -112,8 +107,8 @@
 });
 
 test('an entry that does not listen is left for another one', async () => {
-  const gone = await start(ONCE, [serve]);
-  const other = await start(ONCE, [serve]);
+  const gone = await gateways.start(ONCE, [serve]);
+  const other = await gateways.start(ONCE, [serve]);
   const gateway = await startCutOff(ONCE, gone, other);
   gone.stop();
   expect((await callUntil(gateway, 200)).status).toBe(200);
@@ -125,7 +120,7 @@
     runs += 1;
     incoming.socket.resetAndDestroy();
   };
-  const others = [await start(ONCE, [breakOff]), await start(ONCE, [breakOff])];
+  const others = [await gateways.start(ONCE, [breakOff]), await gateways.start(ONCE, [breakOff])];
   const gateway = await startCutOff(ONCE, ...others);
   const answer = await callUntil(gateway, 502);
   expect(answer.status).toBe(502);
@@ -136,7 +131,7 @@
 test('an entry whose target may have run the request does not decline it', async () => {
   const sockets: Socket[] = [];
   const hold: TargetScript = (incoming) => sockets.push(incoming.socket);
-  const other = await start(IDEMPOTENT, [hold]);
+  const other = await gateways.start(IDEMPOTENT, [hold]);
   const service = ServiceId.parse('model');
   const answered = request(`http://${String(other.asPeer('other').forwardAddress)}/a/b`, {
     method: 'POST', body: 'body', headers: { host: 'h', 'x-id': 'r1' },
@@ -153,7 +148,7 @@
 });
 
 test('targets that a request was sent to before count at the entry that serves it', async () => {
-  const other = await start(IDEMPOTENT, [fail, fail, fail], 2);
+  const other = await gateways.start(IDEMPOTENT, [fail, fail, fail], 2);
   const sent = async (earlier: string) => {
     const before = other.received.reduce((sum, count) => sum + count, 0);
     const { body } = await request(`http://${String(other.asPeer('other').forwardAddress)}/a/b`, {
--- a/packages/gateway/src/test/unframedAnswers.test.ts
+++ b/packages/gateway/src/test/unframedAnswers.test.ts
@@ -1,10 +1,10 @@
 import type { ServerResponse } from 'node:http';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { request } from 'undici';
 import {
   afterEach, expect, test, vi,
 } from 'vitest';
 import TestGateway, { type CallerAnswer, type TargetScript } from './TestGateway.js';
+import TestGateways from './TestGateways.js';
 
 const RESUMABLE = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
 const ONCE_STREAM = { ...RESUMABLE, resumable: false } as const;
@@ -14,15 +14,9 @@
 const STREAM_HEAD = { ...SIGNED, 'content-type': 'text/event-stream' };
 const EVENTS = 4;
 
-const gateways: TestGateway[] = [];
+const gateways = new TestGateways();
 
-afterEach(() => gateways.splice(0).forEach((gateway) => gateway.stop()));
-
-async function start(...parameters: Parameters<typeof TestGateway.start>): Promise<TestGateway> {
-  const gateway = await TestGateway.start(...parameters);
-  gateways.push(gateway);
-  return gateway;
-}
+afterEach(() => gateways.stop());
 
 function events(from: number, to: number): string {
   return Array.from({ length: to - from + 1 }, (_, index) => `id: ${from + index}\ndata: e\n\n`).join('');
@@ -62,22 +56,6 @@
   return gateway;
 }
 
-/** A gateway whose targets have all been lost to it, with others that it may pass requests on to. */
-async function startCutOff(
-  kind: Parameters<typeof TestGateway.start>[0],
-  ...others: readonly TestGateway[]
-): Promise<TestGateway> {
-  const gateway = await start(kind, [whole, whole, whole]);
-  [0, 1, 2].forEach((index) => gateway.stopTarget(index));
-  const call = () => gateway.call({ 'x-id': 'first' });
-  for (let tries = 0; tries < 20 && gateway.paths.lostServices.length === 0; tries += 1) {
-    await call();
-    await sleep(20);
-  }
-  gateway.peers = others.map((other, index) => other.asPeer(`entry-${index}`));
-  return gateway;
-}
-
 /** Calls, and runs an action once the first events are there. */
 async function callAndThen(gateway: TestGateway, action: () => void): Promise<CallerAnswer> {
   const { statusCode, body } = await request(`http://${gateway.address}/a/b`, {
@@ -102,21 +80,21 @@
 
 // Callers took the half of a stream for the whole one, as the end of the entry was the mark of its end.
 test('the end of the entry cuts a stream without a length', async () => {
-  const gateway = await start(RESUMABLE, [goOn]);
+  const gateway = await gateways.start(RESUMABLE, [goOn]);
   expect(await callAndThen(gateway, () => gateway.endFront()))
     .toMatchObject({ status: 200, body: events(1, 2), cut: true });
 });
 
 // A worker that ends between two events ends its connections in order, as if the stream were whole.
 test('a stream without a length goes on elsewhere after the end of its target', async () => {
-  const gateway: TestGateway = preferFirst(await start(RESUMABLE, [
+  const gateway: TestGateway = preferFirst(await gateways.start(RESUMABLE, [
     beginTwo(() => gateway.stopTarget(0)), whole,
   ]));
   expect(await gateway.call()).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
 });
 
 test('a stream without a length that may run once is cut by the end of its target', async () => {
-  const gateway: TestGateway = preferFirst(await start(ONCE_STREAM, [
+  const gateway: TestGateway = preferFirst(await gateways.start(ONCE_STREAM, [
     beginTwo(() => gateway.stopTarget(0)), whole,
   ]));
   expect(await gateway.call()).toMatchObject({ status: 200, body: events(1, 2), cut: true });
@@ -125,7 +103,7 @@
 
 // A head that lives cuts the work of a group that has lost a member.
 test('a stream without a length goes on elsewhere after the end of its group', async () => {
-  const gateway: TestGateway = preferFirst(await start(RESUMABLE, [beginTwo((outgoing) => {
+  const gateway: TestGateway = preferFirst(await gateways.start(RESUMABLE, [beginTwo((outgoing) => {
     gateway.breakGroup(0);
     outgoing.end();
   }), whole]));
@@ -133,13 +111,13 @@
 });
 
 test('a whole stream without a length is not run again', async () => {
-  const gateway = preferFirst(await start(RESUMABLE, [whole, whole]));
+  const gateway = preferFirst(await gateways.start(RESUMABLE, [whole, whole]));
   expect(await gateway.call()).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
   expect(gateway.received).toEqual([1, 0]);
 });
 
 test('a resumed stream without a length at a target that has ended is cut', async () => {
-  const gateway: TestGateway = preferFirst(await start(RESUMABLE, [
+  const gateway: TestGateway = preferFirst(await gateways.start(RESUMABLE, [
     beginTwo(() => gateway.stopTarget(0)),
     (_incoming, outgoing) => {
       endWithConnection(outgoing);
@@ -153,18 +131,18 @@
 
 // The end of the entry that served a stream in place of this one looked like the end of the stream.
 test('a stream goes on through a third entry after the end of the second', async () => {
-  const second = await start(RESUMABLE, [goOn]);
-  const third = await start(RESUMABLE, [whole]);
-  const gateway = await startCutOff(RESUMABLE, second, third);
+  const second = await gateways.start(RESUMABLE, [goOn]);
+  const third = await gateways.start(RESUMABLE, [whole]);
+  const gateway = await gateways.startCutOff(RESUMABLE, [second, third]);
   Object.assign(gateway.peerStateOf('entry-1'), { outstanding: 2 });
   expect(await callAndThen(gateway, () => second.endFront()))
     .toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
 });
 
 test('a stream that may run once is cut by the end of the entry that serves it', async () => {
-  const second = await start(ONCE_STREAM, [goOn]);
-  const third = await start(ONCE_STREAM, [whole]);
-  const gateway = await startCutOff(ONCE_STREAM, second, third);
+  const second = await gateways.start(ONCE_STREAM, [goOn]);
+  const third = await gateways.start(ONCE_STREAM, [whole]);
+  const gateway = await gateways.startCutOff(ONCE_STREAM, [second, third]);
   Object.assign(gateway.peerStateOf('entry-1'), { outstanding: 2 });
   expect(await callAndThen(gateway, () => second.endFront()))
     .toMatchObject({ status: 200, body: events(1, 2), cut: true });
@@ -173,9 +151,9 @@
 
 // Entries of an earlier build pass a stream on without a length, at the end of the worker behind them too.
 test('the end of a stream without a length from another entry is no sound end', async () => {
-  const former = await start(RESUMABLE, [beginTwo((outgoing) => outgoing.end())]);
-  const third = await start(RESUMABLE, [whole]);
-  const gateway = await startCutOff(RESUMABLE, former, third);
+  const former = await gateways.start(RESUMABLE, [beginTwo((outgoing) => outgoing.end())]);
+  const third = await gateways.start(RESUMABLE, [whole]);
+  const gateway = await gateways.startCutOff(RESUMABLE, [former, third]);
   gateway.peers = gateway.peers.map((peer, index) => (
     index === 0 ? { ...peer, forwardAddress: former.targetAddress(0) } : peer
   ));
@@ -200,14 +178,14 @@
 };
 
 test.each([200, 500])('half of an answer %i without a length is not passed on', async (status) => {
-  const gateway: TestGateway = preferFirst(await start(IDEMPOTENT, [
+  const gateway: TestGateway = preferFirst(await gateways.start(IDEMPOTENT, [
     beginPlain(() => gateway.stopTarget(0), status), plainWhole,
   ]));
   expect(await gateway.call()).toMatchObject({ status: 200, body: 'whole answer', cut: false });
 });
 
 test('half of an answer that may run once is a failure', async () => {
-  const gateway: TestGateway = preferFirst(await start(ONCE, [
+  const gateway: TestGateway = preferFirst(await gateways.start(ONCE, [
     beginPlain(() => gateway.stopTarget(0)), plainWhole,
   ]));
   expect((await gateway.call()).status).toBe(502);
@@ -216,7 +194,7 @@
 
 // A target that lives may have broken off, too: with a length, its half of an answer would count as whole.
 test('an answer without a length is passed on without one', async () => {
-  const gateway = preferFirst(await start(ONCE, [plainWhole, plainWhole]));
+  const gateway = preferFirst(await gateways.start(ONCE, [plainWhole, plainWhole]));
   const { statusCode, headers, body } = await request(`http://${gateway.address}/a/b`, {
     method: 'POST', headers: { host: 'h', 'x-id': 'r1' }, body: 'body',
   });
@@ -226,8 +204,8 @@
 });
 
 test('between entries an answer without a length has one, and callers get none', async () => {
-  const second = await start(ONCE, [plainWhole]);
-  const gateway = await startCutOff(ONCE, second);
+  const second = await gateways.start(ONCE, [plainWhole]);
+  const gateway = await gateways.startCutOff(ONCE, [second]);
   const send = async (address: string) => {
     const { headers, body } = await request(`http://${address}/a/b`, {
       method: 'POST', headers: { host: 'h', 'x-id': 'r1' }, body: 'body',
@@ -239,14 +217,14 @@
 });
 
 test('half of an answer of another entry that has ended is a failure', async () => {
-  const former = await start(ONCE, [beginPlain(() => former.stopTarget(0))]);
-  const gateway = await startCutOff(ONCE, former);
+  const former = await gateways.start(ONCE, [beginPlain(() => former.stopTarget(0))]);
+  const gateway = await gateways.startCutOff(ONCE, [former]);
   gateway.peers = gateway.peers.map((peer) => ({ ...peer, forwardAddress: former.targetAddress(0) }));
   expect((await gateway.call()).status).toBe(502);
 });
 
 test.each(['HEAD', 'DELETE'] as const)('an answer to %s without a body needs no check', async (method) => {
-  const gateway = await start(ONCE, [(_incoming, outgoing) => {
+  const gateway = await gateways.start(ONCE, [(_incoming, outgoing) => {
     endWithConnection(outgoing);
     outgoing.writeHead(method === 'HEAD' ? 200 : 204, SIGNED);
     outgoing.end();
