Look at a plain target a second time only where it does not answer

A target that answers a probe goes on; only one that does not is looked at again, as it may be at its limit of connections.

--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -148,6 +148,7 @@
     connections,
     servingCheck: new ServingCheck({
       report: (worker, timeoutMilliseconds) => ports.workers.report(worker, timeoutMilliseconds),
+      probe: ports.answersProbe,
       refusesConnections,
       log: logFor('workers'),
       metrics,
--- a/packages/gateway/src/lib/targets/ServingCheck.ts
+++ b/packages/gateway/src/lib/targets/ServingCheck.ts
@@ -18,6 +18,8 @@
 interface ServingCheckOptions {
   /** Asks a worker for its report. */
   readonly report: (worker: Worker, timeoutMilliseconds: number) => ResultAsync<WorkerReport, ServingError>;
+  /** Whether anything answers at the address of a worker, over a new connection. Never rejects. */
+  readonly probe: (worker: Worker, timeoutMilliseconds: number) => Promise<boolean>;
   /** Whether connections to an address are refused: no process listens there. Never rejects. */
   readonly refusesConnections: (address: string) => Promise<boolean>;
   readonly log: Log;
@@ -39,7 +41,7 @@
   /** Whether a target serves as it did when it was chosen. Never rejects. */
   async isServing({ entry: { worker }, formation }: Candidate): Promise<boolean> {
     const isServing = await (formation === ''
-      ? this.#listens(worker) : this.#reportsFormation(worker, formation));
+      ? this.#goesOn(worker) : this.#reportsFormation(worker, formation));
     if (!isServing) {
       this.#options.metrics.count('gateway.unconfirmed_ends');
       this.#options.log.info('End of an answer without a length is not confirmed.', { worker: worker.id, formation });
@@ -47,13 +49,17 @@
     return isServing;
   }
 
-  /** A target without a group has no report, and resets connections beyond its limit. */
-  async #listens({ address }: Worker): Promise<boolean> {
-    if (await this.#options.refusesConnections(address)) {
+  /** A target without a group has no report. It may reset connections beyond its limit, and still goes on. */
+  async #goesOn(worker: Worker): Promise<boolean> {
+    const { probe, refusesConnections } = this.#options;
+    if (await probe(worker, TIMEOUT_MILLISECONDS)) {
+      return true;
+    }
+    if (await refusesConnections(worker.address)) {
       return false;
     }
     await sleep(CLOSING_MILLISECONDS);
-    return !await this.#options.refusesConnections(address);
+    return !await refusesConnections(worker.address);
   }
 
   async #reportsFormation(worker: Worker, formation: string): Promise<boolean> {
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -352,6 +352,7 @@
       connections: this.#connections,
       servingCheck: new ServingCheck({
         report: (worker) => this.#report(worker),
+        probe: async ({ address }) => !await refusesConnections(address),
         refusesConnections,
         log: LOG,
         metrics,
