Log answers whose end rests on an accepted connection alone

The hypotheses of the incident could not be told apart by logs: an end that is taken for sound left no line, whatever it rested on. A target that answers is no line, as that is the rule.

--- a/packages/gateway/src/lib/targets/ServingCheck.ts
+++ b/packages/gateway/src/lib/targets/ServingCheck.ts
@@ -59,7 +59,11 @@
       return false;
     }
     await sleep(CLOSING_MILLISECONDS);
-    return !await refusesConnections(worker.address);
+    if (await refusesConnections(worker.address)) {
+      return false;
+    }
+    this.#options.log.info('End of an answer without a length rests on an accepted connection.', { worker: worker.id });
+    return true;
   }
 
   async #reportsFormation(worker: Worker, formation: string): Promise<boolean> {
