--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -1,7 +1,9 @@
 import {
   createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import {
+  createServer as createSocketServer, type AddressInfo, type Server as SocketServer, type Socket,
+} from 'node:net';
 import { ResultAsync, err, ok } from 'neverthrow';
 import { request as sendRequest } from 'undici';
 import {
@@ -31,6 +33,7 @@
 import type TargetState from '../lib/targets/TargetState.js';
 import TargetStates from '../lib/targets/TargetStates.js';
 import type GatewayWire from '../lib/wire/GatewayWire.js';
+import probeTarget, { PROBE_PATH } from './probeTarget.js';
 
 const SERVICE = ServiceId.parse('model');
 const MODEL = ModelName.parse('m');
@@ -117,6 +120,10 @@
 
   readonly #servers: Server[] = [];
 
+  readonly #silentServers: SocketServer[] = [];
+
+  readonly #silentSockets: Socket[] = [];
+
   readonly #connections = new TargetConnections(() => undefined);
 
   readonly #configuration = new ConfigurationHolder();
@@ -273,6 +280,23 @@
     server?.close();
   }
 
+  /** Stops a target; its address goes on accepting connections, and does nothing or closes them. */
+  async silenceTarget(index: number, closes: boolean): Promise<void> {
+    const [, port] = this.targetAddress(index).split(':');
+    this.stopTarget(index);
+    const server = createSocketServer((socket) => {
+      this.#silentSockets.push(socket);
+      socket.on('error', () => undefined);
+      if (closes) {
+        socket.destroy();
+      }
+    });
+    this.#silentServers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(Number(port), '127.0.0.1', resolve);
+    });
+  }
+
   /** Address of a target. */
   targetAddress(index: number): string {
     return addressOf(this.#servers[index] as Server);
@@ -310,7 +334,19 @@
     this.workers.put({ ...worker, bornAt: (worker.bornAt ?? 0) + 1 });
   }
 
+  /** Starts another target at the address of a stopped one, which is still registered there. */
+  replaceTarget(index: number, script: TargetScript): void {
+    const former = this.workers.get(WorkerId.parse(`w${index}`));
+    this.restartTarget(index, script);
+    if (former !== undefined) {
+      this.workers.put(former.worker);
+      this.workers.put({ ...former.worker, id: WorkerId.parse(`other-${index}`) });
+    }
+  }
+
   stop(): void {
+    this.#silentSockets.forEach((socket) => socket.destroy());
+    this.#silentServers.forEach((server) => server.close());
     this.#connections.close();
     [...this.#servers, ...this.#fronts].forEach((server) => {
       server.closeAllConnections();
@@ -325,6 +361,10 @@
   ): Promise<void> {
     for (const [index, script] of scripts.entries()) {
       const server = await listen((incoming, outgoing) => {
+        if (incoming.url === PROBE_PATH) {
+          outgoing.writeHead(400).end();
+          return;
+        }
         this.received[index] = (this.received[index] ?? 0) + 1;
         script(incoming, outgoing);
       });
@@ -352,7 +392,7 @@
       connections: this.#connections,
       servingCheck: new ServingCheck({
         report: (worker) => this.#report(worker),
-        probe: async ({ address }) => !await refusesConnections(address),
+        probe: ({ address }, timeoutMilliseconds) => probeTarget(address, timeoutMilliseconds),
         refusesConnections,
         log: LOG,
         metrics,
--- /dev/null
+++ b/packages/gateway/src/test/silentEnds.test.ts
@@ -0,0 +1,130 @@
+import type { ServerResponse } from 'node:http';
+import { afterEach, expect, test } from 'vitest';
+import type { RequestKind } from '@dandelionlane/fleet';
+import TestGateway, { type TargetScript } from './TestGateway.js';
+import TestGateways from './TestGateways.js';
+
+const IDEMPOTENT = { kind: 'idempotent' } as const;
+const ONCE = { kind: 'non-idempotent' } as const;
+const STREAM = { kind: 'stream', resumable: true, targetGapMilliseconds: null } as const;
+const ONCE_STREAM = { ...STREAM, resumable: false } as const;
+const SIGNED = { 'x-id': 'r1', 'x-signed': '1' };
+const EVENTS = 4;
+
+const DEADLINE_MILLISECONDS = 5_000;
+const DEADLINE = { 'x-deadline': String(DEADLINE_MILLISECONDS) };
+
+/** Whether the address of the ended target leaves connections without an answer, or closes them. */
+const WAYS = [['silent', false], ['closing', true]] as const;
+
+const gateways = new TestGateways();
+
+afterEach(() => gateways.stop());
+
+function events(from: number, to: number): string {
+  return Array.from({ length: to - from + 1 }, (_, index) => `id: ${from + index}\ndata: e\n\n`).join('');
+}
+
+function begin(outgoing: ServerResponse, bytes: string): void {
+  Object.assign(outgoing, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
+  outgoing.writeHead(200, { ...SIGNED, 'content-type': bytes.startsWith('id') ? 'text/event-stream' : 'text/plain' });
+  outgoing.write(bytes);
+}
+
+/** Begins an answer that ends with its connection; `end` ends the target. */
+function beginAnswer(bytes: string, end: () => void): TargetScript {
+  return (_incoming, outgoing) => {
+    begin(outgoing, bytes);
+    setTimeout(end, 30);
+  };
+}
+
+const whole: TargetScript = (_incoming, outgoing) => {
+  begin(outgoing, 'whole ');
+  outgoing.end('answer');
+};
+
+const wholeStream: TargetScript = (incoming, outgoing) => {
+  begin(outgoing, events(Number(incoming.headers['last-event-id'] ?? 0) + 1, EVENTS));
+  outgoing.end();
+};
+
+/** Starts a gateway whose first target is taken first, with time to ask a silent one. No answer is overdue. */
+async function start(kind: RequestKind, scripts: readonly TargetScript[]): Promise<TestGateway> {
+  const gateway = await gateways.start(kind, scripts, 2, 100, 0);
+  gateway.reconfigure((configuration) => ({
+    ...configuration,
+    routes: configuration.routes.map((route) => ({ ...route, timeoutMilliseconds: DEADLINE_MILLISECONDS })),
+  }));
+  Object.assign(gateway.states.of('w1' as never), { outstanding: 2 });
+  return gateway;
+}
+
+/** Streams of a service without groups. */
+async function startPlainStreams(kind: RequestKind, scripts: readonly TargetScript[]): Promise<TestGateway> {
+  const gateway = await start(kind, scripts);
+  gateway.reconfigure((configuration) => ({
+    ...configuration,
+    services: new Map([...configuration.services].map(([id, service]) => [id, { ...service, engine: null }])),
+  }));
+  return gateway;
+}
+
+// Half of an answer was passed on as whole: a target that had lost its power did not refuse connections.
+test.each(WAYS)('half of an answer of a target that ends and is %s is run again', async (_name, closes) => {
+  const gateway: TestGateway = await start(IDEMPOTENT, [
+    beginAnswer('half of an', () => void gateway.silenceTarget(0, closes)), whole,
+  ]);
+  expect(await gateway.call(DEADLINE)).toMatchObject({ status: 200, body: 'whole answer', cut: false });
+});
+
+test.each(WAYS)('half of an answer that may run once of a target that ends and is %s is a failure', async (_name, closes) => {
+  const gateway: TestGateway = await start(ONCE, [
+    beginAnswer('half of an', () => void gateway.silenceTarget(0, closes)), whole,
+  ]);
+  expect((await gateway.call(DEADLINE)).status).toBe(502);
+  expect(gateway.received).toEqual([1, 0]);
+});
+
+test.each(WAYS)('a stream without groups of a target that ends and is %s goes on elsewhere', async (_name, closes) => {
+  const gateway: TestGateway = await startPlainStreams(STREAM, [
+    beginAnswer(events(1, 2), () => void gateway.silenceTarget(0, closes)), wholeStream,
+  ]);
+  expect(await gateway.call(DEADLINE)).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
+});
+
+test.each(WAYS)('a stream without groups that may run once of a target that ends and is %s is cut', async (_name, closes) => {
+  const gateway: TestGateway = await startPlainStreams(ONCE_STREAM, [
+    beginAnswer(events(1, 2), () => void gateway.silenceTarget(0, closes)), wholeStream,
+  ]);
+  expect(await gateway.call(DEADLINE)).toMatchObject({ status: 200, body: events(1, 2), cut: true });
+});
+
+// A process that started at the address meanwhile answered for the one that had ended.
+test('half of an answer of a target that is back at once is a failure', async () => {
+  const gateway: TestGateway = await start(ONCE, [
+    beginAnswer('half of an', () => {
+      gateway.stopTarget(0);
+      gateway.restartTarget(0, whole);
+    }), whole,
+  ]);
+  expect((await gateway.call(DEADLINE)).status).toBe(502);
+});
+
+test('half of an answer of a target whose address another one has taken is a failure', async () => {
+  const gateway: TestGateway = await start(ONCE, [
+    beginAnswer('half of an', () => {
+      gateway.stopTarget(0);
+      gateway.replaceTarget(0, whole);
+    }), whole,
+  ]);
+  expect((await gateway.call(DEADLINE)).status).toBe(502);
+});
+
+test('whole answers without a length are passed on once, with and without groups', async () => {
+  const plain = await start(ONCE, [whole, whole]);
+  expect(await plain.call(DEADLINE)).toMatchObject({ status: 200, body: 'whole answer' });
+  const stream = await startPlainStreams(STREAM, [wholeStream, wholeStream]);
+  expect(await stream.call(DEADLINE)).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
+  expect([plain.received, stream.received]).toEqual([[1, 0], [1, 0]]);
+});
