Take only an answer for a sign that a plain target goes on

What callers saw: a plain target ended in the midst of an answer without a length, and its half was passed on with status 200 and a sound end: where its address was silent afterwards ("first half " after 1,185 ms), where a front went on accepting connections (194 ms), and where a new process had taken the address. The request may run once.

Cause: the check after such an end counted a target as alive unless it refused connections. A host that has lost its power is silent, and what stands before a process may accept in its place. For groups the same silence counted as gone.

An answer of a later process, by its registration or by its own word, does not count. Streams of services without groups go the same way. A request that may run once gets 502, others run again.

--- a/packages/fleet-entry/src/lib/FleetEntryPorts.ts
+++ b/packages/fleet-entry/src/lib/FleetEntryPorts.ts
@@ -1,5 +1,7 @@
 import type { StoreEra, TableFeed, TableStore } from '@dandelionlane/core';
-import type { FleetRowDecoder, Worker, WorkerPort } from '@dandelionlane/fleet';
+import type {
+  FleetRowDecoder, ProbeOutcome, Worker, WorkerPort,
+} from '@dandelionlane/fleet';
 import type { GatewayWire } from '@dandelionlane/gateway';
 
 /** Services and conventions of the platform that an entry process runs on. */
@@ -10,8 +12,8 @@
   readonly era: StoreEra;
   readonly rows: FleetRowDecoder;
   readonly workers: WorkerPort;
-  /** Whether anything answers at the address of a worker, over a new connection. Never rejects. */
-  readonly answersProbe: (worker: Worker, timeoutMilliseconds: number) => Promise<boolean>;
+  /** Asks at the address of a worker for a sign of life, over a new connection. Never rejects. */
+  readonly probeWorker: (worker: Worker, timeoutMilliseconds: number) => Promise<ProbeOutcome>;
   readonly wire: GatewayWire;
   readonly readinessPath: string;
   readonly directoryPath: string;
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -73,7 +73,7 @@
   const connections = new TargetConnections(() => metrics.count('gateway.connections'));
   const paths = new TargetPaths({
     workers,
-    probe: ports.answersProbe,
+    probe: ports.probeWorker,
     clock,
     random,
     log: logFor('paths'),
@@ -148,8 +148,9 @@
     connections,
     servingCheck: new ServingCheck({
       report: (worker, timeoutMilliseconds) => ports.workers.report(worker, timeoutMilliseconds),
-      probe: ports.answersProbe,
-      refusesConnections,
+      probe: ports.probeWorker,
+      workers,
+      clock,
       log: logFor('workers'),
       metrics,
     }),
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -27,6 +27,7 @@
 export { type default as GroupState } from './lib/workers/GroupState.js';
 export { type default as OrderOutcome } from './lib/workers/OrderOutcome.js';
 export { type default as OrderStamp } from './lib/workers/OrderStamp.js';
+export { type default as ProbeOutcome } from './lib/workers/ProbeOutcome.js';
 export { type default as Worker } from './lib/workers/Worker.js';
 export { type default as WorkerEntry } from './lib/workers/WorkerEntry.js';
 export { type default as WorkerInstance } from './lib/workers/WorkerInstance.js';
--- a/packages/fleet/src/lib/workers/WorkerTable.ts
+++ b/packages/fleet/src/lib/workers/WorkerTable.ts
@@ -21,6 +21,8 @@
 
   readonly #byService = new Map<ServiceId, Map<WorkerId, WorkerEntry>>();
 
+  readonly #byAddress = new Map<string, Set<WorkerId>>();
+
   /** Instances whose registration has ended permanently, rather than lapsed during an outage of the store. */
   readonly #withdrawals = new WorkerInstanceSet();
 
@@ -55,6 +57,14 @@
     return [...(this.#byService.get(service)?.values() ?? [])];
   }
 
+  /** Whether a later process is registered under the id of a worker, or at its address. */
+  isReplaced({ id, address, bornAt }: Pick<Worker, 'id' | 'address' | 'bornAt'>): boolean {
+    return [id, ...this.#byAddress.get(address) ?? []].some((each) => {
+      const registered = this.#entries.get(each)?.worker;
+      return registered !== undefined && bornAt !== null && (registered.bornAt ?? bornAt) > bornAt;
+    });
+  }
+
   all(): readonly WorkerEntry[] {
     return [...this.#entries.values()];
   }
@@ -196,15 +206,28 @@
   }
 
   #set(entry: WorkerEntry): void {
-    const { id, service } = entry.worker;
+    const { id, service, address } = entry.worker;
+    this.#removeAddress(id);
     this.#entries.set(id, entry);
+    this.#byAddress.set(address, (this.#byAddress.get(address) ?? new Set<WorkerId>()).add(id));
     const workers = this.#byService.get(service) ?? new Map<WorkerId, WorkerEntry>();
     workers.set(id, entry);
     this.#byService.set(service, workers);
   }
 
+  /** Removes a worker from the index of the address that it is registered at. */
+  #removeAddress(id: WorkerId): void {
+    const address = this.#entries.get(id)?.worker.address;
+    const workers = address === undefined ? undefined : this.#byAddress.get(address);
+    workers?.delete(id);
+    if (address !== undefined && workers?.size === 0) {
+      this.#byAddress.delete(address);
+    }
+  }
+
   #delete(entry: WorkerEntry): void {
     this.#withdrawals.add(entry.worker);
+    this.#removeAddress(entry.worker.id);
     this.#entries.delete(entry.worker.id);
     this.#byService.get(entry.worker.service)?.delete(entry.worker.id);
     this.#removedListeners.forEach((listener) => listener(entry.worker.id));
--- a/packages/fleet/src/test/WorkerTable.test.ts
+++ b/packages/fleet/src/test/WorkerTable.test.ts
@@ -198,3 +198,18 @@
   table.put({ ...WORKER, bornAt: null });
   expect(table.all().map(({ worker: { draining } }) => draining)).toEqual([true]);
 });
+
+test('a later process under its id, or at its address, replaces a worker', () => {
+  const table = new WorkerTable(new ManualClock());
+  table.put(WORKER);
+  expect(table.isReplaced(WORKER)).toBe(false);
+  const other = { ...WORKER, id: WorkerId.parse('other'), bornAt: 2 };
+  table.put(other);
+  expect([table.isReplaced(WORKER), table.isReplaced(other)]).toEqual([true, false]);
+  table.put({ ...other, address: '127.0.0.1:2' });
+  expect(table.isReplaced(WORKER)).toBe(false);
+  table.remove(WORKER.id);
+  expect(table.isReplaced(WORKER)).toBe(false);
+  table.put({ ...WORKER, bornAt: 3 });
+  expect([table.isReplaced(WORKER), table.isReplaced({ ...WORKER, bornAt: null })]).toEqual([true, false]);
+});
--- a/packages/gateway/src/lib/paths/TargetPaths.ts
+++ b/packages/gateway/src/lib/paths/TargetPaths.ts
@@ -1,5 +1,5 @@
 import type { Clock, RandomSource, ServiceId } from '@dandelionlane/core';
-import type { Worker, WorkerTable } from '@dandelionlane/fleet';
+import type { ProbeOutcome, Worker, WorkerTable } from '@dandelionlane/fleet';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
 
 /** Age up to which the failures of targets count together, in ms. */
@@ -26,8 +26,8 @@
 /** Dependencies of `TargetPaths`. */
 interface TargetPathsOptions {
   readonly workers: Pick<WorkerTable, 'ofService'>;
-  /** Whether anything answers at the address of a worker, over a new connection. Never rejects. */
-  readonly probe: (worker: Worker, timeoutMilliseconds: number) => Promise<boolean>;
+  /** Asks at the address of a worker for a sign of life, over a new connection. Never rejects. */
+  readonly probe: (worker: Worker, timeoutMilliseconds: number) => Promise<ProbeOutcome>;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: Log;
@@ -133,7 +133,8 @@
     const { probe } = this.#options;
     const paths = known;
     const sample = this.#sample(service);
-    const answers = await Promise.all(sample.map((worker) => probe(worker, PROBE_TIMEOUT_MILLISECONDS)));
+    const outcomes = await Promise.all(sample.map((worker) => probe(worker, PROBE_TIMEOUT_MILLISECONDS)));
+    const answers = outcomes.map((outcome) => outcome === 'answered' || outcome === 'misdirected');
     const answered = answers.filter((answer) => answer).length;
     paths.checkedAt = this.#now();
     paths.failedAt.clear();
--- a/packages/gateway/src/test/TargetPaths.test.ts
+++ b/packages/gateway/src/test/TargetPaths.test.ts
@@ -18,7 +18,7 @@
   all.forEach((each) => workers.put(each));
   const paths = new TargetPaths({
     workers,
-    probe: ({ id }) => Promise.resolve(reached.has(id)),
+    probe: ({ id }) => Promise.resolve(reached.has(id) ? 'answered' : 'unanswered'),
     clock,
     random: new SeededRandom(1),
     log: LOG,
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -165,7 +165,7 @@
     this.quarantine = new PromptQuarantine(this.#clock);
     this.paths = new TargetPaths({
       workers: this.workers,
-      probe: async ({ address }) => !await refusesConnections(address),
+      probe: ({ address }, timeoutMilliseconds) => probeTarget(address, timeoutMilliseconds),
       clock: this.#clock,
       random: new SeededRandom(1),
       log: LOG,
@@ -340,7 +340,8 @@
     this.restartTarget(index, script);
     if (former !== undefined) {
       this.workers.put(former.worker);
-      this.workers.put({ ...former.worker, id: WorkerId.parse(`other-${index}`) });
+      const bornAt = (former.worker.bornAt ?? 0) + 1;
+      this.workers.put({ ...former.worker, id: WorkerId.parse(`other-${index}`), bornAt });
     }
   }
 
@@ -393,7 +394,8 @@
       servingCheck: new ServingCheck({
         report: (worker) => this.#report(worker),
         probe: ({ address }, timeoutMilliseconds) => probeTarget(address, timeoutMilliseconds),
-        refusesConnections,
+        workers: this.workers,
+        clock: this.#clock,
         log: LOG,
         metrics,
       }),
--- a/packages/gateway/src/test/silentEnds.test.ts
+++ b/packages/gateway/src/test/silentEnds.test.ts
@@ -49,7 +49,7 @@
   outgoing.end();
 };
 
-/** Starts a gateway whose first target is taken first, with time to ask a silent one. No answer is overdue. */
+/** Starts a gateway that takes its first target first, and has time to ask it. No answer is overdue. */
 async function start(kind: RequestKind, scripts: readonly TargetScript[]): Promise<TestGateway> {
   const gateway = await gateways.start(kind, scripts, 2, 100, 0);
   gateway.reconfigure((configuration) => ({
