Keep timeouts that are combined with other signals from the garbage collector

What callers saw: an answer without a length whose plain target was silent waited for its deadline (504 after 6,008 ms) where the check should have ended after 2 s.

Cause: AbortSignal.any holds its signals weakly. An AbortSignal.timeout that nothing else refers to is taken by the garbage collector and never comes. The probes of targets were made so: a check of paths that hangs is never made again, so an entry neither finds its paths lost nor back. So were the timeouts of requests in dandelionlane-entry. Calls of the store and of workers have a timer of their own and were not concerned.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -26,6 +26,8 @@
       'no-await-in-loop': 'off',
       'no-restricted-syntax': 'off',
       'no-continue': 'off',
+      // It holds its signals weakly: a timeout that nothing else refers to is collected and never comes.
+      'no-restricted-properties': ['error', { object: 'AbortSignal', property: 'any', message: 'Use combineSignals.' }],
       // void marks a promise whose outcome is handled inside the callee.
       'no-void': 'off',
       // Both work on every supported Node.js, although their documentation says experimental.
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -79,6 +79,7 @@
 export { default as ListenAddress } from './lib/settings/ListenAddress.js';
 export { default as EventSplitter } from './lib/streams/EventSplitter.js';
 export { default as MAXIMUM_INTERIM_HEADS } from './lib/streams/MAXIMUM_INTERIM_HEADS.js';
+export { default as combineSignals } from './lib/streams/combineSignals.js';
 export { default as limitInterimHeads } from './lib/streams/limitInterimHeads.js';
 export { type default as TableChanges } from './lib/table/TableChanges.js';
 export { default as TableCondition } from './lib/table/TableCondition.js';
--- a/packages/core/src/lib/streams/limitInterimHeads.ts
+++ b/packages/core/src/lib/streams/limitInterimHeads.ts
@@ -1,4 +1,5 @@
 import MAXIMUM_INTERIM_HEADS from './MAXIMUM_INTERIM_HEADS.js';
+import combineSignals from './combineSignals.js';
 
 /** Options of a request to a server that may send interim heads without an end. */
 interface InterimHeadLimit {
@@ -13,7 +14,7 @@
   const controller = new AbortController();
   let heads = 0;
   return {
-    signal: AbortSignal.any([signal, controller.signal]),
+    signal: combineSignals([signal, controller.signal]),
     onInfo: () => {
       heads += 1;
       if (heads > MAXIMUM_INTERIM_HEADS) {
--- a/packages/entry/src/lib/dispatch/RequestDispatcher.ts
+++ b/packages/entry/src/lib/dispatch/RequestDispatcher.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import {
-  ServingError, type AvailabilityZoneId, type Clock, type RandomSource, type ReplicaId,
+  ServingError, combineSignals, type AvailabilityZoneId, type Clock, type RandomSource, type ReplicaId,
 } from '@dandelionlane/core';
 import {
   chooseTarget, decideRetry, RetryBudget, type TargetChoice,
@@ -112,7 +112,7 @@
     // A claimed call continues after its caller disconnects, so that its answer can be stored.
     const signal = request.repeatability === 'claimed'
       ? remaining
-      : AbortSignal.any([remaining, request.callerGone]);
+      : combineSignals([remaining, request.callerGone]);
     return new DispatchContext(request, targets, relay, signal);
   }
 
--- a/packages/entry/src/lib/forward/RequestForwarder.ts
+++ b/packages/entry/src/lib/forward/RequestForwarder.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import {
-  HEADERS, ServingError,
+  HEADERS, ServingError, combineSignals,
   type AvailabilityZoneId, type Clock, type EntryId, type EntryRecord,
 } from '@dandelionlane/core';
 import { isNeverSent } from '@dandelionlane/platform';
@@ -65,7 +65,7 @@
           [HEADERS.timeout]: String(Math.ceil(remaining)),
         },
         body: request.body.length === 0 ? null : request.body,
-        signal: AbortSignal.any([request.callerGone, AbortSignal.timeout(Math.ceil(remaining))]),
+        signal: combineSignals([request.callerGone, AbortSignal.timeout(Math.ceil(remaining))]),
         headersTimeout: remaining,
         bodyTimeout: remaining,
       });
