Ask over a connection from before the end whether the same process goes on

What callers would have seen: half of an answer as whole, where its target ends and a new process answers at its address within 20 to 150 ms, before the entry hears of its registration, or while the entry stands still. Class: whatever answers is taken for the process that was asked.

Cause: the check after the end of an answer without a length opened its connection after that end. Now it opens at the head of the answer and asks over it at the end: the system has ended it with the process. A target that closes idle connections, or resets those beyond its limit, is asked anew, and its answer then counts 300 ms later, once a new registration has come. A head and an end that are read at once leave no time for that; there the registration alone tells.

--- a/packages/fleet-entry/src/lib/FleetEntryPorts.ts
+++ b/packages/fleet-entry/src/lib/FleetEntryPorts.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import type { StoreEra, TableFeed, TableStore } from '@dandelionlane/core';
 import type {
   FleetRowDecoder, ProbeOutcome, Worker, WorkerPort,
@@ -12,8 +13,10 @@
   readonly era: StoreEra;
   readonly rows: FleetRowDecoder;
   readonly workers: WorkerPort;
-  /** Asks at the address of a worker for a sign of life, over a new connection. Never rejects. */
-  readonly probeWorker: (worker: Worker, timeoutMilliseconds: number) => Promise<ProbeOutcome>;
+  /** Asks a worker for a sign of life, over a connection or, for null, a new one. Never rejects. */
+  readonly probeWorker: (
+    worker: Worker, timeoutMilliseconds: number, connection: Socket | null,
+  ) => Promise<ProbeOutcome>;
   readonly wire: GatewayWire;
   readonly readinessPath: string;
   readonly directoryPath: string;
--- a/packages/fleet-entry/src/lib/startFleetEntry.ts
+++ b/packages/fleet-entry/src/lib/startFleetEntry.ts
@@ -73,7 +73,7 @@
   const connections = new TargetConnections(() => metrics.count('gateway.connections'));
   const paths = new TargetPaths({
     workers,
-    probe: ports.probeWorker,
+    probe: (worker, timeoutMilliseconds) => ports.probeWorker(worker, timeoutMilliseconds, null),
     clock,
     random,
     log: logFor('paths'),
--- a/packages/gateway/src/lib/relay/PlainExchange.ts
+++ b/packages/gateway/src/lib/relay/PlainExchange.ts
@@ -6,6 +6,7 @@
 import recordAnswerHead from '../targets/recordAnswerHead.js';
 import type AnswerHead from '../wire/AnswerHead.js';
 import type AnswerMemory from './AnswerMemory.js';
+import type EndCheck from '../targets/EndCheck.js';
 import type ReservedExecutions from './ReservedExecutions.js';
 import type ExchangeOutcome from './ExchangeOutcome.js';
 import abortAnswer from './abortAnswer.js';
@@ -65,6 +66,9 @@
 
   #attempt: TargetAttempt | null = null;
 
+  /** Check of the end of an answer without a length. */
+  #endCheck: EndCheck | null = null;
+
   #resolve: ((outcome: ExchangeOutcome) => void) | null = null;
 
   constructor(options: ExchangeOptions) {
@@ -145,6 +149,7 @@
     }
     this.#resolve(outcome);
     this.#resolve = null;
+    this.#endCheck?.close();
     if (outcome.kind === 'answered') {
       this.#isAnswered = true;
       // Its bytes are held until the caller has read them.
@@ -164,6 +169,9 @@
     if (candidate.peer === null) {
       recordAnswerHead(context, candidate, { status, head, requestId: call.metadata.requestId });
     }
+    if (endsWithConnection(call.method, status, head.framed || head.framedByEntry)) {
+      this.#endCheck = context.servingCheck.begin(candidate);
+    }
   }
 
   #handleData(chunk: Buffer): void {
@@ -177,7 +185,6 @@
   }
 
   #handleEnd(): void {
-    const { call: { method } } = this.#options;
     if (this.#answer === null) {
       this.#settle({
         kind: 'failed', sent: true, reason: 'answer without a head', connectionLost: false,
@@ -185,17 +192,16 @@
       return;
     }
     const answer: ExchangeOutcome = { kind: 'answered', ...this.#answer, body: Buffer.concat(this.#chunks) };
-    if (endsWithConnection(method, answer.status, answer.head.framed || answer.head.framedByEntry)) {
-      void this.#settleUnframed(answer);
-    } else {
+    if (this.#endCheck === null) {
       this.#settle(answer);
+    } else {
+      void this.#settleUnframed(answer, this.#endCheck);
     }
   }
 
   /** Settles an answer without a length: it is whole if its target goes on. */
-  async #settleUnframed(answer: ExchangeOutcome): Promise<void> {
-    const isServing = await this.#options.context.servingCheck.isServing(this.choice.candidate);
-    this.#settle(isServing ? answer : {
+  async #settleUnframed(answer: ExchangeOutcome, endCheck: EndCheck): Promise<void> {
+    this.#settle(await endCheck.isServing() ? answer : {
       kind: 'failed',
       sent: true,
       reason: 'answer without a length, and its target does not go on',
--- a/packages/gateway/src/lib/relay/StreamAttempt.ts
+++ b/packages/gateway/src/lib/relay/StreamAttempt.ts
@@ -3,6 +3,7 @@
 import type Call from '../requests/Call.js';
 import type GatewayContext from '../requests/GatewayContext.js';
 import startAttempt from '../requests/startAttempt.js';
+import type EndCheck from '../targets/EndCheck.js';
 import type RunningStream from '../targets/RunningStream.js';
 import type TargetAttempt from '../targets/TargetAttempt.js';
 import recordAnswerHead from '../targets/recordAnswerHead.js';
@@ -31,6 +32,9 @@
 /** Bytes of events that bring a stream no further after which the target counts as faulty. */
 const MAXIMUM_IDLE_BYTES = 256 * 1_024;
 
+/** Check of an end that is never sound. */
+const UNSOUND_END: EndCheck = { isServing: () => Promise.resolve(false), close: () => undefined };
+
 const COLON = 0x3a;
 const LINE_ENDS: ReadonlySet<number | undefined> = new Set([0x0a, 0x0d]);
 
@@ -93,6 +97,9 @@
 
   #head: ForwardedHead | null = null;
 
+  /** Check of the end of an answer without a length. */
+  #endCheck: EndCheck | null = null;
+
   #isStream = false;
 
   /** Whether another entry has refused or failed the request for good. */
@@ -199,6 +206,7 @@
   #finish(end: StreamAttemptOutcome): void {
     if (!this.#hasEnded) {
       this.#hasEnded = true;
+      this.#endCheck?.close();
       this.#resolve?.(end);
     }
   }
@@ -215,6 +223,10 @@
       ? classifyAnswer(status, head, requestId) : classifyPeerAnswer(status, head, requestId);
     const framed = head.framed || head.framedByEntry;
     this.#head = { status, headers: removeHopByHopHeaders(headers), framed };
+    if (endsWithConnection(call.method, status, framed)) {
+      // An entry of an earlier build passes on the end of its target's connection as its own.
+      this.#endCheck = candidate.peer === null ? context.servingCheck.begin(candidate) : UNSOUND_END;
+    }
     switch (classification) {
       case 'own':
         // Whatever else a target answers cannot go on with a stream that has begun.
@@ -341,7 +353,6 @@
   }
 
   #handleEnd(): void {
-    const { context, call: { method } } = this.#options;
     if (this.#hasEnded) {
       return;
     }
@@ -349,14 +360,8 @@
       this.#finish(this.#refusal);
     } else if (this.#splitter.hasPartialEvent) {
       this.#finish({ kind: 'broken', reason: 'stream ended inside an event', connectionLost: true });
-    } else if (this.#head !== null && endsWithConnection(method, this.#head.status, this.#head.framed)) {
-      if (this.choice.candidate.peer !== null) {
-        // One of an earlier build passes on the end of its target's connection as its own.
-        this.#finishUnframed(false);
-        return;
-      }
-      void context.servingCheck.isServing(this.choice.candidate)
-        .then((isServing) => this.#finishUnframed(isServing));
+    } else if (this.#endCheck !== null) {
+      void this.#endCheck.isServing().then((isServing) => this.#finishUnframed(isServing));
     } else {
       this.#finishAnswer();
     }
--- a/packages/gateway/src/lib/targets/ServingCheck.ts
+++ b/packages/gateway/src/lib/targets/ServingCheck.ts
@@ -1,3 +1,4 @@
+import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { ResultAsync } from 'neverthrow';
 import type { Clock, ServingError } from '@dandelionlane/core';
@@ -6,6 +7,7 @@
 } from '@dandelionlane/fleet';
 import type { Log, Metrics } from '@dandelionlane/telemetry';
 import type Candidate from '../choice/Candidate.js';
+import type EndCheck from './EndCheck.js';
 import type EndEvidence from './EndEvidence.js';
 
 /** Time for an answer of the target, in ms: one that has ended refuses at once, a busy one answers late. */
@@ -20,12 +22,17 @@
 /** Pause before a second probe, in ms, which doubles: the target may be at its limit, or about to end. */
 const FIRST_PAUSE_MILLISECONDS = 20;
 
+/** Time in which the registration of a process that has just started is heard of, in ms. */
+const REGISTRATION_MILLISECONDS = 300;
+
 /** Dependencies of a `ServingCheck`. */
 interface ServingCheckOptions {
   /** Asks a worker for its report. */
   readonly report: (worker: Worker, timeoutMilliseconds: number) => ResultAsync<WorkerReport, ServingError>;
-  /** Asks at the address of a worker for a sign of life, over a new connection. Never rejects. */
-  readonly probe: (worker: Worker, timeoutMilliseconds: number) => Promise<ProbeOutcome>;
+  /** Asks a worker for a sign of life, over a connection or, for null, a new one. Never rejects. */
+  readonly probe: (
+    worker: Worker, timeoutMilliseconds: number, connection: Socket | null,
+  ) => Promise<ProbeOutcome>;
   readonly workers: Pick<WorkerTable, 'isReplaced'>;
   readonly clock: Clock;
   readonly log: Log;
@@ -36,7 +43,8 @@
  * Tells the sound end of an answer without a length from the end of the target. A process that ends closes
  * its connections as it does after a whole answer, and then answers no more; a head that cuts the work of
  * its group goes on, and its group does not. Only an answer shows that a target goes on: after the loss of a
- * host nothing refuses connections, and what stands before a target may accept them in its place.
+ * host nothing refuses connections, and what stands before a target may accept them in its place. The answer
+ * has to be that of the same process: it goes over a connection from before the end, as far as there is one.
  */
 export default class ServingCheck {
   readonly #options: ServingCheckOptions;
@@ -45,9 +53,25 @@
     this.#options = options;
   }
 
-  /** Whether a target serves as it did when it was chosen. Never rejects. */
-  async isServing({ entry: { worker }, formation }: Candidate): Promise<boolean> {
-    const evidence = await (formation === '' ? this.#askTarget(worker) : this.#askHead(worker, formation));
+  /** Begins the check of an answer without a length, at its head. */
+  begin({ entry: { worker }, formation }: Candidate): EndCheck {
+    if (formation !== '') {
+      return {
+        isServing: () => this.#judge(worker, formation, this.#askHead(worker, formation)),
+        close: () => undefined,
+      };
+    }
+    const [host = '', port = ''] = worker.address.split(':');
+    const connection = connect({ host, port: Number(port), noDelay: true });
+    connection.on('error', () => undefined);
+    return {
+      isServing: () => this.#judge(worker, formation, this.#askTarget(worker, connection)),
+      close: () => connection.destroy(),
+    };
+  }
+
+  async #judge(worker: Worker, formation: string, asked: Promise<EndEvidence>): Promise<boolean> {
+    const evidence = await asked;
     if (evidence !== 'answered') {
       this.#options.metrics.count('gateway.unconfirmed_ends');
       this.#options.log.info(
@@ -58,14 +82,22 @@
     return evidence === 'answered';
   }
 
-  /** Asks a target without a group, which has no report. It resets connections beyond its limit. */
-  async #askTarget(worker: Worker): Promise<EndEvidence> {
+  /**
+   * Asks a target without a group, which has no report. It resets connections beyond its limit, and closes
+   * idle ones, so that the loss of a connection alone shows nothing.
+   * @param connection Connection from before the end of the answer.
+   */
+  async #askTarget(worker: Worker, connection: Socket): Promise<EndEvidence> {
     const { probe, workers, clock } = this.#options;
     const until = clock.monotonicMilliseconds() + PROBING_MILLISECONDS;
     for (let pause = FIRST_PAUSE_MILLISECONDS; ; pause *= 2) {
-      const outcome = await probe(worker, TIMEOUT_MILLISECONDS);
+      const isFirst = pause === FIRST_PAUSE_MILLISECONDS;
+      const outcome = await probe(worker, TIMEOUT_MILLISECONDS, isFirst ? connection : null);
       switch (outcome) {
         case 'answered':
+          if (!isFirst) {
+            await sleep(REGISTRATION_MILLISECONDS);
+          }
           return workers.isReplaced(worker) ? 'replaced' : 'answered';
         case 'misdirected':
           return 'replaced';
--- a/packages/gateway/src/test/ServingCheck.test.ts
+++ b/packages/gateway/src/test/ServingCheck.test.ts
@@ -35,7 +35,7 @@
     metrics: new MetricsRegistry(),
   });
   const worker = createWorker(1);
-  const isServing = await servingCheck.isServing({
+  const isServing = await servingCheck.begin({
     entry: {
       worker,
       group: null,
@@ -49,7 +49,7 @@
     slots: 1,
     isGroupComplete: true,
     peer: null,
-  });
+  }).isServing();
   return [isServing, asked];
 }
 
--- a/packages/gateway/src/test/TestGateway.ts
+++ b/packages/gateway/src/test/TestGateway.ts
@@ -320,8 +320,8 @@
     });
   }
 
-  /** Starts a stopped target again at its address, as a new process. */
-  restartTarget(index: number, script: TargetScript): void {
+  /** Starts a stopped target again at its address, as a new process, which registers after a while. */
+  restartTarget(index: number, script: TargetScript, registersAfterMilliseconds = 0): void {
     const stopped = this.#servers[index];
     const known = this.workers.get(WorkerId.parse(`w${index}`));
     if (stopped === undefined || known === undefined) {
@@ -331,7 +331,12 @@
     const server = createServer(script);
     server.listen(Number(worker.address.split(':')[1]), '127.0.0.1');
     this.#servers[index] = server;
-    this.workers.put({ ...worker, bornAt: (worker.bornAt ?? 0) + 1 });
+    const register = () => this.workers.put({ ...worker, bornAt: (worker.bornAt ?? 0) + 1 });
+    if (registersAfterMilliseconds === 0) {
+      register();
+    } else {
+      setTimeout(register, registersAfterMilliseconds);
+    }
   }
 
   /** Starts another target at the address of a stopped one, which is still registered there. */
@@ -393,7 +398,9 @@
       connections: this.#connections,
       servingCheck: new ServingCheck({
         report: (worker) => this.#report(worker),
-        probe: ({ address }, timeoutMilliseconds) => probeTarget(address, timeoutMilliseconds),
+        probe: ({ address }, timeoutMilliseconds, connection) => (
+          probeTarget(address, timeoutMilliseconds, connection)
+        ),
         workers: this.workers,
         clock: this.#clock,
         log: LOG,
--- a/packages/gateway/src/test/silentEnds.test.ts
+++ b/packages/gateway/src/test/silentEnds.test.ts
@@ -128,3 +128,25 @@
   expect(await stream.call(DEADLINE)).toMatchObject({ status: 200, body: events(1, EVENTS), cut: false });
   expect([plain.received, stream.received]).toEqual([[1, 0], [1, 0]]);
 });
+
+// The check went over a connection from before the end, which the client did not take.
+test('a whole answer whose end comes late is passed on', async () => {
+  const late: TargetScript = (_incoming, outgoing) => {
+    begin(outgoing, 'whole ');
+    setTimeout(() => outgoing.end('answer'), 50);
+  };
+  const gateway = await start(ONCE, [late, whole]);
+  expect(await gateway.call(DEADLINE)).toMatchObject({ status: 200, body: 'whole answer' });
+  expect(gateway.received).toEqual([1, 0]);
+});
+
+// A process that was back at once under its id answered before its registration was heard of.
+test('half of an answer of a target that is back before its registration is a failure', async () => {
+  const gateway: TestGateway = await start(ONCE, [
+    beginAnswer('half of an', () => {
+      gateway.stopTarget(0);
+      gateway.restartTarget(0, whole, 100);
+    }), whole,
+  ]);
+  expect((await gateway.call(DEADLINE)).status).toBe(502);
+});
