Tell the end of a target from a connection that it rejects or has kept too long

Cause: after the loss of the connection from before the end another one was asked, whoever answered there. Now the loss tells: an established connection that ends together with the answer has ended with its process. One that is reset as it is opened (a target at its limit), or ends while the answer goes on for 50 ms more (idle for too long), is opened again. Only where none was established during the answer is the target asked anew.

--- a/packages/gateway/src/lib/targets/ServingCheck.ts
+++ b/packages/gateway/src/lib/targets/ServingCheck.ts
@@ -1,4 +1,4 @@
-import { connect, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { ResultAsync } from 'neverthrow';
 import type { Clock, ServingError } from '@dandelionlane/core';
@@ -9,6 +9,7 @@
 import type Candidate from '../choice/Candidate.js';
 import type EndCheck from './EndCheck.js';
 import type EndEvidence from './EndEvidence.js';
+import StandingConnection from './StandingConnection.js';
 
 /** Time for an answer of the target, in ms: one that has ended refuses at once, a busy one answers late. */
 const TIMEOUT_MILLISECONDS = 1_000;
@@ -61,12 +62,10 @@
         close: () => undefined,
       };
     }
-    const [host = '', port = ''] = worker.address.split(':');
-    const connection = connect({ host, port: Number(port), noDelay: true });
-    connection.on('error', () => undefined);
+    const connection = new StandingConnection(worker.address, this.#options.clock);
     return {
       isServing: () => this.#judge(worker, formation, this.#askTarget(worker, connection)),
-      close: () => connection.destroy(),
+      close: () => connection.close(),
     };
   }
 
@@ -83,16 +82,33 @@
   }
 
   /**
-   * Asks a target without a group, which has no report. It resets connections beyond its limit, and closes
-   * idle ones, so that the loss of a connection alone shows nothing.
-   * @param connection Connection from before the end of the answer.
+   * Asks a target without a group, which has no report.
+   * @param standing Connection from before the end of the answer.
    */
-  async #askTarget(worker: Worker, connection: Socket): Promise<EndEvidence> {
+  async #askTarget(worker: Worker, standing: StandingConnection): Promise<EndEvidence> {
+    const { state, socket } = standing.take();
+    switch (state) {
+      case 'open': {
+        const outcome = await this.#options.probe(worker, PROBING_MILLISECONDS, socket);
+        return outcome === 'answered' ? 'answered' : 'unanswered';
+      }
+      case 'lost':
+        socket.destroy();
+        return 'connection-lost';
+      case 'connecting':
+        return this.#askAnew(worker, socket);
+      default:
+        return state satisfies never;
+    }
+  }
+
+  /** Asks a target that rejects connections beyond its limit, or had no time to take one meanwhile. */
+  async #askAnew(worker: Worker, first: Socket): Promise<EndEvidence> {
     const { probe, workers, clock } = this.#options;
     const until = clock.monotonicMilliseconds() + PROBING_MILLISECONDS;
     for (let pause = FIRST_PAUSE_MILLISECONDS; ; pause *= 2) {
       const isFirst = pause === FIRST_PAUSE_MILLISECONDS;
-      const outcome = await probe(worker, TIMEOUT_MILLISECONDS, isFirst ? connection : null);
+      const outcome = await probe(worker, TIMEOUT_MILLISECONDS, isFirst ? first : null);
       switch (outcome) {
         case 'answered':
           if (!isFirst) {
--- a/packages/soak/src/dandelionlane-soak.ts
+++ b/packages/soak/src/dandelionlane-soak.ts
@@ -9,7 +9,9 @@
 const VERSION = '0.1.0';
 const VIOLATED_EXIT_CODE = 1;
 
-const COURSES: readonly SoakCourse[] = ['all', 'unplanned', 'planned', 'stops', 'silences', 'paths', 'crashes', 'endings'];
+const COURSES: readonly SoakCourse[] = [
+  'all', 'unplanned', 'planned', 'stops', 'silences', 'paths', 'crashes', 'endings', 'vanishings',
+];
 
 interface Options {
   readonly seed: string | number;
--- a/packages/soak/src/lib/callers/createCourseCallers.ts
+++ b/packages/soak/src/lib/callers/createCourseCallers.ts
@@ -30,7 +30,8 @@
       const random = new SeededRandom(seed + CRASHING_SEED);
       return [new BatchCaller(journal, (sent) => drawCrashingRequest(entries, sent, random))];
     }
-    case 'endings': {
+    case 'endings':
+    case 'vanishings': {
       const random = new SeededRandom(seed + BURST_SEED);
       return [
         new DirectoryReader(journal, entries),
--- a/packages/soak/src/lib/createTopology.ts
+++ b/packages/soak/src/lib/createTopology.ts
@@ -4,6 +4,7 @@
 import type SoakTopology from './SoakTopology.js';
 import createConfiguration from './createConfiguration.js';
 import SoakEntry from './entries/SoakEntry.js';
+import type SoakCourse from './faults/SoakCourse.js';
 import findPorts from './entries/findPorts.js';
 import SoakJournal from './journal/SoakJournal.js';
 import SoakTables from './store/SoakTables.js';
@@ -11,6 +12,7 @@
 import writeConfiguration from './store/writeConfiguration.js';
 import SoakGroups from './workers/SoakGroups.js';
 import SoakWorker from './workers/SoakWorker.js';
+import type SoakWorkerSettings from './workers/SoakWorkerSettings.js';
 
 const ZONES = ['zone-a', 'zone-b'];
 const PLAIN_WORKERS = 4;
@@ -18,8 +20,11 @@
 const SPARE_WORKERS = 2;
 const SLOTS = 8;
 
-/** Share of the answers without a length where the course asks for some. */
-const UNFRAMED_SHARE = 0.5;
+/** Answers without a length, in courses that have some. */
+const UNFRAMED_ANSWERS = new Map<SoakCourse, Pick<SoakWorkerSettings, 'unframedShare' | 'halfMilliseconds'>>([
+  ['endings', { unframedShare: 0.5, halfMilliseconds: 20 }],
+  ['vanishings', { unframedShare: 0.7, halfMilliseconds: 200 }],
+]);
 
 const MILLISECONDS = 1_000;
 
@@ -42,7 +47,7 @@
     zone: ZONES[index % ZONES.length] ?? 'zone-a',
     groups: service === 'model' ? groups : null,
     slots: SLOTS,
-    unframedShare: course === 'endings' ? UNFRAMED_SHARE : 0,
+    ...(UNFRAMED_ANSWERS.get(course) ?? { unframedShare: 0, halfMilliseconds: 0 }),
     tables,
     journal,
     random,
--- a/packages/soak/src/lib/faults/FaultInjector.ts
+++ b/packages/soak/src/lib/faults/FaultInjector.ts
@@ -117,6 +117,7 @@
       case 'workers-answer':
         return fault.workers.map((worker) => `worker-answers ${worker}`);
       case 'worker-crashes':
+      case 'worker-vanishes':
       case 'worker-leaves':
         return [`worker ${fault.worker}`];
       case 'holder-cut':
@@ -155,6 +156,7 @@
       case 'worker-answers':
       case 'workers-answer':
       case 'worker-crashes':
+      case 'worker-vanishes':
       case 'worker-leaves':
       case 'workers-silent':
       case 'entry-terminated':
@@ -241,6 +243,11 @@
         await sleep(milliseconds);
         await this.#worker(fault.worker).restart();
         return;
+      case 'worker-vanishes':
+        this.#worker(fault.worker).crash(fault.address);
+        await sleep(milliseconds);
+        await this.#worker(fault.worker).restart();
+        return;
       case 'worker-leaves':
         await this.#worker(fault.worker).leave();
         await sleep(milliseconds);
--- a/packages/soak/src/lib/faults/SoakFault.ts
+++ b/packages/soak/src/lib/faults/SoakFault.ts
@@ -29,6 +29,8 @@
     readonly kind: 'workers-answer'; readonly workers: readonly number[]; readonly fault: AnswerFault;
   }
   | { readonly kind: 'worker-crashes'; readonly worker: number }
+  /** It ends. Its address then takes connections and leaves them without an answer, or closes them. */
+  | { readonly kind: 'worker-vanishes'; readonly worker: number; readonly address: 'mute' | 'closing' }
   | { readonly kind: 'worker-leaves'; readonly worker: number }
   | { readonly kind: 'worker-answers'; readonly worker: number; readonly fault: AnswerFault }
   | { readonly kind: 'configuration-changes' };
--- a/packages/soak/src/lib/faults/planCourse.ts
+++ b/packages/soak/src/lib/faults/planCourse.ts
@@ -7,6 +7,7 @@
 import planFaults from './planFaults.js';
 import planPathCuts from './planPathCuts.js';
 import planRestorations from './planRestorations.js';
+import planVanishings from './planVanishings.js';
 import planWork from './planWork.js';
 
 const MILLISECONDS = 1_000;
@@ -59,6 +60,10 @@
       return planEndings(milliseconds, {
         entries, plainWorkers, modelWorkers: faultyWorkers - plainWorkers,
       }, new SeededRandom(seed + 7));
+    case 'vanishings':
+      return planVanishings(milliseconds, {
+        entries, plainWorkers, modelWorkers: faultyWorkers - plainWorkers,
+      }, new SeededRandom(seed + 8));
     default:
       return course satisfies never;
   }
--- a/packages/soak/src/lib/workers/SoakWorker.ts
+++ b/packages/soak/src/lib/workers/SoakWorker.ts
@@ -108,15 +108,30 @@
     this.#register();
   }
 
-  /** Ends without a word; the registration lapses later. */
-  crash(): void {
+  /**
+   * Ends without a word; the registration lapses later.
+   * @param address What its address then does with connections: refuse them, not answer them, or close them.
+   */
+  crash(address: 'refusing' | 'mute' | 'closing' = 'refusing'): void {
     this.#life += 1;
     this.#member.alive = false;
     const now = performance.now();
     this.#settings.journal.disturbed(now, [{ kind: 'worker', worker: this.id }])(now);
     this.#server?.closeAllConnections();
     this.#server?.close();
-    void this.#link?.setListening(false);
+    switch (address) {
+      case 'refusing':
+        void this.#link?.setListening(false);
+        break;
+      case 'mute':
+        this.#link?.setState('mute');
+        break;
+      case 'closing':
+        // The link takes connections, and ends them as its target refuses them.
+        break;
+      default:
+        address satisfies never;
+    }
     const life = this.#life;
     setTimeout(() => {
       if (life === this.#life && !this.#closed) {
@@ -133,6 +148,7 @@
     this.#running = 0;
     this.#stall?.reset();
     await this.#listen(port);
+    this.#link?.setState('open');
     await this.#link?.setListening(true);
     this.#register();
   }
@@ -338,7 +354,8 @@
       run.noteAnswered(performance.now());
     }
     const body = expectedBody({ id: requestId, kind: 'safe', events: 0 });
-    writePlainAnswer(outgoing, body, { fault: this.answerFault, framed: this.#drawsFraming() });
+    const { halfMilliseconds } = this.#settings;
+    writePlainAnswer(outgoing, body, { fault: answerFault, framed: this.#drawsFraming(), halfMilliseconds });
   }
 
   async #stream(
--- a/packages/soak/src/lib/workers/SoakWorkerSettings.ts
+++ b/packages/soak/src/lib/workers/SoakWorkerSettings.ts
@@ -13,6 +13,8 @@
   readonly slots: number;
   /** Share of the answers that have neither a length nor chunks. */
   readonly unframedShare: number;
+  /** Time between the halves of a plain answer without a length, in ms. */
+  readonly halfMilliseconds: number;
   readonly tables: SoakTables;
   readonly journal: SoakJournal;
   readonly random: RandomSource;
--- a/packages/soak/src/lib/workers/writePlainAnswer.ts
+++ b/packages/soak/src/lib/workers/writePlainAnswer.ts
@@ -4,16 +4,22 @@
 import endWithConnection from './endWithConnection.js';
 import writeEndlessly from './writeEndlessly.js';
 
-/** Time between the halves of an answer without a length, in ms. */
-const HALF_MILLISECONDS = 20;
-
 const EXTRA_ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra';
 
+/** How a plain request is answered. */
+interface PlainAnswerOptions {
+  readonly fault: AnswerFault;
+  /** Whether the answer has a length. */
+  readonly framed: boolean;
+  /** Time between its halves if it has none, in ms. */
+  readonly halfMilliseconds: number;
+}
+
 /** Answers a plain request that has run, as well or badly as the fault says. */
 export default function writePlainAnswer(
   outgoing: ServerResponse,
   body: string,
-  { fault, framed }: { readonly fault: AnswerFault; readonly framed: boolean },
+  { fault, framed, halfMilliseconds }: PlainAnswerOptions,
 ): void {
   switch (fault) {
     case 'none':
@@ -24,7 +30,7 @@
         endWithConnection(outgoing);
         outgoing.writeHead(STAND_IN_STATUSES.ok);
         outgoing.write(body.slice(0, body.length / 2));
-        setTimeout(() => outgoing.end(body.slice(body.length / 2)), HALF_MILLISECONDS);
+        setTimeout(() => outgoing.end(body.slice(body.length / 2)), halfMilliseconds);
       }
       return;
     case 'endless':
--- a/packages/standin/src/lib/links/LinkConnection.ts
+++ b/packages/standin/src/lib/links/LinkConnection.ts
@@ -35,6 +35,7 @@
     switch (state) {
       case 'open':
       case 'established':
+      case 'mute':
         this.#there.pass(0);
         this.#back.pass(0);
         return;
--- a/packages/standin/src/lib/links/startLink.ts
+++ b/packages/standin/src/lib/links/startLink.ts
@@ -21,6 +21,9 @@
 
   readonly #stateOfSource = new Map<string, LinkState>();
 
+  /** Connections that were taken while the link was mute. */
+  readonly #muted = new Set<Socket>();
+
   constructor(target: string) {
     this.#target = target;
   }
@@ -37,6 +40,12 @@
       near.resetAndDestroy();
       return;
     }
+    if (state === 'mute') {
+      near.on('error', () => undefined);
+      near.once('close', () => this.#muted.delete(near));
+      this.#muted.add(near);
+      return;
+    }
     const [host, port] = this.#target.split(':');
     const connection = new LinkConnection(
       near,
@@ -53,6 +62,7 @@
     } else {
       this.#stateOfSource.set(source, state);
     }
+    this.#muted.forEach((socket) => socket.destroy());
     [...this.#connections].filter(([, from]) => source === undefined || from === source)
       .forEach(([connection, from]) => connection.apply(this.#stateOf(from)));
   }
