Soak: workers that end and whose addresses do not refuse connections, course vanishings

Orders of events that the course endings has none of: workers that end and are silent, fronts that go on accepting, the next process at the address while entries ask for the one before, in series and beside entries that stand still, end or lose their paths. A link can be mute: it takes connections that nothing answers.

--- a/packages/soak/src/test/endings.test.ts
+++ b/packages/soak/src/test/endings.test.ts
@@ -14,3 +14,14 @@
   expect(report.violations.filter(({ timed }) => !timed)).toEqual([]);
   await rm(directory, { recursive: true, force: true });
 });
+
+// Halves of answers were passed on as whole: workers ended under them, and what was at their addresses then,
+// silence, a front or the next process, counted as them.
+test('course vanishings of seed 9741 with 4 entries breaks no promise', async () => {
+  const directory = await mkdtemp(join(tmpdir(), 'dandelionlane-soak-'));
+  const report = await runSoak({
+    seed: 9741, seconds: 12, entries: 4, rate: 20, restorations: 0, course: 'vanishings', grace: 3, directory,
+  });
+  expect(report.violations.filter(({ timed }) => !timed)).toEqual([]);
+  await rm(directory, { recursive: true, force: true });
+});
--- a/packages/soak/src/test/planCourse.test.ts
+++ b/packages/soak/src/test/planCourse.test.ts
@@ -40,3 +40,21 @@
   expect(cuts.every(({ entries }) => new Set(entries).size === entries.length)).toBe(true);
   expect(faults.every(({ fault }) => fault.kind === 'paths-cut' || fault.kind === 'store-fails')).toBe(true);
 });
+
+test('course vanishings ends plain and model workers in all ways, some of them for a moment, beside other faults', () => {
+  const faults = Array.from({ length: 30 }, (_, seed) => planCourse({
+    seed, seconds: 30, entries: 4, rate: 20, restorations: 0, course: 'vanishings', directory: '',
+  }, {
+    entries: 4, workers: 13, plainWorkers: 4, faultyWorkers: 11,
+  })).flat();
+  const ends = faults.flatMap(({ fault, forMilliseconds }) => (
+    fault.kind === 'worker-vanishes' || fault.kind === 'worker-crashes' ? [{ ...fault, forMilliseconds }] : []
+  ));
+  expect(new Set(ends.map((end) => (end.kind === 'worker-vanishes' ? end.address : 'refusing'))))
+    .toEqual(new Set(['mute', 'closing', 'refusing']));
+  expect(new Set(ends.map(({ worker }) => worker)).size).toBe(11);
+  expect(ends.some(({ forMilliseconds }) => forMilliseconds <= 150)).toBe(true);
+  expect(new Set(faults.map(({ fault }) => fault.kind))).toEqual(new Set([
+    'worker-vanishes', 'worker-crashes', 'entry-paused', 'entry-killed', 'paths-cut',
+  ]));
+});
--- a/packages/standin/src/test/links.test.ts
+++ b/packages/standin/src/test/links.test.ts
@@ -117,3 +117,15 @@
   await slow.close();
   server.close();
 });
+
+test('a mute link takes connections and leaves them without an answer until it opens', async () => {
+  link.setState('mute');
+  await expect(request(`http://${link.address}/counters`, { signal: AbortSignal.timeout(50) })).rejects.toThrow();
+  const held = ask();
+  await new Promise((resolve) => {
+    setTimeout(resolve, 20);
+  });
+  link.setState('open');
+  await expect(held).rejects.toThrow();
+  expect(await ask()).toBe(200);
+});
