Refuse streams by HTTP/1.0

What callers saw: HTTP/1.0 knows no chunks, so a stream ends with its connection.

Plain answers with a length are served as before. The test fails without the refusal (200).

--- a/packages/core/src/lib/errors/ERROR_ANSWERS.ts
+++ b/packages/core/src/lib/errors/ERROR_ANSWERS.ts
@@ -8,6 +8,7 @@
  */
 const ERROR_ANSWERS: Readonly<Record<ErrorKind, ErrorAnswer>> = {
   'malformed-request': { status: 400, title: 'Malformed request', outcome: 'not-run' },
+  'http-version-unsupported': { status: 505, title: 'HTTP version not supported', outcome: 'not-run' },
   'body-too-large': { status: 413, title: 'Body too large', outcome: 'not-run' },
   'unknown-team': { status: 401, title: 'Unknown team', outcome: 'not-run' },
   unauthorized: { status: 401, title: 'Unauthorized', outcome: 'not-run' },
--- a/packages/core/src/lib/errors/ErrorKind.ts
+++ b/packages/core/src/lib/errors/ErrorKind.ts
@@ -3,6 +3,7 @@
 /** The closed list of error kinds. `ERROR_ANSWERS` maps each to its HTTP answer. */
 const ErrorKind = z.enum([
   'malformed-request',
+  'http-version-unsupported',
   'body-too-large',
   'unknown-team',
   'unauthorized',
--- a/packages/gateway/src/lib/requests/RequestServer.ts
+++ b/packages/gateway/src/lib/requests/RequestServer.ts
@@ -16,6 +16,9 @@
 import LEAVING_RETRY_SECONDS from './LEAVING_RETRY_SECONDS.js';
 import writeRefusal from './writeRefusal.js';
 
+/** HTTP version without chunks, in which the end of this process looks like the end of a stream. */
+const UNCHUNKED_VERSION = '1.0';
+
 /** Schedule of the departure of an entry, relative to now. */
 interface DepartureSchedule {
   /** Time for which requests are accepted regardless of their deadline, in ms. */
@@ -162,6 +165,9 @@
     if (admitted.isErr()) {
       return refuse(admitted.error);
     }
+    if (admitted.value.route.request.kind === 'stream' && incoming.httpVersion === UNCHUNKED_VERSION) {
+      return refuse(new ServingError('streams need HTTP/1.1', { kind: 'http-version-unsupported' }));
+    }
     const call = { ...admitted.value, body: read.body };
     const suspects = [...call.metadata.sharedPromptParts, fingerprintRequest(call)];
     return this.#dispatch({ ...call, suspects }, received.abandonment);
--- a/packages/gateway/src/test/unframedAnswers.test.ts
+++ b/packages/gateway/src/test/unframedAnswers.test.ts
@@ -1,4 +1,6 @@
 import type { ServerResponse } from 'node:http';
+import { connect } from 'node:net';
+import { text } from 'node:stream/consumers';
 import { request } from 'undici';
 import {
   afterEach, expect, test, vi,
@@ -236,3 +238,20 @@
   await body.dump();
   expect(statusCode).toBe(method === 'HEAD' ? 200 : 204);
 });
+
+/** Sends a request by HTTP/1.0 and returns all that comes back. */
+async function callByFormerHTTP(gateway: TestGateway): Promise<string> {
+  const [host, port] = gateway.address.split(':');
+  const socket = connect(Number(port), host);
+  socket.write('POST /a/b HTTP/1.0\r\nhost: h\r\nx-id: r1\r\ncontent-length: 4\r\n\r\nbody');
+  return text(socket);
+}
+
+// Without chunks the end of the entry looked like the end of the stream.
+test('a stream by HTTP/1.0 is refused and does not run, a plain request is served', async () => {
+  const stream = await gateways.start(RESUMABLE, [whole]);
+  expect(await callByFormerHTTP(stream)).toMatch(/^HTTP\/1.1 505 .*http-version-unsupported/s);
+  expect(stream.received).toEqual([0]);
+  const plain = await gateways.start(ONCE, [plainWhole]);
+  expect(await callByFormerHTTP(plain)).toMatch(/^HTTP\/1.1 200 .*whole answer$/s);
+});
