--- a/packages/fleet/src/lib/workers/ProbeOutcome.ts
+++ b/packages/fleet/src/lib/workers/ProbeOutcome.ts
@@ -1,5 +1,5 @@
 /**
- * What the address of a worker shows over a new connection. `answered`: something answered, as that worker or
+ * What the address of a worker shows when it is asked. `answered`: something answered, as that worker or
  * without a word of who it is. `misdirected`: another worker answered. `refused`: no process listens there.
  * `unanswered`: a silence, or a connection that was accepted and ended without an answer.
  */
--- a/packages/soak/src/lib/faults/planEndings.ts
+++ b/packages/soak/src/lib/faults/planEndings.ts
@@ -1,7 +1,9 @@
 import type { RandomSource } from '@dandelionlane/core';
+import type EndingSizes from './EndingSizes.js';
 import type PlannedFault from './PlannedFault.js';
 import type SoakFault from './SoakFault.js';
 import pick from './pick.js';
+import between from './between.js';
 
 /** Calm at the start, in which the entries are linked, in ms. */
 const LINKING_MILLISECONDS = 2_000;
@@ -22,19 +24,6 @@
 const SHORTEST_MILLISECONDS = 500;
 const LONGEST_MILLISECONDS = 2_500;
 
-/** Sizes of what faults are drawn for. */
-interface EndingSizes {
-  readonly entries: number;
-  /** Plain workers, the first of all. */
-  readonly plainWorkers: number;
-  /** Model workers, after the plain ones. */
-  readonly modelWorkers: number;
-}
-
-function between(shortest: number, longest: number, random: RandomSource): number {
-  return Math.round(shortest + (longest - shortest) * random.next());
-}
-
 /** The holder of the lease loses the store for a while; later an entry that never held it is gone. */
 function planHolderChanges(milliseconds: number): readonly PlannedFault[] {
   const planned: PlannedFault[] = [];
--- a/packages/soak/src/lib/faults/planEntryFaults.ts
+++ b/packages/soak/src/lib/faults/planEntryFaults.ts
@@ -2,6 +2,7 @@
 import type PlannedFault from './PlannedFault.js';
 import type SoakFault from './SoakFault.js';
 import pick from './pick.js';
+import between from './between.js';
 
 /** Bounds of the time between two faults, and of their length, in ms. */
 const SHORTEST_GAP_MILLISECONDS = 2_000;
@@ -9,10 +10,6 @@
 const SHORTEST_MILLISECONDS = 500;
 const LONGEST_MILLISECONDS = 3_000;
 
-function between(shortest: number, longest: number, random: RandomSource): number {
-  return Math.round(shortest + (longest - shortest) * random.next());
-}
-
 /** Draws ends of entries and losses of the store. Workers and the links of callers are left alone. */
 export default function planEntryFaults(
   milliseconds: number,
--- a/packages/soak/src/lib/faults/planVanishings.ts
+++ b/packages/soak/src/lib/faults/planVanishings.ts
@@ -1,7 +1,9 @@
 import type { RandomSource } from '@dandelionlane/core';
+import type EndingSizes from './EndingSizes.js';
 import type PlannedFault from './PlannedFault.js';
 import type SoakFault from './SoakFault.js';
 import pick from './pick.js';
+import between from './between.js';
 
 /** Calm at the start, in which the entries are linked, in ms. */
 const LINKING_MILLISECONDS = 2_000;
@@ -21,21 +23,8 @@
 /** Time from the fault of an entry to the end of a worker under it, in ms. */
 const LEAD_MILLISECONDS = 100;
 
-/** Sizes of what faults are drawn for. */
-interface VanishingSizes {
-  readonly entries: number;
-  /** Plain workers, the first of all. */
-  readonly plainWorkers: number;
-  /** Model workers, after the plain ones. */
-  readonly modelWorkers: number;
-}
-
-function between(shortest: number, longest: number, random: RandomSource): number {
-  return Math.round(shortest + (longest - shortest) * random.next());
-}
-
 function planEnd(
-  { plainWorkers, modelWorkers }: VanishingSizes,
+  { plainWorkers, modelWorkers }: EndingSizes,
   atMilliseconds: number,
   random: RandomSource,
 ): PlannedFault {
@@ -63,7 +52,7 @@
  */
 export default function planVanishings(
   milliseconds: number,
-  sizes: VanishingSizes,
+  sizes: EndingSizes,
   random: RandomSource,
 ): readonly PlannedFault[] {
   const planned: PlannedFault[] = [];
