--- a/packages/fleet/src/lib/feed/TableFollower.ts
+++ b/packages/fleet/src/lib/feed/TableFollower.ts
@@ -13,7 +13,7 @@
 
 /**
  * Minimum interval between reads of a paused follower, in ms, which batches frequent changes. A quarter
- * of the time within which a configuration has to be in force, `config_apply_ms` of the requirements.
+ * of the time within which a configuration has to be in force.
  */
 const MINIMUM_CATCH_UP_INTERVAL_MILLISECONDS = 750;
 
