--- /dev/null
+++ b/review/support-2/sleep.js
@@ -0,0 +1,5 @@
+export default function sleep(milliseconds) {
+  return new Promise((done) => {
+    setTimeout(done, milliseconds);
+  });
+}
