--- a/review/10/run.js
+++ b/review/10/run.js
@@ -1,31 +1,28 @@
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import answerShortly from '../support-2/answerShortly.js';
 import createConfiguration from '../support-2/createConfiguration.js';
 import createHeaders from '../support-2/createHeaders.js';
 import Entry from '../support-2/Entry.js';
+import Gate from '../support-2/Gate.js';
 import ModelFleet from '../support-2/ModelFleet.js';
 import NAMES from '../support-2/NAMES.js';
+import PlainWorker from '../support-2/PlainWorker.js';
 import runCase from '../support-2/runCase.js';
 import send from '../support-2/send.js';
 import sleep from '../support-2/sleep.js';
 import Store from '../support-2/Store.js';
 import until from '../support-2/until.js';
 
-/** Workers of the model, in groups of two. */
-const WORKERS = 10;
-
-/** Part of a prompt that crashes the worker that begins to write an answer on it, and one that does not. */
-const CRASHING_PART = 'badbad01';
-const SOUND_PART = '90091234';
-
-const PLAY_MILLISECONDS = 40_000;
-const PERIOD_MILLISECONDS = 100;
-
-/** One request in this many has the part that crashes. */
-const CRASHING_EVERY = 5;
+/** Replicas of each service: workers of the plain one, groups of two workers of the one with models. */
+const REPLICAS = Number(process.env.REPLICAS ?? 1);
 
+const CUT_MILLISECONDS = 12_000;
 const STABLE_WINDOW_MILLISECONDS = 3_000;
-const REQUESTS_ALLOWED = 3;
+const PAUSE_MILLISECONDS = 200;
+
+/** Of the first tries, more may fail than this, and one in fifty of all. */
+const FAILURES_ALLOWED = 10;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({
   directory, record, trouble, addEntry,
@@ -34,65 +31,96 @@
   await store.start();
   const configuration = createConfiguration();
   store.put('op', 'config', configuration);
+  const entries = ['edge-1', 'edge-2', 'edge-3'].map((name) => addEntry(new Entry({ name, store, directory })));
+  const [cutOff] = entries;
+  const gates = [];
+  const createProxy = async (target) => {
+    const gate = new Gate({ target, findProcessId: () => cutOff.child?.pid });
+    gates.push(gate);
+    await gate.start();
+    return gate.address;
+  };
   const { engine: { models } } = configuration.services[0];
   const fleet = new ModelFleet({ store, service: NAMES.models, models });
-  for (let index = 0; index < WORKERS; index += 1) {
-    await fleet.add(`i-000000000${index}`);
+  const workers = [];
+  for (let index = 0; index < REPLICAS; index += 1) {
+    const worker = new PlainWorker({
+      store, id: `i-000000000${index}`, service: NAMES.plain, answer: answerShortly,
+    });
+    workers.push(worker);
+    await worker.start(createProxy);
+    await fleet.add(`i-000000010${index}`, createProxy);
+    await fleet.add(`i-000000020${index}`, createProxy);
   }
-  const entries = ['edge-1', 'edge-2', 'edge-3'].map((name) => addEntry(new Entry({ name, store, directory })));
   for (const entry of entries) {
     await entry.prepare();
     await entry.start();
   }
   let attempts = 0;
-  const stream = (entry, part) => {
+  const read = (entry) => {
+    attempts += 1;
+    return send(entry.callers, { path: '/read/1', headers: createHeaders({ attempt: `r${attempts}` }) });
+  };
+  const stream = (entry) => {
     attempts += 1;
-    const own = attempts.toString(16).padStart(8, '0');
     const others = {
       'dandelionlane-model': NAMES.model,
       'dandelionlane-token-count': '100,20',
-      'dandelionlane-prompt-prefix': `5c1e07a2:60,${part}:20,${own}:20`,
+      'dandelionlane-prompt-prefix': `5c1e07a2:60,${attempts.toString(16)}:40`,
     };
     return send(entry.callers, {
-      method: 'POST', path: '/stream/1', body: own, headers: createHeaders({ attempt: own, others }),
+      method: 'POST', path: '/stream/1', body: 'x', headers: createHeaders({ attempt: `s${attempts}`, others }),
     });
   };
-  await until('all entries serve', async () => {
-    const answers = await Promise.all(entries.map((entry) => stream(entry, SOUND_PART)));
-    return answers.every(({ status, ended }) => status === 200 && ended);
-  }, 25_000);
-  await sleep(5_000);
-  record(`${entries.length} entries serve streams, ${WORKERS} workers`);
-  const startedAt = performance.now();
-  const reached = [];
-  fleet.isCrashing = (incoming, { id }) => {
-    if (!incoming.headers['dandelionlane-prompt-prefix'].includes(CRASHING_PART)) {
-      return false;
-    }
-    const at = performance.now() - startedAt;
-    reached.push(at);
-    record(`a request with part ${CRASHING_PART} reaches ${id}${trouble ? ', which crashes' : ''}, ${Math.round(at)} ms`);
-    return trouble;
+  const doAllServe = async () => {
+    const answers = await Promise.all(entries.flatMap((entry) => [read(entry), stream(entry)]));
+    return answers.every(({ status }) => status === 200);
   };
-  const sound = [];
-  const running = [];
-  let sent = 0;
-  while (performance.now() - startedAt < PLAY_MILLISECONDS) {
-    sent += 1;
-    running.push(stream(entries[sent % entries.length], SOUND_PART)
-      .then(({ status, ended }) => sound.push(status === 200 && ended)));
-    if (sent % CRASHING_EVERY === 0) {
-      running.push(stream(entries[(sent / CRASHING_EVERY) % entries.length], CRASHING_PART));
-    }
-    await sleep(PERIOD_MILLISECONDS);
+  await until('all entries serve', doAllServe, 20_000);
+  // The links between the entries are up by then.
+  await sleep(4_000);
+  await until('all entries serve', doAllServe, 5_000);
+  record(`${entries.length} entries serve; replicas of each service: ${REPLICAS}`);
+  const cutAt = performance.now();
+  if (trouble) {
+    gates.forEach((gate) => gate.cut(cutOff.child.pid));
+    record(`${cutOff.name} is cut off from all workers; the store, clients and the other entries reach it`);
   }
-  await Promise.all(running);
-  const fifthAt = trouble ? reached[4] ?? Infinity : Infinity;
-  const late = reached.filter((at) => at > fifthAt + STABLE_WINDOW_MILLISECONDS).length;
-  record(`requests with the part: ${Math.floor(sent / CRASHING_EVERY)} sent, ${reached.length} reached workers; `
-    + `${late} of them later than ${STABLE_WINDOW_MILLISECONDS} ms after the fifth crash`);
-  record(`sound requests: ${sound.filter((isWhole) => isWhole).length} of ${sound.length} answered whole`);
+  const tries = [];
+  const sendOne = async (entry, kind, request) => {
+    const sentAt = performance.now();
+    const { status, ended, error } = await request(entry);
+    const counts = sentAt - cutAt >= STABLE_WINDOW_MILLISECONDS;
+    const end = status === 200 && !ended ? 'cut' : status ?? error;
+    tries.push({
+      entry: entry.name, kind, counts, end,
+    });
+  };
+  const sending = [];
+  while (performance.now() - cutAt < CUT_MILLISECONDS) {
+    sending.push(...entries.flatMap((entry) => [sendOne(entry, 'read', read), sendOne(entry, 'stream', stream)]));
+    await sleep(PAUSE_MILLISECONDS);
+  }
+  await Promise.all(sending);
+  gates.forEach((gate) => gate.cut(null));
+  const counted = tries.filter(({ counts }) => counts);
+  const summarize = (name, isOwn) => {
+    const own = counted.filter(({ entry }) => (entry === cutOff.name) === isOwn);
+    const served = own.filter(({ end }) => end === 200).length;
+    const ends = new Map();
+    own.forEach(({ kind, end }) => ends.set(`${kind} ${end}`, (ends.get(`${kind} ${end}`) ?? 0) + 1));
+    record(`first tries later than ${STABLE_WINDOW_MILLISECONDS} ms after the cut at ${name}: `
+      + `${served} of ${own.length} served ${JSON.stringify([...ends])}`);
+    return { share: served / own.length, failed: own.length - served };
+  };
+  const own = summarize(cutOff.name, true);
+  const others = summarize('the others', false);
+  record(`channels reset: ${gates.reduce((sum, { resets }) => sum + resets, 0)}; processes run: ${entries.every(({ running }) => running)}`);
+  await sleep(2_000);
+  record(`2 s after the cut: ${await doAllServe() ? 'all entries serve' : 'not all entries serve'}`);
   store.stop();
+  workers.forEach((worker) => worker.stop());
   fleet.stop();
-  return late > REQUESTS_ALLOWED;
+  gates.forEach((gate) => gate.stop());
+  return own.share < (2 / 3) * others.share && own.failed > FAILURES_ALLOWED + counted.length / 50;
 });
--- a/review/6/run.js
+++ b/review/6/run.js
@@ -1,5 +1,4 @@
-import { createHash } from 'node:crypto';
-import { connect } from 'node:net';
+import { Agent } from 'node:http';
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import createConfiguration from '../support-2/createConfiguration.js';
@@ -13,56 +12,28 @@
 import Store from '../support-2/Store.js';
 import until from '../support-2/until.js';
 
-/** Larger than what the sockets of both sides hold, so that a part of it is still in the process. */
-const BODY_BYTES = 12_000_000;
+const WORK_MILLISECONDS = 400;
+const PLAY_MILLISECONDS = 20_000;
+const BOOKING_PERIOD_MILLISECONDS = 100;
 
-const SMALL_BODY_BYTES = 800;
-const READERS = 2;
+/** Requests at the worker in trouble at one time. */
+const LOOKUPS_AT_ONCE = 12;
 
-/** Pause of a client after each read. It has read the whole answer within its time budget of 8 s. */
-const READ_PAUSE_MILLISECONDS = 20;
+/** What the worker in trouble sends on each channel: 8 MB a second, on all less than its link takes. */
+const PIECE = Buffer.alloc(64 * 1_024, 'x');
+const PIECE_PERIOD_MILLISECONDS = 8;
 
-/** Time from the requests to the kill, in ms. */
-const KILLED_AFTER_MILLISECONDS = 800;
+/** Requests that a sound worker got and whose kept channel closed without an answer: more break the rule. */
+const LOST_ALLOWED = 3;
 
-function digest(bytes) {
-  return createHash('sha256').update(bytes).digest('hex').slice(0, 12);
-}
-
-/** A client that reads slowly. Resolves to what it got, and how the channel ended. */
-function readSlowly(address, attempt) {
-  const [host, port] = address.split(':');
-  return new Promise((done) => {
-    const startedAt = performance.now();
-    const chunks = [];
-    const socket = connect({ host, port: Number(port) });
-    let error = null;
-    let hasEnded = false;
-    socket.on('error', (cause) => {
-      error = cause.code;
-    });
-    socket.on('end', () => {
-      hasEnded = true;
-    });
-    socket.on('close', () => {
-      const bytes = Buffer.concat(chunks);
-      const headEnd = bytes.indexOf('\r\n\r\n');
-      done({
-        head: bytes.subarray(0, Math.max(0, headEnd)).toString('latin1'),
-        body: bytes.subarray(headEnd + 4),
-        hasEnded,
-        error,
-        milliseconds: Math.round(performance.now() - startedAt),
-      });
-    });
-    socket.on('data', (chunk) => {
-      chunks.push(chunk);
-      socket.pause();
-      setTimeout(() => socket.resume(), READ_PAUSE_MILLISECONDS);
-    });
-    const headers = Object.entries(createHeaders({ attempt })).map(([name, value]) => `${name}: ${value}`);
-    socket.write([`GET /read/${attempt} HTTP/1.1`, ...headers, '', ''].join('\r\n'));
-  });
+/** Writes bytes until the caller closes the channel. */
+function writeWithoutEnd(outgoing) {
+  const timer = setInterval(() => {
+    if (!outgoing.writableNeedDrain) {
+      outgoing.write(PIECE);
+    }
+  }, PIECE_PERIOD_MILLISECONDS);
+  outgoing.once('close', () => clearInterval(timer));
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({
@@ -70,61 +41,106 @@
 }) => {
   const store = new Store();
   await store.start();
-  store.put('op', 'config', createConfiguration());
-  const digests = new Map();
-  const worker = new PlainWorker({
+  const configuration = createConfiguration();
+  const [, readRoute] = configuration.routes;
+  const [, plainService] = configuration.services;
+  configuration.routes.push({
+    ...readRoute, name: 'r-lookup', prefix: '/lookup/', service: 'lookups', timeout_ms: 1_500,
+  });
+  configuration.services.push({ ...plainService, name: 'lookups' });
+  store.put('op', 'config', configuration);
+  const runs = new Map();
+  // Sound workers, each of which has a free slot for every other request.
+  const sound = ['i-0000000001', 'i-0000000002'].map((id) => {
+    let asked = 0;
+    return new PlainWorker({
+      store,
+      id,
+      service: NAMES.plain,
+      slots: 60,
+      answer: async (incoming, outgoing) => {
+        asked += 1;
+        if (asked % 2 === 0) {
+          outgoing.writeHead(503, { 'content-length': 0, 'dandelionlane-not-executed': '1' }).end();
+          return;
+        }
+        const attempt = incoming.headers['dandelionlane-attempt-id'];
+        runs.set(attempt, `${id}, running`);
+        outgoing.once('close', () => {
+          runs.set(attempt, `${id}, ${outgoing.writableFinished ? 'answered' : 'left before its answer'}`);
+        });
+        await sleep(WORK_MILLISECONDS);
+        outgoing.writeHead(200, { 'content-length': 2, 'dandelionlane-server-seal': `seal.${attempt}` }).end('ok');
+      },
+    });
+  });
+  let isInTrouble = false;
+  const troubled = new PlainWorker({
     store,
-    id: 'i-0000000009',
-    service: NAMES.plain,
-    // Neither a length nor chunks: the answer ends with its channel.
-    answer: async (incoming, answering) => {
-      const outgoing = answering;
-      const attempt = incoming.headers['dandelionlane-attempt-id'];
-      const bytes = incoming.url.startsWith('/read/small') ? SMALL_BODY_BYTES : BODY_BYTES;
-      const body = Buffer.alloc(bytes, `${attempt} `);
-      digests.set(attempt, digest(body));
-      outgoing.useChunkedEncodingByDefault = false;
-      outgoing.shouldKeepAlive = false;
-      outgoing.writeHead(200, { 'dandelionlane-server-seal': `seal.${attempt}`, connection: 'close' });
-      await new Promise((sent) => {
-        outgoing.end(body, sent);
-      });
-      record(`worker has sent its whole answer to ${attempt}: ${body.length} bytes, ${digest(body)}`);
+    id: 'i-0000000003',
+    service: 'lookups',
+    slots: 60,
+    answer: (incoming, outgoing) => {
+      const seal = `seal.${incoming.headers['dandelionlane-attempt-id']}`;
+      if (isInTrouble) {
+        outgoing.writeHead(200, { 'dandelionlane-server-seal': seal });
+        writeWithoutEnd(outgoing);
+      } else {
+        outgoing.writeHead(200, { 'content-length': 2, 'dandelionlane-server-seal': seal }).end('ok');
+      }
     },
   });
-  await worker.start();
+  for (const worker of [...sound, troubled]) {
+    await worker.start();
+  }
   const entry = addEntry(new Entry({ name: 'edge-1', store, directory }));
   await entry.prepare();
   await entry.start();
+  const agent = new Agent({ keepAlive: true });
   let attempts = 0;
-  await until('the entry serves', async () => {
+  const request = async (path, method) => {
     attempts += 1;
-    const headers = createHeaders({ attempt: `small-${attempts}` });
-    const { status, body } = await send(entry.callers, { path: '/read/small', headers });
-    return status === 200 && body.length === SMALL_BODY_BYTES;
+    const attempt = `a${attempts}`;
+    const headers = createHeaders({ attempt, deadlineMilliseconds: 1_500 });
+    const { status, error } = await send(entry.callers, {
+      method, path, headers, agent, body: method === 'POST' ? 'x' : null,
+    });
+    return { attempt, end: status ?? error };
+  };
+  await until('the entry serves', async () => {
+    const [booking, lookup] = await Promise.all([request('/book/1', 'POST'), request('/lookup/1', 'GET')]);
+    return booking.end === 200 && lookup.end === 200;
   }, 20_000);
-  const reading = Array.from({ length: READERS }, (_none, index) => readSlowly(entry.callers, `slow-${index}`));
-  await sleep(KILLED_AFTER_MILLISECONDS);
+  record('the entry serves; the two workers for bookings are full at times and say so');
+  isInTrouble = trouble;
   if (trouble) {
-    record('the process of the entry is killed (SIGKILL)');
-    await entry.kill();
+    record('the worker of another service is in trouble: its answers have no end');
   }
-  let broken = 0;
-  (await Promise.all(reading)).forEach(({
-    head, body, hasEnded, error, milliseconds,
-  }, index) => {
-    const attempt = `slow-${index}`;
-    const isFramed = /^(content-length|transfer-encoding):/mi.test(head);
-    const looksWhole = /^HTTP\/1.1 2\d\d /.test(head) && !isFramed && hasEnded && error === null;
-    const isWhole = digest(body) === digests.get(attempt);
-    const end = error ?? (hasEnded ? 'ended in order' : 'was closed');
-    record(`client ${attempt}: ${head.split('\r\n')[0]} ${isFramed ? 'with' : 'without'} a length; `
-      + `${body.length} bytes, ${digest(body)}; the channel ${end} after ${milliseconds} ms; `
-      + `${looksWhole ? 'looks complete' : 'is not complete'}, ${isWhole ? 'is' : 'is not'} the worker's whole body`);
-    broken += looksWhole && !isWhole ? 1 : 0;
+  const startedAt = performance.now();
+  const lookupEnds = new Map();
+  const lookups = Array.from({ length: LOOKUPS_AT_ONCE }, async () => {
+    while (performance.now() - startedAt < PLAY_MILLISECONDS) {
+      const { end } = await request('/lookup/1', 'GET');
+      lookupEnds.set(end, (lookupEnds.get(end) ?? 0) + 1);
+      await sleep(BOOKING_PERIOD_MILLISECONDS);
+    }
   });
-  record(`${broken} of ${READERS} answers look complete and are not the worker's whole body`);
+  const bookings = [];
+  while (performance.now() - startedAt < PLAY_MILLISECONDS) {
+    bookings.push(request('/book/1', 'POST'));
+    await sleep(BOOKING_PERIOD_MILLISECONDS);
+  }
+  const ended = await Promise.all(bookings);
+  await Promise.all(lookups);
+  const ends = new Map();
+  ended.forEach(({ end }) => ends.set(end, (ends.get(end) ?? 0) + 1));
+  const lost = ended.filter(({ attempt, end }) => typeof end === 'string' && runs.has(attempt));
+  record(`lookups ended ${JSON.stringify([...lookupEnds])}`);
+  record(`bookings ended ${JSON.stringify([...ends])}`);
+  lost.forEach(({ attempt, end }) => record(`booking ${attempt} was passed on to ${runs.get(attempt)}; `
+    + `its channel was closed without an answer: ${end}`));
+  record(`${lost.length} of ${ended.length} bookings lost; process ${entry.running ? 'runs' : 'has ended'}`);
   store.stop();
-  worker.stop();
-  return broken > 0;
+  [...sound, troubled].forEach((worker) => worker.stop());
+  return lost.length > LOST_ALLOWED;
 });
--- a/review/support-2/ModelFleet.js
+++ b/review/support-2/ModelFleet.js
@@ -20,9 +20,6 @@
     /** Answers a stream in place of the one head that is in trouble; null while all are sound. */
     this.answerInTrouble = null;
     this.idInTrouble = null;
-    /** Whether a request that a head begins to run crashes it; none does by default. */
-    this.isCrashing = () => false;
-    this.darkMilliseconds = 3_000;
   }
 
   async add(id, createProxy = null) {
--- a/review/support-2/ModelWorker.js
+++ b/review/support-2/ModelWorker.js
@@ -65,30 +65,7 @@
     }
   }
 
-  /** Crashes and leaves what is sent to it without an answer; it is back later, as a new process. */
-  goDark(milliseconds) {
-    this.alive = false;
-    this.registration.stop();
-    setTimeout(() => {
-      this.server.closeAllConnections();
-      Object.assign(this, {
-        alive: true,
-        born: Date.now(),
-        sequence: 0,
-        fence: 0,
-        highestEpoch: 0,
-        group: null,
-        model: null,
-        lastModel: null,
-      });
-      this.registration.start();
-    }, milliseconds);
-  }
-
   async #serve(incoming, outgoing) {
-    if (!this.alive) {
-      return;
-    }
     const body = await readText(incoming);
     outgoing.setHeader('dandelionlane-instance-id', this.id);
     const expected = incoming.headers['dandelionlane-expect-instance'];
@@ -232,10 +209,6 @@
       gone = true;
       this.running -= 1;
     });
-    if (fleet.isCrashing(incoming, this)) {
-      this.goDark(fleet.darkMilliseconds);
-      return;
-    }
     if (fleet.answerInTrouble !== null && fleet.isInTrouble(this.id)) {
       fleet.answerInTrouble(outgoing, attempt);
       return;
